--- /dev/null
+++ b/packages/control/document.ts
@@ -0,0 +1,124 @@
+/**
+ * The published document: sections by team, each with a version. The schemas here are the
+ * reference for every field; `docs/configuration.md` describes them for operators.
+ */
+
+import { z } from "zod";
+import {
+  brandAs,
+  type JobId,
+  type KeyId,
+  type ModelName,
+  type RouteId,
+  type SectionName,
+  type TeamName,
+  type UpstreamName,
+  type WorkspaceId,
+} from "../common/ids.ts";
+
+/** Name of the section that holds teams, models, upstreams and limits of the log. */
+export const platformSectionName = brandAs<SectionName>("platform");
+
+const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, {
+  message:
+    "must be 1 to 63 of a-z, 0-9, '.' and '-', beginning with a letter or digit",
+});
+const sha256Schema = z.string().regex(/^[0-9a-f]{64}$/, {
+  message: "must be the SHA-256 of the key as 64 hexadecimal digits",
+});
+const addressSchema = z.string().regex(/^[0-9a-fA-F.:[\]]+:[0-9]{1,5}$/, {
+  message: "must be an IP address and a port, such as 10.0.0.1:8000",
+});
+
+export const teamSchema = z.strictObject({
+  name: nameSchema.transform((name) => brandAs<TeamName>(name)),
+  /** Ed25519 public key, SPKI in base64. */
+  publicKey: z.string().min(1),
+  sections: z.array(nameSchema.transform((name) => brandAs<SectionName>(name)))
+    .min(1),
+});
+
+export const upstreamSchema = z.strictObject({
+  name: nameSchema.transform((name) => brandAs<UpstreamName>(name)),
+  kind: z.enum(["engine", "plain"]),
+  address: addressSchema,
+  /** Models that an engine serves; empty for plain services. */
+  models: z.array(
+    z.string().min(1).transform((name) => brandAs<ModelName>(name)),
+  ).default([]),
+  /** Requests that the upstream runs at once. */
+  concurrency: z.number().int().positive(),
+  /** Whether an engine refuses orders with an old fencing token. */
+  checksFencing: z.boolean().default(false),
+});
+
+export const platformSectionSchema = z.strictObject({
+  /** Number of batch partitions. It cannot change after the first publish. */
+  partitions: z.number().int().min(1).max(4096).default(32),
+  log: z.strictObject({
+    /** Appends a second that the log service takes from the whole fleet. */
+    appendsPerSecond: z.number().positive().default(400),
+    /** How long the log service keeps a record. */
+    retentionSeconds: z.number().positive().default(7 * 24 * 3600),
+  }).prefault({}),
+  teams: z.array(teamSchema).min(1),
+  upstreams: z.array(upstreamSchema).default([]),
+});
+
+export const keySchema = z.strictObject({
+  id: nameSchema.transform((name) => brandAs<KeyId>(name)),
+  sha256: sha256Schema,
+});
+
+export const workspaceSchema = z.strictObject({
+  id: nameSchema.transform((name) => brandAs<WorkspaceId>(name)),
+  /** Requests a second over the whole fleet. */
+  ratePerSecond: z.number().positive(),
+  /** Requests that may come at once over the whole fleet. */
+  burst: z.number().min(1),
+  /** Share of batch capacity relative to the other workspaces. */
+  batchWeight: z.number().positive().default(1),
+  /** Models that the workspace may call; all models if absent. */
+  models: z.array(
+    z.string().min(1).transform((name) => brandAs<ModelName>(name)),
+  ).optional(),
+  keys: z.array(keySchema).default([]),
+});
+
+export const routeSchema = z.strictObject({
+  id: nameSchema.transform((name) => brandAs<RouteId>(name)),
+  /** Path prefix at the instances, such as /scale. The rest of the path is passed on. */
+  pathPrefix: z.string().regex(/^\/[A-Za-z0-9._~/-]*[A-Za-z0-9._~-]$/, {
+    message: "must begin with '/' and must not end with '/'",
+  }),
+  /** Plain services that answer the route. */
+  upstreams: z.array(
+    nameSchema.transform((name) => brandAs<UpstreamName>(name)),
+  ).min(1),
+  /** Whether a call may be sent again when it may have run already. */
+  repeatable: z.boolean().default(false),
+  /** Whether the route needs no key. */
+  openToAll: z.boolean().default(false),
+  /** Workspaces that may use the route; all if absent. Must be absent if it is open to all. */
+  workspaces: z.array(
+    nameSchema.transform((name) => brandAs<WorkspaceId>(name)),
+  ).optional(),
+  /** Strip the prefix before the call is passed on. */
+  stripPrefix: z.boolean().default(true),
+});
+
+export const teamSectionSchema = z.strictObject({
+  workspaces: z.array(workspaceSchema).default([]),
+  routes: z.array(routeSchema).default([]),
+  /** Ids of jobs of the section's workspaces that the operators have cancelled. */
+  cancelledJobs: z.array(
+    z.string().min(1).transform((id) => brandAs<JobId>(id)),
+  ).default([]),
+});
+
+export type Team = z.output<typeof teamSchema>;
+export type Upstream = z.output<typeof upstreamSchema>;
+export type PlatformSection = z.output<typeof platformSectionSchema>;
+export type TeamSection = z.output<typeof teamSectionSchema>;
+export type Workspace = z.output<typeof workspaceSchema>;
+export type Route = z.output<typeof routeSchema>;
--- /dev/null
+++ b/packages/log/group-commit-writer.ts
@@ -0,0 +1,160 @@
+/**
+ * Appends entries to one stream in groups: everything that arrives while one append is under
+ * way goes into the next record. An append whose answer is lost is sent again with the same
+ * writer and sequence, and readers count it once.
+ */
+
+import { type Clock, systemClock } from "../common/clock.ts";
+import { LogUnavailableError, RosemaryrudderError } from "../common/errors.ts";
+import type { Offset, StreamName, WriterId } from "../common/ids.ts";
+import { type Logger, silentLogger } from "../common/logging.ts";
+import { encodeValue } from "../protocol/frames.ts";
+import type { AppendBudget } from "./append-budget.ts";
+import {
+  initialRetryDelayMilliseconds,
+  maximumGroupBytes,
+  maximumRecordBytes,
+  maximumRetryDelayMilliseconds,
+  recordVersion,
+} from "./constants.ts";
+import type { LogClient } from "./log-client.ts";
+import { encodeRecord } from "./record.ts";
+
+export interface GroupCommitWriterOptions {
+  client: LogClient;
+  stream: StreamName;
+  /** Must be unique to this writer object: the sequence begins at zero. */
+  writer: WriterId;
+  budget?: AppendBudget;
+  clock?: Clock;
+  logger?: Logger;
+  version?: number;
+  /** Called after each append with the number of entries and the time it took. */
+  onAppended?: (entries: number, milliseconds: number) => void;
+}
+
+interface QueuedEntry {
+  entry: unknown;
+  bytes: number;
+  resolve: (offset: Offset) => void;
+  reject: (error: Error) => void;
+}
+
+export class WriterClosedError extends RosemaryrudderError {
+  constructor() {
+    super(
+      "writer_closed",
+      "the writer was closed before the entry was appended",
+    );
+  }
+}
+
+export class GroupCommitWriter {
+  readonly #options: GroupCommitWriterOptions;
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  #queue: QueuedEntry[] = [];
+  #sequence = 0;
+  #isRunning = false;
+  #isClosed = false;
+
+  constructor(options: GroupCommitWriterOptions) {
+    this.#options = options;
+    this.#clock = options.clock ?? systemClock;
+    this.#logger = options.logger ?? silentLogger;
+  }
+
+  get queueLength(): number {
+    return this.#queue.length;
+  }
+
+  /** Resolves with the record's offset. The entry counts only once a reducer accepted it. */
+  append(entry: unknown): Promise<Offset> {
+    if (this.#isClosed) return Promise.reject(new WriterClosedError());
+    const bytes = encodeValue(entry).length;
+    if (bytes > maximumRecordBytes - 1_024) {
+      return Promise.reject(
+        new RosemaryrudderError(
+          "entry_too_large",
+          `an entry of ${bytes} bytes is too large`,
+        ),
+      );
+    }
+    return new Promise((resolve, reject) => {
+      this.#queue.push({ entry, bytes, resolve, reject });
+      void this.#run();
+    });
+  }
+
+  /** Rejects what is queued. An append under way may still take effect. */
+  close(): void {
+    this.#isClosed = true;
+    for (const queued of this.#queue.splice(0)) {
+      queued.reject(new WriterClosedError());
+    }
+  }
+
+  async #run(): Promise<void> {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    try {
+      while (this.#queue.length > 0 && !this.#isClosed) {
+        await this.#options.budget?.acquire();
+        await this.#appendGroup(this.#takeGroup());
+      }
+    } finally {
+      this.#isRunning = false;
+    }
+  }
+
+  #takeGroup(): QueuedEntry[] {
+    let bytes = 0;
+    let count = 0;
+    for (const queued of this.#queue) {
+      bytes += queued.bytes;
+      if (count > 0 && bytes > maximumGroupBytes) break;
+      count++;
+    }
+    return this.#queue.splice(0, count);
+  }
+
+  async #appendGroup(group: QueuedEntry[]): Promise<void> {
+    if (group.length === 0) return;
+    const startedAt = this.#clock.monotonicNow();
+    const data = encodeRecord({
+      version: this.#options.version ?? recordVersion,
+      writer: this.#options.writer,
+      sequence: this.#sequence++,
+      writtenAt: this.#clock.wallNow(),
+      entries: group.map((queued) => queued.entry),
+    });
+    const offset = await this.#appendWithRetries(data);
+    if (offset === undefined) {
+      for (const queued of group) queued.reject(new WriterClosedError());
+      return;
+    }
+    this.#options.onAppended?.(
+      group.length,
+      this.#clock.monotonicNow() - startedAt,
+    );
+    for (const queued of group) queued.resolve(offset);
+  }
+
+  async #appendWithRetries(data: Uint8Array): Promise<Offset | undefined> {
+    let delay = initialRetryDelayMilliseconds;
+    while (!this.#isClosed) {
+      try {
+        return await this.#options.client.append(this.#options.stream, data);
+      } catch (error) {
+        if (!(error instanceof LogUnavailableError)) throw error;
+        this.#logger.debug("an append failed and will be repeated", {
+          stream: this.#options.stream,
+          reason: error.message,
+        });
+      }
+      await new Promise((resolve) => setTimeout(resolve, delay));
+      delay = Math.min(delay * 2, maximumRetryDelayMilliseconds);
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/log/stream-reader.ts
@@ -0,0 +1,109 @@
+/**
+ * Follows one stream: long-polls the log and hands each record, in order, to a function. It
+ * reports each answer, so that freshness can tell when the end of the stream was last seen.
+ */
+
+import { type Clock, systemClock } from "../common/clock.ts";
+import { LogUnavailableError } from "../common/errors.ts";
+import type { Offset, StreamName } from "../common/ids.ts";
+import { type Logger, silentLogger } from "../common/logging.ts";
+import {
+  initialRetryDelayMilliseconds,
+  maximumRetryDelayMilliseconds,
+} from "./constants.ts";
+import type { LogClient, StoredRecord } from "./log-client.ts";
+
+export interface StreamReaderOptions {
+  client: LogClient;
+  stream: StreamName;
+  from?: Offset;
+  onRecord: (record: StoredRecord) => void;
+  /** Records before `start` are gone although the reader had not read them. */
+  onGap?: (start: Offset) => void;
+  /** The answer reached the end of the stream; the request was sent at `sentAt` (monotonic). */
+  onEndSeen?: (end: Offset, sentAt: number) => void;
+  clock?: Clock;
+  logger?: Logger;
+  waitMilliseconds?: number;
+}
+
+export class StreamReader {
+  readonly #options: StreamReaderOptions;
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #abort = new AbortController();
+  #next: Offset;
+
+  constructor(options: StreamReaderOptions) {
+    this.#options = options;
+    this.#clock = options.clock ?? systemClock;
+    this.#logger = options.logger ?? silentLogger;
+    this.#next = options.from ?? 0 as Offset;
+  }
+
+  /** Offset of the next record that the reader will hand on. */
+  get next(): Offset {
+    return this.#next;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#abort.abort();
+  }
+
+  /** Accepts a record that arrived by another way, such as from a peer, if it is the next one. */
+  offer(record: StoredRecord): boolean {
+    if (record.offset !== this.#next || this.#abort.signal.aborted) {
+      return false;
+    }
+    this.#accept(record);
+    return true;
+  }
+
+  #accept(record: StoredRecord): void {
+    this.#next = record.offset + 1 as Offset;
+    this.#options.onRecord(record);
+  }
+
+  async #run(): Promise<void> {
+    let delay = initialRetryDelayMilliseconds;
+    while (!this.#abort.signal.aborted) {
+      try {
+        await this.#readOnce();
+        delay = initialRetryDelayMilliseconds;
+      } catch (error) {
+        if (this.#abort.signal.aborted) return;
+        this.#logger.debug("a read of the log failed and will be repeated", {
+          stream: this.#options.stream,
+          reason: error instanceof Error ? error.message : String(error),
+        });
+        if (!(error instanceof LogUnavailableError)) throw error;
+        await new Promise((resolve) => setTimeout(resolve, delay));
+        delay = Math.min(delay * 2, maximumRetryDelayMilliseconds);
+      }
+    }
+  }
+
+  async #readOnce(): Promise<void> {
+    const sentAt = this.#clock.monotonicNow();
+    const result = await this.#options.client.read(this.#options.stream, {
+      from: this.#next,
+      signal: this.#abort.signal,
+      ...(this.#options.waitMilliseconds === undefined
+        ? {}
+        : { waitMilliseconds: this.#options.waitMilliseconds }),
+    });
+    if (this.#abort.signal.aborted) return;
+    if (result.start > this.#next) {
+      this.#next = result.start;
+      this.#options.onGap?.(result.start);
+    }
+    for (const record of result.records) {
+      if (record.offset >= this.#next) this.#accept(record);
+    }
+    if (this.#next >= result.end) this.#options.onEndSeen?.(result.end, sentAt);
+  }
+}
