--- /dev/null
+++ b/packages/control/configuration.ts
@@ -0,0 +1,309 @@
+/**
+ * Builds the indexed configuration from the sections and checks the document as a whole: every
+ * reference must resolve and no name may be taken twice. Problems carry the path of the field.
+ */
+
+import type { z } from "zod";
+import type { ValidationProblem } from "../common/errors.ts";
+import type {
+  JobId,
+  ModelName,
+  SectionName,
+  UpstreamName,
+  WorkspaceId,
+} from "../common/ids.ts";
+import type { Configuration, KeyOwner } from "./control-state.ts";
+import {
+  type PlatformSection,
+  platformSectionName,
+  platformSectionSchema,
+  type Route,
+  type TeamSection,
+  teamSectionSchema,
+  type Upstream,
+  type Workspace,
+} from "./document.ts";
+import { parsePublicKey } from "./signing.ts";
+
+/** Sections after their schema was applied. */
+export interface SectionValues {
+  readonly platform: PlatformSection | undefined;
+  readonly teams: ReadonlyMap<SectionName, TeamSection>;
+}
+
+export const emptySectionValues: SectionValues = {
+  platform: undefined,
+  teams: new Map(),
+};
+
+export type Checked<Value> =
+  | { readonly value: Value; readonly problems?: undefined }
+  | {
+    readonly value?: undefined;
+    readonly problems: readonly ValidationProblem[];
+  };
+
+/** Applies the schema of one section. Paths begin with the name of the section. */
+export function replaceSection(
+  values: SectionValues,
+  section: SectionName,
+  body: unknown,
+): Checked<SectionValues> {
+  if (section === platformSectionName) {
+    const result = platformSectionSchema.safeParse(body);
+    if (!result.success) return { problems: schemaProblems(section, result) };
+    return { value: { ...values, platform: result.data } };
+  }
+  const result = teamSectionSchema.safeParse(body);
+  if (!result.success) return { problems: schemaProblems(section, result) };
+  const teams = new Map(values.teams).set(section, result.data);
+  return { value: { ...values, teams } };
+}
+
+function schemaProblems(
+  section: SectionName,
+  result: z.ZodSafeParseError<unknown>,
+): ValidationProblem[] {
+  return result.error.issues.map((issue) => ({
+    path: [section, ...issue.path.map(String)].join("."),
+    reason: issue.message,
+  }));
+}
+
+export interface BuildOptions {
+  sectionVersions: ReadonlyMap<SectionName, number>;
+  /** The partition count in force, which a publish cannot change. */
+  partitions?: number | undefined;
+}
+
+/** Builds the configuration, or returns every problem of the whole document. */
+export function buildConfiguration(
+  values: SectionValues,
+  options: BuildOptions,
+): Checked<Configuration> {
+  const builder = new ConfigurationBuilder(values, options);
+  return builder.build();
+}
+
+export function emptyConfiguration(): Configuration {
+  const empty = buildConfiguration(emptySectionValues, {
+    sectionVersions: new Map(),
+  });
+  if (!empty.value) throw new TypeError("the empty document must be valid");
+  return empty.value;
+}
+
+/** Whether a section holds nothing, so that it needs no owning team. */
+function isEmptySection(section: TeamSection): boolean {
+  return section.workspaces.length + section.routes.length +
+      section.cancelledJobs.length === 0;
+}
+
+class ConfigurationBuilder {
+  readonly #values: SectionValues;
+  readonly #options: BuildOptions;
+  readonly #problems: ValidationProblem[] = [];
+  readonly #taken = new Map<string, string>();
+  readonly #upstreams = new Map<UpstreamName, Upstream>();
+  readonly #engines = new Map<ModelName, Upstream[]>();
+  readonly #workspaces = new Map<WorkspaceId, Workspace>();
+  readonly #workspaceSections = new Map<WorkspaceId, SectionName>();
+  readonly #keys = new Map<string, KeyOwner>();
+  readonly #routes: Route[] = [];
+  readonly #cancelledJobs = new Map<SectionName, ReadonlySet<JobId>>();
+
+  constructor(values: SectionValues, options: BuildOptions) {
+    this.#values = values;
+    this.#options = options;
+  }
+
+  build(): Checked<Configuration> {
+    const { platform, teams } = this.#values;
+    if (platform) this.#addPlatform(platform);
+    // Sections are taken by name, so that problems come in the same order for every reader.
+    const sections = [...teams].sort(([left], [right]) =>
+      left < right ? -1 : 1
+    );
+    for (const [name, section] of sections) this.#addWorkspaces(name, section);
+    for (const [name, section] of sections) this.#addRoutes(name, section);
+    if (platform) this.#checkOwners(platform, sections);
+    if (this.#problems.length > 0) return { problems: this.#problems };
+    return {
+      value: {
+        platform,
+        sectionVersions: this.#options.sectionVersions,
+        workspaces: this.#workspaces,
+        workspaceSections: this.#workspaceSections,
+        keys: this.#keys,
+        upstreams: this.#upstreams,
+        engines: this.#engines,
+        routes: this.#routes.sort((left, right) =>
+          right.pathPrefix.length - left.pathPrefix.length ||
+          (left.pathPrefix < right.pathPrefix ? -1 : 1)
+        ),
+        cancelledJobs: new Set(
+          [...this.#cancelledJobs.values()].flatMap((jobs) => [...jobs]),
+        ),
+        cancelledJobsBySection: this.#cancelledJobs,
+      },
+    };
+  }
+
+  #report(path: string, reason: string): void {
+    this.#problems.push({ path, reason });
+  }
+
+  /** Claims a name; reports the path that has it already. */
+  #claim(kind: string, name: string, path: string, shown = `'${name}'`): void {
+    const key = `${kind}\n${name}`;
+    const earlier = this.#taken.get(key);
+    if (earlier === undefined) this.#taken.set(key, path);
+    else this.#report(path, `${kind} ${shown} is already used by ${earlier}`);
+  }
+
+  #addPlatform(platform: PlatformSection): void {
+    const { partitions } = this.#options;
+    if (partitions !== undefined && partitions !== platform.partitions) {
+      this.#report(
+        "platform.partitions",
+        `cannot change from ${partitions} to ${platform.partitions}`,
+      );
+    }
+    platform.teams.forEach((team, index) => {
+      const path = `platform.teams.${index}`;
+      this.#claim("team", team.name, `${path}.name`);
+      if (!parsePublicKey(team.publicKey)) {
+        this.#report(
+          `${path}.publicKey`,
+          "is not an Ed25519 public key (SPKI in base64)",
+        );
+      }
+      team.sections.forEach((section, at) =>
+        this.#claim("section", section, `${path}.sections.${at}`)
+      );
+    });
+    platform.upstreams.forEach((upstream, index) =>
+      this.#addUpstream(upstream, `platform.upstreams.${index}`)
+    );
+  }
+
+  #addUpstream(upstream: Upstream, path: string): void {
+    this.#claim("upstream", upstream.name, `${path}.name`);
+    const port = Number(upstream.address.split(":").at(-1));
+    if (port < 1 || port > 65_535) {
+      this.#report(`${path}.address`, `port ${port} is not from 1 to 65535`);
+    }
+    if (upstream.kind === "plain" && upstream.models.length > 0) {
+      this.#report(`${path}.models`, "a plain service serves no models");
+    }
+    this.#upstreams.set(upstream.name, upstream);
+    for (const model of new Set(upstream.models)) {
+      const engines = this.#engines.get(model);
+      if (engines) engines.push(upstream);
+      else this.#engines.set(model, [upstream]);
+    }
+  }
+
+  #addWorkspaces(name: SectionName, section: TeamSection): void {
+    section.workspaces.forEach((workspace, index) => {
+      const path = `${name}.workspaces.${index}`;
+      this.#claim("workspace", workspace.id, `${path}.id`);
+      this.#workspaces.set(workspace.id, workspace);
+      this.#workspaceSections.set(workspace.id, name);
+      workspace.models?.forEach((model, at) => {
+        if (!this.#engines.has(model)) {
+          this.#report(`${path}.models.${at}`, `no engine serves '${model}'`);
+        }
+      });
+      workspace.keys.forEach((key, at) => {
+        const keyPath = `${path}.keys.${at}`;
+        this.#claim(
+          `key of workspace ${workspace.id}`,
+          key.id,
+          `${keyPath}.id`,
+        );
+        // The hash itself is left out of the message.
+        this.#claim("the same key", key.sha256, `${keyPath}.sha256`, "");
+        this.#keys.set(key.sha256, { workspace: workspace.id, key: key.id });
+      });
+    });
+    if (section.cancelledJobs.length > 0) {
+      this.#cancelledJobs.set(name, new Set(section.cancelledJobs));
+    }
+  }
+
+  #addRoutes(name: SectionName, section: TeamSection): void {
+    section.routes.forEach((route, index) => {
+      const path = `${name}.routes.${index}`;
+      this.#claim("route", route.id, `${path}.id`);
+      this.#claim("path prefix", route.pathPrefix, `${path}.pathPrefix`);
+      this.#checkPrefix(route.pathPrefix, `${path}.pathPrefix`);
+      if (route.openToAll && route.workspaces !== undefined) {
+        this.#report(
+          `${path}.workspaces`,
+          "must be absent because the route is open to all",
+        );
+      }
+      route.upstreams.forEach((upstream, at) => {
+        const found = this.#upstreams.get(upstream);
+        const reason = found === undefined
+          ? `upstream '${upstream}' does not exist`
+          : found.kind !== "plain"
+          ? `upstream '${upstream}' is not a plain service`
+          : undefined;
+        if (reason) this.#report(`${path}.upstreams.${at}`, reason);
+      });
+      route.workspaces?.forEach((workspace, at) => {
+        if (!this.#workspaces.has(workspace)) {
+          this.#report(
+            `${path}.workspaces.${at}`,
+            `workspace '${workspace}' does not exist`,
+          );
+        }
+      });
+      this.#routes.push(route);
+    });
+  }
+
+  #checkPrefix(prefix: string, path: string): void {
+    const segments = prefix.split("/").slice(1);
+    if (segments.some((part) => part === "" || part === "." || part === "..")) {
+      this.#report(path, "must not have empty, '.' or '..' segments");
+    }
+    if (segments[0] === "v1") {
+      this.#report(path, "collides with /v1, which the system serves itself");
+    }
+  }
+
+  #checkOwners(
+    platform: PlatformSection,
+    sections: readonly (readonly [SectionName, TeamSection])[],
+  ): void {
+    const owned = new Set(platform.teams.flatMap((team) => team.sections));
+    if (!owned.has(platformSectionName)) {
+      this.#report("platform.teams", "no team owns the section 'platform'");
+    }
+    for (const [name, section] of sections) {
+      if (!owned.has(name) && !isEmptySection(section)) {
+        this.#report(
+          "platform.teams",
+          `no team owns the section '${name}', which is not empty`,
+        );
+      }
+    }
+  }
+}
+
+/**
+ * Whether operators have cancelled the job. Only the section that defines the job's workspace
+ * counts, so that a team cannot cancel the jobs of another.
+ */
+export function isJobCancelled(
+  configuration: Configuration,
+  workspace: WorkspaceId,
+  job: JobId,
+): boolean {
+  const section = configuration.workspaceSections.get(workspace);
+  return section !== undefined &&
+    configuration.cancelledJobsBySection.get(section)?.has(job) === true;
+}
--- a/packages/control/control-state.ts
+++ b/packages/control/control-state.ts
@@ -42,6 +42,8 @@
   readonly platform: PlatformSection | undefined;
   readonly sectionVersions: ReadonlyMap<SectionName, number>;
   readonly workspaces: ReadonlyMap<WorkspaceId, Workspace>;
+  /** Section that defines each workspace. */
+  readonly workspaceSections: ReadonlyMap<WorkspaceId, SectionName>;
   /** Owner of each key, by the SHA-256 of the key. */
   readonly keys: ReadonlyMap<string, KeyOwner>;
   readonly upstreams: ReadonlyMap<UpstreamName, Upstream>;
@@ -49,7 +51,9 @@
   readonly engines: ReadonlyMap<ModelName, readonly Upstream[]>;
   /** Sorted so that the longest prefix comes first. */
   readonly routes: readonly Route[];
+  /** All cancelled jobs. Whether a job is cancelled is decided by `isJobCancelled`. */
   readonly cancelledJobs: ReadonlySet<JobId>;
+  readonly cancelledJobsBySection: ReadonlyMap<SectionName, ReadonlySet<JobId>>;
 }
 
 export interface KeyOwner {
--- /dev/null
+++ b/packages/control/owners.ts
@@ -0,0 +1,88 @@
+/**
+ * Rendezvous owners of partitions, coordinators and limiter shares. Only active members own
+ * anything. Results are cached for as long as the members stay the same.
+ */
+
+import { pickByRendezvous, rankByRendezvous } from "../common/hashing.ts";
+import type { InstanceId, PartitionNumber } from "../common/ids.ts";
+import type {
+  ControlState,
+  Member,
+  OwnerLookup,
+  PartitionOwnerLookup,
+} from "./control-state.ts";
+
+/** A full cache is emptied. At 1,000 engines and 4,096 partitions it holds every owner. */
+const maximumCachedItems = 20_000;
+/** Rankings hold every member, so fewer of them are kept. */
+const maximumCachedRankings = 2_000;
+
+interface OwnerCache {
+  readonly active: readonly InstanceId[];
+  readonly owners: Map<string, InstanceId | undefined>;
+  readonly rankings: Map<string, readonly InstanceId[]>;
+}
+
+/** Keyed by the map of members, which the reducer replaces only when the members change. */
+const caches = new WeakMap<ReadonlyMap<InstanceId, Member>, OwnerCache>();
+
+function cacheOf(members: ReadonlyMap<InstanceId, Member>): OwnerCache {
+  let cache = caches.get(members);
+  if (!cache) {
+    const active = [...members.values()]
+      .filter((member) => member.state === "active")
+      .map((member) => member.instance)
+      .sort();
+    cache = { active, owners: new Map(), rankings: new Map() };
+    caches.set(members, cache);
+  }
+  return cache;
+}
+
+function remember<Value>(
+  map: Map<string, Value>,
+  limit: number,
+  key: string,
+  compute: () => Value,
+): Value {
+  const known = map.get(key);
+  if (known !== undefined) return known;
+  const value = compute();
+  if (map.size >= limit) map.clear();
+  map.set(key, value);
+  return value;
+}
+
+/** Instances that may own something, sorted by id. */
+export function activeMembers(state: ControlState): readonly InstanceId[] {
+  return cacheOf(state.members).active;
+}
+
+export const ownerOf: OwnerLookup = (state, item) => {
+  const { active, owners } = cacheOf(state.members);
+  return remember(
+    owners,
+    maximumCachedItems,
+    item,
+    () => pickByRendezvous(item, active),
+  );
+};
+
+export const partitionOwner: PartitionOwnerLookup = (
+  state,
+  partition: PartitionNumber,
+) => ownerOf(state, `partition/${partition}`);
+
+/** Active members by descending rendezvous score for the item; the first one is the owner. */
+export function rankedMembers(
+  state: ControlState,
+  item: string,
+): readonly InstanceId[] {
+  const { active, rankings } = cacheOf(state.members);
+  return remember(
+    rankings,
+    maximumCachedRankings,
+    item,
+    () => rankByRendezvous(item, active),
+  );
+}
--- /dev/null
+++ b/packages/control/publish.ts
@@ -0,0 +1,109 @@
+/**
+ * Decides on a publish of one section. Of competing publishes with the same base version, the
+ * first accepted one in log order wins.
+ */
+
+import type { ValidationProblem } from "../common/errors.ts";
+import type { Offset } from "../common/ids.ts";
+import {
+  buildConfiguration,
+  type Checked,
+  replaceSection,
+  type SectionValues,
+} from "./configuration.ts";
+import { maximumProblems, maximumVerdicts } from "./constants.ts";
+import { platformSectionName } from "./document.ts";
+import type { Configuration } from "./control-state.ts";
+import {
+  appendBounded,
+  type PublishVerdict,
+  type ReducedControlState,
+} from "./reduced-state.ts";
+import type { SectionPublished } from "./records.ts";
+import { publishId, verifyPublish } from "./signing.ts";
+
+export function applyPublish(
+  state: ReducedControlState,
+  entry: SectionPublished,
+  offset: Offset,
+): ReducedControlState {
+  const id = publishId(entry);
+  // A repeat of an accepted publish keeps its verdict. A refused one had no effect, so it is
+  // judged again: what it refers to may exist by now.
+  if (state.verdicts.get(id)?.verdict.outcome === "accepted") return state;
+  const decision = decide(state, entry);
+  const verdicts = appendBounded(state.verdicts, id, {
+    section: entry.section,
+    offset,
+    verdict: decision.verdict,
+  }, maximumVerdicts);
+  if (!decision.next) return { ...state, verdicts };
+  const { values, configuration, version } = decision.next;
+  const sections = new Map(state.sections)
+    .set(entry.section, { version, body: entry.body });
+  return { ...state, verdicts, sections, values, configuration };
+}
+
+interface Decision {
+  readonly verdict: PublishVerdict;
+  readonly next?: {
+    readonly values: SectionValues;
+    readonly configuration: Configuration;
+    readonly version: number;
+  };
+}
+
+function decide(state: ReducedControlState, entry: SectionPublished): Decision {
+  const currentVersion = state.sections.get(entry.section)?.version ?? 0;
+  const proposed = parseSection(state.values, entry);
+  // The first publish of `platform` is signed with the key that it establishes itself.
+  const isFirst = state.values.platform === undefined &&
+    entry.section === platformSectionName;
+  if (isFirst && !proposed.value) return refuse(proposed.problems);
+  const platform = isFirst ? proposed.value?.platform : state.values.platform;
+  const team = platform?.teams.find(({ name }) => name === entry.team);
+  if (!team) return { verdict: { outcome: "not_owner" } };
+  if (!verifyPublish(entry, team.publicKey, entry.signature)) {
+    return { verdict: { outcome: "bad_signature" } };
+  }
+  if (!team.sections.includes(entry.section)) {
+    return { verdict: { outcome: "not_owner" } };
+  }
+  if (entry.baseVersion !== currentVersion) {
+    return { verdict: { outcome: "conflict", currentVersion } };
+  }
+  if (!proposed.value) return refuse(proposed.problems);
+  const version = currentVersion + 1;
+  const built = buildConfiguration(proposed.value, {
+    sectionVersions: new Map(state.configuration.sectionVersions)
+      .set(entry.section, version),
+    partitions: state.values.platform?.partitions,
+  });
+  if (!built.value) return refuse(built.problems);
+  return {
+    verdict: { outcome: "accepted", version },
+    next: { values: proposed.value, configuration: built.value, version },
+  };
+}
+
+function refuse(problems: readonly ValidationProblem[]): Decision {
+  return {
+    verdict: {
+      outcome: "invalid",
+      problems: problems.slice(0, maximumProblems),
+    },
+  };
+}
+
+function parseSection(
+  values: SectionValues,
+  { section, body }: SectionPublished,
+): Checked<SectionValues> {
+  let value: unknown;
+  try {
+    value = JSON.parse(body);
+  } catch {
+    return { problems: [{ path: section, reason: "the body is not JSON" }] };
+  }
+  return replaceSection(values, section, value);
+}
--- /dev/null
+++ b/packages/control/reduced-state.ts
@@ -0,0 +1,82 @@
+/**
+ * The whole state that the reducer of the control stream keeps: what other packages see, and
+ * what later verdicts depend on. All of it is part of a checkpoint.
+ */
+
+import type { ValidationProblem } from "../common/errors.ts";
+import {
+  brandAs,
+  type Incarnation,
+  type Offset,
+  type SectionName,
+  type WriterId,
+} from "../common/ids.ts";
+import {
+  emptyConfiguration,
+  emptySectionValues,
+  type SectionValues,
+} from "./configuration.ts";
+import type { ControlState } from "./control-state.ts";
+
+export type PublishVerdict =
+  | { readonly outcome: "accepted"; readonly version: number }
+  | { readonly outcome: "conflict"; readonly currentVersion: number }
+  | { readonly outcome: "bad_signature" }
+  | { readonly outcome: "not_owner" }
+  | {
+    readonly outcome: "invalid";
+    readonly problems: readonly ValidationProblem[];
+  };
+
+export interface PublishRecord {
+  readonly section: SectionName;
+  readonly offset: Offset;
+  readonly verdict: PublishVerdict;
+}
+
+export interface SectionState {
+  readonly version: number;
+  /** JSON text as it was published. */
+  readonly body: string;
+}
+
+export interface ReducedControlState extends ControlState {
+  readonly sections: ReadonlyMap<SectionName, SectionState>;
+  /** The sections after their schema was applied; derived from `sections`. */
+  readonly values: SectionValues;
+  /** Verdicts by publish id, the oldest first. */
+  readonly verdicts: ReadonlyMap<string, PublishRecord>;
+  /** Highest sequence of each writer, the least recent writer first. */
+  readonly writers: ReadonlyMap<WriterId, number>;
+  /** Incarnations that were replaced, left or were evicted, the oldest first. */
+  readonly endedIncarnations: ReadonlySet<Incarnation>;
+}
+
+export function createInitialState(): ReducedControlState {
+  const beforeFirst = brandAs<Offset>(-1);
+  return {
+    appliedOffset: beforeFirst,
+    membershipOffset: beforeFirst,
+    configuration: emptyConfiguration(),
+    members: new Map(),
+    sections: new Map(),
+    values: emptySectionValues,
+    verdicts: new Map(),
+    writers: new Map(),
+    endedIncarnations: new Set(),
+  };
+}
+
+/** Copies the map with the key moved to the end; drops the oldest keys above the limit. */
+export function appendBounded<Key, Value>(
+  map: ReadonlyMap<Key, Value>,
+  key: Key,
+  value: Value,
+  limit: number,
+): Map<Key, Value> {
+  const copy = new Map(map);
+  copy.delete(key);
+  copy.set(key, value);
+  while (copy.size > limit) copy.delete(copy.keys().next().value as Key);
+  return copy;
+}
--- /dev/null
+++ b/packages/control/reducer.ts
@@ -0,0 +1,171 @@
+/**
+ * Applies the records of the control stream, one after the other, to the control state. The
+ * function is pure: readers that have applied the same records hold equal states, whatever
+ * their clocks, settings and starting points are.
+ */
+
+import type { z } from "zod";
+import type { Incarnation, InstanceId, Offset } from "../common/ids.ts";
+import type { StoredRecord } from "../log/log-client.ts";
+import { decodeRecord } from "../log/record.ts";
+import {
+  controlSchemaVersion,
+  maximumEndedIncarnations,
+  maximumWriters,
+} from "./constants.ts";
+import type { Member } from "./control-state.ts";
+import { applyPublish } from "./publish.ts";
+import { appendBounded, type ReducedControlState } from "./reduced-state.ts";
+import {
+  type MemberEvicted,
+  memberEvictedSchema,
+  type MemberJoined,
+  memberJoinedSchema,
+  type MemberLeaving,
+  memberLeavingSchema,
+  type MemberLeft,
+  memberLeftSchema,
+  sectionPublishedSchema,
+} from "./records.ts";
+
+/** Applies a stored record. Records at or below the applied offset change nothing. */
+export function applyStoredRecord(
+  state: ReducedControlState,
+  stored: StoredRecord,
+): ReducedControlState {
+  if (stored.offset <= state.appliedOffset) return state;
+  const seen: ReducedControlState = { ...state, appliedOffset: stored.offset };
+  const record = decodeRecord(stored.data);
+  // Every reader skips what it cannot decode, at the same place.
+  if (!record) return seen;
+  const highest = state.writers.get(record.writer);
+  if (highest !== undefined && record.sequence <= highest) return seen;
+  const counted = {
+    ...seen,
+    writers: appendBounded(
+      state.writers,
+      record.writer,
+      record.sequence,
+      maximumWriters,
+    ),
+  };
+  if (record.version > controlSchemaVersion) return counted;
+  return record.entries.reduce<ReducedControlState>(
+    (current, entry) => applyEntry(current, entry, stored.offset),
+    counted,
+  );
+}
+
+interface EntryRule {
+  readonly apply: (
+    state: ReducedControlState,
+    entry: unknown,
+    offset: Offset,
+  ) => ReducedControlState;
+}
+
+/** An entry that does not fit its schema is skipped alone; the rest of its record counts. */
+function defineRule<Schema extends z.ZodType>(
+  schema: Schema,
+  apply: (
+    state: ReducedControlState,
+    entry: z.output<Schema>,
+    offset: Offset,
+  ) => ReducedControlState,
+): EntryRule {
+  return {
+    apply: (state, entry, offset) => {
+      const parsed = schema.safeParse(entry);
+      return parsed.success ? apply(state, parsed.data, offset) : state;
+    },
+  };
+}
+
+/** Rules of schema version 1. Checkpoints are no change of the state and have no rule. */
+const entryRules: ReadonlyMap<string, EntryRule> = new Map([
+  ["section-published", defineRule(sectionPublishedSchema, applyPublish)],
+  ["member-joined", defineRule(memberJoinedSchema, applyJoined)],
+  ["member-leaving", defineRule(memberLeavingSchema, applyLeaving)],
+  ["member-left", defineRule(memberLeftSchema, applyEnded)],
+  ["member-evicted", defineRule(memberEvictedSchema, applyEnded)],
+]);
+
+function applyEntry(
+  state: ReducedControlState,
+  entry: unknown,
+  offset: Offset,
+): ReducedControlState {
+  const type = (entry as { type?: unknown } | null)?.type;
+  const rule = typeof type === "string" ? entryRules.get(type) : undefined;
+  return rule ? rule.apply(state, entry, offset) : state;
+}
+
+function withMembers(
+  state: ReducedControlState,
+  members: ReadonlyMap<InstanceId, Member>,
+  offset: Offset,
+): ReducedControlState {
+  return { ...state, members, membershipOffset: offset };
+}
+
+function withEnded(
+  state: ReducedControlState,
+  incarnation: Incarnation,
+): ReducedControlState {
+  const ended = [...state.endedIncarnations, incarnation];
+  return {
+    ...state,
+    endedIncarnations: new Set(ended.slice(-maximumEndedIncarnations)),
+  };
+}
+
+function applyJoined(
+  state: ReducedControlState,
+  entry: MemberJoined,
+  offset: Offset,
+): ReducedControlState {
+  const { instance, incarnation, zone, host, port, metricsUrl } = entry;
+  const existing = state.members.get(instance);
+  if (existing?.incarnation === incarnation) return state;
+  if (state.endedIncarnations.has(incarnation)) return state;
+  const base = existing ? withEnded(state, existing.incarnation) : state;
+  const member: Member = {
+    instance,
+    incarnation,
+    zone,
+    host,
+    port,
+    metricsUrl,
+    state: "active",
+    joinedAt: offset,
+  };
+  const members = new Map(state.members);
+  members.delete(instance);
+  return withMembers(base, members.set(instance, member), offset);
+}
+
+function applyLeaving(
+  state: ReducedControlState,
+  { instance, incarnation }: MemberLeaving,
+  offset: Offset,
+): ReducedControlState {
+  const existing = state.members.get(instance);
+  if (
+    existing?.incarnation !== incarnation || existing.state === "leaving"
+  ) return state;
+  const members = new Map(state.members)
+    .set(instance, { ...existing, state: "leaving" });
+  return withMembers(state, members, offset);
+}
+
+/** A stale record names an older incarnation and does not end a newer one. */
+function applyEnded(
+  state: ReducedControlState,
+  { instance, incarnation }: MemberLeft | MemberEvicted,
+  offset: Offset,
+): ReducedControlState {
+  if (state.members.get(instance)?.incarnation !== incarnation) return state;
+  const members = new Map(state.members);
+  members.delete(instance);
+  return withMembers(withEnded(state, incarnation), members, offset);
+}
--- /dev/null
+++ b/packages/control/testing/memory-log.ts
@@ -0,0 +1,90 @@
+/** A log in memory with outages, lost answers and trimming, for tests of the control state. */
+
+import { LogUnavailableError } from "../../common/errors.ts";
+import { brandAs, type Offset, type StreamName } from "../../common/ids.ts";
+import type {
+  LogClient,
+  LogReadOptions,
+  LogReadResult,
+  StoredRecord,
+} from "../../log/log-client.ts";
+
+interface MemoryStream {
+  start: number;
+  records: StoredRecord[];
+  wake: Set<() => void>;
+}
+
+export class MemoryLog implements LogClient {
+  readonly #streams = new Map<StreamName, MemoryStream>();
+  /** While true, every call fails as in an outage. */
+  isDown = false;
+  /** Number of following appends that take effect although their answer is lost. */
+  lostAnswers = 0;
+  appends = 0;
+
+  append(stream: StreamName, data: Uint8Array): Promise<Offset> {
+    if (this.isDown) {
+      return Promise.reject(new LogUnavailableError("the log is down"));
+    }
+    const target = this.#streamOf(stream);
+    const offset = brandAs<Offset>(target.start + target.records.length);
+    target.records.push({ offset, time: 0, data: new Uint8Array(data) });
+    this.appends += 1;
+    for (const wake of [...target.wake]) wake();
+    if (this.lostAnswers > 0) {
+      this.lostAnswers -= 1;
+      return Promise.reject(
+        new LogUnavailableError("no answer", { mayHaveTakenEffect: true }),
+      );
+    }
+    return Promise.resolve(offset);
+  }
+
+  async read(
+    stream: StreamName,
+    { from, waitMilliseconds = 100, signal }: LogReadOptions,
+  ): Promise<LogReadResult> {
+    const target = this.#streamOf(stream);
+    const end = () => target.start + target.records.length;
+    if (!this.isDown && from >= end() && waitMilliseconds > 0) {
+      await new Promise<void>((resolve) => {
+        const finish = () => {
+          clearTimeout(timer);
+          target.wake.delete(finish);
+          resolve();
+        };
+        const timer = setTimeout(finish, waitMilliseconds);
+        target.wake.add(finish);
+        signal?.addEventListener("abort", finish, { once: true });
+      });
+    }
+    if (this.isDown) throw new LogUnavailableError("the log is down");
+    const records = target.records.slice(Math.max(0, from - target.start));
+    return {
+      start: brandAs<Offset>(target.start),
+      end: brandAs<Offset>(end()),
+      records,
+    };
+  }
+
+  /** Drops the records before the offset, as the log does when they expire. */
+  trim(stream: StreamName, start: number): void {
+    const target = this.#streamOf(stream);
+    target.records.splice(0, Math.max(0, start - target.start));
+    target.start = Math.max(target.start, start);
+  }
+
+  recordsOf(stream: StreamName): readonly StoredRecord[] {
+    return this.#streamOf(stream).records;
+  }
+
+  #streamOf(name: StreamName): MemoryStream {
+    let stream = this.#streams.get(name);
+    if (!stream) {
+      stream = { start: 0, records: [], wake: new Set() };
+      this.#streams.set(name, stream);
+    }
+    return stream;
+  }
+}
