Add checkpoints, peer freshness, evictions and rejoining to the control service

Cause: freshness came from the log alone, so an outage would have stopped online traffic, and a trimmed stream could not be read. Ruled out: counting only the present voters for in-force decisions; instances that have not read a change of the members still take their evidence from the older set, so both must know a record. Ruled out: repeating an eviction proposal after an outage, which would evict a live member. Ruled out: calling listeners during a replay, which would act on owners of the past. Conclusion: heartbeats, relay and evictions work in memory; traffic at 390 members is not measured yet.

--- /dev/null
+++ b/packages/control/checkpoint-writer.ts
@@ -0,0 +1,99 @@
+/** Writes a control checkpoint when one is due and this instance is next in rank. */
+
+import type { Clock } from "../common/clock.ts";
+import type { InstanceId } from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import type { GroupCommitWriter } from "../log/group-commit-writer.ts";
+import type { StoredRecord } from "../log/log-client.ts";
+import { createCheckpoint } from "./checkpoint.ts";
+import { platformSectionSchema } from "./document.ts";
+import { rankedMembers } from "./owners.ts";
+import { isCheckpointDue } from "./schedules.ts";
+import type { ControlStateBuilder } from "./state-builder.ts";
+
+/** In force until the platform section states the retention of the log. */
+const defaultRetentionSeconds =
+  platformSectionSchema.shape.log.parse(undefined).retentionSeconds;
+
+export interface CheckpointWriterOptions {
+  self: InstanceId;
+  builder: ControlStateBuilder;
+  writer: GroupCommitWriter;
+  clock: Clock;
+  logger: Logger;
+}
+
+export class CheckpointWriter {
+  readonly #options: CheckpointWriterOptions;
+  #firstTime: number | undefined;
+  /** The latest record's time in the log, and when it was read here. */
+  #latest: { time: number; readAt: number } | undefined;
+  #isWriting = false;
+  checkpointsWritten = 0;
+
+  constructor(options: CheckpointWriterOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Follows the log's own time, so that no clock of an instance has to agree with it. The time
+   * lags behind until the first record arrives live, which is the own join at the latest.
+   */
+  noteRecord(record: StoredRecord): void {
+    this.#firstTime ??= record.time;
+    const readAt = this.#options.clock.monotonicNow();
+    this.#latest = { time: record.time, readAt };
+  }
+
+  /** Called regularly by a fresh member. */
+  writeIfDue(): void {
+    const { self, builder, clock } = this.#options;
+    const latest = this.#latest;
+    if (this.#isWriting || !latest || !builder.isComplete) return;
+    const { state } = builder;
+    const rank = rankedMembers(state, "control-checkpoint").indexOf(self);
+    if (rank < 0) return;
+    const since = builder.lastCheckpoint?.time ?? this.#firstTime;
+    const retentionSeconds =
+      state.configuration.platform?.log.retentionSeconds ??
+        defaultRetentionSeconds;
+    const isDue = since !== undefined && isCheckpointDue({
+      logNow: latest.time + clock.monotonicNow() - latest.readAt,
+      since,
+      retentionMilliseconds: retentionSeconds * 1_000,
+      rank,
+    });
+    if (isDue) void this.#write();
+  }
+
+  async #write(): Promise<void> {
+    const { builder, writer, logger } = this.#options;
+    this.#isWriting = true;
+    try {
+      const parts = createCheckpoint(builder.state);
+      const appends = parts.map((part) => writer.append(part));
+      const offset = Math.max(...await Promise.all(appends));
+      await this.#whenRead(offset);
+      this.checkpointsWritten += 1;
+      logger.info("a control checkpoint was written", {
+        asOf: parts[0]?.asOf ?? -1,
+        parts: parts.length,
+      });
+    } catch (error) {
+      logger.warn("a control checkpoint could not be written", {
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    } finally {
+      this.#isWriting = false;
+    }
+  }
+
+  /** Until the checkpoint is read back it does not count, and it must not be written twice. */
+  async #whenRead(offset: number): Promise<void> {
+    const { builder } = this.#options;
+    for (let turn = 0; turn < 100; turn++) {
+      if (builder.state.appliedOffset >= offset) return;
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+  }
+}
--- a/packages/control/control-service.test.ts
+++ b/packages/control/control-service.test.ts
@@ -1,38 +1,305 @@
-/** An instance follows the log, joins, and is fresh only while it can read the log. */
+/** Instances with a log and a network in memory: joins, outages, evictions and trimmed streams. */
 
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { describe, test } from "node:test";
 import {
   brandAs,
   type Incarnation,
   type InstanceId,
+  type PartitionNumber,
   type ZoneId,
 } from "../common/ids.ts";
+import { controlStream } from "./constants.ts";
 import { ControlService } from "./control-service.ts";
-import { MemoryLog } from "./testing/memory-log.ts";
-
-test("a join whose answer was lost makes one member", async () => {
-  const client = new MemoryLog();
-  client.lostAnswers = 1;
-  const service = new ControlService({
-    identity: {
-      instance: brandAs<InstanceId>("a"),
-      zone: brandAs<ZoneId>("z1"),
-      host: "127.0.0.1",
-      port: 1,
-      metricsUrl: "http://127.0.0.1:2",
-    },
-    incarnation: brandAs<Incarnation>("a-1"),
-    client,
-    network: { send() {}, request: () => Promise.reject(), handle() {} },
+import { partitionOwner } from "./owners.ts";
+import {
+  platformBody,
+  publishEntry,
+  recordBytes,
+  workspaceBody,
+} from "./testing/documents.ts";
+import { CuttableLog, MemoryLog } from "./testing/memory-log.ts";
+import { MemoryPeers } from "./testing/memory-peers.ts";
+
+interface Node {
+  readonly id: InstanceId;
+  readonly log: CuttableLog;
+  readonly service: ControlService;
+}
+
+class Fleet {
+  readonly log = new MemoryLog();
+  readonly peers = new MemoryPeers();
+  readonly nodes: Node[] = [];
+
+  async add(name: string): Promise<Node> {
+    const id = brandAs<InstanceId>(name);
+    const log = new CuttableLog(this.log);
+    const network = this.peers.connect(id, () => service.incarnation);
+    const service: ControlService = new ControlService({
+      identity: {
+        instance: id,
+        zone: brandAs<ZoneId>("z1"),
+        host: "127.0.0.1",
+        port: 1,
+        metricsUrl: "",
+      },
+      incarnation: brandAs<Incarnation>(`${name}-1`),
+      client: log,
+      network,
+    });
+    const node = { id, log, service };
+    this.nodes.push(node);
+    service.start();
+    await service.waitUntilCaughtUp();
+    await service.join();
+    return node;
+  }
+
+  async addAll(count: number): Promise<Node[]> {
+    for (let index = 0; index < count; index++) {
+      await this.add(`i${index}`);
+    }
+    await until(() =>
+      this.nodes.every(({ service }) => service.state.members.size === count)
+    );
+    return this.nodes;
+  }
+
+  publish(
+    team: "operations" | "north",
+    section: string,
+    baseVersion: number,
+    body: unknown,
+  ) {
+    const entry = publishEntry(team, section, baseVersion, body);
+    const writer = `tool-${section}-${baseVersion}`;
+    return this.log.append(controlStream, recordBytes(writer, 0, [entry]));
+  }
+
+  async [Symbol.asyncDispose]() {
+    await Promise.all(this.nodes.map(({ service }) => service.stop()));
+  }
+}
+
+async function until(
+  condition: () => boolean,
+  limit = 10_000,
+): Promise<number> {
+  const startedAt = performance.now();
+  while (!condition()) {
+    assert.ok(performance.now() - startedAt < limit, `not within ${limit} ms`);
+    await sleep(10);
+  }
+  return performance.now() - startedAt;
+}
+
+const sleep = (milliseconds: number) =>
+  new Promise((resolve) => setTimeout(resolve, milliseconds));
+
+/** Runs a test with a fleet whose services are stopped even if the test fails. */
+function fleetTest(name: string, run: (fleet: Fleet) => Promise<void>): void {
+  test(name, async () => {
+    const fleet = new Fleet();
+    try {
+      await run(fleet);
+    } finally {
+      await fleet[Symbol.asyncDispose]();
+    }
   });
-  assert.equal(service.isFresh(), false);
-  service.start();
-  await service.waitUntilCaughtUp();
-  await service.join();
-  assert.equal(client.appends, 2);
-  assert.equal(service.state.members.size, 1);
-  assert.equal(service.state.membershipOffset, 0);
-  assert.equal(service.isFresh(), true);
-  await service.stop();
+}
+
+describe("control service", { concurrency: true }, () => {
+  fleetTest("a join whose answer was lost makes one member", async (fleet) => {
+    fleet.log.lostAnswers = 1;
+    const { service } = await fleet.add("a");
+    await until(() => service.state.appliedOffset === 1);
+    assert.equal(service.state.members.size, 1);
+    assert.equal(service.state.membershipOffset, 0);
+    assert.equal(service.isFresh(), true);
+  });
+
+  fleetTest(
+    "an incarnation that has ended cannot join again",
+    async (fleet) => {
+      const { service } = await fleet.add("a");
+      await service.leave();
+      await until(() => service.state.members.size === 0);
+      await assert.rejects(service.join(), { code: "join_refused" });
+      assert.equal(service.statistics.rejoins, 0);
+    },
+  );
+
+  fleetTest(
+    "a log outage ends nobody's freshness but that of an instance without peers",
+    async (fleet) => {
+      const [first, second, lone] = await fleet.addAll(3);
+      assert.ok(first && second && lone);
+      fleet.log.isDown = true;
+      fleet.peers.cut(lone.id);
+      await until(() => !lone.service.isFresh(), 4_000);
+      for (let turn = 0; turn < 30; turn++) {
+        assert.ok(first.service.isFresh() && second.service.isFresh());
+        assert.ok(!lone.service.isFresh());
+        await sleep(50);
+      }
+      fleet.log.isDown = false;
+      await until(() => lone.service.isFresh(), 3_000);
+    },
+  );
+
+  fleetTest(
+    "an instance cut off from the log gets records from its peers",
+    async (fleet) => {
+      const [, , cut] = await fleet.addAll(3);
+      assert.ok(cut);
+      cut.log.isCut = true;
+      await sleep(50);
+      await fleet.publish("operations", "platform", 0, platformBody());
+      await fleet.publish("north", "north", 0, {
+        workspaces: [workspaceBody("walnut")],
+      });
+      const { service } = cut;
+      await until(
+        () => service.state.configuration.workspaces.size === 1,
+        1_000,
+      );
+      assert.equal(service.statistics.recordsFetched, 2);
+      await sleep(2_200);
+      assert.ok(service.isFresh(), "not fresh through its peers");
+    },
+  );
+
+  fleetTest(
+    "a record is in force only when a majority had it for the window",
+    async (fleet) => {
+      const [first, second, third] = await fleet.addAll(3);
+      assert.ok(first && second && third);
+      await sleep(600);
+      for (const node of [second, third]) {
+        node.log.isCut = true;
+        fleet.peers.cut(node.id);
+      }
+      await sleep(150);
+      const offset = await fleet.publish(
+        "operations",
+        "platform",
+        0,
+        platformBody(),
+      );
+      let isInForce = false;
+      void first.service.whenInForce(offset).then(() => isInForce = true);
+      // While the two are cut off, their evidence runs out, but first cannot know that.
+      await sleep(2_500);
+      assert.equal(isInForce, false);
+      second.log.isCut = false;
+      fleet.peers.restore(second.id);
+      await until(() => second.service.state.appliedOffset >= offset);
+      assert.ok(await until(() => isInForce, 4_000) > 1_900);
+    },
+  );
+
+  fleetTest(
+    "a dead member is evicted, and joins again with a new incarnation",
+    async (fleet) => {
+      const [first, , dead] = await fleet.addAll(3);
+      assert.ok(first && dead);
+      const partitions = Array.from(
+        { length: 32 },
+        (_, index) => brandAs<PartitionNumber>(index),
+      );
+      const owners = () =>
+        new Set(
+          partitions.map((one) => partitionOwner(first.service.state, one)),
+        );
+      assert.equal(owners().size, 3);
+      dead.log.isCut = true;
+      fleet.peers.cut(dead.id);
+      const took = await until(
+        () => !first.service.state.members.has(dead.id),
+        6_000,
+      );
+      assert.ok(took > 2_900, `evicted after ${took} ms`);
+      assert.ok(!owners().has(dead.id));
+      fleet.peers.restore(dead.id);
+      dead.log.isCut = false;
+      await until(() => first.service.state.members.has(dead.id), 5_000);
+      assert.equal(
+        first.service.state.members.get(dead.id)?.incarnation,
+        "i2-1+1",
+      );
+      assert.equal(dead.service.statistics.rejoins, 1);
+      const evictions = fleet.nodes.reduce(
+        (sum, { service }) => sum + service.statistics.evictionsProposed,
+        0,
+      );
+      assert.ok(evictions <= 2, `${evictions} proposals for one eviction`);
+    },
+  );
+
+  fleetTest(
+    "half of the members are lost at once and are evicted",
+    async (fleet) => {
+      const [first, , ...lost] = await fleet.addAll(4);
+      assert.ok(first);
+      for (const node of lost) {
+        node.log.isCut = true;
+        fleet.peers.cut(node.id);
+      }
+      await until(() => first.service.state.members.size === 2, 6_000);
+    },
+  );
+
+  fleetTest(
+    "a new instance starts at a trimmed stream with the fleet's checkpoint",
+    async (fleet) => {
+      const platform = platformBody();
+      await fleet.publish("operations", "platform", 0, {
+        ...platform,
+        log: { retentionSeconds: 4 },
+      });
+      const [first] = await fleet.addAll(2);
+      assert.ok(first);
+      const written = () =>
+        fleet.nodes.reduce(
+          (sum, { service }) => sum + service.statistics.checkpointsWritten,
+          0,
+        );
+      await until(() => written() >= 2, 8_000);
+      fleet.log.trim(controlStream, 3);
+      const late = await fleet.add("late");
+      assert.equal(late.service.state.members.size, 3);
+      await until(() =>
+        first.service.state.appliedOffset === late.service.state.appliedOffset
+      );
+      assert.deepEqual(late.service.state, first.service.state);
+      assert.equal(late.service.statistics.role, "full");
+    },
+  );
+
+  fleetTest(
+    "a process that was replaced under its id stops being a member",
+    async (fleet) => {
+      const { service } = await fleet.add("a");
+      const other = await fleet.add("b");
+      await fleet.log.append(
+        controlStream,
+        recordBytes("other", 0, [{
+          type: "member-joined",
+          instance: "a",
+          incarnation: "a-2",
+          zone: "z1",
+          host: "127.0.0.1",
+          port: 1,
+          metricsUrl: "",
+        }]),
+      );
+      await until(() => !service.isMember);
+      await sleep(1_000);
+      assert.equal(service.statistics.rejoins, 0);
+      const [replaced] = [...other.service.state.members.values()]
+        .filter((member) => member.incarnation === "a-2");
+      assert.ok(replaced, "the replaced process has joined again");
+    },
+  );
 });
--- a/packages/control/control-service.ts
+++ b/packages/control/control-service.ts
@@ -11,7 +11,6 @@
   type InstanceId,
   type Offset,
   type WriterId,
-  type ZoneId,
 } from "../common/ids.ts";
 import { type Logger, silentLogger } from "../common/logging.ts";
 import type { AppendBudget } from "../log/append-budget.ts";
@@ -19,25 +18,29 @@
 import type { LogClient, StoredRecord } from "../log/log-client.ts";
 import { StreamReader } from "../log/stream-reader.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
+import { CheckpointWriter } from "./checkpoint-writer.ts";
 import { controlStream, freshnessMilliseconds } from "./constants.ts";
-import type {
-  ControlListener,
-  ControlState,
-  ControlView,
-} from "./control-state.ts";
+import type { ControlListener, ControlView } from "./control-state.ts";
+import { EvictionProposer } from "./eviction-proposer.ts";
+import { freshUntil, noEvidence, peerEvidenceAt } from "./freshness.ts";
+import { Heartbeats } from "./heartbeats.ts";
+import { InForceWaiters } from "./in-force.ts";
+import { type ControlIdentity, Membership } from "./membership.ts";
 import {
-  createInitialState,
-  type ReducedControlState,
-} from "./reduced-state.ts";
-import { applyStoredRecord } from "./reducer.ts";
-
-export interface ControlIdentity {
-  readonly instance: InstanceId;
-  readonly zone: ZoneId;
-  readonly host: string;
-  readonly port: number;
-  readonly metricsUrl: string;
-}
+  createPeerGroup,
+  incarnationKey,
+  majorityOf,
+  type Members,
+  membersOfLostZones,
+  type PeerGroup,
+  votersOf,
+} from "./peer-group.ts";
+import { RecordRelay } from "./record-relay.ts";
+import type { ReducedControlState } from "./reduced-state.ts";
+import { ControlStateBuilder } from "./state-builder.ts";
+import { VoterHistory } from "./voter-history.ts";
+
+export type { ControlIdentity } from "./membership.ts";
 
 export interface ControlServiceOptions {
   identity: ControlIdentity;
@@ -47,63 +50,196 @@
   budget?: AppendBudget;
   clock?: Clock;
   logger?: Logger;
+  /** Returns the incarnation with which to join again after an eviction. */
+  renewIncarnation?: (
+    previous: Incarnation,
+  ) => Incarnation | Promise<Incarnation>;
+  onEvicted?: () => void;
+  /** Another process has joined under the same instance id; this one must stop. */
+  onReplaced?: () => void;
+}
+
+export interface ControlStatistics {
+  readonly appliedOffset: Offset;
+  /** Wall-clock time at which the log accepted the last applied record; 0 before the first. */
+  readonly appliedRecordTime: number;
+  readonly recordsApplied: number;
+  /** Time that the reducer has taken in total. */
+  readonly applyMilliseconds: number;
+  readonly inForceOffset: Offset;
+  readonly role: PeerGroup["role"];
+  readonly heartbeatsSent: number;
+  readonly heartbeatBytesSent: number;
+  readonly recordsFetched: number;
+  readonly evictionsProposed: number;
+  readonly checkpointsWritten: number;
+  readonly rejoins: number;
 }
 
 export class ControlService implements ControlView {
-  readonly #options: ControlServiceOptions;
   readonly #clock: Clock;
   readonly #logger: Logger;
+  readonly #self: InstanceId;
   readonly #store = new DisposableStore();
+  readonly #builder: ControlStateBuilder;
   readonly #reader: StreamReader;
-  readonly #writer: GroupCommitWriter;
+  readonly #membership: Membership;
+  readonly #heartbeats: Heartbeats;
+  readonly #relay: RecordRelay;
+  readonly #evictions: EvictionProposer;
+  readonly #checkpoints: CheckpointWriter;
+  readonly #voters = new VoterHistory();
+  readonly #inForce = new InForceWaiters();
   readonly #listeners = new Set<ControlListener>();
-  #state: ReducedControlState = createInitialState();
-  #freshUntil = Number.NEGATIVE_INFINITY;
+  readonly #caughtUpWaiters: (() => void)[] = [];
+  #group: PeerGroup;
+  /** Members from which the group was formed. A checkpoint may replace them as a whole. */
+  #groupedMembers: Members;
+  #notified: ReducedControlState;
   #hasCaughtUp = false;
+  #logEvidenceAt = noEvidence;
+  #evidenceAt = noEvidence;
+  #inForceOffset = -1;
+  #appliedRecordTime = 0;
+  #recordsApplied = 0;
+  #applyMilliseconds = 0;
 
   constructor(options: ControlServiceOptions) {
-    this.#options = options;
-    this.#clock = options.clock ?? systemClock;
-    this.#logger = options.logger ?? silentLogger;
+    const { identity, client, network } = options;
+    const clock = this.#clock = options.clock ?? systemClock;
+    const logger = this.#logger = options.logger ?? silentLogger;
+    const self = this.#self = identity.instance;
+    const writerId = brandAs<WriterId>(
+      `${self}/${options.incarnation}/control`,
+    );
+    const budget = options.budget ? { budget: options.budget } : {};
+    this.#builder = new ControlStateBuilder((record, state) =>
+      this.#handleApplied(record, state)
+    );
+    this.#notified = this.#builder.state;
+    this.#groupedMembers = this.#builder.state.members;
+    this.#group = createPeerGroup(this.#groupedMembers, self);
+    const writer = new GroupCommitWriter({
+      client,
+      stream: controlStream,
+      writer: writerId,
+      clock,
+      logger,
+      ...budget,
+    });
     this.#reader = new StreamReader({
-      client: options.client,
+      client,
       stream: controlStream,
-      clock: this.#clock,
-      logger: this.#logger,
-      onRecord: (record) => this.#apply(record),
-      onEndSeen: (_end, sentAt) => {
-        this.#freshUntil = sentAt + freshnessMilliseconds;
-        this.#hasCaughtUp = true;
+      clock,
+      logger,
+      onRecord: (record) => this.#handleRecord(record),
+      onGap: (start) => this.#handleGap(start),
+      onEndSeen: (end, sentAt) => this.#handleEndSeen(end, sentAt),
+    });
+    this.#membership = new Membership({
+      identity,
+      incarnation: options.incarnation,
+      clock,
+      logger,
+      append: (entry) => writer.append(entry),
+      canServe: () => this.isFresh() && this.#reachesMajority(),
+      renewIncarnation: options.renewIncarnation ?? nextIncarnation,
+      onEvicted: options.onEvicted ?? (() => {}),
+      onReplaced: options.onReplaced ?? (() => {}),
+    });
+    this.#heartbeats = new Heartbeats({
+      self,
+      network,
+      clock,
+      view: () => ({
+        members: this.state.members,
+        group: this.#group,
+        extraContacts: this.#extraContacts(),
+        incarnation: this.#membership.incarnation,
+        appliedOffset: this.state.appliedOffset,
+        evidenceAt: this.#evidenceAt,
+        inForceOffset: this.#inForceOffset as Offset,
+      }),
+      onNamedOffset: (peer, offset) => {
+        this.#relay.noteSource(peer, offset);
+        this.#updateEvidence();
       },
+      onAnswer: () => this.#updateEvidence(),
+      onRound: () => this.#handleRound(),
     });
-    this.#writer = new GroupCommitWriter({
-      client: options.client,
-      stream: controlStream,
-      writer: brandAs<WriterId>(
-        `${options.identity.instance}/${options.incarnation}`,
-      ),
-      clock: this.#clock,
-      logger: this.#logger,
-      ...(options.budget ? { budget: options.budget } : {}),
+    this.#relay = new RecordRelay({
+      network,
+      targets: () => new Set([...this.#group.contacts, ...this.#group.watched]),
+      namedOffset: (peer) => this.#heartbeats.namedOffsets.get(peer) ?? -1,
+      appliedOffset: () => this.state.appliedOffset,
+      nextOffset: () => this.#reader.next,
+      offer: (record) => this.#reader.offer(record),
+      onAnnounced: (peer, offset) => this.#heartbeats.noteOffset(peer, offset),
+    });
+    this.#evictions = new EvictionProposer({
+      self,
+      writer: writerId,
+      client,
+      clock,
+      logger,
     });
-    this.#store.add(() => this.#writer.close());
+    this.#checkpoints = new CheckpointWriter({
+      self,
+      builder: this.#builder,
+      writer,
+      clock,
+      logger,
+    });
+    this.#store.add(() => writer.close());
+    this.#store.add(() => this.#inForce.stop());
+    this.#store.add(() => this.#relay.stop());
+    this.#store.add(() => this.#heartbeats.stop());
+    this.#store.add(() => this.#membership.stop());
     this.#store.add(() => this.#reader.stop());
   }
 
   get state(): ReducedControlState {
-    return this.#state;
+    return this.#builder.state;
+  }
+
+  /** The incarnation under which the instance has joined or will join. */
+  get incarnation(): Incarnation {
+    return this.#membership.incarnation;
+  }
+
+  get isMember(): boolean {
+    return this.#membership.isMember;
+  }
+
+  get statistics(): ControlStatistics {
+    return {
+      appliedOffset: this.state.appliedOffset,
+      appliedRecordTime: this.#appliedRecordTime,
+      recordsApplied: this.#recordsApplied,
+      applyMilliseconds: this.#applyMilliseconds,
+      inForceOffset: this.#inForceOffset as Offset,
+      role: this.#group.role,
+      heartbeatsSent: this.#heartbeats.heartbeatsSent,
+      heartbeatBytesSent: this.#heartbeats.bytesSent,
+      recordsFetched: this.#relay.recordsFetched,
+      evictionsProposed: this.#evictions.proposals,
+      checkpointsWritten: this.#checkpoints.checkpointsWritten,
+      rejoins: this.#membership.rejoins,
+    };
   }
 
   start(): void {
     this.#reader.start();
+    this.#heartbeats.start();
   }
 
   async stop(): Promise<void> {
     await this.#store.dispose();
   }
 
+  /** Compares the monotonic clock with the date of the evidence; called for each request. */
   isFresh(): boolean {
-    return this.#clock.monotonicNow() <= this.#freshUntil;
+    return this.#clock.monotonicNow() <= freshUntil(this.#evidenceAt);
   }
 
   onChange(listener: ControlListener): () => void {
@@ -111,57 +247,189 @@
     return () => this.#listeners.delete(listener);
   }
 
-  async whenInForce(offset: Offset): Promise<void> {
-    await this.#waitFor((state) => state.appliedOffset >= offset);
-    await new Promise((resolve) => setTimeout(resolve, freshnessMilliseconds));
+  whenInForce(offset: Offset): Promise<void> {
+    const waiting = this.#inForce.add(offset);
+    this.#updateInForce();
+    return waiting;
   }
 
-  async waitUntilCaughtUp(): Promise<void> {
-    while (!this.#hasCaughtUp) {
-      await new Promise((resolve) => setTimeout(resolve, 10));
-    }
+  /** Resolves when the end of the stream was read for the first time. */
+  waitUntilCaughtUp(): Promise<void> {
+    if (this.#hasCaughtUp) return Promise.resolve();
+    return new Promise((resolve) => this.#caughtUpWaiters.push(resolve));
   }
 
-  /** Appends the membership record and waits until it was read back. */
-  async join(): Promise<void> {
-    const { identity, incarnation } = this.#options;
-    await this.#writer.append({
-      type: "member-joined",
-      ...identity,
-      incarnation,
-    });
-    await this.#waitFor((state) =>
-      state.members.get(identity.instance)?.incarnation === incarnation
-    );
+  /** Appends the join and resolves when it was read back. */
+  join(): Promise<void> {
+    return this.#membership.join();
   }
 
   async announceLeaving(): Promise<void> {
-    await this.#appendOwn("member-leaving");
+    await this.#membership.announceLeaving();
   }
 
   async leave(): Promise<void> {
-    await this.#appendOwn("member-left");
+    await this.#membership.leave();
   }
 
-  async #appendOwn(type: "member-leaving" | "member-left"): Promise<void> {
-    const { identity: { instance }, incarnation } = this.#options;
-    await this.#writer.append({ type, instance, incarnation });
+  #handleRecord(record: StoredRecord): void {
+    this.#checkpoints.noteRecord(record);
+    const startedAt = this.#clock.monotonicNow();
+    this.#builder.push(record);
+    this.#applyMilliseconds += this.#clock.monotonicNow() - startedAt;
+    this.#membership.noteApplied(this.state.appliedOffset);
+    this.#updateEvidence();
+    this.#notify();
   }
 
-  #apply(record: StoredRecord): void {
-    const previous = this.#state;
-    const next = applyStoredRecord(previous, record);
-    this.#state = next;
+  #handleApplied(record: StoredRecord, state: ReducedControlState): void {
+    this.#recordsApplied += 1;
+    this.#appliedRecordTime = record.time;
+    this.#relay.addApplied(record);
+    const { members } = state;
+    if (members === this.#groupedMembers) return;
+    this.#groupedMembers = members;
+    this.#voters.add(voterKeys(members), {
+      offset: record.offset,
+      time: record.time,
+      now: this.#clock.monotonicNow(),
+    });
+    this.#group = createPeerGroup(members, this.#self);
+    this.#heartbeats.forgetOthers(
+      members,
+      new Set([
+        ...this.#voters.voters,
+        ...[...members.values()].map(incarnationKey),
+      ]),
+    );
+    this.#membership.noteMembers(members);
+  }
+
+  #handleGap(start: Offset): void {
+    this.#builder.skipTo(start);
+    this.#updateEvidence();
+    if (this.#builder.isComplete) return;
+    this.#logger.warn(
+      "records of the control stream are gone; waiting for a checkpoint",
+      { start },
+    );
+  }
+
+  #handleEndSeen(end: Offset, sentAt: number): void {
+    if (!this.#builder.isComplete) return;
+    if (this.state.appliedOffset + 1 < end) return;
+    this.#logEvidenceAt = sentAt;
+    const isFirst = !this.#hasCaughtUp;
+    this.#hasCaughtUp = true;
+    this.#updateEvidence();
+    if (!isFirst) return;
+    this.#notify();
+    for (const resolve of this.#caughtUpWaiters.splice(0)) resolve();
+  }
+
+  /** Listeners are not called for the old states that a replay passes through. */
+  #notify(): void {
+    if (!this.#hasCaughtUp || !this.#builder.isComplete) return;
+    const { state } = this;
+    const previous = this.#notified;
+    this.#notified = state;
     if (
-      next.configuration === previous.configuration &&
-      next.members === previous.members
+      state.configuration === previous.configuration &&
+      state.members === previous.members
     ) return;
-    for (const listener of [...this.#listeners]) listener(next, previous);
+    for (const listener of [...this.#listeners]) {
+      try {
+        listener(state, previous);
+      } catch (error) {
+        this.#logger.error("a listener to the control state failed", {
+          reason: error instanceof Error ? error.message : String(error),
+        });
+      }
+    }
   }
 
-  async #waitFor(condition: (state: ControlState) => boolean): Promise<void> {
-    while (!condition(this.#state)) {
-      await new Promise((resolve) => setTimeout(resolve, 10));
+  #updateEvidence(): void {
+    if (!this.#builder.isComplete || !this.#hasCaughtUp) {
+      this.#evidenceAt = noEvidence;
+      return;
     }
+    const fromPeers = this.#membership.isMember
+      ? peerEvidenceAt({
+        self: this.#self,
+        group: this.#group,
+        appliedOffset: this.state.appliedOffset,
+        now: this.#clock.monotonicNow(),
+        answers: this.#heartbeats.answers,
+        namedOffsets: this.#heartbeats.namedOffsets,
+      })
+      : noEvidence;
+    this.#evidenceAt = Math.max(this.#logEvidenceAt, fromPeers);
+    this.#updateInForce();
+  }
+
+  #updateInForce(): void {
+    const { role } = this.#group;
+    const ownKey = incarnationKey({
+      instance: this.#self,
+      incarnation: this.#membership.incarnation,
+    });
+    const counted = role === "full" || role === "relay"
+      ? this.#voters.majorityOffset(
+        this.#clock.monotonicNow(),
+        (key) =>
+          key === ownKey
+            ? this.state.appliedOffset
+            : this.#heartbeats.incarnationOffsets.get(key) ?? -1,
+      )
+      : -1;
+    this.#inForceOffset = Math.max(
+      this.#inForceOffset,
+      counted,
+      this.#heartbeats.inForceOffset,
+    );
+    this.#inForce.noteMajority(this.#inForceOffset);
   }
+
+  #handleRound(): void {
+    this.#updateEvidence();
+    if (!this.#membership.isMember || !this.isFresh()) return;
+    this.#evictions.propose(this.state.members, this.#heartbeats);
+    this.#checkpoints.writeIfDue();
+  }
+
+  /** Voters of older sets, and members of zones without a relay that can be heard. */
+  #extraContacts(): InstanceId[] {
+    const { role } = this.#group;
+    if (role === "leaf" || role === "outside") return [];
+    const { members } = this.state;
+    const silent = this.#heartbeats.reports.get(this.#self)?.silent;
+    const voters = this.#voters.voters;
+    return [
+      ...[...members.values()]
+        .filter((member) => voters.has(incarnationKey(member)))
+        .map((member) => member.instance),
+      ...membersOfLostZones(members, silent ?? new Set()),
+    ];
+  }
+
+  #reachesMajority(): boolean {
+    const voters = votersOf(this.state.members);
+    const since = this.#clock.monotonicNow() - freshnessMilliseconds;
+    const answering = voters.filter((voter) =>
+      (this.#heartbeats.answers.get(voter)?.sentAt ?? noEvidence) >= since
+    );
+    return voters.length === 0 || answering.length >= majorityOf(voters.length);
+  }
+}
+
+function voterKeys(members: Members): string[] {
+  return votersOf(members).flatMap((instance) => {
+    const member = members.get(instance);
+    return member ? [incarnationKey(member)] : [];
+  });
+}
+
+function nextIncarnation(previous: Incarnation): Incarnation {
+  const [base = previous, count = "0"] = previous.split("+");
+  return brandAs<Incarnation>(`${base}+${Number(count) + 1}`);
 }
--- /dev/null
+++ b/packages/control/eviction-proposer.ts
@@ -0,0 +1,101 @@
+/** Proposes the eviction of members that the watchers agree to be silent. */
+
+import type { Clock } from "../common/clock.ts";
+import { rankByRendezvous } from "../common/hashing.ts";
+import { brandAs, type InstanceId, type WriterId } from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import { recordVersion } from "../log/constants.ts";
+import type { LogClient } from "../log/log-client.ts";
+import { encodeRecord } from "../log/record.ts";
+import { controlStream, silenceMilliseconds } from "./constants.ts";
+import type { Member } from "./control-state.ts";
+import type { Heartbeats } from "./heartbeats.ts";
+import {
+  incarnationKey,
+  type Members,
+  votersOf,
+  watchersOf,
+} from "./peer-group.ts";
+import { shouldProposeEviction } from "./suspicion.ts";
+
+export interface EvictionProposerOptions {
+  self: InstanceId;
+  writer: WriterId;
+  client: LogClient;
+  clock: Clock;
+  logger: Logger;
+}
+
+export class EvictionProposer {
+  readonly #options: EvictionProposerOptions;
+  /** Time of the last proposal for each incarnation. */
+  readonly #proposedAt = new Map<string, number>();
+  #sequence = 0;
+  proposals = 0;
+
+  constructor(options: EvictionProposerOptions) {
+    this.#options = options;
+  }
+
+  /** Looks at all members once. Only a fresh member calls this. */
+  propose(members: Members, heartbeats: Heartbeats): void {
+    const { self, clock } = this.#options;
+    const now = clock.monotonicNow();
+    const silent = heartbeats.reports.get(self)?.silent;
+    if (!silent || silent.size === 0) return;
+    for (const suspect of silent) {
+      const member = members.get(suspect);
+      const heardAt = heartbeats.heardAt.get(suspect);
+      if (!member || heardAt === undefined || suspect === self) continue;
+      const possible = votersOf(members)
+        .filter((voter) => voter !== suspect && !silent.has(voter));
+      const rank = rankByRendezvous(`eviction/${suspect}`, possible)
+        .indexOf(self);
+      const isDue = rank >= 0 && shouldProposeEviction({
+        now,
+        suspect,
+        heardAt,
+        watchers: watchersOf(members, suspect, silent),
+        reports: heartbeats.reports,
+        rank,
+      });
+      if (isDue) void this.#appendOnce(member, now);
+    }
+  }
+
+  /**
+   * Sends the proposal without repeating it after a failure. A proposal that waited for the end
+   * of a log outage would evict a member that has answered again since.
+   */
+  async #appendOnce(member: Member, now: number): Promise<void> {
+    const { instance, incarnation } = member;
+    const key = incarnationKey(member);
+    const previous = this.#proposedAt.get(key) ?? Number.NEGATIVE_INFINITY;
+    if (now - previous < silenceMilliseconds) return;
+    this.#proposedAt.set(key, now);
+    for (const [old, at] of this.#proposedAt) {
+      if (now - at > 10 * silenceMilliseconds) this.#proposedAt.delete(old);
+    }
+    const { client, writer, clock, logger } = this.#options;
+    logger.warn("a silent member is proposed for eviction", {
+      member: instance,
+      memberIncarnation: incarnation,
+    });
+    this.proposals += 1;
+    const data = encodeRecord({
+      version: recordVersion,
+      writer: brandAs<WriterId>(`${writer}/evictions`),
+      sequence: this.#sequence++,
+      writtenAt: clock.wallNow(),
+      entries: [{ type: "member-evicted", instance, incarnation }],
+    });
+    try {
+      await client.append(controlStream, data);
+    } catch (error) {
+      logger.debug("the eviction could not be proposed", {
+        member: instance,
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/in-force.ts
@@ -0,0 +1,46 @@
+/**
+ * Waits until a record is in force: a majority has applied it, and the freshness window has
+ * passed since this became known.
+ */
+
+import type { Offset } from "../common/ids.ts";
+import { freshnessMilliseconds } from "./constants.ts";
+
+interface Waiter {
+  readonly offset: Offset;
+  readonly resolve: () => void;
+  timer: NodeJS.Timeout | undefined;
+}
+
+/** Timers may fire up to a millisecond early. */
+const timerSlackMilliseconds = 2;
+
+export class InForceWaiters {
+  readonly #waiters = new Set<Waiter>();
+
+  get size(): number {
+    return this.#waiters.size;
+  }
+
+  add(offset: Offset): Promise<void> {
+    return new Promise((resolve) => {
+      this.#waiters.add({ offset, resolve, timer: undefined });
+    });
+  }
+
+  /** Notes the highest offset that a majority has applied. */
+  noteMajority(offset: number): void {
+    for (const waiter of this.#waiters) {
+      if (waiter.offset > offset || waiter.timer) continue;
+      waiter.timer = setTimeout(() => {
+        this.#waiters.delete(waiter);
+        waiter.resolve();
+      }, freshnessMilliseconds + timerSlackMilliseconds);
+    }
+  }
+
+  stop(): void {
+    for (const waiter of this.#waiters) clearTimeout(waiter.timer);
+    this.#waiters.clear();
+  }
+}
--- /dev/null
+++ b/packages/control/peer-group.ts
@@ -0,0 +1,160 @@
+/**
+ * Who exchanges heartbeats with whom. Up to 16 members everybody does; above that, three relays
+ * of each availability zone stand for their zone. All of it follows from the members alone.
+ */
+
+import { rankByRendezvous } from "../common/hashing.ts";
+import type { Incarnation, InstanceId, ZoneId } from "../common/ids.ts";
+import { fullMeshMembers, relaysPerZone } from "./constants.ts";
+import type { Member } from "./control-state.ts";
+
+export type Members = ReadonlyMap<InstanceId, Member>;
+
+export interface PeerGroup {
+  /**
+   * `full`: exchanges heartbeats with all members; `relay`: with the relays of all zones;
+   * `leaf`: with the relays of its own zone; `outside`: not a member.
+   */
+  readonly role: "full" | "relay" | "leaf" | "outside";
+  /** Members whose majority decides what is in force. */
+  readonly voters: readonly InstanceId[];
+  /** Members to which the instance sends heartbeats. */
+  readonly contacts: readonly InstanceId[];
+  /** Members that the instance must hear from, by their heartbeats or answers. */
+  readonly watched: readonly InstanceId[];
+}
+
+interface Layout {
+  readonly isFullMesh: boolean;
+  readonly voters: readonly InstanceId[];
+  readonly relays: ReadonlyMap<ZoneId, readonly InstanceId[]>;
+}
+
+/** The reducer replaces the map of members only when the members change. */
+const layouts = new WeakMap<Members, Layout>();
+
+function layoutOf(members: Members): Layout {
+  let layout = layouts.get(members);
+  if (!layout) {
+    layout = createLayout(members);
+    layouts.set(members, layout);
+  }
+  return layout;
+}
+
+function createLayout(members: Members): Layout {
+  const everybody = [...members.keys()].sort();
+  if (members.size <= fullMeshMembers) {
+    return { isFullMesh: true, voters: everybody, relays: new Map() };
+  }
+  const zones = new Map<ZoneId, Member[]>();
+  for (const member of members.values()) {
+    const residents = zones.get(member.zone);
+    if (residents) residents.push(member);
+    else zones.set(member.zone, [member]);
+  }
+  const relays = new Map(
+    [...zones].map(([zone, residents]) => [zone, pickRelays(zone, residents)]),
+  );
+  return {
+    isFullMesh: false,
+    voters: [...relays.values()].flat().sort(),
+    relays,
+  };
+}
+
+/** Leaving members are relays only while no other members are there. */
+function pickRelays(zone: ZoneId, residents: readonly Member[]): InstanceId[] {
+  const rank = (state: Member["state"]) =>
+    rankByRendezvous(
+      `relay/${zone}`,
+      residents.filter((member) => member.state === state)
+        .map((member) => member.instance),
+    );
+  return [...rank("active"), ...rank("leaving")].slice(0, relaysPerZone);
+}
+
+/** Members whose majority decides what is in force. */
+export function votersOf(members: Members): readonly InstanceId[] {
+  return layoutOf(members).voters;
+}
+
+export function createPeerGroup(members: Members, self: InstanceId): PeerGroup {
+  const { isFullMesh, voters, relays } = layoutOf(members);
+  const own = members.get(self);
+  const othersOf = (instances: readonly InstanceId[]) =>
+    instances.filter((instance) => instance !== self);
+  if (!own) return { role: "outside", voters, contacts: voters, watched: [] };
+  if (isFullMesh) {
+    const others = othersOf(voters);
+    return { role: "full", voters, contacts: others, watched: others };
+  }
+  const ownRelays = relays.get(own.zone) ?? [];
+  if (!ownRelays.includes(self)) {
+    return { role: "leaf", voters, contacts: ownRelays, watched: [] };
+  }
+  const otherRelays = othersOf(voters);
+  const leaves = [...members.values()]
+    .filter(({ zone, instance }) =>
+      zone === own.zone && !ownRelays.includes(instance)
+    )
+    .map((member) => member.instance);
+  return {
+    role: "relay",
+    voters,
+    contacts: otherRelays,
+    watched: [...otherRelays, ...leaves],
+  };
+}
+
+/**
+ * Members of zones whose relays are all silent. The relays of the other zones then watch them
+ * directly: electing and evicting three relays at a time would take half a minute at 20 members.
+ */
+export function membersOfLostZones(
+  members: Members,
+  silent: ReadonlySet<InstanceId>,
+): InstanceId[] {
+  if (silent.size === 0) return [];
+  const { relays } = layoutOf(members);
+  const lost = new Set(
+    [...relays].filter(([, instances]) =>
+      instances.every((instance) => silent.has(instance))
+    ).map(([zone]) => zone),
+  );
+  if (lost.size === 0) return [];
+  return [...members.values()].filter(({ zone }) => lost.has(zone))
+    .map((member) => member.instance);
+}
+
+/**
+ * Members whose reports decide whether the suspect is evicted; never the suspect itself. For a
+ * leaf they are the relays of its zone, unless these are silent themselves.
+ */
+export function watchersOf(
+  members: Members,
+  suspect: InstanceId,
+  silent: ReadonlySet<InstanceId>,
+): readonly InstanceId[] {
+  const { voters, relays } = layoutOf(members);
+  const member = members.get(suspect);
+  const own = member && !voters.includes(suspect)
+    ? relays.get(member.zone) ?? []
+    : voters;
+  const watchers = own.every((instance) => silent.has(instance)) ? voters : own;
+  return watchers.filter((instance) => instance !== suspect);
+}
+
+/** Names one incarnation of a member. */
+export function incarnationKey(
+  { instance, incarnation }: {
+    instance: InstanceId;
+    incarnation: Incarnation;
+  },
+): string {
+  return `${instance}\n${incarnation}`;
+}
+
+export function majorityOf(count: number): number {
+  return Math.floor(count / 2) + 1;
+}
--- a/packages/control/reduced-state.ts
+++ b/packages/control/reduced-state.ts
@@ -6,7 +6,6 @@
 import type { ValidationProblem } from "../common/errors.ts";
 import {
   brandAs,
-  type Incarnation,
   type Offset,
   type SectionName,
   type WriterId,
@@ -48,8 +47,8 @@
   readonly verdicts: ReadonlyMap<string, PublishRecord>;
   /** Highest sequence of each writer, the least recent writer first. */
   readonly writers: ReadonlyMap<WriterId, number>;
-  /** Incarnations that were replaced, left or were evicted, the oldest first. */
-  readonly endedIncarnations: ReadonlySet<Incarnation>;
+  /** Keys of incarnations that were replaced, left or were evicted, the oldest first. */
+  readonly endedIncarnations: ReadonlySet<string>;
 }
 
 export function createInitialState(): ReducedControlState {
--- a/packages/control/reducer.ts
+++ b/packages/control/reducer.ts
@@ -15,6 +15,7 @@
 } from "./constants.ts";
 import type { Member } from "./control-state.ts";
 import { applyPublish } from "./publish.ts";
+import { incarnationKey } from "./peer-group.ts";
 import { appendBounded, type ReducedControlState } from "./reduced-state.ts";
 import {
   type MemberEvicted,
@@ -110,9 +111,9 @@
 
 function withEnded(
   state: ReducedControlState,
-  incarnation: Incarnation,
+  named: { instance: InstanceId; incarnation: Incarnation },
 ): ReducedControlState {
-  const ended = [...state.endedIncarnations, incarnation];
+  const ended = [...state.endedIncarnations, incarnationKey(named)];
   return {
     ...state,
     endedIncarnations: new Set(ended.slice(-maximumEndedIncarnations)),
@@ -127,8 +128,8 @@
   const { instance, incarnation, zone, host, port, metricsUrl } = entry;
   const existing = state.members.get(instance);
   if (existing?.incarnation === incarnation) return state;
-  if (state.endedIncarnations.has(incarnation)) return state;
-  const base = existing ? withEnded(state, existing.incarnation) : state;
+  if (state.endedIncarnations.has(incarnationKey(entry))) return state;
+  const base = existing ? withEnded(state, existing) : state;
   const member: Member = {
     instance,
     incarnation,
@@ -161,11 +162,12 @@
 /** A stale record names an older incarnation and does not end a newer one. */
 function applyEnded(
   state: ReducedControlState,
-  { instance, incarnation }: MemberLeft | MemberEvicted,
+  entry: MemberLeft | MemberEvicted,
   offset: Offset,
 ): ReducedControlState {
+  const { instance, incarnation } = entry;
   if (state.members.get(instance)?.incarnation !== incarnation) return state;
   const members = new Map(state.members);
   members.delete(instance);
-  return withMembers(withEnded(state, incarnation), members, offset);
+  return withMembers(withEnded(state, entry), members, offset);
 }
--- a/packages/control/testing/memory-log.ts
+++ b/packages/control/testing/memory-log.ts
@@ -29,7 +29,8 @@
     }
     const target = this.#streamOf(stream);
     const offset = brandAs<Offset>(target.start + target.records.length);
-    target.records.push({ offset, time: 0, data: new Uint8Array(data) });
+    const time = Date.now();
+    target.records.push({ offset, time, data: new Uint8Array(data) });
     this.appends += 1;
     for (const wake of [...target.wake]) wake();
     if (this.lostAnswers > 0) {
@@ -52,6 +53,7 @@
         const finish = () => {
           clearTimeout(timer);
           target.wake.delete(finish);
+          signal?.removeEventListener("abort", finish);
           resolve();
         };
         const timer = setTimeout(finish, waitMilliseconds);
@@ -88,3 +90,28 @@
     return stream;
   }
 }
+
+/** One program's way to a log, which can be cut while others still reach it. */
+export class CuttableLog implements LogClient {
+  readonly #log: LogClient;
+  isCut = false;
+
+  constructor(log: LogClient) {
+    this.#log = log;
+  }
+
+  append(stream: StreamName, data: Uint8Array): Promise<Offset> {
+    return this.#guard(() => this.#log.append(stream, data));
+  }
+
+  read(stream: StreamName, options: LogReadOptions): Promise<LogReadResult> {
+    return this.#guard(() => this.#log.read(stream, options));
+  }
+
+  async #guard<Value>(call: () => Promise<Value>): Promise<Value> {
+    if (this.isCut) throw new LogUnavailableError("the log is out of reach");
+    const value = await call();
+    if (this.isCut) throw new LogUnavailableError("the answer was lost");
+    return value;
+  }
+}
--- /dev/null
+++ b/packages/control/testing/memory-peers.ts
@@ -0,0 +1,52 @@
+/** A network of instances in memory whose links can be cut, for tests of the control state. */
+
+import { PeerUnavailableError } from "../../common/errors.ts";
+import type { Incarnation, InstanceId } from "../../common/ids.ts";
+import type { PeerMessage } from "../../protocol/peer-message.ts";
+import type { PeerHandler, PeerNetwork } from "../../protocol/peer-network.ts";
+
+type AnyMessage = PeerMessage<unknown, unknown>;
+type AnyHandler = PeerHandler<unknown, unknown>;
+
+export class MemoryPeers {
+  readonly #handlers = new Map<InstanceId, Map<string, AnyHandler>>();
+  readonly #cut = new Set<InstanceId>();
+
+  /** Cuts all links of the instance, as a dead or partitioned process. */
+  cut(instance: InstanceId): void {
+    this.#cut.add(instance);
+  }
+
+  restore(instance: InstanceId): void {
+    this.#cut.delete(instance);
+  }
+
+  connect(self: InstanceId, incarnation: () => Incarnation): PeerNetwork {
+    const handlers = new Map<string, AnyHandler>();
+    this.#handlers.set(self, handlers);
+    const deliver = async (
+      instance: InstanceId,
+      message: AnyMessage,
+      body: unknown,
+    ) => {
+      if (this.#cut.has(self) || this.#cut.has(instance)) {
+        throw new PeerUnavailableError("the link is cut");
+      }
+      const handler = this.#handlers.get(instance)?.get(message.type);
+      if (!handler) throw new PeerUnavailableError("no such handler");
+      const sender = { instance: self, incarnation: incarnation() };
+      const reply = await handler(message.parseRequest(body), sender);
+      return message.parseReply(reply);
+    };
+    return {
+      send: (instance, message, body) => {
+        deliver(instance, message as AnyMessage, body).catch(() => {});
+      },
+      request: (instance, message, body) =>
+        deliver(instance, message as AnyMessage, body) as Promise<never>,
+      handle: (message, handler) => {
+        handlers.set(message.type, handler as AnyHandler);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/control/voter-history.ts
@@ -0,0 +1,78 @@
+/**
+ * The sets of voters that may still be in use somewhere. An instance that has not read a change
+ * of the members takes its evidence from the older set; so a record is in force only when a
+ * majority of every such set has applied it.
+ */
+
+import {
+  freshnessMilliseconds,
+  supersededVotersMilliseconds,
+} from "./constants.ts";
+import { majorityOffset } from "./freshness.ts";
+
+interface VoterSet {
+  /** Keys of incarnations: what a replaced process had applied says nothing of its successor. */
+  readonly voters: readonly string[];
+  /** Offset and log time of the record that replaced the set. */
+  supersededBy?: number;
+  supersededTime?: number;
+  supersededAt?: number;
+  /** Monotonic time at which its majority was known to have applied that record. */
+  knownAt?: number;
+}
+
+export class VoterHistory {
+  #sets: VoterSet[] = [];
+
+  /** Every voter of the sets that are still in use. */
+  get voters(): ReadonlySet<string> {
+    return new Set(this.#sets.flatMap((set) => set.voters));
+  }
+
+  /** Notes the voters after the record at the offset, which the log accepted at `time`. */
+  add(
+    voters: readonly string[],
+    record: { offset: number; time: number; now: number },
+  ): void {
+    const current = this.#sets.at(-1);
+    if (current && current.voters.join("\t") === voters.join("\t")) return;
+    if (current) {
+      current.supersededBy = record.offset;
+      current.supersededTime = record.time;
+      current.supersededAt = record.now;
+    }
+    // A replay passes through sets that ended long ago by the log's own time.
+    this.#sets = this.#sets.filter((set) =>
+      set.supersededTime === undefined ||
+      record.time - set.supersededTime < supersededVotersMilliseconds
+    );
+    this.#sets.push({ voters });
+  }
+
+  /** Highest offset that a majority of every set in use has applied. */
+  majorityOffset(
+    now: number,
+    appliedOf: (voter: string) => number,
+  ): number {
+    this.#retire(now, appliedOf);
+    const offsets = this.#sets
+      .filter((set) => set.voters.length > 0)
+      .map((set) => majorityOffset(set.voters, appliedOf));
+    return offsets.length === 0 ? -1 : Math.min(...offsets);
+  }
+
+  #retire(now: number, appliedOf: (voter: string) => number): void {
+    for (let set = this.#sets[0]; set; set = this.#sets[0]) {
+      const { supersededBy, supersededAt } = set;
+      if (supersededBy === undefined || supersededAt === undefined) return;
+      const isKnown = set.voters.length === 0 ||
+        majorityOffset(set.voters, appliedOf) >= supersededBy;
+      if (isKnown) set.knownAt ??= now;
+      const isRetired =
+        now - (set.knownAt ?? Infinity) > freshnessMilliseconds ||
+        now - supersededAt > supersededVotersMilliseconds;
+      if (!isRetired) return;
+      this.#sets.shift();
+    }
+  }
+}
