Add the log service stand-in and the shared program plumbing

Cause: the control, limits and batch packages need a log service to test against, and every program needs the same handling of flags, settings, signals and exit status. Ruled out: h3 for this stand-in, because its faults destroy connections without an answer and watch for disconnects, which is direct with node:http. AbortSignal.any with a signal that lives as long as the process was replaced by waking the readers, because each long poll would add a listener to that signal.

--- /dev/null
+++ b/packages/common/command-line.ts
@@ -0,0 +1,110 @@
+/**
+ * Flags of a program, derived from its settings schema: each scalar field becomes a flag in
+ * kebab case that overrides the settings file.
+ */
+
+import yargs, { type Options } from "yargs";
+import { z } from "zod";
+import { RosemaryrudderError } from "./errors.ts";
+import { loadSettings } from "./settings.ts";
+
+/** A flag that does not exist or lacks its value. */
+export class UsageError extends RosemaryrudderError {
+  constructor(message: string) {
+    super("usage", `${message} (see --help)`);
+  }
+}
+
+export interface CommandLineOptions<Schema extends z.ZodObject> {
+  name: string;
+  description: string;
+  version: string;
+  schema: Schema;
+  /** Arguments after the program's name. */
+  args: readonly string[];
+}
+
+export interface CommandLine<Settings> {
+  settings: Settings;
+  /** Whether to exit when standard input closes. */
+  exitsWithParent: boolean;
+}
+
+/** Parses flags and loads settings. `--help` and `--version` print and exit. */
+export async function readCommandLine<Schema extends z.ZodObject>(
+  options: CommandLineOptions<Schema>,
+): Promise<CommandLine<z.output<Schema>>> {
+  const fields = Object.entries(options.schema.shape).flatMap(
+    ([name, field]) => {
+      const flag = flagOfField(field as z.ZodType);
+      return flag ? [{ name, flag }] : [];
+    },
+  );
+  const flags = await yargs([...options.args])
+    .scriptName(options.name)
+    .usage(`$0 [--settings FILE] [flags]\n\n${options.description}`)
+    .option("settings", {
+      type: "string",
+      requiresArg: true,
+      description: "YAML file with settings; flags override it",
+    })
+    .option("exit-with-parent", {
+      type: "boolean",
+      default: false,
+      description: "Exit when standard input closes",
+    })
+    .options(
+      Object.fromEntries(
+        fields.map(({ name, flag }) => [kebabCase(name), flag]),
+      ),
+    )
+    .version(options.version)
+    .strict()
+    .demandCommand(0, 0)
+    .wrap(100)
+    .fail((message, error) => {
+      throw error ?? new UsageError(message);
+    })
+    .parseAsync();
+  const given = flags as Record<string, unknown>;
+  const settings = loadSettings(options.schema, {
+    path: given["settings"] as string | undefined,
+    overrides: Object.fromEntries(
+      fields.map(({ name }) => [name, given[name]]),
+    ),
+  });
+  return { settings, exitsWithParent: given["exitWithParent"] === true };
+}
+
+function kebabCase(name: string): string {
+  return name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+}
+
+/** The flag for a scalar field, or undefined for lists and objects. */
+function flagOfField(field: z.ZodType): Options | undefined {
+  const description = field.description ?? "";
+  if (field instanceof z.ZodDefault || field instanceof z.ZodPrefault) {
+    const inner = flagOfField(field.unwrap() as z.ZodType);
+    const value = String(field.def.defaultValue);
+    return inner && {
+      ...inner,
+      description: inner.description || description,
+      defaultDescription: value === "" ? "empty" : value,
+    };
+  }
+  if (field instanceof z.ZodOptional) {
+    return flagOfField(field.unwrap() as z.ZodType);
+  }
+  if (field instanceof z.ZodEnum) {
+    const choices = field.options as string[];
+    return { type: "string", requiresArg: true, choices, description };
+  }
+  if (field instanceof z.ZodNumber) {
+    return { type: "number", requiresArg: true, description };
+  }
+  if (field instanceof z.ZodString) {
+    return { type: "string", requiresArg: true, description };
+  }
+  if (field instanceof z.ZodBoolean) return { type: "boolean", description };
+  return undefined;
+}
--- /dev/null
+++ b/packages/stand-ins/log-service/log-service.ts
@@ -0,0 +1,226 @@
+/**
+ * Stand-in of the platform's append-only log: streams with offsets over HTTP, an append rate,
+ * a retention, and faults that tests switch on through `PUT /faults`.
+ */
+
+import { Buffer } from "node:buffer";
+import { setTimeout as delay } from "node:timers/promises";
+import { z } from "zod";
+import { DisposableStore } from "../../common/disposable-store.ts";
+import { type Logger, silentLogger } from "../../common/logging.ts";
+import { logLevelSchema } from "../../common/program.ts";
+import { encodeValue } from "../../protocol/frames.ts";
+import {
+  type HttpExchange,
+  readBody,
+  readJson,
+  sendBytes,
+  sendError,
+  sendJson,
+  startHttpService,
+} from "../shared/http-service.ts";
+import { TokenBucket } from "../shared/token-bucket.ts";
+import { AppendStatistics } from "./append-statistics.ts";
+import { StoredStream } from "./stored-stream.ts";
+
+export const logServiceSettingsSchema = z.strictObject({
+  host: z.string().default("127.0.0.1"),
+  port: z.number().int().min(0).max(65_535).default(7_000),
+  appendsPerSecond: z.number().positive().default(400)
+    .describe("Appends above this rate are answered with 429"),
+  retentionSeconds: z.number().positive().default(7 * 24 * 3_600)
+    .describe("Records older than this are dropped"),
+  appendDelayMilliseconds: z.number().nonnegative().default(0),
+  readDelayMilliseconds: z.number().nonnegative().default(0),
+  maximumRecordBytes: z.number().int().positive().default(1024 * 1024),
+  logLevel: logLevelSchema.default("info"),
+});
+export type LogServiceSettings = z.output<typeof logServiceSettingsSchema>;
+
+export const logFaultsSchema = z.strictObject({
+  /** Every append and read answers 503. */
+  outage: z.boolean().default(false),
+  /** This many further appends take effect, but their connection closes without an answer. */
+  dropAppendAnswers: z.number().int().nonnegative().default(0),
+  /** Added to the delay of every append and read. */
+  slowMilliseconds: z.number().nonnegative().default(0),
+});
+export type LogFaults = z.output<typeof logFaultsSchema>;
+
+export interface RunningLogService {
+  readonly port: number;
+  close(): Promise<void>;
+}
+
+const pruneIntervalMilliseconds = 250;
+const maximumWaitMilliseconds = 30_000;
+
+export async function startLogService(
+  given: z.input<typeof logServiceSettingsSchema>,
+  logger: Logger = silentLogger,
+): Promise<RunningLogService> {
+  const settings = logServiceSettingsSchema.parse(given);
+  const service = new LogService(settings, logger);
+  const http = await startHttpService({
+    host: settings.host,
+    port: settings.port,
+    handle: (exchange) => service.handle(exchange),
+  });
+  logger.info("listening", { host: settings.host, port: http.port });
+  return {
+    port: http.port,
+    close: async () => {
+      await service.close();
+      await http.close();
+    },
+  };
+}
+
+class LogService {
+  readonly #settings: LogServiceSettings;
+  readonly #logger: Logger;
+  readonly #streams = new Map<string, StoredStream>();
+  readonly #bucket: TokenBucket;
+  readonly #statistics = new AppendStatistics();
+  readonly #store = new DisposableStore();
+  #isClosing = false;
+  #faults: LogFaults = logFaultsSchema.parse({});
+
+  constructor(settings: LogServiceSettings, logger: Logger) {
+    this.#settings = settings;
+    this.#logger = logger;
+    this.#bucket = new TokenBucket(settings.appendsPerSecond);
+    this.#store.addInterval(() => this.#prune(), pruneIntervalMilliseconds);
+  }
+
+  async close(): Promise<void> {
+    this.#isClosing = true;
+    for (const stream of this.#streams.values()) stream.wakeReaders();
+    await this.#store.dispose();
+  }
+
+  async handle(exchange: HttpExchange): Promise<void> {
+    const { method, segments, response } = exchange;
+    const [root, name, leaf] = segments;
+    if (root === "streams" && name && leaf === "records") {
+      if (method === "POST") return await this.#append(name, exchange);
+      if (method === "GET") return await this.#read(name, exchange);
+    }
+    if (root === "healthz") return sendJson(response, 200, { status: "ok" });
+    if (root === "faults" && method === "PUT") {
+      return await this.#setFaults(exchange);
+    }
+    if (root === "faults" && method === "GET") {
+      return sendJson(response, 200, this.#faults);
+    }
+    if (root === "statistics" && method === "GET") {
+      return sendJson(response, 200, this.#describe());
+    }
+    sendError(response, 404, "no such resource");
+  }
+
+  async #setFaults({ request, response }: HttpExchange): Promise<void> {
+    const change = await readJson(request, logFaultsSchema.partial());
+    this.#faults = { ...this.#faults, ...change };
+    this.#logger.info("faults changed", { ...this.#faults });
+    if (this.#faults.outage) {
+      for (const stream of this.#streams.values()) stream.wakeReaders();
+    }
+    sendJson(response, 200, this.#faults);
+  }
+
+  async #append(name: string, exchange: HttpExchange): Promise<void> {
+    const { request, response } = exchange;
+    const data = await readBody(request, this.#settings.maximumRecordBytes);
+    if (this.#faults.outage) return this.#refuse(exchange);
+    if (!this.#bucket.tryTake()) {
+      this.#statistics.countRejected();
+      return sendError(response, 429, "the append rate is exceeded", {
+        "retry-after": "1",
+      });
+    }
+    // Half of the delay comes after the append, so that a client that gives up in between has
+    // an append that took effect.
+    const wait =
+      (this.#settings.appendDelayMilliseconds + this.#faults.slowMilliseconds) /
+      2;
+    if (wait > 0) await delay(wait);
+    const now = Date.now();
+    const offset = this.#stream(name).append(copyOf(data), now);
+    this.#statistics.count(data.length, now);
+    if (this.#faults.dropAppendAnswers > 0) {
+      this.#faults.dropAppendAnswers -= 1;
+      request.socket.destroy();
+      return;
+    }
+    if (wait > 0) await delay(wait);
+    sendJson(response, 200, { offset });
+  }
+
+  async #read(name: string, exchange: HttpExchange): Promise<void> {
+    const { query, response } = exchange;
+    const from = numberOf(query.get("from"), 0);
+    const maximumBytes = numberOf(query.get("max"), 512 * 1024);
+    const wait = Math.min(
+      numberOf(query.get("wait"), 0),
+      maximumWaitMilliseconds,
+    );
+    if (this.#faults.outage) return this.#refuse(exchange);
+    const pause = this.#settings.readDelayMilliseconds +
+      this.#faults.slowMilliseconds;
+    if (pause > 0) await delay(pause);
+    const stream = this.#stream(name);
+    if (from >= stream.end && wait > 0 && !this.#isClosing) {
+      const gone = new AbortController();
+      response.on("close", () => gone.abort());
+      await stream.waitForAppend(wait, gone.signal);
+    }
+    if (this.#faults.outage) return this.#refuse(exchange);
+    const slice = stream.read(from, maximumBytes);
+    sendBytes(response, 200, "application/cbor", encodeValue(slice));
+  }
+
+  #refuse({ response }: HttpExchange): void {
+    sendError(response, 503, "the log is unavailable", { "retry-after": "1" });
+  }
+
+  #stream(name: string): StoredStream {
+    let stream = this.#streams.get(name);
+    if (!stream) {
+      stream = new StoredStream();
+      this.#streams.set(name, stream);
+    }
+    return stream;
+  }
+
+  #prune(): void {
+    const oldest = Date.now() - this.#settings.retentionSeconds * 1_000;
+    for (const stream of this.#streams.values()) stream.dropOlderThan(oldest);
+  }
+
+  #describe() {
+    this.#prune();
+    const streams = [...this.#streams].map(([name, stream]) => [name, {
+      start: stream.start,
+      end: stream.end,
+      records: stream.count,
+      bytes: stream.bytes,
+    }]);
+    return {
+      ...this.#statistics.describe(Date.now()),
+      streams: Object.fromEntries(streams),
+    };
+  }
+}
+
+/** A copy with a buffer of its own, because a received chunk may keep a larger buffer alive. */
+function copyOf(data: Uint8Array): Uint8Array {
+  const copy = Buffer.allocUnsafeSlow(data.length);
+  copy.set(data);
+  return copy;
+}
+
+function numberOf(text: string | null, otherwise: number): number {
+  const value = text === null ? Number.NaN : Number(text);
+  return Number.isFinite(value) && value >= 0 ? value : otherwise;
+}
--- /dev/null
+++ b/packages/stand-ins/shared/token-bucket.ts
@@ -0,0 +1,27 @@
+/** A token bucket that holds at most one second's worth of its rate. */
+
+import { performance } from "node:perf_hooks";
+
+export class TokenBucket {
+  readonly #ratePerSecond: number;
+  readonly #capacity: number;
+  #tokens: number;
+  #filledAt = performance.now();
+
+  constructor(ratePerSecond: number) {
+    this.#ratePerSecond = ratePerSecond;
+    this.#capacity = Math.max(1, ratePerSecond);
+    this.#tokens = this.#capacity;
+  }
+
+  /** Takes the tokens if they are there. */
+  tryTake(count = 1): boolean {
+    const now = performance.now();
+    const earned = (now - this.#filledAt) / 1_000 * this.#ratePerSecond;
+    this.#tokens = Math.min(this.#capacity, this.#tokens + earned);
+    this.#filledAt = now;
+    if (this.#tokens < count) return false;
+    this.#tokens -= count;
+    return true;
+  }
+}
