Add the engine stand-in

Cause: capacity, routing and batch need engines that batch continuously, cache prefixes in bounded memory, cancel on disconnect and misbehave on demand. Ruled out: one timer for each running request, because a busy fleet would have thousands of timer events a second; one timer per engine drives prefill ends and token steps instead.

--- /dev/null
+++ b/packages/stand-ins/engine/answer-sender.ts
@@ -0,0 +1,136 @@
+/** Writes an answer to the caller, whole or as server-sent events, with the faults that apply. */
+
+import { Buffer } from "node:buffer";
+import type { ServerResponse } from "node:http";
+import { sendJson } from "../shared/http-service.ts";
+import type { Answer } from "./answer.ts";
+
+export interface AnswerSender {
+  /** A token was generated. */
+  token(index: number): void;
+  /** All tokens were generated. */
+  end(): void;
+}
+
+export type CutMode = "none" | "truncate" | "end_without_done";
+
+export interface AnswerSenderOptions {
+  response: ServerResponse;
+  answer: Answer;
+  /** Index of the first token to send; above 0 for a resumed stream. */
+  firstToken: number;
+  includesUsage: boolean;
+  lateMilliseconds: number;
+  cut: CutMode;
+  onCut: () => void;
+}
+
+export function createStreamSender(options: AnswerSenderOptions): AnswerSender {
+  const { response, answer, firstToken, cut } = options;
+  const { tokens } = answer;
+  const cutAt = cut === "none"
+    ? Number.POSITIVE_INFINITY
+    : firstToken + Math.floor((tokens.length - firstToken) / 2);
+  const send = laterBy(options.lateMilliseconds);
+  const chunk = (choices: unknown[], extra: object = {}) =>
+    JSON.stringify({
+      id: answerId(answer),
+      object: "chat.completion.chunk",
+      created: nowInSeconds(),
+      model: answer.model,
+      choices,
+      ...extra,
+    });
+  const begin = () => {
+    if (response.headersSent || response.destroyed) return;
+    response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "cache-control": "no-store",
+      "x-request-id": answer.requestId,
+    });
+  };
+  const applyCut = () => {
+    options.onCut();
+    if (cut === "truncate") response.destroy();
+    else response.end();
+  };
+  const sendToken = (index: number) => {
+    if (index > cutAt || response.destroyed) return;
+    begin();
+    if (index === cutAt) return applyCut();
+    const content = tokens[index];
+    const delta = index === 0 ? { role: "assistant", content } : { content };
+    const choice = { index: 0, delta, finish_reason: null };
+    response.write(`id: ${index}\ndata: ${chunk([choice])}\n\n`);
+  };
+  const sendEnd = () => {
+    if (cut !== "none" || response.destroyed) return;
+    begin();
+    const last = { index: 0, delta: {}, finish_reason: answer.finishReason };
+    const usage = options.includesUsage
+      ? `data: ${chunk([], { usage: usageOf(answer) })}\n\n`
+      : "";
+    response.end(`data: ${chunk([last])}\n\n${usage}data: [DONE]\n\n`);
+  };
+  return {
+    token: (index) => send(() => sendToken(index)),
+    end: () => send(sendEnd),
+  };
+}
+
+export function createWholeSender(options: AnswerSenderOptions): AnswerSender {
+  const { response, answer, cut } = options;
+  const send = laterBy(options.lateMilliseconds);
+  const body = () => ({
+    id: answerId(answer),
+    object: "chat.completion",
+    created: nowInSeconds(),
+    model: answer.model,
+    choices: [{
+      index: 0,
+      message: { role: "assistant", content: answer.tokens.join("") },
+      finish_reason: answer.finishReason,
+    }],
+    usage: usageOf(answer),
+  });
+  const headers = { "x-request-id": answer.requestId };
+  const sendEnd = () => {
+    if (response.destroyed) return;
+    if (cut === "none") return sendJson(response, 200, body(), headers);
+    const text = JSON.stringify(body());
+    response.writeHead(200, {
+      ...headers,
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(text),
+    });
+    options.onCut();
+    // The half is flushed before the socket closes, so that the client sees a short answer.
+    response.write(
+      text.slice(0, Math.floor(text.length / 2)),
+      () => response.destroy(),
+    );
+  };
+  return { token: () => {}, end: () => send(sendEnd) };
+}
+
+function laterBy(milliseconds: number): (action: () => void) => void {
+  if (milliseconds === 0) return (action) => action();
+  return (action) => void setTimeout(action, milliseconds);
+}
+
+function answerId(answer: Answer): string {
+  return `chatcmpl-${answer.requestId}`;
+}
+
+function nowInSeconds(): number {
+  return Math.floor(Date.now() / 1_000);
+}
+
+function usageOf({ promptCharacters, tokens }: Answer) {
+  const promptTokens = Math.ceil(promptCharacters / 4);
+  return {
+    prompt_tokens: promptTokens,
+    completion_tokens: tokens.length,
+    total_tokens: promptTokens + tokens.length,
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/engine/answer.ts
@@ -0,0 +1,91 @@
+/**
+ * The answers of the engine stand-in. They depend only on the content of the request, and the
+ * first token holds a digest of the messages, so a test can tell whose answer it got.
+ */
+
+import { z } from "zod";
+import { hashNumber, sha256Hex } from "../../common/hashing.ts";
+
+export const chatRequestSchema = z.looseObject({
+  model: z.string().min(1),
+  messages: z.array(z.looseObject({
+    role: z.string(),
+    content: z.unknown(),
+  })).min(1),
+  stream: z.boolean().nullish(),
+  stream_options: z.looseObject({ include_usage: z.boolean().nullish() })
+    .nullish(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
+});
+export type ChatRequest = z.output<typeof chatRequestSchema>;
+
+export interface Answer {
+  readonly requestId: string;
+  readonly model: string;
+  readonly tokens: readonly string[];
+  readonly finishReason: "stop" | "length";
+  readonly promptCharacters: number;
+}
+
+export interface AnswerLengths {
+  readonly minimumTokens: number;
+  readonly maximumTokens: number;
+}
+
+const words = [
+  "lot",
+  "hull",
+  "kernel",
+  "half",
+  "quarter",
+  "light",
+  "amber",
+  "dark",
+  "dry",
+  "sound",
+  "moisture",
+  "class",
+  "sorted",
+  "weighed",
+  "bag",
+  "scale",
+];
+
+/** SHA-256 of the messages as JSON without white space. */
+export function promptDigest(messages: unknown): string {
+  return sha256Hex(JSON.stringify(messages));
+}
+
+/** The text that the prefix cache and the prefill time depend on. */
+export function promptText(request: ChatRequest): string {
+  return request.messages.map(({ role, content }) =>
+    `${role}: ${
+      typeof content === "string" ? content : JSON.stringify(content)
+    }\n`
+  ).join("");
+}
+
+export function createAnswer(
+  requestId: string,
+  request: ChatRequest,
+  lengths: AnswerLengths,
+): Answer {
+  const digest = promptDigest(request.messages);
+  const span = lengths.maximumTokens - lengths.minimumTokens + 1;
+  const wanted = lengths.minimumTokens + hashNumber(digest) % Math.max(1, span);
+  const limit = request.max_completion_tokens ?? request.max_tokens ?? wanted;
+  const count = Math.min(wanted, limit);
+  const tokens = [`digest:${digest}`];
+  for (let index = 1; index < count; index++) {
+    const digit = Number.parseInt(digest[index % digest.length] ?? "0", 16);
+    tokens.push(` ${words[(digit + index) % words.length]}`);
+  }
+  return {
+    requestId,
+    model: request.model,
+    tokens,
+    finishReason: limit < wanted ? "length" : "stop",
+    promptCharacters: promptText(request).length,
+  };
+}
--- /dev/null
+++ b/packages/stand-ins/engine/engine.ts
@@ -0,0 +1,415 @@
+/** Stand-in of a model engine: the HTTP interface over scheduler, prefix cache and faults. */
+
+import { Buffer } from "node:buffer";
+import { randomUUID } from "node:crypto";
+import process from "node:process";
+import { z } from "zod";
+import { DisposableStore } from "../../common/disposable-store.ts";
+import { type Logger, silentLogger } from "../../common/logging.ts";
+import {
+  type HttpExchange,
+  readBody,
+  readJson,
+  sendError,
+  sendJson,
+  startHttpService,
+} from "../shared/http-service.ts";
+import { Journal, type JournalEntry } from "../shared/journal.ts";
+import {
+  type Answer,
+  type ChatRequest,
+  chatRequestSchema,
+  createAnswer,
+  promptText,
+} from "./answer.ts";
+import {
+  createStreamSender,
+  createWholeSender,
+  type CutMode,
+} from "./answer-sender.ts";
+import {
+  type ExportedState,
+  exportedStateSchema,
+  InterruptedStreams,
+} from "./interrupted-streams.ts";
+import { LoadHistory } from "./load-history.ts";
+import { OrderBook, orderRequestSchema } from "./orders.ts";
+import { PrefixCache } from "./prefix-cache.ts";
+import { type Generation, Scheduler } from "./scheduler.ts";
+import {
+  type EngineFaults,
+  engineFaultsSchema,
+  type EngineSettings,
+  engineSettingsSchema,
+  noEngineFaults,
+} from "./settings.ts";
+
+export interface RunningEngine {
+  readonly port: number;
+  close(): Promise<void>;
+}
+
+const expiryIntervalMilliseconds = 1_000;
+
+export async function startEngine(
+  given: z.input<typeof engineSettingsSchema>,
+  logger: Logger = silentLogger,
+): Promise<RunningEngine> {
+  const settings = engineSettingsSchema.parse(given);
+  const engine = new Engine(settings, logger);
+  const http = await startHttpService({
+    host: settings.host,
+    port: settings.port,
+    handle: (exchange) => engine.handle(exchange),
+    closeLimitMilliseconds: settings.stopLimitMilliseconds,
+  });
+  logger.info("listening", { host: settings.host, port: http.port });
+  return {
+    port: http.port,
+    close: async () => {
+      await http.close();
+      await engine.close();
+    },
+  };
+}
+
+interface ChatExecution {
+  exchange: HttpExchange;
+  entry: JournalEntry;
+  state: ExportedState;
+  /** Index of the first token to generate. */
+  firstToken: number;
+  isStreamed: boolean;
+}
+
+class Engine {
+  readonly #settings: EngineSettings;
+  readonly #logger: Logger;
+  readonly #scheduler: Scheduler;
+  readonly #cache: PrefixCache;
+  readonly #loads: LoadHistory;
+  readonly #orders: OrderBook;
+  readonly #journal: Journal;
+  readonly #streams: InterruptedStreams;
+  readonly #store = new DisposableStore();
+  #faults: EngineFaults = noEngineFaults;
+  #lastAnswer: Answer | undefined;
+  #completed = 0;
+
+  constructor(settings: EngineSettings, logger: Logger) {
+    this.#settings = settings;
+    this.#logger = logger;
+    this.#loads = new LoadHistory(settings.loadLagMilliseconds);
+    this.#orders = new OrderBook(settings);
+    this.#journal = new Journal(settings.maximumJournalEntries);
+    this.#streams = new InterruptedStreams(settings.resumeWindowMilliseconds);
+    this.#cache = new PrefixCache({
+      maximumBlocks: settings.cacheBlocks,
+      blockCharacters: settings.cacheBlockCharacters,
+      eventLagMilliseconds: settings.cacheEventLagMilliseconds,
+      eventLossShare: settings.cacheEventLossShare,
+    });
+    this.#scheduler = new Scheduler({
+      concurrency: settings.concurrency,
+      stepMilliseconds: (running) =>
+        settings.tokenMilliseconds * this.#faults.slowFactor *
+        (1 + settings.tokenGrowthPerRunningRequest * (running - 1)),
+      onChange: () => this.#loads.record(this.#load()),
+    });
+    this.#store.add(() => this.#scheduler.stop());
+    this.#store.addInterval(
+      () => this.#streams.dropExpired(),
+      expiryIntervalMilliseconds,
+    );
+  }
+
+  close(): Promise<void> {
+    return this.#store.dispose();
+  }
+
+  async handle(exchange: HttpExchange): Promise<void> {
+    const { method, segments, response, query } = exchange;
+    const route = `${method} /${segments[0]}`;
+    switch (route) {
+      case "POST /v1":
+        return await this.#post(exchange);
+      case "GET /v1":
+        return this.#listModels(exchange);
+      case "GET /kv":
+      case "PUT /kv":
+        return await this.#transferState(exchange);
+      case "POST /orders":
+        return await this.#takeOrder(exchange);
+      case "GET /orders":
+        return sendJson(response, 200, { orders: this.#orders.accepted });
+      case "GET /load":
+        return sendJson(response, 200, this.#loads.report());
+      case "GET /cache-events":
+        return sendJson(response, 200, {
+          events: this.#cache.eventsAfter(Number(query.get("after") ?? 0) || 0),
+        });
+      case "GET /journal":
+        return this.#journal.send(exchange);
+      case "GET /statistics":
+        return sendJson(response, 200, this.#statistics());
+      case "PUT /faults": {
+        const change = await readJson(exchange.request, engineFaultsSchema);
+        this.#faults = { ...this.#faults, ...change };
+        this.#logger.info("faults changed", { ...this.#faults });
+        return sendJson(response, 200, this.#faults);
+      }
+      case "GET /healthz":
+        return sendJson(response, 200, { status: "ok" });
+      default:
+        return sendError(response, 404, "no such resource");
+    }
+  }
+
+  #load() {
+    return {
+      running: this.#scheduler.running,
+      waiting: this.#scheduler.waiting,
+    };
+  }
+
+  #statistics() {
+    return {
+      ...this.#load(),
+      peakRunning: this.#scheduler.peakRunning,
+      completed: this.#completed,
+      tokens: this.#scheduler.tokensGenerated,
+      busySlotMilliseconds: this.#scheduler.busySlotMilliseconds,
+      concurrency: this.#settings.concurrency,
+      cacheBlocks: this.#cache.size,
+    };
+  }
+
+  #listModels({ response }: HttpExchange): void {
+    const data = [...this.#orders.models].map((id) => ({
+      id,
+      object: "model",
+      owned_by: this.#settings.name,
+    }));
+    sendJson(response, 200, { object: "list", data });
+  }
+
+  async #post(exchange: HttpExchange): Promise<void> {
+    const { segments, request, response } = exchange;
+    const entry = this.#journal.open(request);
+    const requestId = String(request.headers["x-request-id"] ?? randomUUID());
+    response.setHeader("x-request-id", requestId);
+    let body: Buffer;
+    try {
+      body = await readBody(request);
+    } catch (error) {
+      entry.setOutcome("cancelled");
+      throw error;
+    }
+    entry.setBody(body);
+    const [, resource, second, third] = segments;
+    if (resource === "chat" && second === "completions") {
+      return this.#chat(exchange, entry, requestId, body);
+    }
+    if (resource === "streams" && second && third === "resume") {
+      return this.#resume(exchange, entry, second, body);
+    }
+    entry.setOutcome("rejected");
+    sendError(response, 404, "no such resource");
+  }
+
+  #chat(
+    exchange: HttpExchange,
+    entry: JournalEntry,
+    requestId: string,
+    body: Buffer,
+  ): void {
+    const text = body.toString("utf8");
+    const { crashOnMarker } = this.#faults;
+    if (crashOnMarker !== "" && text.includes(crashOnMarker)) {
+      this.#logger.error("exiting because a request holds the crash marker");
+      process.exit(70);
+    }
+    const reject = (
+      status: number,
+      message: string,
+      headers: Record<string, string> = {},
+    ) => {
+      entry.setOutcome("rejected");
+      sendError(exchange.response, status, message, headers);
+    };
+    if (text.includes(this.#settings.impossibleMarker)) {
+      entry.setOutcome("failed");
+      return sendError(
+        exchange.response,
+        400,
+        "this request can never be completed",
+      );
+    }
+    const parsed = parseJson(chatRequestSchema, text);
+    if (!parsed.success) return reject(400, parsed.reason);
+    if (!this.#orders.models.has(parsed.data.model)) {
+      return reject(404, `the model ${parsed.data.model} is not loaded`);
+    }
+    const isFull = this.#settings.rejectWhenFull && this.#scheduler.isFull &&
+      this.#scheduler.waiting >= this.#settings.queueLimit;
+    if (isFull) {
+      return reject(503, "the queue is full", { "x-not-admitted": "true" });
+    }
+    this.#execute({
+      exchange,
+      entry,
+      state: { requestId, request: parsed.data, produced: 0 },
+      firstToken: 0,
+      isStreamed: parsed.data.stream === true,
+    });
+  }
+
+  #resume(
+    exchange: HttpExchange,
+    entry: JournalEntry,
+    requestId: string,
+    body: Buffer,
+  ): void {
+    const state = this.#streams.get(requestId);
+    const parsed = parseJson(resumeSchema, body.toString("utf8"));
+    const from = parsed.success ? parsed.data.from : 0;
+    if (!parsed.success || !state || from > state.produced) {
+      entry.setOutcome("rejected");
+      return sendError(
+        exchange.response,
+        parsed.success ? 404 : 400,
+        parsed.success ? "no such stream, or not that far" : parsed.reason,
+      );
+    }
+    this.#execute({
+      exchange,
+      entry,
+      state: { ...state, produced: from },
+      firstToken: from,
+      isStreamed: true,
+    });
+  }
+
+  #execute({ exchange, entry, state, firstToken, isStreamed }: ChatExecution) {
+    const { response } = exchange;
+    if (response.destroyed) return entry.setOutcome("cancelled");
+    const { request } = state;
+    const answer = this.#chooseAnswer(state);
+    const sender = (isStreamed ? createStreamSender : createWholeSender)({
+      response,
+      answer,
+      firstToken,
+      includesUsage: request.stream_options?.include_usage === true,
+      lateMilliseconds: this.#faults.lateMilliseconds,
+      cut: this.#chooseCut(),
+      onCut: () => entry.setOutcome("truncated"),
+    });
+    const generation: Generation = {
+      tokenCount: Math.max(1, answer.tokens.length - firstToken),
+      beginPrefill: () =>
+        this.#prefillMilliseconds(request, firstToken > 0) *
+        this.#faults.slowFactor,
+      onToken: (index) => {
+        state.produced = firstToken + index + 1;
+        sender.token(firstToken + index);
+      },
+      onEnd: () => {
+        this.#completed += 1;
+        this.#lastAnswer = answer;
+        sender.end();
+      },
+    };
+    if (isStreamed) this.#streams.hold(state);
+    response.on("close", () => {
+      this.#scheduler.cancel(generation);
+      this.#streams.release(state);
+      entry.setOutcome(response.writableFinished ? "completed" : "cancelled");
+    });
+    this.#scheduler.submit(generation);
+  }
+
+  /** The time until the first token; the prompt is in the cache from then on. */
+  #prefillMilliseconds(request: ChatRequest, isResumed: boolean): number {
+    const settings = this.#settings;
+    const prompt = promptText(request);
+    const keys = this.#cache.keysOf(prompt);
+    const cached = this.#cache.cachedCharacters(keys);
+    this.#cache.store(keys);
+    if (isResumed) return settings.minimumPrefillMilliseconds;
+    return Math.max(
+      settings.minimumPrefillMilliseconds,
+      (prompt.length - cached) / 1_000 *
+        settings.prefillMillisecondsPerThousandCharacters,
+    );
+  }
+
+  #chooseAnswer({ requestId, request }: ExportedState): Answer {
+    const own = createAnswer(requestId, request, this.#settings);
+    if (this.#faults.swapAnswers === 0) return own;
+    if (!this.#lastAnswer || this.#lastAnswer.requestId === requestId) {
+      return own;
+    }
+    this.#faults = {
+      ...this.#faults,
+      swapAnswers: this.#faults.swapAnswers - 1,
+    };
+    return this.#lastAnswer;
+  }
+
+  #chooseCut(): CutMode {
+    const { truncateAnswers, endWithoutDone } = this.#faults;
+    if (truncateAnswers > 0) {
+      this.#faults = { ...this.#faults, truncateAnswers: truncateAnswers - 1 };
+      return "truncate";
+    }
+    if (endWithoutDone > 0) {
+      this.#faults = { ...this.#faults, endWithoutDone: endWithoutDone - 1 };
+      return "end_without_done";
+    }
+    return "none";
+  }
+
+  async #transferState(exchange: HttpExchange): Promise<void> {
+    const { method, segments, request, response } = exchange;
+    const requestId = segments[1] ?? "";
+    const entry = this.#journal.open(request);
+    if (method === "GET") {
+      const state = this.#streams.get(requestId);
+      entry.setOutcome(state ? "completed" : "rejected");
+      if (!state) return sendError(response, 404, "no such request");
+      return sendJson(response, 200, state);
+    }
+    const state = await readJson(request, exportedStateSchema);
+    entry.setOutcome("completed");
+    this.#cache.store(this.#cache.keysOf(promptText(state.request)));
+    this.#streams.hold(state);
+    this.#streams.release(state);
+    sendJson(response, 200, { requestId });
+  }
+
+  async #takeOrder({ request, response }: HttpExchange): Promise<void> {
+    const entry = this.#journal.open(request);
+    const order = await readJson(request, orderRequestSchema);
+    entry.setBody(Buffer.from(JSON.stringify(order)));
+    const { status, body } = await this.#orders.take(order);
+    entry.setOutcome(status === 200 ? "completed" : "rejected");
+    sendJson(response, status, body);
+  }
+}
+
+const resumeSchema = z.strictObject({ from: z.number().int().nonnegative() });
+
+function parseJson<Schema extends z.ZodType>(
+  schema: Schema,
+  text: string,
+):
+  | { success: true; data: z.output<Schema> }
+  | { success: false; reason: string } {
+  try {
+    const result = schema.safeParse(JSON.parse(text));
+    if (result.success) return { success: true, data: result.data };
+    return { success: false, reason: z.prettifyError(result.error) };
+  } catch {
+    return { success: false, reason: "the body is not JSON" };
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/engine/orders.ts
@@ -0,0 +1,90 @@
+/**
+ * Orders to an engine: load a model, load an adapter, change role. With `checksFencing` an order
+ * is refused when a higher fencing token has been seen; otherwise the token is ignored.
+ */
+
+import { setTimeout as delay } from "node:timers/promises";
+import { z } from "zod";
+import type { EngineSettings } from "./settings.ts";
+
+export const orderRequestSchema = z.strictObject({
+  order: z.looseObject({
+    kind: z.string().min(1),
+    model: z.string().min(1).optional(),
+  }),
+  fencingToken: z.number().int().nonnegative(),
+});
+export type OrderRequest = z.output<typeof orderRequestSchema>;
+
+export interface OrderResult {
+  readonly status: number;
+  readonly body: Record<string, unknown>;
+}
+
+const maximumKeptOrders = 1_000;
+
+export class OrderBook {
+  readonly #settings: EngineSettings;
+  readonly #models: Set<string>;
+  #highestToken = 0;
+  #accepted: (OrderRequest & { time: number })[] = [];
+
+  constructor(settings: EngineSettings) {
+    this.#settings = settings;
+    this.#models = new Set(settings.models);
+  }
+
+  get models(): ReadonlySet<string> {
+    return this.#models;
+  }
+
+  get accepted(): readonly OrderRequest[] {
+    return this.#accepted;
+  }
+
+  async take(request: OrderRequest): Promise<OrderResult> {
+    const { order, fencingToken } = request;
+    if (this.#settings.checksFencing && fencingToken < this.#highestToken) {
+      return {
+        status: 409,
+        body: {
+          error: { message: "the fencing token is old" },
+          highestToken: this.#highestToken,
+        },
+      };
+    }
+    this.#highestToken = Math.max(this.#highestToken, fencingToken);
+    this.#accepted.push({ ...request, time: Date.now() });
+    this.#accepted = this.#accepted.slice(-maximumKeptOrders);
+    if (this.#settings.orderMilliseconds > 0) {
+      await delay(this.#settings.orderMilliseconds);
+    }
+    if (order.kind === "load_model" && order.model) {
+      const status = await this.#fetchWeights(order.model);
+      if (status !== 200) {
+        return {
+          status: 502,
+          body: { error: { message: `the weight store answered ${status}` } },
+        };
+      }
+      this.#models.add(order.model);
+    }
+    if (order.kind === "unload_model" && order.model) {
+      this.#models.delete(order.model);
+    }
+    return { status: 200, body: { accepted: true, models: [...this.#models] } };
+  }
+
+  async #fetchWeights(model: string): Promise<number> {
+    const base = this.#settings.weightStoreUrl;
+    if (base === undefined) return 200;
+    try {
+      const url = `${base}/weights/${encodeURIComponent(model)}`;
+      const response = await fetch(url);
+      await response.arrayBuffer();
+      return response.status;
+    } catch {
+      return 504;
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/engine/prefix-cache.ts
@@ -0,0 +1,95 @@
+/**
+ * Prefix cache with bounded memory. A prompt is cut into blocks; the key of a block is the hash
+ * of the prompt up to its end, so only a common beginning is shared. Least recently used blocks
+ * are evicted first. Events are published late and some never.
+ */
+
+import { hashNumber } from "../../common/hashing.ts";
+
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly time: number;
+  readonly type: "stored" | "evicted";
+  readonly block: string;
+}
+
+export interface PrefixCacheOptions {
+  maximumBlocks: number;
+  blockCharacters: number;
+  eventLagMilliseconds: number;
+  eventLossShare: number;
+}
+
+const maximumEvents = 10_000;
+const hashRange = 2 ** 48;
+
+export class PrefixCache {
+  readonly #options: PrefixCacheOptions;
+  readonly #blocks = new Map<string, true>();
+  #events: CacheEvent[] = [];
+  #sequence = 0;
+
+  constructor(options: PrefixCacheOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#blocks.size;
+  }
+
+  /** Keys of the complete blocks of a prompt. */
+  keysOf(prompt: string): string[] {
+    const { blockCharacters } = this.#options;
+    const keys: string[] = [];
+    let previous = "";
+    for (let end = blockCharacters; end <= prompt.length;) {
+      const block = prompt.slice(end - blockCharacters, end);
+      previous = hashNumber(previous + block).toString(36);
+      keys.push(previous);
+      end += blockCharacters;
+    }
+    return keys;
+  }
+
+  /** Number of characters at the beginning of the prompt that need no prefill. */
+  cachedCharacters(keys: readonly string[]): number {
+    let count = 0;
+    for (const key of keys) {
+      if (!this.#blocks.delete(key)) break;
+      this.#blocks.set(key, true);
+      count += 1;
+    }
+    return count * this.#options.blockCharacters;
+  }
+
+  store(keys: readonly string[]): void {
+    for (const key of keys) {
+      if (!this.#blocks.delete(key)) this.#publish("stored", key);
+      this.#blocks.set(key, true);
+    }
+    for (const key of this.#blocks.keys()) {
+      if (this.#blocks.size <= this.#options.maximumBlocks) break;
+      this.#blocks.delete(key);
+      this.#publish("evicted", key);
+    }
+  }
+
+  /** Published events after a sequence number. Gaps in the sequence are lost events. */
+  eventsAfter(sequence: number, limit = 1_000): CacheEvent[] {
+    const visible = Date.now() - this.#options.eventLagMilliseconds;
+    return this.#events
+      .filter((event) => event.sequence > sequence && event.time <= visible)
+      .slice(0, limit);
+  }
+
+  #publish(type: CacheEvent["type"], block: string): void {
+    const sequence = ++this.#sequence;
+    const isLost = hashNumber(`event ${sequence}`) / hashRange <
+      this.#options.eventLossShare;
+    if (isLost) return;
+    this.#events.push({ sequence, time: Date.now(), type, block });
+    if (this.#events.length >= 2 * maximumEvents) {
+      this.#events = this.#events.slice(-maximumEvents);
+    }
+  }
+}
--- a/packages/stand-ins/shared/http-service.ts
+++ b/packages/stand-ins/shared/http-service.ts
@@ -32,13 +32,14 @@
   host: string;
   port: number;
   handle: HttpHandler;
+  /** After this time a stopping service closes the connections that are still open. */
+  closeLimitMilliseconds?: number;
 }
 
-/** After this time a stopping stand-in closes the connections that are still open. */
-const closeLimitMilliseconds = 2_000;
+const idleCloseIntervalMilliseconds = 25;
 
 export async function startHttpService(
-  { host, port, handle }: HttpServiceOptions,
+  { host, port, handle, closeLimitMilliseconds = 2_000 }: HttpServiceOptions,
 ): Promise<HttpService> {
   const server = createServer({ noDelay: true }, (request, response) => {
     response.on("error", () => response.destroy());
@@ -70,11 +71,17 @@
           () => server.closeAllConnections(),
           closeLimitMilliseconds,
         );
+        // A connection becomes idle when its last request finishes, so idle ones are closed
+        // again and again until none is left.
+        const idleTimer = setInterval(
+          () => server.closeIdleConnections(),
+          idleCloseIntervalMilliseconds,
+        );
         server.close(() => {
           clearTimeout(timer);
+          clearInterval(idleTimer);
           resolve();
         });
-        server.closeIdleConnections();
       }),
   };
 }
--- /dev/null
+++ b/packages/stand-ins/shared/journal.ts
@@ -0,0 +1,97 @@
+/**
+ * The journal of an upstream stand-in: one entry for each request in order of arrival, with its
+ * outcome as soon as it is known. Tests compare it with what callers were told.
+ */
+
+import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import { type HttpExchange, sendBytes } from "./http-service.ts";
+
+export type JournalOutcome =
+  | "running"
+  | "completed"
+  | "cancelled"
+  | "rejected"
+  | "failed"
+  | "truncated"
+  /** The request ran, and its connection was closed without an answer. */
+  | "unanswered";
+
+export interface JournalEntry {
+  setBody(body: Uint8Array): void;
+  /** Only the first outcome counts. */
+  setOutcome(outcome: JournalOutcome): void;
+}
+
+/** Removing entries from the front is linear, so they are removed in groups. */
+const compactionThreshold = 1_024;
+
+export class Journal {
+  readonly #maximumEntries: number;
+  #entries: StoredEntry[] = [];
+  #dropped = 0;
+
+  constructor(maximumEntries: number) {
+    this.#maximumEntries = maximumEntries;
+  }
+
+  open(request: IncomingMessage): JournalEntry {
+    const entry = new StoredEntry(request);
+    this.#entries.push(entry);
+    const excess = this.#entries.length - this.#maximumEntries;
+    if (excess >= compactionThreshold) {
+      this.#entries = this.#entries.slice(excess);
+      this.#dropped += excess;
+    }
+    return entry;
+  }
+
+  /** Answers `GET /journal`, from the entry whose number is in the query `from`. */
+  send({ query, response }: HttpExchange): void {
+    const from = Math.max(0, Number(query.get("from") ?? 0) || 0);
+    const lines = this.#entries
+      .slice(Math.max(0, from - this.#dropped))
+      .map((entry) => entry.line() + "\n");
+    sendBytes(
+      response,
+      200,
+      "application/jsonl",
+      Buffer.from(lines.join("")),
+      { "x-dropped-entries": String(this.#dropped) },
+    );
+  }
+}
+
+class StoredEntry implements JournalEntry {
+  readonly #time = new Date().toISOString();
+  readonly #method: string;
+  readonly #path: string;
+  readonly #headers: IncomingMessage["headers"];
+  #body = "";
+  #outcome: JournalOutcome = "running";
+
+  constructor(request: IncomingMessage) {
+    this.#method = request.method ?? "GET";
+    this.#path = request.url ?? "/";
+    this.#headers = request.headers;
+  }
+
+  setBody(body: Uint8Array): void {
+    this.#body = Buffer.from(body).toString("utf8");
+  }
+
+  setOutcome(outcome: JournalOutcome): void {
+    if (this.#outcome === "running") this.#outcome = outcome;
+  }
+
+  line(): string {
+    return JSON.stringify({
+      time: this.#time,
+      method: this.#method,
+      path: this.#path,
+      headers: this.#headers,
+      body: this.#body,
+      outcome: this.#outcome,
+    });
+  }
+}
