--- /dev/null
+++ b/packages/stand-ins/weight-store/weight-store.test.ts
@@ -0,0 +1,58 @@
+/** The instance list lags; the weight store limits fetches, and orders to engines feel it. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { startEngine } from "../engine/engine.ts";
+import { startInstanceList } from "../instance-list/instance-list.ts";
+import { putJson, waitFor } from "../shared/test-support.ts";
+import { startWeightStore } from "./weight-store.ts";
+
+test("a change of state is shown after the lag and not before", async () => {
+  const list = await startInstanceList({
+    port: 0,
+    lagMilliseconds: 150,
+    instances: [{ name: "engine-1", address: "127.0.0.1:1", zone: "zone-1" }],
+  });
+  const url = `http://127.0.0.1:${list.port}/instances`;
+  const stateNow = async () =>
+    (await (await fetch(url)).json()).instances[0].state as string;
+  try {
+    const startedAt = performance.now();
+    await putJson(`${url}/engine-1`, { state: "leaving" });
+    assert.equal(await stateNow(), "live");
+    await waitFor(
+      "the change is shown",
+      async () => await stateNow() === "leaving",
+    );
+    assert.ok(performance.now() - startedAt >= 150);
+  } finally {
+    await list.close();
+  }
+});
+
+test("an order to load a model fetches its weights and fails above the rate", async () => {
+  const store = await startWeightStore({
+    port: 0,
+    fetchesPerSecond: 0.01,
+    models: ["walnut-7b", "walnut-13b"],
+  });
+  const engine = await startEngine({
+    port: 0,
+    weightStoreUrl: `http://127.0.0.1:${store.port}`,
+  });
+  const load = (model: string) =>
+    fetch(`http://127.0.0.1:${engine.port}/orders`, {
+      method: "POST",
+      body: JSON.stringify({
+        order: { kind: "load_model", model },
+        fencingToken: 1,
+      }),
+    });
+  try {
+    const loaded = await (await load("walnut-13b")).json();
+    assert.deepEqual(loaded.models, ["walnut-7b", "walnut-13b"]);
+    assert.equal((await load("walnut-13b")).status, 502);
+  } finally {
+    await Promise.all([engine.close(), store.close()]);
+  }
+});
