--- /dev/null
+++ b/packages/stand-ins/fault-proxy/fault-proxy.test.ts
@@ -0,0 +1,169 @@
+/** Links delay, cut, freeze and drop answers without reordering or losing other bytes. */
+
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { connect, createServer, type Socket } from "node:net";
+import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { putJson, waitFor } from "../shared/test-support.ts";
+import { startFaultProxy } from "./fault-proxy.ts";
+
+async function listen(onConnection: (socket: Socket) => void, port = 0) {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    onConnection(socket);
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(port, "127.0.0.1", resolve)
+  );
+  return { server, port: (server.address() as { port: number }).port };
+}
+
+const echo = (socket: Socket) => void socket.pipe(socket);
+
+/** A connection through the proxy with everything it has received. */
+function open(port: number) {
+  const socket = connect(port, "127.0.0.1");
+  const state = { text: "", isClosed: false, error: "" };
+  socket.on("data", (bytes) => state.text += bytes.toString());
+  socket.on("close", () => state.isClosed = true);
+  socket.on(
+    "error",
+    (error) => state.error = (error as { code?: string }).code ?? "",
+  );
+  return { socket, state };
+}
+
+async function withProxy(
+  delayMilliseconds: number,
+  action: (
+    context: {
+      linkPort: number;
+      targetPort: number;
+      change: (change: object) => Promise<unknown>;
+      stopTarget: () => void;
+    },
+  ) => Promise<void>,
+) {
+  const target = await listen(echo);
+  const proxy = await startFaultProxy({
+    port: 0,
+    dropTimeoutMilliseconds: 50,
+    links: [{
+      name: "a->b",
+      listenPort: 0,
+      targetPort: target.port,
+      delayMilliseconds,
+    }],
+  });
+  const url = `http://127.0.0.1:${proxy.port}/links`;
+  try {
+    await action({
+      linkPort: proxy.linkPorts.get("a->b") ?? 0,
+      targetPort: target.port,
+      change: (change) => putJson(url, { names: "a->*", ...change }),
+      stopTarget: () => target.server.close(),
+    });
+  } finally {
+    await proxy.close();
+    target.server.close();
+  }
+}
+
+test("bytes keep their order and arrive after the delay", async () => {
+  await withProxy(5, async ({ linkPort }) => {
+    const { socket, state } = open(linkPort);
+    socket.write("start ");
+    await waitFor("the first echo", () => state.text === "start ");
+    const startedAt = performance.now();
+    socket.write("ping ");
+    await waitFor("the second echo", () => state.text.endsWith("ping "));
+    const roundTrip = performance.now() - startedAt;
+    assert.ok(roundTrip >= 9 && roundTrip < 60, `${roundTrip} ms`);
+    const expected = Array.from({ length: 5_000 }, (_, index) => `${index} `);
+    for (const part of expected) socket.write(part);
+    const wanted = "start ping " + expected.join("");
+    await waitFor("all bytes", () => state.text.length === wanted.length);
+    assert.equal(state.text, wanted);
+    socket.end();
+    await waitFor("the close", () => state.isClosed);
+    assert.equal(state.error, "");
+  });
+});
+
+test("more bytes than the buffers hold pass a slow reader completely", async () => {
+  await withProxy(1, async ({ linkPort }) => {
+    const { socket, state } = open(linkPort);
+    const block = Buffer.alloc(16 * 1024 * 1024, "walnut ");
+    socket.pause();
+    socket.write(block);
+    socket.end();
+    await delay(100);
+    socket.resume();
+    await waitFor("the end", () => state.isClosed);
+    assert.equal(state.text.length, block.length);
+  });
+});
+
+test("a cut ends connections and refuses new ones until it is healed", async () => {
+  await withProxy(0, async ({ linkPort, change }) => {
+    const before = open(linkPort);
+    before.socket.write("x");
+    await waitFor("the echo", () => before.state.text === "x");
+    await change({ mode: "cut" });
+    await waitFor("the cut", () => before.state.isClosed);
+    const during = open(linkPort);
+    await waitFor("the refusal", () => during.state.isClosed);
+    assert.equal(during.state.error, "ECONNREFUSED");
+    await change({ mode: "forward" });
+    const after = open(linkPort);
+    after.socket.end("y");
+    await waitFor("the echo", () => after.state.text === "y");
+  });
+});
+
+test("a frozen link holds bytes and new connections, and delivers them when thawed", async () => {
+  await withProxy(1, async ({ linkPort, change }) => {
+    const old = open(linkPort);
+    old.socket.write("1");
+    await waitFor("the echo", () => old.state.text === "1");
+    await change({ mode: "freeze" });
+    old.socket.write("2");
+    const fresh = open(linkPort);
+    fresh.socket.write("3");
+    await delay(50);
+    assert.deepEqual([old.state.text, fresh.state.text], ["1", ""]);
+    assert.ok(!old.state.isClosed && !fresh.state.isClosed);
+    await change({ mode: "forward" });
+    await waitFor("held bytes", () => old.state.text === "12");
+    await waitFor("held connection", () => fresh.state.text === "3");
+    old.socket.end();
+    fresh.socket.end();
+    await waitFor("closes", () => old.state.isClosed && fresh.state.isClosed);
+  });
+});
+
+test("dropped answers never arrive, and a dead target is refused until it listens", async () => {
+  await withProxy(0, async ({ linkPort, targetPort, change, stopTarget }) => {
+    await change({ mode: "drop_answers" });
+    const dropped = open(linkPort);
+    dropped.socket.write("x");
+    await waitFor("the close", () => dropped.state.isClosed);
+    assert.equal(dropped.state.text, "");
+    await change({ mode: "forward" });
+    stopTarget();
+    await waitFor("a refusal", async () => {
+      const { state } = open(linkPort);
+      await waitFor("the close", () => state.isClosed);
+      return state.error === "ECONNREFUSED";
+    });
+    const again = await listen(echo, targetPort);
+    await waitFor("an echo", async () => {
+      const { socket, state } = open(linkPort);
+      socket.end("back");
+      await waitFor("the close", () => state.isClosed);
+      return state.text === "back";
+    });
+    again.server.close();
+  });
+});
