--- /dev/null
+++ b/packages/demo/example-documents.ts
@@ -0,0 +1,146 @@
+/**
+ * Fills in the document templates of the folder `examples`: addresses and concurrency of the
+ * upstreams of a fleet, public keys of the teams and hashes of the workspaces' keys.
+ */
+
+import { randomBytes } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { parse, stringify } from "yaml";
+import { RosemaryrudderError } from "../common/errors.ts";
+import { sha256Hex } from "../common/hashing.ts";
+import { createTeamKeyPair, type TeamKeyPair } from "../control/signing.ts";
+import type { FleetPlan } from "./fleet-plan.ts";
+
+/** The parts of a document that the launcher and tests work with. */
+export interface ExampleDocument {
+  platform: {
+    log: Record<string, unknown>;
+    teams: { name: string; publicKey: string; sections: string[] }[];
+    upstreams: Record<string, unknown>[];
+    [field: string]: unknown;
+  };
+  [section: string]: {
+    workspaces?: ExampleWorkspace[];
+    routes?: ExampleRoute[];
+    [field: string]: unknown;
+  };
+}
+
+export interface ExampleWorkspace {
+  id: string;
+  ratePerSecond: number;
+  burst: number;
+  batchWeight?: number;
+  keys: { id: string; sha256: string }[];
+}
+
+export interface ExampleRoute {
+  id: string;
+  pathPrefix: string;
+  upstreams: string[];
+  repeatable?: boolean;
+  openToAll?: boolean;
+  workspaces?: string[];
+}
+
+export interface PreparedWorkspace extends ExampleWorkspace {
+  /** A key that is accepted. */
+  key: string;
+}
+
+export interface PreparedDocument {
+  /** YAML with one top-level field for each section. */
+  readonly text: string;
+  readonly document: ExampleDocument;
+  readonly teamKeys: ReadonlyMap<string, TeamKeyPair>;
+  readonly workspaces: readonly PreparedWorkspace[];
+}
+
+export interface PrepareOptions {
+  /** File name in the folder `examples`. */
+  template: string;
+  /** Changes the document before it is written. */
+  edit?: (document: ExampleDocument) => void;
+}
+
+const placeholder = /\$\{([a-zA-Z]+):([a-z0-9.-]+)\}/g;
+
+export function readExample(name: string): string {
+  return readFileSync(new URL(`../../examples/${name}`, import.meta.url), {
+    encoding: "utf8",
+  });
+}
+
+export function prepareDocument(
+  plan: FleetPlan,
+  { template, edit = () => {} }: PrepareOptions,
+): PreparedDocument {
+  const teamKeys = new Map<string, TeamKeyPair>();
+  const keys = new Map<string, string>();
+  const addresses = new Map(
+    plan.upstreams.map(({ id, address }) => [id, address]),
+  );
+  const valueOf = (kind: string, name: string): string => {
+    switch (kind) {
+      case "publicKey":
+        return getOrCreate(teamKeys, name, createTeamKeyPair).publicKey;
+      case "keyHash":
+        return sha256Hex(getOrCreate(keys, name, () => createKey(name)));
+      case "address":
+        return addresses.get(name) ?? "127.0.0.1:9";
+      default:
+        throw new RosemaryrudderError(
+          "unknown_placeholder",
+          `${template} holds an unknown placeholder: ${kind}`,
+        );
+    }
+  };
+  const filled = readExample(template).replace(
+    placeholder,
+    (_, kind: string, name: string) => valueOf(kind, name),
+  );
+  const document = parse(filled) as ExampleDocument;
+  document.platform.upstreams = plan.upstreams.map(describeUpstream);
+  Object.assign(document.platform.log, limitsOfLog(plan));
+  edit(document);
+  return {
+    text: stringify(document),
+    document,
+    teamKeys,
+    workspaces: Object.values(document).flatMap((section) =>
+      (section.workspaces ?? []).map((workspace) => ({
+        ...workspace,
+        key: keys.get(workspace.id) ?? "",
+      }))
+    ),
+  };
+}
+
+function describeUpstream(upstream: FleetPlan["upstreams"][number]) {
+  const { id, kind, address, models, concurrency, checksFencing } = upstream;
+  const common = { name: id, kind, address, concurrency };
+  return kind === "plain" ? common : { ...common, models, checksFencing };
+}
+
+/** The document repeats the limits of the log, so that instances know them. */
+function limitsOfLog({ log }: FleetPlan): Record<string, unknown> {
+  const { appendsPerSecond, retentionSeconds } = log.settings;
+  return {
+    ...(appendsPerSecond === undefined ? {} : { appendsPerSecond }),
+    ...(retentionSeconds === undefined ? {} : { retentionSeconds }),
+  };
+}
+
+function createKey(workspace: string): string {
+  return `${workspace}-${randomBytes(18).toString("base64url")}`;
+}
+
+function getOrCreate<Value>(
+  map: Map<string, Value>,
+  name: string,
+  create: () => Value,
+): Value {
+  const value = map.get(name) ?? create();
+  map.set(name, value);
+  return value;
+}
--- a/packages/stand-ins/log-service/log-service.test.ts
+++ b/packages/stand-ins/log-service/log-service.test.ts
@@ -62,6 +62,8 @@
     await putFaults(url, { outage: true });
     await assert.rejects(poll, refused);
     await assert.rejects(client.append(stream, bytes("4")), refused);
+    await putFaults(url, { slowMilliseconds: 1 });
+    await assert.rejects(client.read(stream, from(0)), refused);
     await putFaults(url, { outage: false });
     assert.equal((await client.read(stream, from(0))).end, 2);
   });
--- a/packages/stand-ins/log-service/log-service.ts
+++ b/packages/stand-ins/log-service/log-service.ts
@@ -37,15 +37,16 @@
 });
 export type LogServiceSettings = z.output<typeof logServiceSettingsSchema>;
 
+/** No defaults here: a change of faults leaves those alone that it does not name. */
 export const logFaultsSchema = z.strictObject({
   /** Every append and read answers 503. */
-  outage: z.boolean().default(false),
+  outage: z.boolean(),
   /** This many further appends take effect, but their connection closes without an answer. */
-  dropAppendAnswers: z.number().int().nonnegative().default(0),
+  dropAppendAnswers: z.number().int().nonnegative(),
   /** Added to the delay of every append and read. */
-  slowMilliseconds: z.number().nonnegative().default(0),
-});
-export type LogFaults = z.output<typeof logFaultsSchema>;
+  slowMilliseconds: z.number().nonnegative(),
+}).partial();
+export type LogFaults = Required<z.output<typeof logFaultsSchema>>;
 
 export interface RunningLogService {
   readonly port: number;
@@ -84,7 +85,11 @@
   readonly #statistics = new AppendStatistics();
   readonly #store = new DisposableStore();
   #isClosing = false;
-  #faults: LogFaults = logFaultsSchema.parse({});
+  #faults: LogFaults = {
+    outage: false,
+    dropAppendAnswers: 0,
+    slowMilliseconds: 0,
+  };
 
   constructor(settings: LogServiceSettings, logger: Logger) {
     this.#settings = settings;
@@ -120,7 +125,7 @@
   }
 
   async #setFaults({ request, response }: HttpExchange): Promise<void> {
-    const change = await readJson(request, logFaultsSchema.partial());
+    const change = await readJson(request, logFaultsSchema);
     this.#faults = { ...this.#faults, ...change };
     this.#logger.info("faults changed", { ...this.#faults });
     if (this.#faults.outage) {
