--- /dev/null
+++ b/packages/capacity/constants.ts
@@ -0,0 +1,27 @@
+/** Constants of the capacity coordinator. */
+
+/** Period of the full reports of instances that hold grants or have demand. */
+export const heartbeatMilliseconds = 250;
+/** Instances with only online requests at an upstream send every fourth heartbeat. */
+export const onlineHeartbeatTurns = 4;
+/** Grants and online requests of an instance that is silent for this long are dropped. */
+export const holderTimeoutMilliseconds = 2_000;
+/** How long a new coordinator collects what is in flight before it grants. */
+export const rebuildMilliseconds = 500;
+/** Period of the coordinator's own work: expiry, limits and load messages. */
+export const coordinatorTickMilliseconds = 100;
+/** Loads that did not change are repeated this often. */
+export const loadRepeatMilliseconds = 1_000;
+/** Up to this many members, every member gets the loads of every upstream. */
+export const loadBroadcastMembers = 16;
+/** Upstreams of one model at which an instance asks for batch capacity. */
+export const maximumUpstreamsAsked = 8;
+/** An upstream that gave no grant for this long is exchanged for another one. */
+export const unproductiveMilliseconds = 2_000;
+
+/** Slot time assumed for a grant before the first one has ended. */
+export const initialSlotMilliseconds = 1_000;
+/** Weight of the newest call in the moving average of slot time. */
+export const slotTimeWeight = 0.1;
+
+export const defaultOnlineReserve = 1;
--- /dev/null
+++ b/packages/common/testing/virtual-time.ts
@@ -0,0 +1,92 @@
+/** Virtual time for tests: a clock and timers that advance only when the test says so. */
+
+import { setImmediate } from "node:timers";
+import type { Clock } from "../clock.ts";
+import type { Timers } from "../timers.ts";
+
+interface Event {
+  readonly at: number;
+  readonly order: number;
+  readonly action: () => void;
+  isCancelled: boolean;
+}
+
+export class VirtualTime implements Clock, Timers {
+  #now = 0;
+  #order = 0;
+  /** A binary heap by time, then by order of creation. */
+  readonly #heap: Event[] = [];
+
+  readonly monotonicNow = (): number => this.#now;
+  readonly wallNow = (): number => 1_700_000_000_000 + this.#now;
+
+  after(milliseconds: number, action: () => void): () => void {
+    const event: Event = {
+      at: this.#now + Math.max(0, milliseconds),
+      order: this.#order++,
+      action,
+      isCancelled: false,
+    };
+    this.#push(event);
+    return () => event.isCancelled = true;
+  }
+
+  defer(action: () => void): void {
+    this.after(0, action);
+  }
+
+  /** Runs all events up to the time; promises settle after each of them. */
+  async runUntil(time: number): Promise<void> {
+    await settlePromises();
+    for (;;) {
+      const next = this.#heap[0];
+      if (!next || next.at > time) break;
+      this.#pop();
+      if (next.isCancelled) continue;
+      this.#now = Math.max(this.#now, next.at);
+      next.action();
+      await settlePromises();
+    }
+    this.#now = Math.max(this.#now, time);
+  }
+
+  #isBefore(left: Event, right: Event): boolean {
+    return left.at < right.at ||
+      (left.at === right.at && left.order < right.order);
+  }
+
+  #push(event: Event): void {
+    const heap = this.#heap;
+    let index = heap.push(event) - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!this.#isBefore(event, heap[parent]!)) break;
+      heap[index] = heap[parent]!;
+      index = parent;
+    }
+    heap[index] = event;
+  }
+
+  #pop(): void {
+    const heap = this.#heap;
+    const last = heap.pop();
+    if (!last || heap.length === 0) return;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= heap.length) break;
+      const right = child + 1;
+      if (right < heap.length && this.#isBefore(heap[right]!, heap[child]!)) {
+        child = right;
+      }
+      if (!this.#isBefore(heap[child]!, last)) break;
+      heap[index] = heap[child]!;
+      index = child;
+    }
+    heap[index] = last;
+  }
+}
+
+function settlePromises(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/packages/limits/constants.ts
@@ -0,0 +1,31 @@
+/** Constants of the rate limiter. */
+
+export const maximumHolders = 8;
+
+/** How long collected tokens may be used, counted from before they were requested. */
+export const transferDeadlineMilliseconds = 250;
+
+/**
+ * Transferred amounts are multiples of this, so that sums of fractions are exact in a double
+ * and two halves of a token make a whole one.
+ */
+export const tokenQuantum = 2 ** -20;
+
+/** After this long without an answer from a holder the next one is asked as well. */
+export const slowHolderMilliseconds = 30;
+
+/** How long a holder that failed to answer is asked last. */
+export const suspectMilliseconds = 1_000;
+
+/** How long a request may wait for the rest of its token to be generated. */
+export const patienceMilliseconds = 100;
+
+/** No request waits for tokens while the workspace was refused this recently. */
+export const overloadMemoryMilliseconds = 1_000;
+
+/** Bounds of the time for which refusals are answered without asking the holders. */
+export const minimumRefusalMilliseconds = 5;
+export const maximumRefusalMilliseconds = 250;
+
+/** Handovers that arrived before the record they belong to. */
+export const maximumEarlyHandovers = 4_096;
--- /dev/null
+++ b/packages/limits/fleet-limiter.ts
@@ -0,0 +1,288 @@
+/**
+ * The fleet-wide rate limiter. Every instance keeps the buckets of the workspaces it holds,
+ * gives tokens to other instances on request, and collects tokens for its own requests.
+ */
+
+import { type Clock, systemClock } from "../common/clock.ts";
+import { DisposableStore } from "../common/disposable-store.ts";
+import type {
+  Incarnation,
+  InstanceId,
+  Offset,
+  WorkspaceId,
+} from "../common/ids.ts";
+import { type Logger, silentLogger } from "../common/logging.ts";
+import { systemTimers, type Timers } from "../common/timers.ts";
+import type { ControlState, ControlView } from "../control/control-state.ts";
+import type { PeerNetwork } from "../protocol/peer-network.ts";
+import { give, refill, settle, spend } from "./bucket.ts";
+import {
+  Collection,
+  type CollectionContext,
+  floorToQuantum,
+} from "./collection.ts";
+import {
+  maximumEarlyHandovers,
+  patienceMilliseconds,
+  transferDeadlineMilliseconds,
+} from "./constants.ts";
+import { HolderIndex } from "./holder-index.ts";
+import { eligibleMembers, isOwnMember } from "./holders.ts";
+import type { LimitDecision, Limiter } from "./limiter.ts";
+import { collectMessage, handoverMessage, settleMessage } from "./messages.ts";
+import {
+  applyInForce,
+  changeAllocation,
+  createEntry,
+  receiveHandover,
+  resetBucket,
+  startFull,
+  type WorkspaceEntry,
+} from "./workspace-entry.ts";
+
+export interface FleetLimiterOptions {
+  instance: InstanceId;
+  /** The incarnation under which this instance joined last, or is about to join. */
+  incarnation: () => Incarnation;
+  control: ControlView;
+  network: PeerNetwork;
+  clock?: Clock;
+  timers?: Timers;
+  logger?: Logger;
+}
+
+interface EarlyHandover {
+  readonly workspace: WorkspaceId;
+  readonly offset: Offset;
+  readonly amount: number;
+}
+
+const admitted: LimitDecision = { admitted: true };
+
+export class FleetLimiter implements Limiter {
+  readonly #options: Required<FleetLimiterOptions>;
+  readonly #store = new DisposableStore();
+  readonly #entries = new Map<WorkspaceId, WorkspaceEntry>();
+  readonly #holders = new HolderIndex();
+  readonly #collectionContext: CollectionContext;
+  #lastIncarnation: Incarnation | undefined;
+  #nextTransfer = 1;
+  #earlyHandovers: EarlyHandover[] = [];
+  #isDisposed = false;
+
+  constructor(options: FleetLimiterOptions) {
+    this.#options = {
+      clock: systemClock,
+      timers: systemTimers,
+      logger: silentLogger,
+      ...options,
+    };
+    const { instance, network, clock, timers, control } = this.#options;
+    this.#collectionContext = {
+      instance,
+      network,
+      clock,
+      timers,
+      isFresh: () => control.isFresh(),
+      suspects: new Map(),
+    };
+  }
+
+  start(): void {
+    const { control, network } = this.#options;
+    network.handle(
+      collectMessage,
+      ({ workspace, amount, whole }) => this.#give(workspace, amount, whole),
+    );
+    network.handle(settleMessage, ({ workspace, transfer, refund }) => {
+      const entry = this.#entries.get(workspace);
+      if (!entry) return null;
+      const bucket = refill(entry.bucket, this.#now());
+      entry.bucket = settle(bucket, transfer, refund);
+      return null;
+    });
+    network.handle(handoverMessage, (handover) => {
+      this.#receiveHandover(handover);
+      return null;
+    });
+    // Workspaces that exist already may have spent their burst: they start empty.
+    this.#applyState(control.state, undefined);
+    this.#store.add(
+      control.onChange((state, previous) => this.#applyState(state, previous)),
+    );
+  }
+
+  async dispose(): Promise<void> {
+    this.#isDisposed = true;
+    await this.#store.dispose();
+  }
+
+  take(workspace: WorkspaceId): Promise<LimitDecision> {
+    const entry = this.#entries.get(workspace);
+    const limit = entry?.allocation.limit;
+    if (!entry || !limit || !this.#options.control.isFresh()) {
+      return Promise.resolve({ admitted: false, retryAfterSeconds: 1 });
+    }
+    const now = this.#now();
+    entry.bucket = refill(entry.bucket, now);
+    if (entry.waiting.length === 0 && entry.bucket.level >= 1) {
+      entry.bucket = spend(entry.bucket, 1);
+      entry.consecutiveShortages = 0;
+      return Promise.resolve(admitted);
+    }
+    const servable = limit.burst +
+      limit.ratePerSecond * patienceMilliseconds / 1_000;
+    if (now < entry.refuseUntil || entry.waiting.length >= servable) {
+      entry.lastRefusalAt = now;
+      return Promise.resolve(this.#refusal(entry));
+    }
+    return new Promise((resolve) => {
+      entry.waiting.push((isAdmitted) =>
+        resolve(isAdmitted ? admitted : this.#refusal(entry))
+      );
+      if (!entry.isCollecting) void this.#collect(entry);
+    });
+  }
+
+  async #collect(entry: WorkspaceEntry): Promise<void> {
+    entry.isCollecting = true;
+    try {
+      await new Collection(this.#collectionContext, entry).run();
+    } catch (error) {
+      this.#options.logger.error("a token collection failed", {
+        workspace: entry.id,
+        reason: String(error),
+      });
+      for (const resolve of entry.waiting.splice(0)) resolve(false);
+    } finally {
+      entry.isCollecting = false;
+    }
+  }
+
+  #refusal(entry: WorkspaceEntry): LimitDecision {
+    const rate = entry.allocation.limit?.ratePerSecond ?? 1;
+    const seconds = (entry.waiting.length + 1) / rate;
+    return {
+      admitted: false,
+      retryAfterSeconds: Math.max(1, Math.ceil(seconds)),
+    };
+  }
+
+  #now(): number {
+    return this.#options.clock.monotonicNow();
+  }
+
+  #give(workspace: WorkspaceId, amount: number, whole: boolean) {
+    const entry = this.#entries.get(workspace);
+    if (!entry || !this.#options.control.isFresh()) {
+      return { transfer: 0, amount: 0, level: 0 };
+    }
+    const now = this.#now();
+    const bucket = refill(entry.bucket, now);
+    entry.bucket = bucket;
+    const wanted = Math.max(0, Math.min(bucket.level, amount));
+    const given = whole ? Math.floor(wanted) : floorToQuantum(wanted);
+    if (given <= 0) return { transfer: 0, amount: 0, level: bucket.level };
+    const transfer = this.#nextTransfer++;
+    entry.bucket = give(bucket, {
+      id: transfer,
+      amount: given,
+      expiresAt: now + transferDeadlineMilliseconds,
+    });
+    return { transfer, amount: given, level: entry.bucket.level };
+  }
+
+  #receiveHandover(handover: EarlyHandover): void {
+    const { workspace, offset, amount } = handover;
+    if (offset > this.#options.control.state.appliedOffset) {
+      if (this.#earlyHandovers.length < maximumEarlyHandovers) {
+        this.#earlyHandovers.push(handover);
+      }
+      return;
+    }
+    const entry = this.#entries.get(workspace);
+    if (entry) receiveHandover(entry, offset, amount, this.#now());
+  }
+
+  #applyState(state: ControlState, previous: ControlState | undefined): void {
+    const { instance, incarnation } = this.#options;
+    const now = this.#now();
+    const ownIncarnation = incarnation();
+    const isMember = isOwnMember(state, instance, ownIncarnation);
+    if (this.#lastIncarnation !== ownIncarnation) {
+      this.#lastIncarnation = ownIncarnation;
+      for (const entry of this.#entries.values()) resetBucket(entry, now);
+    }
+    const { workspaces } = state.configuration;
+    const hasNewMembers = state.members !== previous?.members;
+    if (hasNewMembers) this.#holders.setMembers(eligibleMembers(state));
+    let hasWaiting = false;
+    for (const id of new Set([...this.#entries.keys(), ...workspaces.keys()])) {
+      const workspace = workspaces.get(id);
+      const known = this.#entries.get(id);
+      const limit = known?.allocation.limit;
+      const isSameLimit = limit?.burst === workspace?.burst &&
+        limit?.ratePerSecond === workspace?.ratePerSecond;
+      if (known && isSameLimit && !hasNewMembers) continue;
+      const entry = known ?? createEntry(id, now);
+      this.#entries.set(id, entry);
+      const change = {
+        instance,
+        offset: state.appliedOffset,
+        isMember,
+        now,
+        allocation: {
+          limit: workspace && {
+            ratePerSecond: workspace.ratePerSecond,
+            burst: workspace.burst,
+          },
+          holders: workspace ? this.#holders.holders(id, workspace.burst) : [],
+        },
+      };
+      if (!known && previous && isMember) {
+        startFull(entry, change);
+        continue;
+      }
+      const parts = changeAllocation(entry, change);
+      for (const { receiver, amount } of isMember ? parts : []) {
+        if (receiver === instance) continue;
+        const body = { workspace: id, offset: state.appliedOffset, amount };
+        this.#options.network.send(receiver, handoverMessage, body);
+      }
+      hasWaiting ||= entry.schedule.waiting.length > 0;
+    }
+    if (hasWaiting) void this.#putInForceLater(state.appliedOffset);
+    this.#applyEarlyHandovers(state.appliedOffset);
+  }
+
+  #applyEarlyHandovers(offset: Offset): void {
+    const due = this.#earlyHandovers.filter((entry) => entry.offset <= offset);
+    if (due.length === 0) return;
+    this.#earlyHandovers = this.#earlyHandovers.filter((entry) =>
+      entry.offset > offset
+    );
+    for (const handover of due) this.#receiveHandover(handover);
+  }
+
+  async #putInForceLater(offset: Offset): Promise<void> {
+    const { control, timers, logger } = this.#options;
+    try {
+      await control.whenInForce(offset);
+    } catch (error) {
+      // The shares of the next record that comes into force replace the ones of this record.
+      logger.warn("waiting for a control record failed", {
+        offset,
+        reason: String(error),
+      });
+      return;
+    }
+    // Tokens that a holder gave right before it applied the record may be used until then.
+    timers.after(transferDeadlineMilliseconds, () => {
+      if (this.#isDisposed) return;
+      const now = this.#now();
+      for (const entry of this.#entries.values()) {
+        applyInForce(entry, offset, now);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/packages/limits/testing/limiter-fleet.ts
@@ -0,0 +1,192 @@
+/** Several limiters joined by a virtual network, for tests and measurements. */
+
+import {
+  brandAs,
+  type Incarnation,
+  type InstanceId,
+  type Offset,
+  type WorkspaceId,
+  type ZoneId,
+} from "../../common/ids.ts";
+import { SeededRandom } from "../../common/random.ts";
+import { VirtualTime } from "../../common/testing/virtual-time.ts";
+import { emptyConfiguration } from "../../control/configuration.ts";
+import { freshnessMilliseconds } from "../../control/constants.ts";
+import type { Member } from "../../control/control-state.ts";
+import type { Workspace } from "../../control/document.ts";
+import { VirtualControlStream } from "../../control/testing/virtual-control.ts";
+import {
+  VirtualNetwork,
+  type VirtualProcess,
+} from "../../protocol/testing/virtual-network.ts";
+import { transferDeadlineMilliseconds } from "../constants.ts";
+import { FleetLimiter } from "../fleet-limiter.ts";
+
+export interface LimiterFleetOptions {
+  seed: number;
+  members: number;
+  latencyMilliseconds?: number;
+  lossProbability?: number;
+  /** Longest delay until a process has applied a record. */
+  controlDelayMilliseconds?: number;
+}
+
+interface LimitVersion {
+  readonly from: number;
+  until: number;
+  readonly rate: number;
+  readonly burst: number;
+}
+
+export const workspace = brandAs<WorkspaceId>("walnut");
+
+export class LimiterFleet {
+  readonly time = new VirtualTime();
+  readonly random: SeededRandom;
+  readonly network: VirtualNetwork;
+  readonly control: VirtualControlStream;
+  readonly processes = new Map<
+    InstanceId,
+    { process: VirtualProcess; limiter: FleetLimiter }
+  >();
+  readonly admissions: number[] = [];
+  readonly limits: LimitVersion[] = [];
+  refusals = 0;
+  #incarnations = 0;
+
+  constructor(options: LimiterFleetOptions) {
+    const { latencyMilliseconds = 1, lossProbability = 0 } = options;
+    const { controlDelayMilliseconds = 20 } = options;
+    this.random = new SeededRandom(options.seed);
+    this.network = new VirtualNetwork({
+      time: this.time,
+      latency: () => latencyMilliseconds * (0.5 + this.random.next()),
+      isLost: () => this.random.next() < lossProbability,
+    });
+    this.control = new VirtualControlStream(
+      this.time,
+      {
+        appliedOffset: brandAs<Offset>(0),
+        membershipOffset: brandAs<Offset>(0),
+        configuration: emptyConfiguration(),
+        members: new Map(),
+      },
+      () => this.random.next() * controlDelayMilliseconds,
+    );
+    for (let index = 0; index < options.members; index++) {
+      this.join(this.name(index));
+    }
+  }
+
+  name(index: number): InstanceId {
+    return brandAs<InstanceId>(`instance-${index}`);
+  }
+
+  /** Starts a process, or a new run of it, and publishes that it joined. */
+  join(instance: InstanceId): void {
+    const incarnation = brandAs<Incarnation>(`run-${this.#incarnations++}`);
+    const process = this.network.start(instance, incarnation);
+    const limiter = new FleetLimiter({
+      instance,
+      incarnation: () => incarnation,
+      control: this.control.open(process),
+      network: process,
+      clock: this.time,
+      timers: process,
+    });
+    limiter.start();
+    this.processes.set(instance, { process, limiter });
+    this.changeMember(instance, {
+      instance,
+      incarnation,
+      zone: brandAs<ZoneId>("a"),
+      host: "127.0.0.1",
+      port: 1,
+      metricsUrl: "",
+      state: "active",
+      joinedAt: this.control.latest.appliedOffset,
+    });
+  }
+
+  changeMember(instance: InstanceId, member: Member | undefined): void {
+    const members = new Map(this.control.latest.members);
+    if (member) members.set(instance, member);
+    else members.delete(instance);
+    this.control.publish({ members });
+  }
+
+  leave(instance: InstanceId): void {
+    const member = this.control.latest.members.get(instance);
+    if (member) this.changeMember(instance, { ...member, state: "leaving" });
+  }
+
+  crash(instance: InstanceId): void {
+    this.processes.get(instance)?.process.crash();
+    this.processes.delete(instance);
+  }
+
+  setLimit(rate: number, burst: number): void {
+    const now = this.time.monotonicNow();
+    const previous = this.limits.at(-1);
+    // Until then an instance may act on the earlier version.
+    if (previous) {
+      previous.until = now + freshnessMilliseconds +
+        transferDeadlineMilliseconds;
+    }
+    this.limits.push({ from: now, until: Infinity, rate, burst });
+    const workspaces = new Map([[
+      workspace,
+      { id: workspace, ratePerSecond: rate, burst, batchWeight: 1, keys: [] },
+    ]]) as ReadonlyMap<WorkspaceId, Workspace>;
+    const { configuration } = this.control.latest;
+    this.control.publish({ configuration: { ...configuration, workspaces } });
+  }
+
+  async take(instance: InstanceId): Promise<boolean> {
+    const decision = await this.processes.get(instance)?.limiter.take(
+      workspace,
+    );
+    if (decision?.admitted) this.admissions.push(this.time.monotonicNow());
+    else this.refusals += 1;
+    return decision?.admitted ?? false;
+  }
+
+  takeAnywhere(): Promise<boolean> {
+    return this.take(this.random.pick([...this.processes.keys()])!);
+  }
+
+  /**
+   * The highest number of tokens by which a single bucket with the same limits would have been
+   * overdrawn by the admissions. The limits of a moment are the highest in use then.
+   */
+  overdraft(): number {
+    let level = 0;
+    let at = 0;
+    let worst = 0;
+    const edges = this.limits.flatMap(({ from, until }) => [from, until]);
+    const refillTo = (time: number) => {
+      const cuts = [...edges.filter((edge) => edge > at && edge < time), time];
+      for (const cut of cuts.sort((left, right) => left - right)) {
+        const active = this.limits.filter((it) =>
+          it.from < cut && it.until > at
+        );
+        const rate = Math.max(0, ...active.map((it) => it.rate));
+        const burst = Math.max(0, ...active.map((it) => it.burst));
+        level = Math.min(burst, level + rate * (cut - at) / 1_000);
+        at = cut;
+      }
+    };
+    let isFirst = true;
+    for (const admission of this.admissions) {
+      if (isFirst) {
+        isFirst = false;
+        at = this.limits[0]!.from;
+        level = this.limits[0]!.burst;
+      }
+      refillTo(admission);
+      level -= 1;
+      worst = Math.max(worst, -level);
+    }
+    return worst;
+  }
+}
