--- /dev/null
+++ b/packages/batch/execution/item-outcome.ts
@@ -0,0 +1,130 @@
+/**
+ * Decides what becomes of an item after a call, by status and verdict, and writes the line of
+ * the output or error file.
+ */
+
+import { UpstreamError } from "../../common/errors.ts";
+import type { JobId, RequestId } from "../../common/ids.ts";
+import { notRunField, type Verdict } from "../../common/verdict.ts";
+import type { BatchItemAnswer } from "../../routing/upstream-caller.ts";
+import { maximumReasonLength } from "../constants.ts";
+
+/** Statuses below 500 after which a later attempt may succeed. */
+const temporaryStatuses = new Set([408, 409, 429]);
+
+export interface ItemFailure {
+  readonly code: string;
+  readonly message: string;
+  readonly verdict: Verdict;
+  readonly requestId: RequestId | undefined;
+  readonly answer: BatchItemAnswer | undefined;
+}
+
+export type CallOutcome =
+  | { readonly kind: "succeeded"; readonly answer: BatchItemAnswer }
+  /** The item ends with this error. */
+  | { readonly kind: "failed"; readonly failure: ItemFailure }
+  /** The failure counts as an attempt. */
+  | { readonly kind: "attempted"; readonly failure: ItemFailure }
+  /** The call surely did not run and no upstream judged it; it need not count. */
+  | { readonly kind: "refused"; readonly failure: ItemFailure };
+
+export function classifyAnswer(
+  answer: BatchItemAnswer,
+  { isRepeatable, requestId }: { isRepeatable: boolean; requestId: RequestId },
+): CallOutcome {
+  const { status } = answer;
+  if (status >= 200 && status < 300) return { kind: "succeeded", answer };
+  const failure: ItemFailure = {
+    code: `upstream_status_${status}`,
+    message: `the upstream answered ${status}`,
+    verdict: "ran",
+    requestId,
+    answer,
+  };
+  const mayRepeat = isRepeatable && !isImpossible(status);
+  return { kind: mayRepeat ? "attempted" : "failed", failure };
+}
+
+export function classifyError(
+  error: unknown,
+  { isRepeatable, requestId }: { isRepeatable: boolean; requestId: RequestId },
+): CallOutcome {
+  const upstreamError = error instanceof UpstreamError ? error : undefined;
+  const verdict = upstreamError?.verdict ?? "unknown";
+  const failure: ItemFailure = {
+    code: upstreamError?.code ?? "call_failed",
+    message: shorten(error instanceof Error ? error.message : String(error)),
+    verdict,
+    requestId,
+    answer: undefined,
+  };
+  const status = upstreamError?.status;
+  if (status !== undefined && isImpossible(status)) {
+    return { kind: "failed", failure };
+  }
+  if (verdict === "not_run") return { kind: "refused", failure };
+  if (isRepeatable) return { kind: "attempted", failure };
+  return { kind: "failed", failure: { ...failure, code: "may_have_run" } };
+}
+
+function isImpossible(status: number): boolean {
+  return status >= 400 && status < 500 && !temporaryStatuses.has(status);
+}
+
+export function shorten(text: string): string {
+  return text.length > maximumReasonLength
+    ? `${text.slice(0, maximumReasonLength)}...`
+    : text;
+}
+
+export interface ItemIdentity {
+  readonly job: JobId;
+  /** Zero-based line of the input file. */
+  readonly fileLine: number;
+  readonly customId: string;
+}
+
+/** A line of the output file, in the form of the OpenAI batch interface. */
+export function outputLine(
+  item: ItemIdentity,
+  answer: BatchItemAnswer,
+  requestId: RequestId,
+): string {
+  return JSON.stringify({
+    id: itemId(item),
+    custom_id: item.customId,
+    response: responseOf(answer, requestId),
+    error: null,
+  });
+}
+
+/** A line of the error file; `not_run` tells whether the item may have run. */
+export function errorLine(
+  item: ItemIdentity,
+  failure:
+    & Pick<ItemFailure, "code" | "message" | "verdict">
+    & Partial<ItemFailure>,
+): string {
+  return JSON.stringify({
+    id: itemId(item),
+    custom_id: item.customId,
+    response: failure.answer
+      ? responseOf(failure.answer, failure.requestId)
+      : null,
+    error: { code: failure.code, message: failure.message },
+    not_run: notRunField(failure.verdict),
+  });
+}
+
+function responseOf(answer: BatchItemAnswer, requestId: RequestId | undefined) {
+  return {
+    status_code: answer.status,
+    request_id: requestId ?? null,
+    body: answer.body,
+  };
+}
+
+function itemId({ job, fileLine }: ItemIdentity): string {
+  return `batch_req_${job}_${fileLine}`;
+}
--- /dev/null
+++ b/packages/batch/execution/item-recorder.ts
@@ -0,0 +1,171 @@
+/**
+ * Records outcomes of items and counts what is in flight or waits for the log. Nothing of a
+ * range is written once its epoch has ended; the next owner decides from what it has read.
+ */
+
+import { RosemaryrudderError } from "../../common/errors.ts";
+import type { OwnerEntry } from "../partition/entries.ts";
+import type { PartitionOwner } from "../partition/owner.ts";
+import { errorLine } from "./item-outcome.ts";
+import { fileLine, type RangeRun } from "./range-run.ts";
+
+export class ItemRecorder {
+  readonly #busy = new Map<PartitionOwner, number>();
+  readonly #idleWaiters = new Map<PartitionOwner, (() => void)[]>();
+  readonly #started = new Map<RangeRun, number[]>();
+  #inFlight = 0;
+  #unrecorded = 0;
+  completed = 0;
+  failed = 0;
+
+  /** Items whose call is under way. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Items in flight, or completed but not yet read back from the log. */
+  get unrecorded(): number {
+    return this.#unrecorded;
+  }
+
+  /** Runs an item's call and counts it as in flight meanwhile. */
+  async whileInFlight(
+    run: RangeRun,
+    action: () => Promise<void>,
+  ): Promise<void> {
+    this.#inFlight++;
+    try {
+      await this.#whileBusy(run.owner, action);
+    } finally {
+      this.#inFlight--;
+    }
+  }
+
+  /** Marks an item as started, with the next group commit and without waiting for it. */
+  noteStarted(run: RangeRun, line: number): void {
+    const lines = this.#started.get(run);
+    if (lines) {
+      lines.push(line);
+      return;
+    }
+    this.#started.set(run, [line]);
+    setImmediate(() => this.#flushStarted(run));
+  }
+
+  noteReturned(run: RangeRun, line: number): void {
+    this.#flushStarted(run);
+    run.owner.note({ kind: "item-returned", ...idOf(run), lines: [line] });
+  }
+
+  /** False if the epoch ended before the attempt was in effect. */
+  async recordAttempt(
+    run: RangeRun,
+    attempt: { line: number; code: string; message: string; isNotRun: boolean },
+  ): Promise<boolean> {
+    return await this.#append(run, {
+      kind: "item-attempted",
+      ...idOf(run),
+      ...attempt,
+    });
+  }
+
+  async recordIntent(run: RangeRun, line: number): Promise<boolean> {
+    const isInEffect = await this.#append(run, {
+      kind: "item-intent",
+      ...idOf(run),
+      line,
+    });
+    return isInEffect &&
+      run.range.intents.get(line) === run.owner.epoch.offset;
+  }
+
+  /** Records the one outcome of an item. */
+  async complete(
+    run: RangeRun,
+    line: number,
+    outcome: { isError: boolean; text: string; customId: string },
+  ): Promise<void> {
+    await this.#whileBusy(run.owner, async () => {
+      const { isError, text } = outcome;
+      const id = idOf(run);
+      const entry = { kind: "item-completed" as const, ...id, line };
+      try {
+        await run.owner.append({ ...entry, isError, text });
+      } catch (error) {
+        if (!isExpected(error)) throw error;
+        if (error.code !== "entry_too_large") return;
+        const identity = {
+          job: id.job,
+          fileLine: fileLine(run, line),
+          customId: outcome.customId,
+        };
+        const replacement = errorLine(identity, {
+          code: "result_too_large",
+          message: "the answer is too large to be stored",
+          verdict: "ran",
+        });
+        await this.#append(run, { ...entry, isError: true, text: replacement });
+      }
+      run.taken.delete(line);
+      if (isError) this.failed++;
+      else this.completed++;
+    });
+  }
+
+  /** Resolves once nothing of the owner is in flight or waits for the log. */
+  whenIdle(owner: PartitionOwner): Promise<void> {
+    if (!this.#busy.has(owner)) return Promise.resolve();
+    return new Promise((resolve) => {
+      const waiters = this.#idleWaiters.get(owner) ?? [];
+      waiters.push(resolve);
+      this.#idleWaiters.set(owner, waiters);
+    });
+  }
+
+  async #append(run: RangeRun, entry: OwnerEntry): Promise<boolean> {
+    try {
+      await run.owner.append(entry);
+      return true;
+    } catch (error) {
+      if (!isExpected(error)) throw error;
+      return false;
+    }
+  }
+
+  #flushStarted(run: RangeRun): void {
+    const lines = this.#started.get(run);
+    if (!lines) return;
+    this.#started.delete(run);
+    run.owner.note({ kind: "item-started", ...idOf(run), lines });
+  }
+
+  async #whileBusy(
+    owner: PartitionOwner,
+    action: () => Promise<void>,
+  ): Promise<void> {
+    this.#unrecorded++;
+    this.#busy.set(owner, (this.#busy.get(owner) ?? 0) + 1);
+    try {
+      await action();
+    } finally {
+      this.#unrecorded--;
+      const remaining = (this.#busy.get(owner) ?? 1) - 1;
+      if (remaining > 0) {
+        this.#busy.set(owner, remaining);
+      } else {
+        this.#busy.delete(owner);
+        for (const resolve of this.#idleWaiters.get(owner) ?? []) resolve();
+        this.#idleWaiters.delete(owner);
+      }
+    }
+  }
+}
+
+function idOf({ range }: RangeRun) {
+  return { job: range.spec.job, range: range.spec.range };
+}
+
+/** Errors of an epoch that has ended, or of an entry that is too large. */
+function isExpected(error: unknown): error is RosemaryrudderError {
+  return error instanceof RosemaryrudderError;
+}
--- /dev/null
+++ b/packages/batch/files/file-store.ts
@@ -0,0 +1,163 @@
+/**
+ * Reads files: the completion record in force, single lines through a small cache of chunks,
+ * and the whole content as a stream.
+ */
+
+import { Buffer } from "node:buffer";
+import { RosemaryrudderError } from "../../common/errors.ts";
+import type { FileId, Offset } from "../../common/ids.ts";
+import type { LogClient, StoredRecord } from "../../log/log-client.ts";
+import { maximumCachedChunks } from "../constants.ts";
+import {
+  decodeFileRecord,
+  type FileChunk,
+  type FileCompletion,
+  fileStream,
+} from "./file-records.ts";
+
+/** Beyond the end of any stream; a read from here reports only where a stream ends. */
+const beyondEnd = 2 ** 40 as Offset;
+const maximumCachedCompletions = 256;
+
+export class FileMissingError extends RosemaryrudderError {
+  constructor(file: FileId) {
+    super("file_missing", `file ${file} or a part of it is no longer stored`);
+  }
+}
+
+export class FileStore {
+  readonly #client: LogClient;
+  readonly #completions = new Map<FileId, Promise<FileCompletion>>();
+  readonly #chunks = new Map<string, Promise<FileChunk>>();
+
+  constructor(client: LogClient) {
+    this.#client = client;
+  }
+
+  /** The completion record in force; undefined if the file does not exist. */
+  async find(file: FileId): Promise<FileCompletion | undefined> {
+    const stream = fileStream(file);
+    const { start, end } = await this.#client.read(stream, {
+      from: beyondEnd,
+      waitMilliseconds: 0,
+    });
+    // Copies of chunks may follow the last completion record while they are carried forward.
+    for (let offset = end - 1; offset >= start; offset--) {
+      const record = await this.#readRecord(file, offset as Offset);
+      const entry = record && decodeFileRecord(record.data);
+      if (entry?.kind === "file-completed" && entry.file === file) return entry;
+    }
+    return undefined;
+  }
+
+  /** Bytes of one line, without its line feed. */
+  async readLine(file: FileId, line: number): Promise<Uint8Array> {
+    const chunk = await this.#chunkOf(file, line);
+    const position = line - chunk.firstLine;
+    const from = chunk.lineOffsets[position];
+    if (from === undefined) throw new FileMissingError(file);
+    const to = chunk.lineOffsets[position + 1] ?? chunk.data.length;
+    return chunk.data.subarray(from, to - 1);
+  }
+
+  async *content(completion: FileCompletion): AsyncGenerator<Uint8Array> {
+    for (const { firstLine } of completion.chunks) {
+      const chunk = await this.#chunkOf(completion.file, firstLine);
+      yield chunk.data;
+    }
+  }
+
+  async #chunkOf(file: FileId, line: number): Promise<FileChunk> {
+    try {
+      return await this.#tryChunkOf(file, line);
+    } catch (error) {
+      if (!(error instanceof FileMissingError)) throw error;
+      // The chunk may have been carried forward since the completion record was cached.
+      this.#completions.delete(file);
+      return await this.#tryChunkOf(file, line);
+    }
+  }
+
+  async #tryChunkOf(file: FileId, line: number): Promise<FileChunk> {
+    const completion = await this.#completion(file);
+    if (line < 0 || line >= completion.lines) throw new FileMissingError(file);
+    const index = findChunk(completion, line);
+    const { offset } = completion.chunks[index] as { offset: number };
+    return await remember(
+      this.#chunks,
+      `${file}/${index}`,
+      maximumCachedChunks,
+      () => this.#loadChunk(file, index, offset as Offset),
+    );
+  }
+
+  async #loadChunk(
+    file: FileId,
+    index: number,
+    offset: Offset,
+  ): Promise<FileChunk> {
+    const record = await this.#readRecord(file, offset);
+    const entry = record && decodeFileRecord(record.data);
+    if (entry?.kind !== "chunk" || entry.index !== index) {
+      throw new FileMissingError(file);
+    }
+    // The decoded bytes share the buffer of the whole answer, which would stay in memory.
+    return { ...entry, data: Buffer.from(entry.data) };
+  }
+
+  #completion(file: FileId): Promise<FileCompletion> {
+    return remember(
+      this.#completions,
+      file,
+      maximumCachedCompletions,
+      async () => {
+        const completion = await this.find(file);
+        if (!completion) throw new FileMissingError(file);
+        return completion;
+      },
+    );
+  }
+
+  async #readRecord(
+    file: FileId,
+    offset: Offset,
+  ): Promise<StoredRecord | undefined> {
+    const { records } = await this.#client.read(fileStream(file), {
+      from: offset,
+      waitMilliseconds: 0,
+      maximumBytes: 1,
+    });
+    return records.find((record) => record.offset === offset);
+  }
+}
+
+function findChunk({ chunks }: FileCompletion, line: number): number {
+  let low = 0;
+  let high = chunks.length - 1;
+  while (low < high) {
+    const middle = (low + high + 1) >> 1;
+    if ((chunks[middle]?.firstLine ?? 0) <= line) low = middle;
+    else high = middle - 1;
+  }
+  return low;
+}
+
+/** Keeps the most recently used values; a value that failed to load is not kept. */
+function remember<Key, Value>(
+  cache: Map<Key, Promise<Value>>,
+  key: Key,
+  maximum: number,
+  load: () => Promise<Value>,
+): Promise<Value> {
+  const loading = cache.get(key) ?? load();
+  cache.delete(key);
+  cache.set(key, loading);
+  loading.catch(() => {
+    if (cache.get(key) === loading) cache.delete(key);
+  });
+  for (const oldest of cache.keys()) {
+    if (cache.size <= maximum) break;
+    cache.delete(oldest);
+  }
+  return loading;
+}
--- /dev/null
+++ b/packages/batch/fleet-batch-service.ts
@@ -0,0 +1,320 @@
+/**
+ * Files and batch jobs of one instance: the interface for callers, and the partitions, items
+ * and results behind it. Before the first document is published nothing runs.
+ */
+
+import type { BatchCapacity } from "../capacity/capacity.ts";
+import { type Clock, systemClock } from "../common/clock.ts";
+import { DisposableStore } from "../common/disposable-store.ts";
+import { LogUnavailableError } from "../common/errors.ts";
+import type {
+  FileId,
+  Incarnation,
+  InstanceId,
+  JobId,
+  WorkspaceId,
+} from "../common/ids.ts";
+import { type Logger, silentLogger } from "../common/logging.ts";
+import type {
+  ControlView,
+  PartitionOwnerLookup,
+} from "../control/control-state.ts";
+import type { PlatformSection } from "../control/document.ts";
+import type { AppendBudget } from "../log/append-budget.ts";
+import type { LogClient } from "../log/log-client.ts";
+import type { PeerNetwork } from "../protocol/peer-network.ts";
+import type { RunBatchItem } from "../routing/upstream-caller.ts";
+import { AppendStatistics, type AppendSummary } from "./append-statistics.ts";
+import type {
+  BatchService,
+  CreateFileOptions,
+  CreateJobOptions,
+  FileDescription,
+  JobDescription,
+} from "./batch-service.ts";
+import { maintenanceMilliseconds } from "./constants.ts";
+import {
+  describeFile,
+  describeResult,
+  fileNotFound,
+  jobIdOf,
+  logUnavailable,
+  rangeItemsFor,
+} from "./descriptions.ts";
+import { Executor } from "./execution/executor.ts";
+import type { FileCompletion } from "./files/file-records.ts";
+import { FileStore } from "./files/file-store.ts";
+import { uploadFile } from "./files/file-upload.ts";
+import { HomeOwner } from "./jobs/home-owner.ts";
+import { type FoundJob, JobClient, notConfigured } from "./jobs/job-client.ts";
+import { parseResultFile } from "./jobs/job-description.ts";
+import { rangeChangedMessage } from "./jobs/job-messages.ts";
+import { RangeHandler } from "./jobs/range-handler.ts";
+import { RangeSync } from "./jobs/range-sync.ts";
+import { partitionOf, PartitionSet } from "./partition/partition-set.ts";
+import type { RangeState } from "./partition/state.ts";
+import { ResultReader } from "./results/result-reader.ts";
+
+export interface FleetBatchServiceOptions {
+  instance: InstanceId;
+  incarnation: Incarnation;
+  control: ControlView;
+  partitionOwner: PartitionOwnerLookup;
+  logClient: LogClient;
+  appendBudget: AppendBudget;
+  network: PeerNetwork;
+  capacity: BatchCapacity;
+  runItem: RunBatchItem;
+  clock?: Clock;
+  logger?: Logger;
+}
+
+export interface BatchStatistics {
+  /** Items of ranges that this instance owns and that have no outcome yet. */
+  readonly backlog: number;
+  readonly running: number;
+  /** Items in flight, or completed but not yet in the log. */
+  readonly unrecorded: number;
+  readonly completed: number;
+  readonly failed: number;
+  readonly partitions: number;
+  readonly appends: AppendSummary;
+}
+
+export class FleetBatchService implements BatchService {
+  readonly #options: Required<FleetBatchServiceOptions>;
+  readonly #store = new DisposableStore();
+  readonly #files: FileStore;
+  readonly #executor: Executor;
+  readonly #partitions: PartitionSet;
+  readonly #sync: RangeSync;
+  readonly #home: HomeOwner;
+  readonly #rangeHandler: RangeHandler;
+  readonly #jobs: JobClient;
+  readonly #results: ResultReader;
+  readonly #appends = new AppendStatistics();
+
+  constructor(given: FleetBatchServiceOptions) {
+    const options = { clock: systemClock, logger: silentLogger, ...given };
+    const { control, network, clock, partitionOwner, logClient } = options;
+    this.#options = options;
+    this.#files = new FileStore(logClient);
+    this.#executor = new Executor({
+      ...options,
+      files: this.#files,
+      onRangeFinished: (range) => this.#hintHome(range),
+    });
+    this.#partitions = new PartitionSet({
+      ...options,
+      client: logClient,
+      budget: options.appendBudget,
+      drain: (owner) => this.#executor.drain(owner),
+      onActive: (owner) => {
+        this.#executor.addOwner(owner);
+        for (const { spec } of owner.state.ranges.values()) {
+          this.#sendHint(spec.workspace, spec.job);
+        }
+      },
+      onEntries: (owner, entries) =>
+        this.#executor.handleEntries(owner, entries),
+      onStopped: (owner) => this.#executor.removeOwner(owner),
+      onAppended: (entries, milliseconds) =>
+        this.#appends.record(entries, milliseconds),
+    });
+    const partitions = this.#partitions;
+    this.#sync = new RangeSync({ ...options, partitions });
+    this.#home = new HomeOwner({
+      control,
+      partitions,
+      network,
+      sync: this.#sync,
+      clock,
+    });
+    this.#rangeHandler = new RangeHandler({
+      partitions,
+      network,
+      executor: this.#executor,
+    });
+    this.#jobs = new JobClient({ control, partitionOwner, network, clock });
+    this.#results = new ResultReader({
+      client: logClient,
+      jobs: this.#jobs,
+      files: this.#files,
+    });
+  }
+
+  /** Begins to own the partitions that the control state assigns to this instance. */
+  start(): void {
+    const { control } = this.#options;
+    this.#home.start();
+    this.#rangeHandler.start();
+    this.#store.add(
+      control.onChange((state, previous) => {
+        this.#partitions.maintain();
+        if (state.membershipOffset !== previous.membershipOffset) {
+          this.#sync.wakeAll();
+        }
+      }),
+    );
+    this.#store.addInterval(() => this.#maintain(), maintenanceMilliseconds);
+    this.#maintain();
+  }
+
+  /** Hands all partitions over; resolves once calls that may not be repeated have ended. */
+  async release(): Promise<void> {
+    await this.#partitions.release();
+  }
+
+  async dispose(): Promise<void> {
+    await this.#store.dispose();
+    this.#partitions.stop();
+    this.#executor.dispose();
+  }
+
+  get statistics(): BatchStatistics {
+    return {
+      ...this.#executor.statistics,
+      partitions: this.#partitions.activeOwners().length,
+      appends: this.#appends.summary,
+    };
+  }
+
+  async createFile(options: CreateFileOptions): Promise<FileDescription> {
+    const platform = this.#platform();
+    const completion = await uploadFile({
+      ...options,
+      client: this.#options.logClient,
+      budget: this.#options.appendBudget,
+      clock: this.#options.clock,
+    });
+    return describeFile(completion, platform);
+  }
+
+  async getFile(
+    workspace: WorkspaceId,
+    file: FileId,
+  ): Promise<FileDescription | undefined> {
+    const platform = this.#platform();
+    const result = parseResultFile(file);
+    if (result) {
+      const found = await this.#findResult(workspace, result.job);
+      return found && describeResult(found, result.kind, platform);
+    }
+    const completion = await this.#findInput(workspace, file);
+    return completion && describeFile(completion, platform);
+  }
+
+  async readFile(
+    workspace: WorkspaceId,
+    file: FileId,
+  ): Promise<AsyncIterable<Uint8Array>> {
+    const { partitions } = this.#platform();
+    const result = parseResultFile(file);
+    if (!result) {
+      const completion = await this.#findInput(workspace, file);
+      if (completion) return this.#files.content(completion);
+      throw fileNotFound();
+    }
+    const found = await this.#findResult(workspace, result.job);
+    if (!found) throw fileNotFound();
+    return this.#results.read(found, result.kind, partitions);
+  }
+
+  async createJob(options: CreateJobOptions): Promise<JobDescription> {
+    const { partitions } = this.#platform();
+    const file = await this.#findInput(options.workspace, options.inputFile);
+    if (!file) throw fileNotFound();
+    return await this.#jobs.submit({
+      id: jobIdOf(options),
+      workspace: options.workspace,
+      ...(options.idempotencyKey === undefined
+        ? {}
+        : { idempotencyKey: options.idempotencyKey }),
+      fingerprint: options.fingerprint,
+      inputFile: options.inputFile,
+      endpoint: options.endpoint,
+      deadline: options.deadline,
+      metadata: options.metadata ?? {},
+      createdAt: this.#options.clock.wallNow(),
+      lines: file.lines,
+      rangeItems: rangeItemsFor(file.lines, partitions),
+    });
+  }
+
+  async getJob(
+    workspace: WorkspaceId,
+    job: JobId,
+  ): Promise<JobDescription | undefined> {
+    return (await this.#jobs.get(workspace, job))?.job;
+  }
+
+  async listJobs(
+    workspace: WorkspaceId,
+    options: { after?: JobId | undefined; limit: number },
+  ): Promise<readonly JobDescription[]> {
+    return await this.#jobs.list(workspace, options);
+  }
+
+  async cancelJob(
+    workspace: WorkspaceId,
+    job: JobId,
+  ): Promise<JobDescription | undefined> {
+    return await this.#jobs.cancel(workspace, job);
+  }
+
+  #maintain(): void {
+    this.#partitions.maintain();
+    this.#home.cancelListedJobs();
+    this.#sync.maintain();
+    this.#executor.maintain();
+  }
+
+  #platform(): PlatformSection {
+    const { platform } = this.#options.control.state.configuration;
+    if (!platform) throw notConfigured();
+    return platform;
+  }
+
+  async #findInput(
+    workspace: WorkspaceId,
+    file: FileId,
+  ): Promise<FileCompletion | undefined> {
+    if (!/^file-[0-9a-f]{32}$/.test(file)) return undefined;
+    const completion = await this.#readLog(() => this.#files.find(file));
+    return completion?.workspace === workspace ? completion : undefined;
+  }
+
+  async #readLog<Value>(read: () => Promise<Value>): Promise<Value> {
+    try {
+      return await read();
+    } catch (error) {
+      if (error instanceof LogUnavailableError) throw logUnavailable(error);
+      throw error;
+    }
+  }
+
+  async #findResult(
+    workspace: WorkspaceId,
+    job: JobId,
+  ): Promise<FoundJob | undefined> {
+    const found = await this.#jobs.get(workspace, job);
+    const expiresAt = found?.job.expiresAt;
+    const isExpired = expiresAt !== undefined &&
+      expiresAt < this.#options.clock.wallNow();
+    return isExpired ? undefined : found;
+  }
+
+  #hintHome({ spec }: RangeState): void {
+    this.#sendHint(spec.workspace, spec.job);
+  }
+
+  #sendHint(workspace: WorkspaceId, job: JobId): void {
+    const { control, partitionOwner, network, instance } = this.#options;
+    const { platform } = control.state.configuration;
+    if (!platform) return;
+    const partition = partitionOf(workspace, platform.partitions);
+    const home = partitionOwner(control.state, partition);
+    if (home === instance) this.#home.handleHint(workspace, job);
+    else if (home) network.send(home, rangeChangedMessage, { workspace, job });
+  }
+}
--- /dev/null
+++ b/packages/batch/jobs/home-owner.ts
@@ -0,0 +1,221 @@
+/**
+ * The home owner of jobs: answers about the jobs of the workspaces whose home partition this
+ * instance owns. Whatever it answers has been read back from the partition's stream.
+ */
+
+import type { Clock } from "../../common/clock.ts";
+import type { JobId, WorkspaceId } from "../../common/ids.ts";
+import { RosemaryrudderError } from "../../common/errors.ts";
+import type { ControlView } from "../../control/control-state.ts";
+import type { PeerNetwork } from "../../protocol/peer-network.ts";
+import type { JobDescription } from "../batch-service.ts";
+import type { JobSpec } from "../partition/entries.ts";
+import type { PartitionOwner } from "../partition/owner.ts";
+import { partitionOf, type PartitionSet } from "../partition/partition-set.ts";
+import type { JobState } from "../partition/state.ts";
+import { describeJob, describeResults } from "./job-description.ts";
+import {
+  cancelJobMessage,
+  getJobMessage,
+  type JobAnswer,
+  type JobListAnswer,
+  listJobsMessage,
+  rangeChangedMessage,
+  submitJobMessage,
+} from "./job-messages.ts";
+import type { RangeSync } from "./range-sync.ts";
+
+export interface HomeOwnerOptions {
+  control: ControlView;
+  partitions: PartitionSet;
+  network: PeerNetwork;
+  sync: RangeSync;
+  clock: Clock;
+}
+
+const notOwner = { kind: "not-owner" } as const;
+
+export class HomeOwner {
+  readonly #options: HomeOwnerOptions;
+
+  constructor(options: HomeOwnerOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    const { network } = this.#options;
+    network.handle(submitJobMessage, ({ spec }) => this.#submit(spec));
+    network.handle(
+      getJobMessage,
+      ({ workspace, job }) =>
+        this.#withOwner(
+          workspace,
+          (owner) => this.#answer(owner, workspace, job),
+        ),
+    );
+    network.handle(
+      cancelJobMessage,
+      ({ workspace, job }) => this.#cancel(workspace, job),
+    );
+    network.handle(listJobsMessage, (request) => this.#list(request));
+    network.handle(rangeChangedMessage, ({ workspace, job }) => {
+      this.handleHint(workspace, job);
+      return null;
+    });
+  }
+
+  /** A range of the job has changed. */
+  handleHint(workspace: WorkspaceId, job: JobId): void {
+    const owner = this.#ownerOf(workspace);
+    if (owner) this.#options.sync.wake(owner, job);
+  }
+
+  /** Cancels the jobs that operators have listed in the configuration. */
+  cancelListedJobs(): void {
+    const { cancelledJobs } = this.#options.control.state.configuration;
+    for (const job of cancelledJobs) {
+      for (const owner of this.#options.partitions.activeOwners()) {
+        const state = owner.state.jobs.get(job);
+        if (state && mayCancel(state) && !owner.isLogStalled) {
+          void this.#recordCancel(owner, job);
+        }
+      }
+    }
+  }
+
+  #ownerOf(workspace: WorkspaceId): PartitionOwner | undefined {
+    const { platform } = this.#options.control.state.configuration;
+    if (!platform) return undefined;
+    return this.#options.partitions.active(
+      partitionOf(workspace, platform.partitions),
+    );
+  }
+
+  async #submit(spec: JobSpec): Promise<JobAnswer> {
+    return await this.#withOwner(spec.workspace, async (owner) => {
+      if (!owner.state.jobs.has(spec.id)) {
+        if (owner.isLogStalled) return logUnavailable();
+        await owner.append({ kind: "job-accepted", spec });
+      }
+      const job = owner.state.jobs.get(spec.id);
+      if (!job) return notOwner;
+      if (job.spec.fingerprint !== spec.fingerprint) {
+        return {
+          kind: "refused",
+          status: 409,
+          code: "idempotency_key_reused",
+          message: "the idempotency key was used with another request",
+          isNotRun: true,
+        };
+      }
+      this.#options.sync.wake(owner, spec.id);
+      return this.#answer(owner, spec.workspace, spec.id);
+    });
+  }
+
+  async #cancel(workspace: WorkspaceId, id: JobId): Promise<JobAnswer> {
+    return await this.#withOwner(workspace, async (owner) => {
+      const job = owner.state.jobs.get(id);
+      if (!job || job.spec.workspace !== workspace) {
+        return { kind: "unknown-job" };
+      }
+      if (mayCancel(job)) {
+        if (owner.isLogStalled) return logUnavailable();
+        await this.#recordCancel(owner, id);
+        if (mayCancel(job)) return notOwner;
+      }
+      return this.#answer(owner, workspace, id);
+    });
+  }
+
+  /** Leaves the state unchanged if the epoch ends meanwhile. */
+  async #recordCancel(owner: PartitionOwner, job: JobId): Promise<void> {
+    try {
+      const at = this.#options.clock.wallNow();
+      await owner.append({ kind: "job-cancelled", job, at });
+      this.#options.sync.wake(owner, job);
+    } catch (error) {
+      if (!(error instanceof RosemaryrudderError)) throw error;
+    }
+  }
+
+  async #list(
+    { workspace, after, limit }: {
+      workspace: WorkspaceId;
+      after: JobId | undefined;
+      limit: number;
+    },
+  ): Promise<JobListAnswer> {
+    const answer = await this.#withOwner(workspace, (owner) => {
+      const jobs = [...owner.state.jobs.values()]
+        .filter(({ spec }) => spec.workspace === workspace)
+        .sort(newestFirst);
+      const position = jobs.findIndex(({ spec }) => spec.id === after);
+      const page = jobs.slice(position + 1, position + 1 + limit);
+      return {
+        kind: "jobs" as const,
+        jobs: page.map((job) => this.#describe(owner, job)),
+      };
+    });
+    return answer;
+  }
+
+  #answer(
+    owner: PartitionOwner,
+    workspace: WorkspaceId,
+    id: JobId,
+  ): JobAnswer {
+    const job = owner.state.jobs.get(id);
+    if (!job || job.spec.workspace !== workspace) {
+      return { kind: "unknown-job" };
+    }
+    return {
+      kind: "job",
+      job: this.#describe(owner, job),
+      results: describeResults(job),
+    };
+  }
+
+  #describe(owner: PartitionOwner, job: JobState): JobDescription {
+    const { platform } = this.#options.control.state.configuration;
+    if (!platform) {
+      throw new RosemaryrudderError("not_configured", "nothing is published");
+    }
+    const progress = this.#options.sync.progressOf(owner, job.spec.id);
+    return describeJob(job, progress, platform);
+  }
+
+  /** Runs an action with the owner, if this instance is the home owner now and stays it. */
+  async #withOwner<Answer>(
+    workspace: WorkspaceId,
+    action: (owner: PartitionOwner) => Answer | Promise<Answer>,
+  ): Promise<Answer | typeof notOwner> {
+    const owner = this.#ownerOf(workspace);
+    if (!owner) return notOwner;
+    try {
+      const answer = await action(owner);
+      return owner.isActive ? answer : notOwner;
+    } catch (error) {
+      if (!(error instanceof RosemaryrudderError)) throw error;
+      return notOwner;
+    }
+  }
+}
+
+function mayCancel(job: JobState): boolean {
+  return job.endedAt === undefined && job.cancelledAt === undefined;
+}
+
+function newestFirst({ spec: left }: JobState, { spec: right }: JobState) {
+  return right.createdAt - left.createdAt || (left.id < right.id ? -1 : 1);
+}
+
+function logUnavailable(): JobAnswer {
+  return {
+    kind: "refused",
+    status: 503,
+    code: "log_unavailable",
+    message: "the log does not answer",
+    isNotRun: true,
+  };
+}
--- /dev/null
+++ b/packages/batch/jobs/job-client.ts
@@ -0,0 +1,181 @@
+/**
+ * The side of the instance that received a caller's request: asks the current home owner, again
+ * with the same identity while ownership moves, and turns its answer into one for the caller.
+ */
+
+import type { Clock } from "../../common/clock.ts";
+import { CallerError, RosemaryrudderError } from "../../common/errors.ts";
+import type { JobId, PartitionNumber, WorkspaceId } from "../../common/ids.ts";
+import type {
+  ControlView,
+  PartitionOwnerLookup,
+} from "../../control/control-state.ts";
+import type { PeerMessage } from "../../protocol/peer-message.ts";
+import type { PeerNetwork } from "../../protocol/peer-network.ts";
+import type { JobDescription } from "../batch-service.ts";
+import {
+  ownerRequestMilliseconds,
+  ownerRetryDelayMilliseconds,
+  ownerRetryMilliseconds,
+} from "../constants.ts";
+import type { JobSpec } from "../partition/entries.ts";
+import { partitionOf } from "../partition/partition-set.ts";
+import { delay } from "../timing.ts";
+import {
+  cancelJobMessage,
+  getJobMessage,
+  type JobAnswer,
+  type JobResults,
+  listJobsMessage,
+  submitJobMessage,
+} from "./job-messages.ts";
+
+export interface JobClientOptions {
+  control: ControlView;
+  partitionOwner: PartitionOwnerLookup;
+  network: PeerNetwork;
+  clock: Clock;
+}
+
+export interface FoundJob {
+  readonly job: JobDescription;
+  readonly results: JobResults;
+}
+
+type WithKind = { readonly kind: string };
+
+export class JobClient {
+  readonly #options: JobClientOptions;
+
+  constructor(options: JobClientOptions) {
+    this.#options = options;
+  }
+
+  async submit(spec: JobSpec): Promise<JobDescription> {
+    const answer = await this.askHome(spec.workspace, submitJobMessage, {
+      spec,
+    }, { changesState: true });
+    const found = this.#found(answer);
+    if (found) return found.job;
+    throw unavailable("unknown");
+  }
+
+  async get(
+    workspace: WorkspaceId,
+    job: JobId,
+  ): Promise<FoundJob | undefined> {
+    const body = { workspace, job };
+    return this.#found(await this.askHome(workspace, getJobMessage, body));
+  }
+
+  async cancel(
+    workspace: WorkspaceId,
+    job: JobId,
+  ): Promise<JobDescription | undefined> {
+    const answer = await this.askHome(workspace, cancelJobMessage, {
+      workspace,
+      job,
+    }, { changesState: true });
+    return this.#found(answer)?.job;
+  }
+
+  async list(
+    workspace: WorkspaceId,
+    { after, limit }: { after?: JobId | undefined; limit: number },
+  ): Promise<readonly JobDescription[]> {
+    const answer = await this.askHome(workspace, listJobsMessage, {
+      workspace,
+      after,
+      limit,
+    });
+    return answer.kind === "jobs" ? answer.jobs : [];
+  }
+
+  async askHome<Request, Answer extends WithKind>(
+    workspace: WorkspaceId,
+    message: PeerMessage<Request, Answer>,
+    body: Request,
+    options: { changesState?: boolean } = {},
+  ): Promise<Exclude<Answer, { kind: "not-owner" | "refused" }>> {
+    const { platform } = this.#options.control.state.configuration;
+    if (!platform) throw notConfigured();
+    const partition = partitionOf(workspace, platform.partitions);
+    return await this.ask(partition, message, body, options);
+  }
+
+  /** Asks the current owner of a partition until it answers, for up to 10 s. */
+  async ask<Request, Answer extends WithKind>(
+    partition: PartitionNumber,
+    message: PeerMessage<Request, Answer>,
+    body: Request,
+    { changesState = false }: { changesState?: boolean } = {},
+  ): Promise<Exclude<Answer, { kind: "not-owner" | "refused" }>> {
+    const { clock, control, partitionOwner, network } = this.#options;
+    const endsAt = clock.monotonicNow() + ownerRetryMilliseconds;
+    let mayHaveRun = false;
+    while (clock.monotonicNow() < endsAt) {
+      const owner = partitionOwner(control.state, partition);
+      if (owner) {
+        try {
+          const answer = await network.request(owner, message, body, {
+            deadlineMilliseconds: Math.min(
+              ownerRequestMilliseconds,
+              endsAt - clock.monotonicNow(),
+            ),
+          });
+          throwRefusal(answer, mayHaveRun);
+          if (answer.kind !== "not-owner") {
+            return answer as Exclude<
+              Answer,
+              { kind: "not-owner" | "refused" }
+            >;
+          }
+        } catch (error) {
+          if (error instanceof CallerError) throw error;
+          if (!(error instanceof RosemaryrudderError)) throw error;
+        }
+        mayHaveRun = changesState;
+      }
+      await delay(ownerRetryDelayMilliseconds);
+    }
+    throw unavailable(mayHaveRun ? "unknown" : "not_run");
+  }
+
+  #found(
+    answer: Extract<JobAnswer, { kind: "job" | "unknown-job" }>,
+  ): FoundJob | undefined {
+    return answer.kind === "job" ? answer : undefined;
+  }
+}
+
+function throwRefusal(answer: WithKind, mayHaveRun: boolean): void {
+  if (answer.kind !== "refused") return;
+  const refused = answer as Extract<JobAnswer, { kind: "refused" }>;
+  const isNotRun = refused.isNotRun && !(mayHaveRun && refused.status === 503);
+  throw new CallerError({
+    status: refused.status,
+    code: refused.code,
+    message: refused.message,
+    verdict: isNotRun ? "not_run" : "unknown",
+    ...(refused.status === 503 ? { retryAfterSeconds: 5 } : {}),
+  });
+}
+
+function unavailable(verdict: "not_run" | "unknown"): CallerError {
+  return new CallerError({
+    status: 503,
+    code: "job_owner_unavailable",
+    message: "the owner of the workspace's jobs does not answer",
+    verdict,
+    retryAfterSeconds: 5,
+  });
+}
+
+export function notConfigured(): CallerError {
+  return new CallerError({
+    status: 503,
+    code: "not_configured",
+    message: "no configuration has been published yet",
+    retryAfterSeconds: 5,
+  });
+}
--- /dev/null
+++ b/packages/batch/jobs/job-messages.ts
@@ -0,0 +1,171 @@
+/** Messages between instances about jobs and their ranges. */
+
+import { z } from "zod";
+import type { FileId, JobId, WorkspaceId } from "../../common/ids.ts";
+import { brandAs } from "../../common/ids.ts";
+import { definePeerMessage } from "../../protocol/peer-message.ts";
+import { jobSpecSchema } from "../partition/entries.ts";
+
+const count = z.number().int().nonnegative();
+const jobId = z.string().min(1).transform((value) => brandAs<JobId>(value));
+const fileId = z.string().min(1).transform((value) => brandAs<FileId>(value));
+const workspaceId = z.string().min(1).transform((value) =>
+  brandAs<WorkspaceId>(value)
+);
+
+const jobDescriptionSchema = z.object({
+  id: jobId,
+  workspace: workspaceId,
+  inputFile: fileId,
+  outputFile: fileId,
+  errorFile: fileId,
+  endpoint: z.string(),
+  status: z.enum(["in_progress", "cancelling", "cancelled", "completed"]),
+  counts: z.object({ total: count, completed: count, failed: count }),
+  metadata: z.record(z.string(), z.string()),
+  createdAt: z.number(),
+  deadline: z.number(),
+  endedAt: z.number().nullish().transform((value) => value ?? undefined),
+  expiresAt: z.number().nullish().transform((value) => value ?? undefined),
+});
+
+/** What the reader of result files needs beside the description for callers. */
+const jobResultsSchema = z.object({
+  outputBytes: count,
+  errorBytes: count,
+  rangeItems: z.number().int().positive(),
+});
+export type JobResults = z.output<typeof jobResultsSchema>;
+
+/**
+ * Answers name their kind instead of failing, so that the asking instance can tell a refusal of
+ * the request from an instance that does not own the partition.
+ */
+const notOwnerSchema = z.object({ kind: z.literal("not-owner") });
+const refusedSchema = z.object({
+  kind: z.literal("refused"),
+  status: z.number().int(),
+  code: z.string(),
+  message: z.string(),
+  /** False if the request may still take effect. */
+  isNotRun: z.boolean(),
+});
+const jobAnswerSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("job"),
+    job: jobDescriptionSchema,
+    results: jobResultsSchema,
+  }),
+  z.object({ kind: z.literal("unknown-job") }),
+  notOwnerSchema,
+  refusedSchema,
+]);
+export type JobAnswer = z.output<typeof jobAnswerSchema>;
+
+const jobListAnswerSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("jobs"), jobs: z.array(jobDescriptionSchema) }),
+  notOwnerSchema,
+  refusedSchema,
+]);
+export type JobListAnswer = z.output<typeof jobListAnswerSchema>;
+
+const oneJobSchema = z.object({ workspace: workspaceId, job: jobId });
+
+export const submitJobMessage = definePeerMessage(
+  "batch/submit-job",
+  z.object({ spec: jobSpecSchema }).parse,
+  (body): JobAnswer => jobAnswerSchema.parse(body),
+);
+export const getJobMessage = definePeerMessage(
+  "batch/get-job",
+  oneJobSchema.parse,
+  (body): JobAnswer => jobAnswerSchema.parse(body),
+);
+export const cancelJobMessage = definePeerMessage(
+  "batch/cancel-job",
+  oneJobSchema.parse,
+  (body): JobAnswer => jobAnswerSchema.parse(body),
+);
+export const listJobsMessage = definePeerMessage(
+  "batch/list-jobs",
+  z.object({
+    workspace: workspaceId,
+    after: jobId.nullish().transform((value) => value ?? undefined),
+    limit: z.number().int().positive(),
+  }).parse,
+  (body): JobListAnswer => jobListAnswerSchema.parse(body),
+);
+
+/**
+ * The home owner hands over ranges, asks for their progress, and passes on cancels and
+ * removals. Everything in it may be repeated.
+ */
+const syncRangesSchema = z.object({
+  partition: count,
+  job: jobSpecSchema.pick({
+    id: true,
+    workspace: true,
+    inputFile: true,
+    deadline: true,
+    lines: true,
+    rangeItems: true,
+  }),
+  ranges: z.array(count),
+  wanted: z.enum(["run", "cancel", "remove"]),
+});
+export type SyncRanges = z.output<typeof syncRangesSchema>;
+
+const rangeReportSchema = z.object({
+  range: count,
+  /** False until the range is recorded, and again once it is removed. */
+  isKnown: z.boolean(),
+  isFinished: z.boolean(),
+  isCancelled: z.boolean(),
+  completed: count,
+  failed: count,
+  outputBytes: count,
+  errorBytes: count,
+});
+export type RangeReport = z.output<typeof rangeReportSchema>;
+
+const syncAnswerSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("reports"),
+    reports: z.array(rangeReportSchema),
+  }),
+  notOwnerSchema,
+]);
+export type SyncAnswer = z.output<typeof syncAnswerSchema>;
+
+export const syncRangesMessage = definePeerMessage(
+  "batch/sync-ranges",
+  syncRangesSchema.parse,
+  (body): SyncAnswer => syncAnswerSchema.parse(body),
+);
+
+/** A hint of a range owner that the home owner should ask soon. It may be lost. */
+export const rangeChangedMessage = definePeerMessage(
+  "batch/range-changed",
+  z.object({ workspace: workspaceId, job: jobId }).parse,
+);
+
+/** Where the results of a range are. */
+const rangeIndexAnswerSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("index"),
+    records: z.array(z.object({ offset: count, hasCopies: z.boolean() })),
+    isCancelled: z.boolean(),
+    /** Lines of a cancelled range that may have run although they have no outcome. */
+    mayHaveRun: z.array(count),
+  }),
+  z.object({ kind: z.literal("unknown-range") }),
+  notOwnerSchema,
+]);
+export type RangeIndexAnswer = z.output<typeof rangeIndexAnswerSchema>;
+export type RangeIndex = Extract<RangeIndexAnswer, { kind: "index" }>;
+
+export const rangeIndexMessage = definePeerMessage(
+  "batch/range-index",
+  z.object({ partition: count, job: jobId, range: count }).parse,
+  (body): RangeIndexAnswer => rangeIndexAnswerSchema.parse(body),
+);
--- /dev/null
+++ b/packages/batch/jobs/range-handler.ts
@@ -0,0 +1,171 @@
+/**
+ * The side of the range owner: records ranges that are handed over, cancels and removals, and
+ * reports progress. A report states only what has been read back from the stream.
+ */
+
+import { RosemaryrudderError } from "../../common/errors.ts";
+import type { JobId, PartitionNumber } from "../../common/ids.ts";
+import type { PeerNetwork } from "../../protocol/peer-network.ts";
+import type { Executor } from "../execution/executor.ts";
+import type { OwnerEntry } from "../partition/entries.ts";
+import type { PartitionOwner } from "../partition/owner.ts";
+import type { PartitionSet } from "../partition/partition-set.ts";
+import {
+  isRangeFinished,
+  rangeKey,
+  rangeSpecOf,
+  type RangeState,
+} from "../partition/state.ts";
+import {
+  type RangeIndexAnswer,
+  rangeIndexMessage,
+  type RangeReport,
+  type SyncAnswer,
+  type SyncRanges,
+  syncRangesMessage,
+} from "./job-messages.ts";
+
+export interface RangeHandlerOptions {
+  partitions: PartitionSet;
+  network: PeerNetwork;
+  executor: Executor;
+}
+
+const notOwner = { kind: "not-owner" } as const;
+
+export class RangeHandler {
+  readonly #options: RangeHandlerOptions;
+  /** Entries that are being appended, so that repeated messages do not add more of them. */
+  readonly #pending = new WeakMap<
+    PartitionOwner,
+    Map<string, Promise<void>>
+  >();
+
+  constructor(options: RangeHandlerOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    const { network } = this.#options;
+    network.handle(syncRangesMessage, (request) => this.#sync(request));
+    network.handle(
+      rangeIndexMessage,
+      (request) => this.#describeIndex(request),
+    );
+  }
+
+  async #sync(request: SyncRanges): Promise<SyncAnswer> {
+    const partition = request.partition as PartitionNumber;
+    const owner = this.#options.partitions.active(partition);
+    if (!owner) return notOwner;
+    try {
+      await Promise.all(
+        request.ranges.map((range) => this.#settle(owner, request, range)),
+      );
+    } catch (error) {
+      if (!(error instanceof RosemaryrudderError)) throw error;
+      return notOwner;
+    }
+    if (!owner.isActive) return notOwner;
+    const { ranges } = owner.state;
+    return {
+      kind: "reports",
+      reports: request.ranges.map((range) =>
+        reportOf(range, ranges.get(rangeKey(request.job.id, range)))
+      ),
+    };
+  }
+
+  async #settle(
+    owner: PartitionOwner,
+    { job, wanted }: SyncRanges,
+    range: number,
+  ): Promise<void> {
+    const { executor } = this.#options;
+    const key = rangeKey(job.id, range);
+    const known = owner.state.ranges.get(key);
+    const id = { job: job.id, range };
+    if (wanted === "remove") {
+      if (known) {
+        await this.#once(owner, `remove ${key}`, [
+          { kind: "range-removed", ...id },
+        ]);
+      }
+      return;
+    }
+    const accept: OwnerEntry[] = known
+      ? []
+      : [{ kind: "range-accepted", spec: rangeSpecOf(job, range) }];
+    if (wanted === "cancel") {
+      // A range that was never handed over is recorded too, so that a handover that arrives
+      // late finds the cancel.
+      if (known && isRangeFinished(known)) return;
+      executor.cancel(job.id, range);
+      await this.#once(owner, `cancel ${key}`, [
+        ...accept,
+        { kind: "range-cancelled", ...id },
+      ]);
+      return;
+    }
+    if (!known) await this.#once(owner, `accept ${key}`, accept);
+    executor.confirm(job.id, range);
+  }
+
+  async #once(
+    owner: PartitionOwner,
+    name: string,
+    entries: OwnerEntry[],
+  ): Promise<void> {
+    const pending = this.#pending.get(owner) ??
+      new Map<string, Promise<void>>();
+    this.#pending.set(owner, pending);
+    let appended = pending.get(name);
+    if (!appended) {
+      appended = Promise.all(entries.map((entry) => owner.append(entry)))
+        .then(() => {})
+        .finally(() => pending.delete(name));
+      pending.set(name, appended);
+    }
+    await appended;
+  }
+
+  #describeIndex(
+    { partition, job, range }: {
+      partition: number;
+      job: JobId;
+      range: number;
+    },
+  ): RangeIndexAnswer {
+    const owner = this.#options.partitions.active(partition as PartitionNumber);
+    if (!owner) return notOwner;
+    const state = owner.state.ranges.get(rangeKey(job, range));
+    if (!state) return { kind: "unknown-range" };
+    const mayHaveRun = new Set([
+      ...state.started.keys(),
+      ...state.attempts.keys(),
+      ...state.intents.keys(),
+    ]);
+    return {
+      kind: "index",
+      records: state.index.map(({ offset, hasCopies }) => ({
+        offset,
+        hasCopies,
+      })),
+      isCancelled: state.isCancelled,
+      mayHaveRun: state.isCancelled ? [...mayHaveRun] : [],
+    };
+  }
+}
+
+function reportOf(range: number, state: RangeState | undefined): RangeReport {
+  return {
+    range,
+    isKnown: state !== undefined,
+    isFinished: state !== undefined && isRangeFinished(state),
+    isCancelled: state?.isCancelled ?? false,
+    completed: state?.completed ?? 0,
+    failed: state?.failed ?? 0,
+    outputBytes: state?.outputBytes ?? 0,
+    errorBytes: state?.errorBytes ?? 0,
+  };
+}
--- /dev/null
+++ b/packages/batch/jobs/range-sync.ts
@@ -0,0 +1,250 @@
+/**
+ * Keeps the owners of a job's ranges in step with its home partition: hands ranges over until
+ * they are recorded, asks for progress, passes on cancels and removals, and records the end of
+ * each range. Every step may be repeated, so a lost message or owner only costs time.
+ */
+
+import type { Clock } from "../../common/clock.ts";
+import { RosemaryrudderError } from "../../common/errors.ts";
+import type { InstanceId, JobId, PartitionNumber } from "../../common/ids.ts";
+import type { Logger } from "../../common/logging.ts";
+import type {
+  ControlView,
+  PartitionOwnerLookup,
+} from "../../control/control-state.ts";
+import type { PeerNetwork } from "../../protocol/peer-network.ts";
+import {
+  maximumRangesPerSync,
+  ownerRequestMilliseconds,
+  rangeSyncMilliseconds,
+} from "../constants.ts";
+import type { PartitionOwner } from "../partition/owner.ts";
+import { partitionOf, type PartitionSet } from "../partition/partition-set.ts";
+import { type JobState, rangeCount, rangeKey } from "../partition/state.ts";
+import { type RangeProgress, resultLifetime } from "./job-description.ts";
+import {
+  type RangeReport,
+  type SyncRanges,
+  syncRangesMessage,
+} from "./job-messages.ts";
+
+export interface RangeSyncOptions {
+  control: ControlView;
+  partitions: PartitionSet;
+  partitionOwner: PartitionOwnerLookup;
+  network: PeerNetwork;
+  clock: Clock;
+  logger: Logger;
+}
+
+/** What the home owner keeps in memory of one job. */
+interface JobSync {
+  nextAt: number;
+  /** A change arrived; the partitions are asked again although an answer is outstanding. */
+  isWoken: boolean;
+  readonly progress: Map<number, RangeProgress>;
+  readonly removed: Set<number>;
+  /** Ranges whose end is being recorded. */
+  readonly finishing: Set<number>;
+  readonly outstanding: Set<PartitionNumber>;
+  isRemoving: boolean;
+}
+
+export class RangeSync {
+  readonly #options: RangeSyncOptions;
+  readonly #jobs = new WeakMap<PartitionOwner, Map<JobId, JobSync>>();
+
+  constructor(options: RangeSyncOptions) {
+    this.#options = options;
+  }
+
+  progressOf(
+    owner: PartitionOwner,
+    job: JobId,
+  ): ReadonlyMap<number, RangeProgress> {
+    return this.#syncOf(owner, job).progress;
+  }
+
+  /** Asks the range owners of a job at once. */
+  wake(owner: PartitionOwner, job: JobId): void {
+    const sync = this.#syncOf(owner, job);
+    sync.nextAt = 0;
+    sync.isWoken = true;
+    const state = owner.state.jobs.get(job);
+    if (state && owner.isActive) this.#syncJob(owner, state);
+  }
+
+  /** Asks the range owners of all jobs at once, because members have changed. */
+  wakeAll(): void {
+    for (const owner of this.#options.partitions.activeOwners()) {
+      for (const job of owner.state.jobs.keys()) this.wake(owner, job);
+    }
+  }
+
+  maintain(): void {
+    for (const owner of this.#options.partitions.activeOwners()) {
+      for (const job of owner.state.jobs.values()) this.#syncJob(owner, job);
+    }
+  }
+
+  #syncOf(owner: PartitionOwner, job: JobId): JobSync {
+    const jobs = this.#jobs.get(owner) ?? new Map<JobId, JobSync>();
+    this.#jobs.set(owner, jobs);
+    let sync = jobs.get(job);
+    if (!sync) {
+      sync = {
+        nextAt: 0,
+        isWoken: false,
+        progress: new Map(),
+        removed: new Set(),
+        finishing: new Set(),
+        outstanding: new Set(),
+        isRemoving: false,
+      };
+      jobs.set(job, sync);
+    }
+    return sync;
+  }
+
+  #syncJob(owner: PartitionOwner, job: JobState): void {
+    const { platform } = this.#options.control.state.configuration;
+    if (!platform) return;
+    const now = this.#options.clock.monotonicNow();
+    const sync = this.#syncOf(owner, job.spec.id);
+    if (now < sync.nextAt) return;
+    const isExpired = job.endedAt !== undefined &&
+      this.#options.clock.wallNow() > job.endedAt + resultLifetime(platform);
+    if (job.endedAt !== undefined && !isExpired) return;
+    sync.nextAt = now + rangeSyncMilliseconds;
+    const wanted = isExpired
+      ? "remove"
+      : job.cancelledAt === undefined
+      ? "run"
+      : "cancel";
+    const settled = isExpired ? sync.removed : job.finished;
+    const byPartition = new Map<PartitionNumber, number[]>();
+    for (let range = 0; range < rangeCount(job.spec); range++) {
+      if (settled.has(range)) continue;
+      const partition = partitionOf(
+        rangeKey(job.spec.id, range),
+        platform.partitions,
+      );
+      const ranges = byPartition.get(partition) ?? [];
+      if (ranges.length < maximumRangesPerSync) ranges.push(range);
+      byPartition.set(partition, ranges);
+    }
+    for (const [partition, ranges] of byPartition) {
+      if (sync.outstanding.has(partition) && !sync.isWoken) continue;
+      void this.#ask(owner, job, sync, { partition, ranges, wanted });
+    }
+    sync.isWoken = false;
+    if (isExpired && byPartition.size === 0 && !sync.isRemoving) {
+      void this.#remove(owner, job, sync);
+    }
+  }
+
+  async #ask(
+    owner: PartitionOwner,
+    job: JobState,
+    sync: JobSync,
+    { partition, ranges, wanted }: {
+      partition: PartitionNumber;
+      ranges: number[];
+      wanted: SyncRanges["wanted"];
+    },
+  ): Promise<void> {
+    const { control, partitionOwner, network } = this.#options;
+    const rangeOwner = partitionOwner(control.state, partition);
+    if (!rangeOwner) return;
+    const { id, workspace, inputFile, deadline, lines, rangeItems } = job.spec;
+    sync.outstanding.add(partition);
+    try {
+      const answer = await network.request(rangeOwner, syncRangesMessage, {
+        partition,
+        job: { id, workspace, inputFile, deadline, lines, rangeItems },
+        ranges,
+        wanted,
+      }, { deadlineMilliseconds: ownerRequestMilliseconds });
+      if (answer.kind !== "reports" || !owner.isActive) return;
+      for (const report of answer.reports) {
+        this.#handleReport(owner, job, sync, { report, wanted });
+      }
+    } catch (error) {
+      this.#logFailure(error, job, rangeOwner);
+    } finally {
+      sync.outstanding.delete(partition);
+    }
+  }
+
+  #handleReport(
+    owner: PartitionOwner,
+    job: JobState,
+    sync: JobSync,
+    { report, wanted }: { report: RangeReport; wanted: SyncRanges["wanted"] },
+  ): void {
+    const { range } = report;
+    if (wanted === "remove") {
+      if (!report.isKnown) sync.removed.add(range);
+      return;
+    }
+    if (!report.isKnown || job.finished.has(range)) return;
+    sync.progress.set(range, report);
+    if (report.isFinished && !sync.finishing.has(range)) {
+      void this.#recordFinished(owner, job, sync, report);
+    }
+  }
+
+  async #recordFinished(
+    owner: PartitionOwner,
+    job: JobState,
+    sync: JobSync,
+    report: RangeReport,
+  ): Promise<void> {
+    const { range, completed, failed, outputBytes, errorBytes, isCancelled } =
+      report;
+    sync.finishing.add(range);
+    try {
+      await owner.append({
+        kind: "range-finished",
+        job: job.spec.id,
+        range,
+        at: this.#options.clock.wallNow(),
+        completed,
+        failed,
+        outputBytes,
+        errorBytes,
+        isCancelled,
+      });
+      sync.progress.delete(range);
+    } catch (error) {
+      if (!(error instanceof RosemaryrudderError)) throw error;
+    } finally {
+      sync.finishing.delete(range);
+    }
+  }
+
+  async #remove(
+    owner: PartitionOwner,
+    job: JobState,
+    sync: JobSync,
+  ): Promise<void> {
+    sync.isRemoving = true;
+    try {
+      await owner.append({ kind: "job-removed", job: job.spec.id });
+      this.#jobs.get(owner)?.delete(job.spec.id);
+    } catch (error) {
+      if (!(error instanceof RosemaryrudderError)) throw error;
+    } finally {
+      sync.isRemoving = false;
+    }
+  }
+
+  #logFailure(error: unknown, job: JobState, rangeOwner: InstanceId): void {
+    if (!(error instanceof RosemaryrudderError)) throw error;
+    this.#options.logger.debug("a range owner did not answer", {
+      job: job.spec.id,
+      instance: rangeOwner,
+      reason: error.message,
+    });
+  }
+}
--- /dev/null
+++ b/packages/batch/partition/checkpoint.ts
@@ -0,0 +1,159 @@
+/**
+ * Checkpoints of a partition: the whole state as of an offset, written in parts. A reader that
+ * has every record ignores them. A reader whose older records are gone buffers records until it
+ * has a complete checkpoint whose `asOf` is not before the first record it holds. The content
+ * depends on the records up to `asOf` alone, so it does not matter which owner wrote it.
+ */
+
+import type { Offset } from "../../common/ids.ts";
+import type { StoredRecord } from "../../log/log-client.ts";
+import { decodeRecord } from "../../log/record.ts";
+import { decodeValue, encodeValue } from "../../protocol/frames.ts";
+import { maximumCheckpointPartBytes } from "../constants.ts";
+import { type EntryOf, entrySchema } from "./entries.ts";
+import type { JobState, PartitionState, RangeState } from "./state.ts";
+
+interface StoredRange extends Omit<RangeState, "done" | "started" | "index"> {
+  /** Bits from the byte of the watermark on; all lines before it are done. */
+  done: Uint8Array;
+  started: Map<number, Offset>;
+  index: [number, number, boolean][];
+}
+
+export function encodeState(state: PartitionState): Uint8Array {
+  return encodeValue({
+    appliedOffset: state.appliedOffset,
+    epoch: state.epoch,
+    writers: [...state.writers],
+    jobs: [...state.jobs.values()].map((job) => ({
+      ...job,
+      finished: [...job.finished],
+    })),
+    ranges: [...state.ranges].map(([key, range]) => [key, {
+      ...range,
+      done: range.done.subarray(range.watermark >> 3),
+      started: [...range.started],
+      attempts: [...range.attempts],
+      intents: [...range.intents],
+      index: range.index.map((record) => [
+        record.offset,
+        record.time,
+        record.hasCopies,
+      ]),
+    }]),
+  });
+}
+
+export function decodeState(bytes: Uint8Array): PartitionState {
+  // Encoded by `encodeState` of the same record version, so the shape is known.
+  const stored = decodeValue(bytes) as {
+    appliedOffset: Offset;
+    epoch: PartitionState["epoch"];
+    writers: [never, number][];
+    jobs: (Omit<JobState, "finished"> & { finished: [number, never][] })[];
+    ranges: [string, StoredRange][];
+  };
+  return {
+    appliedOffset: stored.appliedOffset,
+    epoch: stored.epoch ?? undefined,
+    writers: new Map(stored.writers),
+    jobs: new Map(
+      stored.jobs.map((job) => [job.spec.id, {
+        ...job,
+        cancelledAt: job.cancelledAt ?? undefined,
+        endedAt: job.endedAt ?? undefined,
+        finished: new Map(job.finished),
+      }]),
+    ),
+    ranges: new Map(
+      stored.ranges.map(([key, range]) => [key, decodeRange(range)]),
+    ),
+  };
+}
+
+function decodeRange(range: StoredRange): RangeState {
+  const done = new Uint8Array(Math.ceil(range.spec.lines / 8)).fill(0xff);
+  done.set(range.done, range.watermark >> 3);
+  return {
+    ...range,
+    done,
+    started: new Map(range.started),
+    attempts: new Map(range.attempts),
+    intents: new Map(range.intents),
+    index: range.index.map(([offset, time, hasCopies]) => ({
+      offset: offset as Offset,
+      time,
+      hasCopies,
+    })),
+  };
+}
+
+/** Splits the encoded state into the entries of one checkpoint. */
+export function checkpointEntries(
+  id: string,
+  state: PartitionState,
+): EntryOf<"checkpoint">[] {
+  const bytes = new Uint8Array(encodeState(state));
+  const parts = Math.max(
+    1,
+    Math.ceil(bytes.length / maximumCheckpointPartBytes),
+  );
+  return Array.from({ length: parts }, (_, part) => ({
+    kind: "checkpoint",
+    id,
+    asOf: state.appliedOffset,
+    part,
+    parts,
+    data: bytes.subarray(
+      part * maximumCheckpointPartBytes,
+      (part + 1) * maximumCheckpointPartBytes,
+    ),
+  }));
+}
+
+export interface CompleteCheckpoint {
+  readonly asOf: Offset;
+  readonly data: Uint8Array;
+}
+
+/** Collects the parts of checkpoints from the records of a stream. */
+export class CheckpointCollector {
+  readonly #parts = new Map<string, Map<number, Uint8Array>>();
+
+  /** Checkpoints that this record completes. */
+  add(stored: StoredRecord): CompleteCheckpoint[] {
+    const complete: CompleteCheckpoint[] = [];
+    for (const raw of decodeRecord(stored.data)?.entries ?? []) {
+      if ((raw as { kind?: unknown } | null)?.kind !== "checkpoint") continue;
+      const parsed = entrySchema.safeParse(raw);
+      if (!parsed.success || parsed.data.kind !== "checkpoint") continue;
+      const { id, asOf, part, parts, data } = parsed.data;
+      const collected = this.#parts.get(id) ?? new Map<number, Uint8Array>();
+      collected.set(part, data);
+      this.#parts.set(id, collected);
+      if (collected.size < parts) continue;
+      this.#parts.delete(id);
+      complete.push({ asOf, data: joinParts(collected, parts) });
+    }
+    return complete;
+  }
+}
+
+function joinParts(
+  collected: Map<number, Uint8Array>,
+  parts: number,
+): Uint8Array {
+  const list = Array.from(
+    { length: parts },
+    (_, part) => collected.get(part) ?? new Uint8Array(),
+  );
+  const joined = new Uint8Array(
+    list.reduce((sum, part) => sum + part.length, 0),
+  );
+  let position = 0;
+  for (const part of list) {
+    joined.set(part, position);
+    position += part.length;
+  }
+  return joined;
+}
--- /dev/null
+++ b/packages/batch/partition/entries.ts
@@ -0,0 +1,151 @@
+/**
+ * Entries of a partition stream. Every entry but `epoch-opened` and the parts of a checkpoint
+ * names the epoch in which it was written; see section 3.3 of the design page.
+ */
+
+import { z } from "zod";
+import {
+  brandAs,
+  type FileId,
+  type Incarnation,
+  type InstanceId,
+  type JobId,
+  type Offset,
+  type WorkspaceId,
+} from "../../common/ids.ts";
+
+const count = z.number().int().nonnegative();
+const offset = count.transform((value) => brandAs<Offset>(value));
+const jobId = z.string().min(1).transform((value) => brandAs<JobId>(value));
+const fileId = z.string().min(1).transform((value) => brandAs<FileId>(value));
+const workspaceId = z.string().min(1).transform((value) =>
+  brandAs<WorkspaceId>(value)
+);
+
+/** What a job was accepted with; it never changes. */
+export const jobSpecSchema = z.object({
+  id: jobId,
+  workspace: workspaceId,
+  idempotencyKey: z.string().optional(),
+  fingerprint: z.string(),
+  inputFile: fileId,
+  endpoint: z.string(),
+  deadline: z.number(),
+  metadata: z.record(z.string(), z.string()),
+  createdAt: z.number(),
+  lines: count,
+  rangeItems: z.number().int().positive(),
+});
+export type JobSpec = z.output<typeof jobSpecSchema>;
+
+/** What the owner of a range needs to know of it. */
+export const rangeSpecSchema = z.object({
+  job: jobId,
+  range: count,
+  firstLine: count,
+  lines: z.number().int().positive(),
+  workspace: workspaceId,
+  inputFile: fileId,
+  deadline: z.number(),
+});
+export type RangeSpec = z.output<typeof rangeSpecSchema>;
+
+const inEpoch = { epoch: offset };
+const ofRange = { ...inEpoch, job: jobId, range: count };
+
+export const entrySchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("epoch-opened"),
+    owner: z.string().transform((value) => brandAs<InstanceId>(value)),
+    incarnation: z.string().transform((value) => brandAs<Incarnation>(value)),
+    controlOffset: z.number().int().transform((value) =>
+      brandAs<Offset>(value)
+    ),
+  }),
+  z.object({ kind: z.literal("epoch-released"), ...inEpoch }),
+  z.object({
+    kind: z.literal("job-accepted"),
+    ...inEpoch,
+    spec: jobSpecSchema,
+  }),
+  z.object({
+    kind: z.literal("range-finished"),
+    ...ofRange,
+    at: z.number(),
+    completed: count,
+    failed: count,
+    outputBytes: count,
+    errorBytes: count,
+    isCancelled: z.boolean(),
+  }),
+  z.object({
+    kind: z.literal("job-cancelled"),
+    ...inEpoch,
+    job: jobId,
+    at: z.number(),
+  }),
+  z.object({ kind: z.literal("job-removed"), ...inEpoch, job: jobId }),
+  z.object({
+    kind: z.literal("range-accepted"),
+    ...inEpoch,
+    spec: rangeSpecSchema,
+  }),
+  z.object({
+    kind: z.literal("item-started"),
+    ...ofRange,
+    lines: z.array(count),
+  }),
+  /** Items that were taken back without an attempt, such as after a revoked grant. */
+  z.object({
+    kind: z.literal("item-returned"),
+    ...ofRange,
+    lines: z.array(count),
+  }),
+  z.object({
+    kind: z.literal("item-attempted"),
+    ...ofRange,
+    line: count,
+    code: z.string(),
+    message: z.string(),
+    /** True if the call surely did not run; its intent then no longer counts. */
+    isNotRun: z.boolean(),
+  }),
+  z.object({ kind: z.literal("item-intent"), ...ofRange, line: count }),
+  z.object({
+    kind: z.literal("item-completed"),
+    ...ofRange,
+    line: count,
+    isError: z.boolean(),
+    /** The line of the output or error file, without its line feed. */
+    text: z.string(),
+    /** A copy that was carried forward keeps what was decided before. */
+    isCopy: z.boolean().optional(),
+  }),
+  /** All visible completions in records before this offset have been copied. */
+  z.object({ kind: z.literal("range-carried"), ...ofRange, before: offset }),
+  z.object({ kind: z.literal("range-cancelled"), ...ofRange }),
+  z.object({ kind: z.literal("range-removed"), ...ofRange }),
+  z.object({
+    kind: z.literal("checkpoint"),
+    id: z.string(),
+    asOf: offset,
+    part: count,
+    parts: z.number().int().positive(),
+    data: z.instanceof(Uint8Array),
+  }),
+]);
+
+export type PartitionEntry = z.output<typeof entrySchema>;
+export type EntryOf<Kind extends PartitionEntry["kind"]> = Extract<
+  PartitionEntry,
+  { kind: Kind }
+>;
+export type RangeEntry = Extract<
+  PartitionEntry,
+  { job: JobId; range: number; epoch: Offset }
+>;
+
+/** Entries without their epoch, which the owner adds. */
+export type OwnerEntry = PartitionEntry extends infer Entry
+  ? Entry extends { epoch: Offset } ? Omit<Entry, "epoch"> : never
+  : never;
--- /dev/null
+++ b/packages/batch/partition/follower.ts
@@ -0,0 +1,156 @@
+/**
+ * Follows the stream of one partition and keeps the reduced state. When older records are gone
+ * it starts from a checkpoint; see `checkpoint.ts`.
+ */
+
+import type { Clock } from "../../common/clock.ts";
+import type { Offset, StreamName } from "../../common/ids.ts";
+import type { Logger } from "../../common/logging.ts";
+import type { LogClient, StoredRecord } from "../../log/log-client.ts";
+import { StreamReader } from "../../log/stream-reader.ts";
+import { missingCheckpointMilliseconds } from "../constants.ts";
+import { CheckpointCollector, decodeState } from "./checkpoint.ts";
+import type { PartitionEntry } from "./entries.ts";
+import { applyRecord } from "./reducer.ts";
+import { createPartitionState, type PartitionState } from "./state.ts";
+
+export interface PartitionFollowerOptions {
+  client: LogClient;
+  stream: StreamName;
+  clock: Clock;
+  logger: Logger;
+  /** Called after each record with the entries that took effect. */
+  onApplied: (entries: readonly PartitionEntry[], stored: StoredRecord) => void;
+}
+
+/** Records that wait for a checkpoint, because older ones are gone. */
+interface Buffering {
+  readonly collector: CheckpointCollector;
+  readonly firstOffset: Offset;
+  readonly records: StoredRecord[];
+  endSeenAt: number | undefined;
+}
+
+export class PartitionFollower {
+  readonly #options: PartitionFollowerOptions;
+  readonly #reader: StreamReader;
+  readonly #waiting: { offset: Offset; settle: (applied: boolean) => void }[] =
+    [];
+  #state: PartitionState = createPartitionState();
+  #buffering: Buffering | undefined;
+  #hasSeenEnd = false;
+  #isStopped = false;
+  /** Time in the log of the last complete checkpoint, and records since then. */
+  lastCheckpointAt: number | undefined;
+  recordsSinceCheckpoint = 0;
+  /** Time in the log of the first record that was applied. */
+  firstRecordAt: number | undefined;
+
+  constructor(options: PartitionFollowerOptions) {
+    this.#options = options;
+    this.#reader = new StreamReader({
+      client: options.client,
+      stream: options.stream,
+      clock: options.clock,
+      logger: options.logger,
+      onRecord: (record) => this.#accept(record),
+      onGap: (start) => this.#handleGap(start),
+      onEndSeen: () => this.#handleEnd(),
+    });
+  }
+
+  get state(): PartitionState {
+    return this.#state;
+  }
+
+  /** Whether the end of the stream was reached with a complete state. */
+  get hasSeenEnd(): boolean {
+    return this.#hasSeenEnd && !this.#buffering;
+  }
+
+  start(): void {
+    this.#reader.start();
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#reader.stop();
+    for (const waiter of this.#waiting.splice(0)) waiter.settle(false);
+  }
+
+  /** Resolves once the record has been applied; false if the follower was stopped before. */
+  whenApplied(offset: Offset): Promise<boolean> {
+    if (this.#isStopped) return Promise.resolve(false);
+    if (!this.#buffering && this.#state.appliedOffset >= offset) {
+      return Promise.resolve(true);
+    }
+    return new Promise((settle) => this.#waiting.push({ offset, settle }));
+  }
+
+  #accept(record: StoredRecord): void {
+    if (this.#isStopped) return;
+    if (this.#buffering) this.#buffer(this.#buffering, record);
+    else this.#apply(record);
+  }
+
+  #apply(record: StoredRecord): void {
+    const entries = applyRecord(this.#state, record);
+    this.recordsSinceCheckpoint++;
+    this.firstRecordAt ??= record.time;
+    for (const entry of entries) {
+      if (entry.kind === "checkpoint" && entry.part === entry.parts - 1) {
+        this.lastCheckpointAt = record.time;
+        this.recordsSinceCheckpoint = 0;
+      }
+    }
+    this.#options.onApplied(entries, record);
+    while (
+      this.#waiting[0] && this.#waiting[0].offset <= this.#state.appliedOffset
+    ) this.#waiting.shift()?.settle(true);
+  }
+
+  #handleGap(start: Offset): void {
+    this.#options.logger.info(
+      "older records are gone, waiting for a checkpoint",
+      { stream: this.#options.stream, start },
+    );
+    this.#buffering = {
+      collector: new CheckpointCollector(),
+      firstOffset: start,
+      records: [],
+      endSeenAt: undefined,
+    };
+  }
+
+  #buffer(buffering: Buffering, record: StoredRecord): void {
+    buffering.records.push(record);
+    const usable = buffering.collector.add(record).find(({ asOf }) =>
+      asOf >= buffering.firstOffset - 1
+    );
+    if (usable) this.#restore(buffering, decodeState(usable.data));
+  }
+
+  #restore(buffering: Buffering, state: PartitionState): void {
+    this.#buffering = undefined;
+    this.#state = state;
+    for (const record of buffering.records) {
+      if (record.offset > state.appliedOffset) this.#apply(record);
+    }
+  }
+
+  #handleEnd(): void {
+    this.#hasSeenEnd = true;
+    const buffering = this.#buffering;
+    if (!buffering) return;
+    const now = this.#options.clock.monotonicNow();
+    buffering.endSeenAt ??= now;
+    if (now - buffering.endSeenAt < missingCheckpointMilliseconds) return;
+    this.#options.logger.error(
+      "the partition has no checkpoint, its older records are lost",
+      { stream: this.#options.stream, start: buffering.firstOffset },
+    );
+    const state = createPartitionState();
+    state.appliedOffset = buffering.firstOffset - 1 as Offset;
+    this.#restore(buffering, state);
+  }
+}
--- /dev/null
+++ b/packages/batch/partition/range-reducer.ts
@@ -0,0 +1,139 @@
+/** The part of the reducer that concerns the items of one range. */
+
+import { Buffer } from "node:buffer";
+import type { StoredRecord } from "../../log/log-client.ts";
+import type { EntryOf, RangeEntry, RangeSpec } from "./entries.ts";
+import { isDone, type RangeState } from "./state.ts";
+
+type ItemEntry = Exclude<
+  RangeEntry,
+  EntryOf<"range-removed"> | EntryOf<"range-finished">
+>;
+
+export function createRange(spec: RangeSpec): RangeState {
+  return {
+    spec,
+    done: new Uint8Array(Math.ceil(spec.lines / 8)),
+    watermark: 0,
+    completed: 0,
+    failed: 0,
+    outputBytes: 0,
+    errorBytes: 0,
+    isCancelled: false,
+    started: new Map(),
+    attempts: new Map(),
+    intents: new Map(),
+    index: [],
+  };
+}
+
+/** Applies an entry of the current epoch; false if it has no effect. */
+export function applyRangeEntry(
+  range: RangeState,
+  entry: ItemEntry,
+  stored: StoredRecord,
+): boolean {
+  switch (entry.kind) {
+    case "item-started":
+      if (range.isCancelled) return false;
+      for (const line of entry.lines) {
+        if (isOpen(range, line)) range.started.set(line, entry.epoch);
+      }
+      return true;
+    case "item-returned":
+      for (const line of entry.lines) {
+        range.started.delete(line);
+        range.intents.delete(line);
+      }
+      return true;
+    case "item-attempted":
+      return countAttempt(range, entry);
+    case "item-intent":
+      if (range.isCancelled || !isOpen(range, entry.line)) return false;
+      if (range.intents.has(entry.line)) return false;
+      range.intents.set(entry.line, entry.epoch);
+      return true;
+    case "item-completed":
+      return entry.isCopy
+        ? indexCopy(range, entry, stored)
+        : complete(range, entry, stored);
+    case "range-carried":
+      range.index = range.index.filter(({ offset }) => offset >= entry.before);
+      return true;
+    case "range-cancelled":
+      if (range.isCancelled) return false;
+      range.isCancelled = true;
+      return true;
+  }
+}
+
+function isOpen(range: RangeState, line: number): boolean {
+  return line < range.spec.lines && !isDone(range, line);
+}
+
+function countAttempt(
+  range: RangeState,
+  entry: EntryOf<"item-attempted">,
+): boolean {
+  if (range.isCancelled || !isOpen(range, entry.line)) return false;
+  const count = (range.attempts.get(entry.line)?.count ?? 0) + 1;
+  range.attempts.set(entry.line, {
+    count,
+    code: entry.code,
+    message: entry.message,
+  });
+  range.started.delete(entry.line);
+  if (entry.isNotRun) range.intents.delete(entry.line);
+  return true;
+}
+
+function complete(
+  range: RangeState,
+  entry: EntryOf<"item-completed">,
+  stored: StoredRecord,
+): boolean {
+  const { line } = entry;
+  if (range.isCancelled || !isOpen(range, line)) return false;
+  range.done[line >> 3] = (range.done[line >> 3] ?? 0) | (1 << (line & 7));
+  while (
+    range.watermark < range.spec.lines && isDone(range, range.watermark)
+  ) range.watermark++;
+  const bytes = Buffer.byteLength(entry.text) + 1;
+  if (entry.isError) {
+    range.failed++;
+    range.errorBytes += bytes;
+  } else {
+    range.completed++;
+    range.outputBytes += bytes;
+  }
+  range.started.delete(line);
+  range.attempts.delete(line);
+  range.intents.delete(line);
+  addToIndex(range, stored, false);
+  return true;
+}
+
+function indexCopy(
+  range: RangeState,
+  entry: EntryOf<"item-completed">,
+  stored: StoredRecord,
+): boolean {
+  if (entry.line >= range.spec.lines || !isDone(range, entry.line)) {
+    return false;
+  }
+  addToIndex(range, stored, true);
+  return true;
+}
+
+function addToIndex(
+  range: RangeState,
+  { offset, time }: StoredRecord,
+  hasCopies: boolean,
+): void {
+  const last = range.index.at(-1);
+  if (last?.offset === offset) {
+    last.hasCopies ||= hasCopies;
+  } else {
+    range.index.push({ offset, time, hasCopies });
+  }
+}
--- /dev/null
+++ b/packages/batch/testing/fake-log.ts
@@ -0,0 +1,135 @@
+/** An in-memory log for tests, with outages, lost answers, pauses and trimming. */
+
+import { LogUnavailableError } from "../../common/errors.ts";
+import type { Offset, StreamName } from "../../common/ids.ts";
+import type {
+  LogClient,
+  LogReadOptions,
+  LogReadResult,
+  StoredRecord,
+} from "../../log/log-client.ts";
+import { decodeRecord } from "../../log/record.ts";
+import { delay } from "../timing.ts";
+
+interface FakeStream {
+  start: number;
+  records: StoredRecord[];
+  wake: (() => void)[];
+}
+
+export class FakeLog {
+  readonly #streams = new Map<string, FakeStream>();
+  isDown = false;
+  /** The next appends take effect, but their answers are lost. */
+  lostAnswers = 0;
+  appendMilliseconds = 0;
+  appends = 0;
+  bytes = 0;
+
+  /** A client whose process can be paused: its calls wait, also those already sent. */
+  client(gate: { paused: Promise<void> | undefined }): LogClient {
+    return {
+      append: async (stream, data) => {
+        await gate.paused;
+        const offset = await this.#append(stream, data);
+        await gate.paused;
+        return offset;
+      },
+      read: async (stream, options) => {
+        await gate.paused;
+        const result = await this.#read(stream, options);
+        await gate.paused;
+        return result;
+      },
+    };
+  }
+
+  streams(): string[] {
+    return [...this.#streams.keys()];
+  }
+
+  records(stream: string): readonly StoredRecord[] {
+    return this.#stream(stream).records;
+  }
+
+  entries(stream: string): Record<string, unknown>[] {
+    return this.records(stream).flatMap(({ data }) =>
+      (decodeRecord(data)?.entries ?? []) as Record<string, unknown>[]
+    );
+  }
+
+  /** Drops records that are older than the retention. */
+  trim(retentionMilliseconds: number): void {
+    const oldest = Date.now() - retentionMilliseconds;
+    for (const stream of this.#streams.values()) {
+      const kept = stream.records.findIndex(({ time }) => time >= oldest);
+      const dropped = kept === -1 ? stream.records.length : kept;
+      stream.records.splice(0, dropped);
+      stream.start += dropped;
+    }
+  }
+
+  async #append(name: StreamName, data: Uint8Array): Promise<Offset> {
+    if (this.appendMilliseconds > 0) await delay(this.appendMilliseconds);
+    if (this.isDown) throw new LogUnavailableError("the log is down");
+    const stream = this.#stream(name);
+    const offset = stream.start + stream.records.length as Offset;
+    stream.records.push({ offset, time: Date.now(), data: data.slice() });
+    this.appends++;
+    this.bytes += data.length;
+    for (const wake of [...stream.wake]) wake();
+    if (this.lostAnswers > 0) {
+      this.lostAnswers--;
+      throw new LogUnavailableError("the answer was lost", {
+        mayHaveTakenEffect: true,
+      });
+    }
+    return offset;
+  }
+
+  async #read(
+    name: StreamName,
+    { from, waitMilliseconds = 500, maximumBytes = 512 * 1024, signal }:
+      LogReadOptions,
+  ): Promise<LogReadResult> {
+    if (this.isDown) throw new LogUnavailableError("the log is down");
+    const stream = this.#stream(name);
+    const end = () => stream.start + stream.records.length;
+    if (from >= end() && waitMilliseconds > 0) {
+      await new Promise<void>((resolve) => {
+        const wake = () => {
+          clearTimeout(timer);
+          signal?.removeEventListener("abort", wake);
+          stream.wake = stream.wake.filter((other) => other !== wake);
+          resolve();
+        };
+        const timer = setTimeout(wake, waitMilliseconds);
+        stream.wake.push(wake);
+        signal?.addEventListener("abort", wake);
+      });
+    }
+    const records: StoredRecord[] = [];
+    let bytes = 0;
+    for (
+      const record of stream.records.slice(Math.max(0, from - stream.start))
+    ) {
+      bytes += record.data.length;
+      if (records.length > 0 && bytes > maximumBytes) break;
+      records.push(record);
+    }
+    return {
+      start: stream.start as Offset,
+      end: end() as Offset,
+      records,
+    };
+  }
+
+  #stream(name: string): FakeStream {
+    let stream = this.#streams.get(name);
+    if (!stream) {
+      stream = { start: 0, records: [], wake: [] };
+      this.#streams.set(name, stream);
+    }
+    return stream;
+  }
+}
