Serve the whole path with separate processes

Cause: the packages existed side by side; nothing answered a caller yet. Ruled out: starting the listener for callers before the member record is read back, because ownership and limits are undefined until then. Conclusion: the whole path stands, thin; failure tests come next.

--- a/packages/batch/testing/fake-fleet.ts
+++ b/packages/batch/testing/fake-fleet.ts
@@ -86,6 +86,8 @@
       engines: new Map([[model, [engine]]]),
       routes: [route("scale", false), route("lookup", true)],
       cancelledJobs: new Set(),
+      cancelledJobsBySection: new Map(),
+      workspaceSections: new Map(),
     };
     this.state = {
       appliedOffset: 0 as Offset,
--- a/packages/http/fixture.test.ts
+++ b/packages/http/fixture.test.ts
@@ -82,6 +82,8 @@
     ]]),
     routes: section.routes,
     cancelledJobs: new Set(),
+    cancelledJobsBySection: new Map(),
+    workspaceSections: new Map(),
   };
 }
 
--- /dev/null
+++ b/packages/instance/instance.ts
@@ -0,0 +1,161 @@
+/**
+ * One instance: starts its services in order and shuts them down gracefully. Readiness fails
+ * first, requests under way finish, owned work is handed over, and only then does it leave.
+ */
+
+import { DisposableStore } from "../common/disposable-store.ts";
+import type { Logger } from "../common/logging.ts";
+import { CallerServer, OperatorServer } from "../http/index.ts";
+import { type Blackboard, createBlackboard } from "./blackboard.ts";
+import type { Controller } from "./controller.ts";
+import { peerController } from "./controllers/peer-controller.ts";
+import { usageController } from "./controllers/usage-controller.ts";
+import { createIncarnation } from "./incarnation.ts";
+import { createServices, type InstanceServices } from "./services.ts";
+import type { InstanceSettings } from "./settings.ts";
+import { describeReadiness, describeStatus } from "./status.ts";
+
+export const controllers: readonly Controller[] = [
+  peerController,
+  usageController,
+];
+
+export interface InstanceOptions {
+  settings: InstanceSettings;
+  logger: Logger;
+}
+
+/** Exit status when the drain limit closed connections that were still in use. */
+const forcedExitStatus = 1;
+
+export class Instance {
+  readonly #settings: InstanceSettings;
+  readonly #logger: Logger;
+  readonly #store = new DisposableStore();
+  readonly #blackboard: Blackboard;
+  #services: InstanceServices | undefined;
+  #callers: CallerServer | undefined;
+  #stopping: Promise<number> | undefined;
+
+  constructor({ settings, logger }: InstanceOptions) {
+    this.#settings = settings;
+    this.#logger = logger.child({ instance: settings.instance });
+    this.#blackboard = createBlackboard({
+      instance: settings.instance,
+      zone: settings.zone,
+      incarnation: createIncarnation(),
+    });
+    this.#blackboard.metricsPort = settings.metricsPort;
+  }
+
+  async start(): Promise<void> {
+    const blackboard = this.#blackboard;
+    const services = await createServices({
+      settings: this.#settings,
+      blackboard,
+      logger: this.#logger,
+      store: this.#store,
+    });
+    this.#services = services;
+    for (const controller of controllers) {
+      controller.start({ blackboard, services, store: this.#store });
+    }
+    await this.#openOperatorServer(services);
+    services.control.start();
+    await services.control.waitUntilCaughtUp();
+    await services.control.join();
+    await services.startServing();
+    await this.#openCallerServer(services);
+    if (blackboard.phase === "starting") blackboard.phase = "serving";
+    this.#logger.info("serving", {
+      callerPort: blackboard.callerPort,
+      metricsPort: blackboard.metricsPort,
+      peerPort: blackboard.peerPort,
+    });
+  }
+
+  /** Shuts down gracefully; resolves with the exit status. Repeated calls change nothing. */
+  stop(): Promise<number> {
+    this.#stopping ??= this.#stop();
+    return this.#stopping;
+  }
+
+  async #openOperatorServer(services: InstanceServices): Promise<void> {
+    const blackboard = this.#blackboard;
+    const server = new OperatorServer({
+      host: this.#settings.metricsHost,
+      port: this.#settings.metricsPort,
+      metrics: services.metrics,
+      readiness: () => describeReadiness(blackboard, services),
+      status: () => describeStatus(blackboard, services),
+      logger: this.#logger,
+    });
+    blackboard.metricsPort = await server.listen();
+    this.#store.add(() => server.close());
+  }
+
+  async #openCallerServer(services: InstanceServices): Promise<void> {
+    const server = new CallerServer({
+      host: this.#settings.callerHost,
+      port: this.#settings.callerPort,
+      control: services.control,
+      limiter: services.limiter,
+      router: services.router,
+      batch: services.batch,
+      metrics: services.metrics,
+      logger: this.#logger,
+    });
+    this.#blackboard.callerPort = await server.listen();
+    this.#callers = server;
+    this.#store.add(() => server.close());
+  }
+
+  async #stop(): Promise<number> {
+    const startedAt = Date.now();
+    this.#blackboard.phase = "draining";
+    const drained = this.#drain().then(() => 0);
+    const limit = new Promise<number>((resolve) => {
+      const timer = setTimeout(
+        () => resolve(forcedExitStatus),
+        this.#settings.drainLimitMilliseconds,
+      );
+      this.#store.add(() => clearTimeout(timer));
+    });
+    const status = await Promise.race([drained, limit]);
+    this.#blackboard.phase = "stopped";
+    await this.#store.dispose();
+    this.#logger.info("stopped", {
+      status,
+      milliseconds: Date.now() - startedAt,
+    });
+    return status;
+  }
+
+  async #drain(): Promise<void> {
+    const services = this.#services;
+    if (!services) return;
+    const announced = services.control.announceLeaving().catch((error) => {
+      this.#logger.warn("leaving could not be announced", {
+        reason: String(error),
+      });
+    });
+    await Promise.all([
+      this.#drainCallers(),
+      announced.then(() => services.batch.release()),
+    ]);
+    await services.control.leave().catch((error) => {
+      this.#logger.warn("the member record could not be ended", {
+        reason: String(error),
+      });
+    });
+  }
+
+  async #drainCallers(): Promise<void> {
+    const callers = this.#callers;
+    if (!callers) return;
+    await callers.stopAccepting({
+      delayMilliseconds: this.#settings.drainDelayMilliseconds,
+    });
+    await callers.whenIdle();
+  }
+}
--- /dev/null
+++ b/packages/instance/main.ts
@@ -0,0 +1,17 @@
+#!/usr/bin/env node
+/** The program rosemaryrudder-instance. */
+
+import { runProgram } from "../common/program.ts";
+import { Instance } from "./instance.ts";
+import { instanceSettingsSchema } from "./settings.ts";
+
+await runProgram({
+  name: "rosemaryrudder-instance",
+  description: "Serves callers of online and batch inference.",
+  schema: instanceSettingsSchema,
+  start: async ({ settings, logger }) => {
+    const instance = new Instance({ settings, logger });
+    await instance.start();
+    return instance;
+  },
+});
--- /dev/null
+++ b/packages/instance/services.ts
@@ -0,0 +1,206 @@
+/**
+ * Builds the services of one instance and connects them. Everything that has to be closed is
+ * added to the store.
+ */
+
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { FleetBatchService } from "../batch/fleet-batch-service.ts";
+import { CapacityService } from "../capacity/capacity-service.ts";
+import type { BatchCapacity, OnlineCapacity } from "../capacity/capacity.ts";
+import { systemClock } from "../common/clock.ts";
+import { mapAddress, mapBaseUrl, parseAddress } from "../common/dial-map.ts";
+import type { DisposableStore } from "../common/disposable-store.ts";
+import { hashNumber } from "../common/hashing.ts";
+import type { Logger } from "../common/logging.ts";
+import { ControlService } from "../control/control-service.ts";
+import { ownerOf, partitionOwner } from "../control/owners.ts";
+import { ServingMetrics } from "../http/index.ts";
+import { FleetLimiter } from "../limits/fleet-limiter.ts";
+import type { Limiter } from "../limits/limiter.ts";
+import { AppendBudget } from "../log/append-budget.ts";
+import { HttpLogClient } from "../log/log-client.ts";
+import { NaiveCapacity } from "../measure/naive/naive-capacity.ts";
+import { NaiveLimiter } from "../measure/naive/naive-limiter.ts";
+import { NaiveRouter } from "../measure/naive/naive-router.ts";
+import { TcpPeerNetwork } from "../protocol/peer-network.ts";
+import {
+  createBatchItemRunner,
+  UpstreamClient,
+  UpstreamDirectory,
+  UpstreamHealth,
+  UpstreamRouter,
+} from "../routing/index.ts";
+import type { OnlineRouter } from "../routing/upstream-caller.ts";
+import type { Blackboard } from "./blackboard.ts";
+import type { InstanceSettings } from "./settings.ts";
+
+export interface InstanceServices {
+  readonly network: TcpPeerNetwork;
+  readonly control: ControlService;
+  readonly limiter: Limiter;
+  readonly capacity: BatchCapacity & OnlineCapacity;
+  readonly directory: UpstreamDirectory;
+  readonly router: OnlineRouter;
+  readonly batch: FleetBatchService;
+  readonly metrics: ServingMetrics;
+  /** Starts what needs a joined instance. */
+  startServing(): Promise<void>;
+}
+
+export interface ServicesOptions {
+  settings: InstanceSettings;
+  blackboard: Blackboard;
+  logger: Logger;
+  store: DisposableStore;
+}
+
+interface Foundation {
+  readonly network: TcpPeerNetwork;
+  readonly control: ControlService;
+  readonly client: HttpLogClient;
+  readonly budget: AppendBudget;
+}
+
+/** The network must listen before the control service can name its address. */
+export async function createServices(
+  options: ServicesOptions,
+): Promise<InstanceServices> {
+  const { blackboard, logger, store } = options;
+  const foundation = await createFoundation(options);
+  const { network, control, client, budget } = foundation;
+  const metrics = new ServingMetrics();
+  const routing = createRouting(options, foundation);
+  const batch = new FleetBatchService({
+    instance: blackboard.instance,
+    incarnation: blackboard.incarnation,
+    control,
+    partitionOwner,
+    logClient: client,
+    appendBudget: budget,
+    network,
+    capacity: routing.capacity,
+    runItem: createBatchItemRunner({
+      caller: routing.caller,
+      control,
+      health: routing.health,
+    }),
+    logger,
+  });
+  store.add(() => batch.dispose());
+  return {
+    network,
+    control,
+    batch,
+    metrics,
+    limiter: routing.limiter,
+    capacity: routing.capacity,
+    directory: routing.directory,
+    router: routing.router,
+    startServing: async () => {
+      await routing.directory.start();
+      batch.start();
+    },
+  };
+}
+
+async function createFoundation(
+  { settings, blackboard, logger, store }: ServicesOptions,
+): Promise<Foundation> {
+  const network = new TcpPeerNetwork({
+    instance: blackboard.instance,
+    incarnation: blackboard.incarnation,
+    host: settings.peerHost,
+    port: settings.peerPort,
+    dialAddress: ({ host, port }) =>
+      parseAddress(mapAddress(settings.dialMap, `${host}:${port}`)),
+    logger,
+  });
+  blackboard.peerPort = await network.listen();
+  store.add(() => network.close());
+  const client = new HttpLogClient({
+    baseUrl: mapBaseUrl(settings.dialMap, settings.logUrl),
+  });
+  store.add(() => client.close());
+  const budget = new AppendBudget({
+    countMembers: () => control.state.members.size,
+  });
+  const control = new ControlService({
+    identity: {
+      instance: blackboard.instance,
+      zone: blackboard.zone,
+      host: settings.peerHost,
+      port: blackboard.peerPort,
+      metricsUrl: `http://${settings.metricsHost}:${blackboard.metricsPort}`,
+    },
+    incarnation: blackboard.incarnation,
+    client,
+    network,
+    budget,
+    logger,
+  });
+  store.add(() => control.stop());
+  return { network, control, client, budget };
+}
+
+function createRouting(
+  { settings, blackboard, logger, store }: ServicesOptions,
+  { network, control }: Foundation,
+) {
+  const directory = new UpstreamDirectory({
+    control,
+    instanceListUrl: settings.instanceListUrl,
+    logger,
+  });
+  store.add(() => directory.stop());
+  const health = new UpstreamHealth(systemClock);
+  const caller = new UpstreamClient({
+    findUpstream: (name) => {
+      const upstream = directory.find(name);
+      if (!upstream) return undefined;
+      const address = mapAddress(settings.dialMap, upstream.address);
+      return { ...upstream, address };
+    },
+  });
+  store.add(() => caller.close());
+  if (settings.policy === "naive") {
+    const capacity = new NaiveCapacity({ control });
+    return {
+      directory,
+      health,
+      caller,
+      capacity,
+      limiter: new NaiveLimiter({ control }),
+      router: new NaiveRouter({ caller, upstreams: directory }),
+    };
+  }
+  const capacity = new CapacityService({
+    instance: blackboard.instance,
+    control,
+    network,
+    ownerOf,
+    logger,
+    isAvailable: (name) => directory.isLive(name) && health.isAvailable(name),
+  });
+  capacity.start();
+  store.add(() => capacity.dispose());
+  const limiter = new FleetLimiter({
+    instance: blackboard.instance,
+    incarnation: () => blackboard.incarnation,
+    control,
+    network,
+    logger,
+  });
+  limiter.start();
+  store.add(() => limiter.dispose());
+  const router = new UpstreamRouter({
+    caller,
+    upstreams: directory,
+    capacity,
+    health,
+    random: xoroshiro128plus(hashNumber(blackboard.incarnation) | 0),
+    onFirstToken: ({ upstream, isStreamed, milliseconds }) => {
+      if (isStreamed) capacity.recordFirstToken(upstream, milliseconds);
+    },
+  });
+  return { directory, health, caller, capacity, limiter, router };
+}
--- /dev/null
+++ b/packages/instance/status.ts
@@ -0,0 +1,49 @@
+/** What `GET /status` and `GET /readyz` tell about the instance. */
+
+import type { Readiness } from "../http/index.ts";
+import type { Blackboard } from "./blackboard.ts";
+import type { InstanceServices } from "./services.ts";
+
+export function describeStatus(
+  blackboard: Blackboard,
+  { control, batch }: InstanceServices,
+) {
+  const { state } = control;
+  return {
+    instance: blackboard.instance,
+    incarnation: blackboard.incarnation,
+    zone: blackboard.zone,
+    phase: blackboard.phase,
+    isFresh: control.isFresh(),
+    appliedOffset: state.appliedOffset,
+    sections: Object.fromEntries(state.configuration.sectionVersions),
+    members: [...state.members.values()].map(({ instance, zone, state }) => ({
+      instance,
+      zone,
+      state,
+    })),
+    batch: batch.statistics,
+    usage: {
+      processorSeconds: blackboard.processorSeconds,
+      residentBytes: blackboard.residentBytes,
+      controlBytesSent: blackboard.controlBytesSent,
+      controlBytesReceived: blackboard.controlBytesReceived,
+    },
+  };
+}
+
+export function describeReadiness(
+  blackboard: Blackboard,
+  services: InstanceServices,
+): Readiness {
+  if (blackboard.phase !== "serving") {
+    return { isReady: false, reason: `the instance is ${blackboard.phase}` };
+  }
+  if (!services.control.isFresh()) {
+    return {
+      isReady: false,
+      reason: "the instance has no recent word from the log or its peers",
+    };
+  }
+  return { isReady: true };
+}
--- /dev/null
+++ b/packages/measure/naive/naive-router.ts
@@ -0,0 +1,72 @@
+/**
+ * The naive router, a baseline for measurements: upstreams in turn, one attempt, no regard to
+ * load, prefixes or health.
+ */
+
+import { CallerError } from "../../common/errors.ts";
+import type { UpstreamName } from "../../common/ids.ts";
+import type {
+  OnlineChatRequest,
+  OnlineRouter,
+  OnlineRouteRequest,
+  UpstreamAnswer,
+  UpstreamCaller,
+} from "../../routing/upstream-caller.ts";
+import type { UpstreamLookup } from "../../routing/upstream-directory.ts";
+
+export interface NaiveRouterOptions {
+  caller: UpstreamCaller;
+  upstreams: UpstreamLookup;
+}
+
+export class NaiveRouter implements OnlineRouter {
+  readonly #options: NaiveRouterOptions;
+  #turn = 0;
+
+  constructor(options: NaiveRouterOptions) {
+    this.#options = options;
+  }
+
+  chat(request: OnlineChatRequest): Promise<UpstreamAnswer> {
+    const { caller, upstreams } = this.#options;
+    const engines = upstreams.enginesOf(request.model);
+    request.checkBeforeAttempt();
+    return caller.call({
+      upstream: this.#next(engines.map(({ name }) => name)),
+      method: "POST",
+      path: "/v1/chat/completions",
+      headers: { "content-type": "application/json" },
+      body: request.body,
+      requestId: request.requestId,
+      isRepeatable: true,
+      signal: request.signal,
+    });
+  }
+
+  route(request: OnlineRouteRequest): Promise<UpstreamAnswer> {
+    const { route, method, path, headers, body, requestId, signal } = request;
+    request.checkBeforeAttempt();
+    return this.#options.caller.call({
+      upstream: this.#next(route.upstreams),
+      method,
+      path,
+      headers,
+      body,
+      requestId,
+      isRepeatable: route.repeatable,
+      signal,
+    });
+  }
+
+  #next(names: readonly UpstreamName[]): UpstreamName {
+    const name = names[this.#turn++ % Math.max(1, names.length)];
+    if (name !== undefined) return name;
+    throw new CallerError({
+      status: 503,
+      code: "no_upstream",
+      message: "no upstream is available for the request",
+      verdict: "not_run",
+      retryAfterSeconds: 1,
+    });
+  }
+}
