--- a/packages/batch/constants.ts
+++ b/packages/batch/constants.ts
@@ -62,6 +62,9 @@
 /** Records that are still needed are appended again at this share of the retention. */
 export const carryForwardShare = 0.5;
 
+/** Copies of completions that are queued at once while a range is carried forward. */
+export const copiesPerGroup = 64;
+
 /** Records after which a partition checkpoint is written. */
 export const checkpointRecords = 1_000;
 /** A reader at the end of a stream without a usable checkpoint gives it up after this time. */
--- /dev/null
+++ b/packages/batch/files/carry-file.ts
@@ -0,0 +1,54 @@
+/**
+ * Carries a file forward: appends its chunks again before the log drops them, then a completion
+ * record that names the copies. Until that record is in the log the older one stays in force.
+ */
+
+import type { Clock } from "../../common/clock.ts";
+import { brandAs, type WriterId } from "../../common/ids.ts";
+import type { AppendBudget } from "../../log/append-budget.ts";
+import { GroupCommitWriter } from "../../log/group-commit-writer.ts";
+import type { LogClient } from "../../log/log-client.ts";
+import { type FileCompletion, fileStream } from "./file-records.ts";
+import type { FileStore } from "./file-store.ts";
+
+export interface CarryFileOptions {
+  client: LogClient;
+  budget: AppendBudget;
+  files: FileStore;
+  clock: Clock;
+  /** Must be unique to this copy. */
+  writer: WriterId;
+  /** Throws when this instance may no longer carry the file. */
+  check: () => void;
+}
+
+export async function carryFile(
+  completion: FileCompletion,
+  options: CarryFileOptions,
+): Promise<FileCompletion> {
+  const { client, budget, files, clock } = options;
+  const { file } = completion;
+  const writer = new GroupCommitWriter({
+    client,
+    stream: fileStream(file),
+    writer: brandAs<WriterId>(options.writer),
+    budget,
+    clock,
+  });
+  try {
+    const oldestChunkAt = clock.wallNow();
+    const chunks: { offset: number; firstLine: number }[] = [];
+    for (const { firstLine } of completion.chunks) {
+      options.check();
+      const chunk = await files.readChunk(file, firstLine);
+      chunks.push({ offset: await writer.append(chunk), firstLine });
+    }
+    options.check();
+    const carried = { ...completion, oldestChunkAt, chunks };
+    await writer.append(carried);
+    files.forget(file);
+    return carried;
+  } finally {
+    writer.close();
+  }
+}
--- a/packages/batch/files/file-store.ts
+++ b/packages/batch/files/file-store.ts
@@ -52,7 +52,7 @@
 
   /** Bytes of one line, without its line feed. */
   async readLine(file: FileId, line: number): Promise<Uint8Array> {
-    const chunk = await this.#chunkOf(file, line);
+    const chunk = await this.readChunk(file, line);
     const position = line - chunk.firstLine;
     const from = chunk.lineOffsets[position];
     if (from === undefined) throw new FileMissingError(file);
@@ -62,12 +62,13 @@
 
   async *content(completion: FileCompletion): AsyncGenerator<Uint8Array> {
     for (const { firstLine } of completion.chunks) {
-      const chunk = await this.#chunkOf(completion.file, firstLine);
+      const chunk = await this.readChunk(completion.file, firstLine);
       yield chunk.data;
     }
   }
 
-  async #chunkOf(file: FileId, line: number): Promise<FileChunk> {
+  /** The chunk that holds the line. */
+  async readChunk(file: FileId, line: number): Promise<FileChunk> {
     try {
       return await this.#tryChunkOf(file, line);
     } catch (error) {
@@ -78,6 +79,11 @@
     }
   }
 
+  /** Drops what is cached of the file's completion record, because a newer one was written. */
+  forget(file: FileId): void {
+    this.#completions.delete(file);
+  }
+
   async #tryChunkOf(file: FileId, line: number): Promise<FileChunk> {
     const completion = await this.#completion(file);
     if (line < 0 || line >= completion.lines) throw new FileMissingError(file);
--- a/packages/batch/fleet-batch-service.ts
+++ b/packages/batch/fleet-batch-service.ts
@@ -32,6 +32,7 @@
   FileDescription,
   JobDescription,
 } from "./batch-service.ts";
+import { CarryForward } from "./carry-forward.ts";
 import { maintenanceMilliseconds } from "./constants.ts";
 import {
   describeFile,
@@ -90,6 +91,7 @@
   readonly #sync: RangeSync;
   readonly #home: HomeOwner;
   readonly #rangeHandler: RangeHandler;
+  readonly #carryForward: CarryForward;
   readonly #jobs: JobClient;
   readonly #results: ResultReader;
   readonly #appends = new AppendStatistics();
@@ -135,6 +137,13 @@
       network,
       executor: this.#executor,
     });
+    this.#carryForward = new CarryForward({
+      ...options,
+      client: logClient,
+      budget: options.appendBudget,
+      partitions,
+      files: this.#files,
+    });
     this.#jobs = new JobClient({ control, partitionOwner, network, clock });
     this.#results = new ResultReader({
       client: logClient,
@@ -267,6 +276,7 @@
     this.#home.cancelListedJobs();
     this.#sync.maintain();
     this.#executor.maintain();
+    this.#carryForward.maintain();
   }
 
   #platform(): PlatformSection {
--- a/packages/batch/partition/checkpoint.ts
+++ b/packages/batch/partition/checkpoint.ts
@@ -92,11 +92,12 @@
 export function checkpointEntries(
   id: string,
   state: PartitionState,
+  maximumPartBytes: number = maximumCheckpointPartBytes,
 ): EntryOf<"checkpoint">[] {
   const bytes = new Uint8Array(encodeState(state));
   const parts = Math.max(
     1,
-    Math.ceil(bytes.length / maximumCheckpointPartBytes),
+    Math.ceil(bytes.length / maximumPartBytes),
   );
   return Array.from({ length: parts }, (_, part) => ({
     kind: "checkpoint",
@@ -105,8 +106,8 @@
     part,
     parts,
     data: bytes.subarray(
-      part * maximumCheckpointPartBytes,
-      (part + 1) * maximumCheckpointPartBytes,
+      part * maximumPartBytes,
+      (part + 1) * maximumPartBytes,
     ),
   }));
 }
--- /dev/null
+++ b/packages/batch/results/carry-results.ts
@@ -0,0 +1,55 @@
+/**
+ * Carries the completions of a range forward: appends them again before the log drops them, and
+ * then switches the index of the range to the copies. All completions of the range are copied
+ * together, so that a record that remains in the index never decides about a copied line.
+ */
+
+import type { LogClient } from "../../log/log-client.ts";
+import { copiesPerGroup } from "../constants.ts";
+import { type PartitionOwner, partitionStream } from "../partition/owner.ts";
+import type { RangeState } from "../partition/state.ts";
+import { readRangeResults } from "./range-results.ts";
+
+export async function carryResults(
+  client: LogClient,
+  owner: PartitionOwner,
+  range: RangeState,
+): Promise<number> {
+  const { job, range: number } = range.spec;
+  const records = range.index.map((record) => ({ ...record }));
+  const last = records.at(-1);
+  if (!last) return 0;
+  const results = readRangeResults({
+    client,
+    stream: partitionStream(owner.partition),
+    job,
+    range: number,
+    records,
+    seen: new Set(),
+  });
+  let copied = 0;
+  let pending: Promise<void>[] = [];
+  for await (const { line, isError, text } of results) {
+    pending.push(owner.append({
+      kind: "item-completed",
+      job,
+      range: number,
+      line,
+      isError,
+      text,
+      isCopy: true,
+    }));
+    copied++;
+    if (pending.length < copiesPerGroup) continue;
+    await Promise.all(pending);
+    pending = [];
+  }
+  await Promise.all(pending);
+  await owner.append({
+    kind: "range-carried",
+    job,
+    range: number,
+    before: last.offset + 1 as typeof last.offset,
+  });
+  return copied;
+}
--- a/packages/batch/testing/fake-log.ts
+++ b/packages/batch/testing/fake-log.ts
@@ -69,6 +69,13 @@
     }
   }
 
+  /** Drops the records before an offset of one stream. */
+  trimTo(name: string, offset: number): void {
+    const stream = this.#stream(name);
+    stream.records.splice(0, offset - stream.start);
+    stream.start = offset;
+  }
+
   async #append(name: StreamName, data: Uint8Array): Promise<Offset> {
     if (this.appendMilliseconds > 0) await delay(this.appendMilliseconds);
     if (this.isDown) throw new LogUnavailableError("the log is down");
