Add orders to engines and tests of routing

Ruled out: a fencing token per order; the membership offset at which the ownership began is enough and needs no state.

--- a/packages/http/caller-server.test.ts
+++ b/packages/http/caller-server.test.ts
@@ -4,7 +4,7 @@
 import { Buffer } from "node:buffer";
 import { test } from "node:test";
 import { CallerError, UpstreamError } from "../common/errors.ts";
-import { answerOf, errorOf, Fixture, hello, key } from "./fixture.test.ts";
+import { answerOf, errorOf, Fixture, hello, key } from "./testing/fixture.ts";
 
 test("a request without a valid key, freshness or rate is refused and has not run", async (context) => {
   const fixture = await Fixture.start(context);
--- a/packages/http/fixture.test.ts
+++ b/packages/http/testing/fixture.ts
@@ -6,22 +6,28 @@
   BatchService,
   FileDescription,
   JobDescription,
-} from "../batch/batch-service.ts";
-import { sha256Hex } from "../common/hashing.ts";
-import type { Configuration, ControlView } from "../control/control-state.ts";
+} from "../../batch/batch-service.ts";
+import { sha256Hex } from "../../common/hashing.ts";
+import type {
+  Configuration,
+  ControlView,
+} from "../../control/control-state.ts";
 import {
   platformSectionSchema,
   teamSectionSchema,
   type Upstream,
-} from "../control/document.ts";
-import type { LimitDecision } from "../limits/limiter.ts";
+} from "../../control/document.ts";
+import type { LimitDecision } from "../../limits/limiter.ts";
 import type {
   OnlineChatRequest,
   OnlineRouter,
   OnlineRouteRequest,
   UpstreamAnswer,
-} from "../routing/upstream-caller.ts";
-import { CallerServer, type CallerServerOptions } from "./index.ts";
+} from "../../routing/upstream-caller.ts";
+import {
+  CallerServer,
+  type CallerServerOptions,
+} from "../server/caller-server.ts";
 
 export const key = "walnut-key-0123456789";
 
@@ -71,6 +77,8 @@
     platform,
     sectionVersions: new Map(),
     workspaces: new Map([[workspace.id, workspace]]),
+    workspaceSections: new Map(),
+    cancelledJobsBySection: new Map(),
     keys: new Map([[sha256Hex(key), {
       workspace: workspace.id,
       key: workspace.keys[0]!.id,
--- /dev/null
+++ b/packages/routing/candidates.test.ts
@@ -0,0 +1,98 @@
+/** Choice of engines: affinity, spreading of hot prefixes, and avoidance of loaded engines. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { UpstreamError } from "../common/errors.ts";
+import { brandAs, type UpstreamName } from "../common/ids.ts";
+import { SeededRandom } from "../common/random.ts";
+import { chooseEngine, selectCandidates } from "./candidates.ts";
+import { fanOutOf, PrefixRates } from "./prefix-rates.ts";
+import { RetryBudget } from "./retry-budget.ts";
+import { UpstreamHealth } from "./upstream-health.ts";
+
+const ranked = Array.from({ length: 20 }, (_, index) => `e${index}`);
+
+function choose(
+  loads: Record<string, number>,
+  options: { fanOut?: number; seed?: number; excluded?: string[] } = {},
+) {
+  return {
+    ranked,
+    isAvailable: (name: string) => !options.excluded?.includes(name),
+    fanOut: options.fanOut ?? 2,
+    loadOf: (name: string) => loads[name] ?? 0,
+    random: new SeededRandom(options.seed ?? 1),
+  };
+}
+
+test("an idle fleet keeps a prefix on its first engine, a loaded engine loses it", () => {
+  for (let seed = 0; seed < 20; seed++) {
+    assert.equal(chooseEngine(choose({}, { seed })), "e0");
+    assert.equal(chooseEngine(choose({ e0: 0.2 }, { seed })), "e1");
+    const busy = chooseEngine(choose({ e0: 0.9, e1: 0.9 }, { seed }));
+    assert.ok(busy !== "e0" && busy !== "e1");
+  }
+});
+
+test("candidates are the best ranked available ones and two different random ones", () => {
+  for (let seed = 0; seed < 50; seed++) {
+    const names = selectCandidates(choose({}, { seed, excluded: ["e0"] }))
+      .map((candidate) => candidate.name);
+    assert.deepEqual(names.slice(0, 2), ["e1", "e2"]);
+    assert.equal(new Set(names).size, 4);
+    assert.ok(!names.includes("e0"));
+  }
+  assert.equal(chooseEngine(choose({}, { excluded: ranked })), undefined);
+});
+
+test("only a prefix that is asked for often spreads, and at most over 8 engines", () => {
+  const rates = new PrefixRates();
+  let rate = 0;
+  for (let now = 0; now < 60_000; now += 1_000) {
+    rate = rates.record("slow", now);
+  }
+  assert.ok(Math.abs(rate - 1) < 0.2, `rate ${rate}`);
+  assert.equal(fanOutOf(rate), 2);
+  for (let now = 0; now < 60_000; now += 100) rate = rates.record("hot", now);
+  assert.ok(Math.abs(rate - 10) < 1, `rate ${rate}`);
+  assert.equal(fanOutOf(rate), 7);
+  assert.equal(fanOutOf(1_000), 8);
+});
+
+test("the retry budget follows the requests of the last 10 s", () => {
+  let now = 0;
+  const budget = new RetryBudget({ monotonicNow: () => now });
+  for (let request = 0; request < 50; request++) budget.recordRequest();
+  let retries = 0;
+  while (budget.tryRetry()) retries += 1;
+  assert.equal(retries, 8);
+  now = 11_000;
+  while (budget.tryRetry()) retries += 1;
+  assert.equal(retries, 8 + 3);
+});
+
+test("a back-off grows while probes fail and ends with the first success", () => {
+  let now = 0;
+  const health = new UpstreamHealth({ monotonicNow: () => now });
+  const name = brandAs<UpstreamName>("e1");
+  const fail = (verdict: string, status?: number) =>
+    health.recordFailure(name, { code: "x", verdict, status } as UpstreamError);
+  fail("unknown");
+  fail("ran", 500);
+  fail("unknown");
+  assert.equal(health.isAvailable(name), true);
+  fail("not_run");
+  assert.equal(health.isAvailable(name), false);
+  now = 500;
+  assert.equal(health.isAvailable(name), true);
+  health.recordStart(name);
+  assert.equal(health.isAvailable(name), false, "a second probe at once");
+  fail("not_run");
+  now = 1_400;
+  assert.equal(health.isAvailable(name), false);
+  now = 1_500;
+  assert.equal(health.isAvailable(name), true);
+  health.recordSuccess(name);
+  fail("unknown");
+  assert.equal(health.isAvailable(name), true);
+});
--- a/packages/routing/candidates.ts
+++ b/packages/routing/candidates.ts
@@ -3,8 +3,7 @@
  * are preferred, two random ones keep the load even when many prefixes map to one engine.
  */
 
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { SeededRandom } from "../common/random.ts";
 import { affinityBonus, randomCandidates } from "./constants.ts";
 
 export interface CandidateOptions<Name extends string> {
@@ -15,7 +14,7 @@
   /** How many of the best ranked engines are candidates. */
   fanOut: number;
   loadOf: (name: Name) => number;
-  random: RandomGenerator;
+  random: SeededRandom;
 }
 
 export interface Candidate<Name extends string> {
@@ -34,7 +33,7 @@
   const others = available.slice(options.fanOut);
   for (let count = 0; count < randomCandidates && others.length > 0; count++) {
     const [name] = others.splice(
-      uniformInt(options.random, 0, others.length - 1),
+      options.random.integerBelow(others.length),
       1,
     );
     if (name !== undefined) candidates.push({ name, hasAffinity: false });
--- a/packages/routing/engine-choice.ts
+++ b/packages/routing/engine-choice.ts
@@ -1,7 +1,6 @@
 /** Chooses an upstream from the current directory, loads and prefix rates. */
 
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { SeededRandom } from "../common/random.ts";
 import { rankByRendezvous } from "../common/hashing.ts";
 import type { ModelName, UpstreamName } from "../common/ids.ts";
 import type { Upstream } from "../control/document.ts";
@@ -13,7 +12,7 @@
 export interface EngineChoiceOptions {
   upstreams: UpstreamLookup;
   loadOf: (upstream: UpstreamName) => number;
-  random: RandomGenerator;
+  random: SeededRandom;
   monotonicNow: () => number;
 }
 
@@ -68,8 +67,7 @@
         best.push(name);
       }
     }
-    if (best.length < 2) return best[0];
-    return best[uniformInt(this.#options.random, 0, best.length - 1)];
+    return best.length < 2 ? best[0] : this.#options.random.pick(best);
   }
 
   #rank(model: ModelName, key: string): readonly UpstreamName[] {
--- /dev/null
+++ b/packages/routing/engine-orders.ts
@@ -0,0 +1,169 @@
+/**
+ * Orders to engines, such as loading a model. Only the coordinator of an engine issues them,
+ * one at a time, with the control offset of its ownership as fencing token. For an engine that
+ * ignores the token, a new coordinator first waits until no order of its predecessor can still
+ * be on its way.
+ */
+
+import { request } from "undici";
+import { type DialMap, mapAddress } from "../common/dial-map.ts";
+import { RosemaryrudderError } from "../common/errors.ts";
+import type { InstanceId, Offset, UpstreamName } from "../common/ids.ts";
+import type { ControlState, ControlView } from "../control/control-state.ts";
+import type { Upstream } from "../control/document.ts";
+import { orderTimeoutMilliseconds } from "./constants.ts";
+
+export type EngineOrder =
+  | { readonly kind: "load_model"; readonly model: string }
+  | { readonly kind: "unload_model"; readonly model: string }
+  | { readonly kind: "load_adapter"; readonly adapter: string }
+  | { readonly kind: "load_version"; readonly model: string; version: string }
+  | { readonly kind: "change_role"; readonly role: string };
+
+export class EngineOrderError extends RosemaryrudderError {}
+
+export interface EngineOrdersOptions {
+  control: ControlView;
+  instance: InstanceId;
+  /** The coordinator of an upstream in a control state. */
+  ownerOf: (
+    state: ControlState,
+    upstream: UpstreamName,
+  ) => InstanceId | undefined;
+  orderTimeoutMilliseconds?: number;
+  dialMap?: DialMap;
+}
+
+interface Ownership {
+  /** Control offset at which this instance became coordinator. */
+  readonly token: Offset;
+  /** Resolves when orders of an earlier coordinator can no longer arrive. */
+  predecessorIsOver: Promise<void> | undefined;
+}
+
+export class EngineOrders {
+  readonly #options: EngineOrdersOptions;
+  readonly #timeout: number;
+  readonly #ownerships = new Map<UpstreamName, Ownership>();
+  /** The last order to each upstream, which the next one waits for. */
+  readonly #queues = new Map<UpstreamName, Promise<unknown>>();
+  readonly #stopController = new AbortController();
+  readonly #stopListening: () => void;
+
+  constructor(options: EngineOrdersOptions) {
+    this.#options = options;
+    this.#timeout = options.orderTimeoutMilliseconds ??
+      orderTimeoutMilliseconds;
+    this.#stopListening = options.control.onChange((state) =>
+      this.#update(state)
+    );
+    this.#update(options.control.state);
+  }
+
+  /** Issues an order after those before it; throws an EngineOrderError if it is not accepted. */
+  issue(upstream: UpstreamName, order: EngineOrder): Promise<void> {
+    const previous = this.#queues.get(upstream) ?? Promise.resolve();
+    const issued = previous.then(() => this.#issueNow(upstream, order));
+    const settled = issued.catch(() => {});
+    this.#queues.set(upstream, settled);
+    void settled.then(() => {
+      if (this.#queues.get(upstream) === settled) this.#queues.delete(upstream);
+    });
+    return issued;
+  }
+
+  stop(): void {
+    this.#stopListening();
+    this.#stopController.abort();
+  }
+
+  #update(state: ControlState): void {
+    const { instance, ownerOf } = this.#options;
+    for (const upstream of state.configuration.upstreams.values()) {
+      if (upstream.kind !== "engine") continue;
+      const isOwner = ownerOf(state, upstream.name) === instance;
+      if (!isOwner) this.#ownerships.delete(upstream.name);
+      else if (!this.#ownerships.has(upstream.name)) {
+        this.#ownerships.set(upstream.name, {
+          token: state.membershipOffset,
+          predecessorIsOver: undefined,
+        });
+      }
+    }
+    for (const name of this.#ownerships.keys()) {
+      if (!state.configuration.upstreams.has(name)) {
+        this.#ownerships.delete(name);
+      }
+    }
+  }
+
+  async #issueNow(name: UpstreamName, order: EngineOrder): Promise<void> {
+    const { control } = this.#options;
+    const ownership = this.#ownerships.get(name);
+    const upstream = control.state.configuration.upstreams.get(name);
+    if (!ownership || !upstream) throw notCoordinator(name);
+    if (!upstream.checksFencing) {
+      ownership.predecessorIsOver ??= this.#waitForPredecessor(ownership.token);
+      await ownership.predecessorIsOver;
+    }
+    // Checked in the turn in which the order is sent: the wait may have taken long.
+    if (
+      this.#stopController.signal.aborted ||
+      this.#ownerships.get(name) !== ownership || !control.isFresh()
+    ) throw notCoordinator(name);
+    await this.#send(upstream, ownership.token, order);
+  }
+
+  /** After this, every earlier coordinator has stopped issuing and its last order is over. */
+  async #waitForPredecessor(token: Offset): Promise<void> {
+    await this.#options.control.whenInForce(token);
+    await new Promise((resolve) => {
+      const timer = setTimeout(resolve, this.#timeout);
+      this.#stopController.signal.addEventListener("abort", () => {
+        clearTimeout(timer);
+        resolve(undefined);
+      });
+    });
+  }
+
+  async #send(
+    upstream: Upstream,
+    fencingToken: Offset,
+    order: EngineOrder,
+  ): Promise<void> {
+    const address = mapAddress(this.#options.dialMap ?? {}, upstream.address);
+    let status: number;
+    let text: string;
+    try {
+      const response = await request(`http://${address}/orders`, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify({ order, fencingToken }),
+        signal: AbortSignal.any([
+          this.#stopController.signal,
+          AbortSignal.timeout(this.#timeout),
+        ]),
+      });
+      status = response.statusCode;
+      text = await response.body.text();
+    } catch (cause) {
+      throw new EngineOrderError(
+        "order_failed",
+        `engine ${upstream.name} did not answer the order`,
+        { cause },
+      );
+    }
+    if (status >= 200 && status < 300) return;
+    throw new EngineOrderError(
+      status === 409 ? "order_fenced" : "order_refused",
+      `engine ${upstream.name} answered ${status}: ${text.slice(0, 200)}`,
+    );
+  }
+}
+
+function notCoordinator(upstream: UpstreamName): EngineOrderError {
+  return new EngineOrderError(
+    "not_coordinator",
+    `this instance does not coordinate engine ${upstream}`,
+  );
+}
--- a/packages/routing/online-router.ts
+++ b/packages/routing/online-router.ts
@@ -3,7 +3,7 @@
  * it runs, and sends it again when its verdict or its route allows that.
  */
 
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { SeededRandom } from "../common/random.ts";
 import type { OnlineCapacity } from "../capacity/capacity.ts";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { CallerError, UpstreamError } from "../common/errors.ts";
@@ -34,7 +34,7 @@
   caller: UpstreamCaller;
   upstreams: UpstreamLookup;
   capacity: OnlineCapacity;
-  random: RandomGenerator;
+  random: SeededRandom;
   health?: UpstreamHealth;
   retryBudget?: RetryBudget;
   clock?: Clock;
--- a/packages/routing/upstream-client.ts
+++ b/packages/routing/upstream-client.ts
@@ -5,6 +5,7 @@
  */
 
 import { Agent, Client, type Dispatcher } from "undici";
+import { type DialMap, mapAddress } from "../common/dial-map.ts";
 import { UpstreamError } from "../common/errors.ts";
 import type { UpstreamName } from "../common/ids.ts";
 import type { Upstream } from "../control/document.ts";
@@ -31,6 +32,7 @@
   /** Looks the upstream up in the configuration in force. */
   findUpstream: (name: UpstreamName) => Upstream | undefined;
   timeouts?: Partial<UpstreamTimeouts> | undefined;
+  dialMap?: DialMap;
 }
 
 export const defaultUpstreamTimeouts: UpstreamTimeouts = {
@@ -42,12 +44,14 @@
 export class UpstreamClient implements UpstreamCaller {
   readonly #findUpstream: UpstreamClientOptions["findUpstream"];
   readonly #timeouts: UpstreamTimeouts;
+  readonly #dialMap: DialMap;
   readonly #agent: Agent;
   readonly #freshClients = new Set<Client>();
 
   constructor(options: UpstreamClientOptions) {
     this.#findUpstream = options.findUpstream;
     this.#timeouts = { ...defaultUpstreamTimeouts, ...options.timeouts };
+    this.#dialMap = options.dialMap ?? {};
     this.#agent = new Agent({
       ...this.#connectionOptions(),
       keepAliveTimeout: keepAliveMilliseconds,
@@ -67,7 +71,7 @@
         ),
       );
     }
-    const origin = `http://${upstream.address}`;
+    const origin = `http://${mapAddress(this.#dialMap, upstream.address)}`;
     if (request.isRepeatable) {
       return new UpstreamAttempt({
         request,
--- /dev/null
+++ b/packages/routing/upstream-directory.test.ts
@@ -0,0 +1,228 @@
+/**
+ * The directory, engine orders and batch items, against small HTTP servers: an upstream that
+ * leaves gets nothing new, and an order with an old token or by a former owner is not sent.
+ */
+
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { createServer, type RequestListener } from "node:http";
+import { test, type TestContext } from "node:test";
+import { brandAs, type InstanceId, type UpstreamName } from "../common/ids.ts";
+import type { ControlListener, ControlView } from "../control/control-state.ts";
+import { createBatchItemRunner } from "./batch-item-runner.ts";
+import { EngineOrders } from "./engine-orders.ts";
+import type { BatchItemCall, UpstreamRequest } from "./upstream-caller.ts";
+import { UpstreamDirectory } from "./upstream-directory.ts";
+
+const engine = brandAs<UpstreamName>("e1");
+const self = brandAs<InstanceId>("i1");
+
+async function serve(
+  context: TestContext,
+  listener: RequestListener,
+): Promise<string> {
+  const server = createServer(listener).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  context.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as { port: number }).port}`;
+}
+
+class FakeControl {
+  readonly listeners = new Set<ControlListener>();
+  state: ControlView["state"];
+  waits: number[] = [];
+  isInForce: Promise<void> = Promise.resolve();
+
+  constructor(upstreams: object[], routes: object[] = []) {
+    this.state = {
+      membershipOffset: 10,
+      configuration: {
+        upstreams: new Map(
+          upstreams.map((entry) => [(entry as { name: string }).name, entry]),
+        ),
+        routes,
+      },
+    } as unknown as ControlView["state"];
+  }
+
+  isFresh = () => true;
+  onChange(listener: ControlListener) {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+  whenInForce(offset: number) {
+    this.waits.push(offset);
+    return this.isInForce;
+  }
+  change(membershipOffset: number) {
+    const previous = this.state;
+    this.state = { ...previous, membershipOffset } as ControlView["state"];
+    for (const listener of this.listeners) listener(this.state, previous);
+  }
+  get view() {
+    return this as unknown as ControlView;
+  }
+}
+
+test("leaving and removed upstreams get nothing new; an unreadable list changes nothing", async (context) => {
+  let answer: unknown;
+  let status = 200;
+  const address = await serve(context, (_request, response) => {
+    response.writeHead(status).end(JSON.stringify(answer));
+  });
+  const names = ["e1", "e2", "e3"].map((name) => ({ name }));
+  const directory = new UpstreamDirectory({
+    control: new FakeControl(names).view,
+    instanceListUrl: `http://${address}`,
+  });
+  const live = () =>
+    [...names, { name: "e4" }].map(({ name }) => name)
+      .filter((name) => directory.isLive(name as UpstreamName)).join();
+  const instance = (name: string, state: string) => ({
+    name,
+    address: "127.0.0.1:1",
+    zone: "z",
+    state,
+  });
+  assert.equal(live(), "e1,e2,e3");
+  answer = { instances: [instance("e1", "live"), instance("e2", "leaving")] };
+  await directory.poll();
+  assert.equal(live(), "e1,e3");
+  status = 500;
+  await directory.poll();
+  status = 200;
+  answer = { instances: [{ name: 1 }] };
+  await directory.poll();
+  answer = { instances: [] };
+  await directory.poll();
+  assert.equal(live(), "e1,e3");
+  answer = { instances: [instance("e2", "live")] };
+  await directory.poll();
+  assert.equal(live(), "e2,e3");
+  await directory.stop();
+});
+
+test("orders are issued one at a time by the owner, with the offset of its ownership", async (context) => {
+  const bodies: unknown[] = [];
+  let running = 0;
+  const address = await serve(context, async (request, response) => {
+    assert.equal(++running, 1, "a second order before the first has ended");
+    let text = "";
+    for await (const chunk of request) text += chunk;
+    const body = JSON.parse(text);
+    bodies.push(body);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    running -= 1;
+    response.writeHead(body.fencingToken < 30 ? 200 : 409).end();
+  });
+  const control = new FakeControl([
+    { name: engine, kind: "engine", address, checksFencing: true },
+  ]);
+  let owner: InstanceId = self;
+  const orders = new EngineOrders({
+    control: control.view,
+    instance: self,
+    ownerOf: () => owner,
+  });
+  const issue = (model: string) =>
+    orders.issue(engine, { kind: "load_model", model });
+  await Promise.all([issue("a"), issue("b")]);
+  control.change(15);
+  await issue("c");
+  owner = brandAs<InstanceId>("i2");
+  control.change(20);
+  await assert.rejects(issue("d"), { code: "not_coordinator" });
+  owner = self;
+  control.change(31);
+  await assert.rejects(issue("e"), { code: "order_fenced" });
+  assert.deepEqual(
+    bodies.map((body) => (body as { fencingToken: number }).fencingToken),
+    [10, 10, 10, 31],
+  );
+  assert.deepEqual(control.waits, []);
+  orders.stop();
+});
+
+test("a new coordinator of an engine that ignores tokens waits for its predecessor", async (context) => {
+  let count = 0;
+  const address = await serve(context, (_request, response) => {
+    count += 1;
+    response.end();
+  });
+  const control = new FakeControl([
+    { name: engine, kind: "engine", address, checksFencing: false },
+  ]);
+  let owner: InstanceId = self;
+  let setInForce = () => {};
+  control.isInForce = new Promise((resolve) => setInForce = resolve);
+  const orders = new EngineOrders({
+    control: control.view,
+    instance: self,
+    ownerOf: () => owner,
+    orderTimeoutMilliseconds: 60,
+  });
+  const issue = () => orders.issue(engine, { kind: "change_role", role: "r" });
+  const first = issue();
+  setInForce();
+  await new Promise((resolve) => setTimeout(resolve, 30));
+  assert.equal(count, 0);
+  await first;
+  await issue();
+  assert.equal(count, 2);
+  assert.deepEqual(control.waits, [10]);
+  control.change(11);
+  const lost = issue();
+  owner = brandAs<InstanceId>("i2");
+  control.change(12);
+  await assert.rejects(lost, { code: "not_coordinator" });
+  orders.stop();
+});
+
+test("batch items are never streamed, and route items lose their prefix", async () => {
+  const calls: UpstreamRequest[] = [];
+  const run = createBatchItemRunner({
+    control: new FakeControl([], [
+      { pathPrefix: "/scale", stripPrefix: true },
+    ]).view,
+    maximumAnswerBytes: 10,
+    caller: {
+      call(request) {
+        calls.push(request);
+        const body = request.path === "/big" ? "x".repeat(11) : '{"a":1}';
+        return Promise.resolve({
+          upstream: request.upstream,
+          status: 200,
+          headers: { "content-type": "application/json" },
+          body: (async function* () {
+            yield await Promise.resolve(Buffer.from(body));
+          })(),
+        });
+      },
+    },
+  });
+  const item = (path: string, body = "{}") =>
+    run(
+      {
+        path,
+        body: Buffer.from(body),
+        method: "POST",
+      } as unknown as BatchItemCall,
+    );
+  const chat = "/v1/chat/completions";
+  assert.deepEqual(await item(chat, '{"stream":true,"model":"m"}'), {
+    status: 200,
+    body: { a: 1 },
+  });
+  await item(chat, '{"\\u0073tream":true,"model":"m"}');
+  for (const call of calls) {
+    assert.equal(Buffer.from(call.body!).toString(), '{"model":"m"}');
+  }
+  await item("/scale/lots?a=1");
+  assert.equal(calls.at(-1)?.path, "/lots?a=1");
+  await assert.rejects(item("/scale/big"), { verdict: "ran" });
+  await assert.rejects(item("/none"), { verdict: "not_run" });
+});
