Answer engine refusals in the common error shape and end answers once

Cause: a 400 of an engine reached callers without not_run, and h3 ended every answer a second time, for which Node created an error with a stack. Ruled out: resolving the handler with a response object, which copies every chunk through a web stream. Conclusion: the handler answers by itself; a limiter that fails gives 503.

--- a/packages/http/admission/admission.ts
+++ b/packages/http/admission/admission.ts
@@ -9,7 +9,7 @@
 import type { WorkspaceId } from "../../common/ids.ts";
 import type { ControlView, KeyOwner } from "../../control/control-state.ts";
 import type { Workspace } from "../../control/document.ts";
-import type { Limiter } from "../../limits/limiter.ts";
+import type { LimitDecision, Limiter } from "../../limits/limiter.ts";
 
 export interface AdmissionOptions {
   control: ControlView;
@@ -54,7 +54,7 @@
 
   /** Takes one token of the workspace's rate, or throws. */
   async take(): Promise<void> {
-    const decision = await this.#options.limiter.take(this.workspace);
+    const decision = await this.#askLimiter();
     if (decision.admitted) return;
     throw new CallerError({
       status: 429,
@@ -64,6 +64,21 @@
       retryAfterSeconds: decision.retryAfterSeconds,
     });
   }
+
+  async #askLimiter(): Promise<LimitDecision> {
+    try {
+      return await this.#options.limiter.take(this.workspace);
+    } catch (cause) {
+      throw new CallerError({
+        status: 503,
+        code: "limiter_unavailable",
+        message: "the rate of the workspace cannot be checked at the moment",
+        type: "server_error",
+        retryAfterSeconds: 1,
+        cause,
+      });
+    }
+  }
 }
 
 /** The key that came with a request, from either of the two headers. */
--- a/packages/http/caller-server.test.ts
+++ b/packages/http/caller-server.test.ts
@@ -139,6 +139,13 @@
     await failWith("upstream_not_admitted", "not_run"),
     "503 upstream_not_admitted true",
   );
+  const refuse = (status: number) => {
+    const body = '{"error":{"message":"too long"}}';
+    fixture.answer = () => ({ ...answerOf({}, body), status });
+    return fixture.chat(hello).then(errorOf);
+  };
+  assert.equal(await refuse(400), "400 upstream_refused false");
+  assert.equal(await refuse(401), "502 upstream_failed false");
   fixture.answer = () => {
     throw new TypeError("a fault of our own");
   };
--- a/packages/http/chat/chat-action.ts
+++ b/packages/http/chat/chat-action.ts
@@ -6,6 +6,7 @@
 import type { CallerAction } from "../server/caller-action.ts";
 import { sendAnswer } from "../server/send-answer.ts";
 import { parseChatRequest } from "./chat-request.ts";
+import { readEngineRefusal } from "./engine-refusal.ts";
 
 export const chatAction: CallerAction = {
   name: "chat",
@@ -33,15 +34,13 @@
       signal,
       checkBeforeAttempt: admission.check,
     });
-    const isSuccess = answer.status < 400;
+    if (answer.status >= 400) throw await readEngineRefusal(answer);
     const elapsed = () => clock.monotonicNow() - context.startedAt;
     await sendAnswer(context, answer, {
-      onFirstChunk: () => {
-        if (!isSuccess) return;
-        metrics.recordFirstToken(admission.workspace, "online", elapsed());
-      },
+      onFirstChunk: () =>
+        metrics.recordFirstToken(admission.workspace, "online", elapsed()),
     });
-    if (isSuccess && context.response.writableEnded) {
+    if (context.response.writableEnded) {
       metrics.recordTotal(admission.workspace, "online", elapsed());
     }
   },
--- a/packages/http/constants.ts
+++ b/packages/http/constants.ts
@@ -16,6 +16,9 @@
 export const drainIdleMilliseconds = 1_000;
 export const drainSweepMilliseconds = 50;
 
+/** Characters of an upstream's refusal that an error quotes. */
+export const maximumQuotedCharacters = 500;
+
 export const defaultListLimit = 20;
 export const maximumListLimit = 100;
 export const maximumMetadataPairs = 16;
--- a/packages/http/server/caller-server.ts
+++ b/packages/http/server/caller-server.ts
@@ -8,7 +8,7 @@
   type ServerResponse,
 } from "node:http";
 import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
-import { fromNodeHandler, H3, type H3Event, type HTTPMethod } from "h3";
+import { H3, type H3Event, type HTTPMethod } from "h3";
 import { toNodeHandler } from "h3/node";
 import type { BatchService } from "../../batch/batch-service.ts";
 import { type Clock, systemClock } from "../../common/clock.ts";
@@ -80,6 +80,9 @@
   actions?: readonly CallerAction[];
 }
 
+/** Label of requests whose caller left before an answer began. */
+const disconnectedStatus = 499;
+
 type Handler = (context: RequestContext) => Promise<void>;
 
 export class CallerServer {
@@ -204,15 +207,17 @@
   }
 
   #handler(name: string, handle: Handler) {
-    return (event: H3Event) => {
-      const parameters = event.context.params ?? {};
-      return fromNodeHandler((request, response) =>
-        this.#serve(name, handle, {
-          request: request as IncomingMessage,
-          response: response as ServerResponse,
-          parameters,
-        })
-      )(event);
+    return (event: H3Event): Promise<never> => {
+      const node = event.runtime?.node;
+      if (!node?.res) throw new TypeError("the server needs Node's responses");
+      void this.#serve(name, handle, {
+        request: node.req as IncomingMessage,
+        response: node.res as ServerResponse,
+        parameters: event.context.params ?? {},
+      });
+      // The action writes the answer itself. Handing control back to h3 would end the answer
+      // once more, and Node creates an error with a stack for that, 60 us a request.
+      return new Promise(() => {});
     };
   }
 
@@ -230,7 +235,10 @@
     if (this.#connections.isDraining) response.shouldKeepAlive = false;
     const abortController = new AbortController();
     response.once("close", () => {
-      metrics.recordRequest(name, response.statusCode);
+      metrics.recordRequest(
+        name,
+        response.headersSent ? response.statusCode : disconnectedStatus,
+      );
       metrics.setActive(this.#connections.activeRequests);
       if (!response.writableFinished) abortController.abort();
     });
--- a/packages/http/server/send-answer.ts
+++ b/packages/http/server/send-answer.ts
@@ -89,10 +89,7 @@
   }
 }
 
-/**
- * Ends an answer that has begun so that the caller cannot take it for whole. Resolves once the
- * connection is destroyed, because the server ends an answer whose handler has returned.
- */
+/** Ends an answer that has begun so that the caller cannot take it for whole. */
 async function breakOff(
   context: RequestContext,
   error: unknown,
@@ -110,6 +107,8 @@
       });
     });
   }
+  // Without framing, the end of the connection is the end of the answer; a reset is not.
+  if (context.request.httpVersion === "1.0") response.socket?.resetAndDestroy();
   response.destroy();
 }
 
--- a/packages/routing/upstream-directory.ts
+++ b/packages/routing/upstream-directory.ts
@@ -129,8 +129,14 @@
     const next = new Map(
       instances.map((instance) => [instance.name, instance]),
     );
-    for (const name of this.#listed.keys()) {
-      if (!next.has(name)) this.#gone.add(name);
+    for (const [name, { state }] of this.#listed) {
+      const nextState = next.get(name)?.state ?? "gone";
+      if (nextState === "gone") this.#gone.add(name);
+      if (nextState === state) continue;
+      this.#logger.info("state of an upstream changed", {
+        upstream: name,
+        state: nextState,
+      });
     }
     for (const name of next.keys()) this.#gone.delete(name);
     this.#listed = next;
