Check requests again in the turn in which they are written

Cause: between the router's check and the first byte lies the connect of a fresh connection, and a paused process could send an old order or a request of a withdrawn key after it resumed. Ruled out: a shorter connect timeout; after a pause the connect event can be handled before the timer.

--- a/packages/routing/engine-orders.ts
+++ b/packages/routing/engine-orders.ts
@@ -5,25 +5,32 @@
  * be on its way.
  */
 
-import { request } from "undici";
-import { type DialMap, mapAddress } from "../common/dial-map.ts";
+import { Buffer } from "node:buffer";
+import { randomUUID } from "node:crypto";
 import { RosemaryrudderError } from "../common/errors.ts";
-import type { InstanceId, Offset, UpstreamName } from "../common/ids.ts";
+import {
+  brandAs,
+  type InstanceId,
+  type Offset,
+  type RequestId,
+  type UpstreamName,
+} from "../common/ids.ts";
 import type { ControlState, ControlView } from "../control/control-state.ts";
-import type { Upstream } from "../control/document.ts";
-import { orderTimeoutMilliseconds } from "./constants.ts";
+import { orderTimeoutMilliseconds, quotedAnswerBytes } from "./constants.ts";
+import type { UpstreamCaller } from "./upstream-caller.ts";
 
 export type EngineOrder =
   | { readonly kind: "load_model"; readonly model: string }
   | { readonly kind: "unload_model"; readonly model: string }
   | { readonly kind: "load_adapter"; readonly adapter: string }
   | { readonly kind: "load_version"; readonly model: string; version: string }
-  | { readonly kind: "change_role"; readonly role: string };
+  | { readonly kind: "set_role"; readonly role: string };
 
 export class EngineOrderError extends RosemaryrudderError {}
 
 export interface EngineOrdersOptions {
   control: ControlView;
+  caller: UpstreamCaller;
   instance: InstanceId;
   /** The coordinator of an upstream in a control state. */
   ownerOf: (
@@ -31,7 +38,6 @@
     upstream: UpstreamName,
   ) => InstanceId | undefined;
   orderTimeoutMilliseconds?: number;
-  dialMap?: DialMap;
 }
 
 interface Ownership {
@@ -60,7 +66,10 @@
     this.#update(options.control.state);
   }
 
-  /** Issues an order after those before it; throws an EngineOrderError if it is not accepted. */
+  /**
+   * Issues an order after those before it. Throws an EngineOrderError if it was refused and an
+   * UpstreamError if the engine did not answer.
+   */
   issue(upstream: UpstreamName, order: EngineOrder): Promise<void> {
     const previous = this.#queues.get(upstream) ?? Promise.resolve();
     const issued = previous.then(() => this.#issueNow(upstream, order));
@@ -103,15 +112,15 @@
     const upstream = control.state.configuration.upstreams.get(name);
     if (!ownership || !upstream) throw notCoordinator(name);
     if (!upstream.checksFencing) {
-      ownership.predecessorIsOver ??= this.#waitForPredecessor(ownership.token);
+      ownership.predecessorIsOver ??= this.#waitForPredecessor(ownership.token)
+        .catch((error) => {
+          ownership.predecessorIsOver = undefined;
+          throw error;
+        });
       await ownership.predecessorIsOver;
     }
-    // Checked in the turn in which the order is sent: the wait may have taken long.
-    if (
-      this.#stopController.signal.aborted ||
-      this.#ownerships.get(name) !== ownership || !control.isFresh()
-    ) throw notCoordinator(name);
-    await this.#send(upstream, ownership.token, order);
+    this.#checkOwnership(name, ownership);
+    await this.#send(name, ownership, order);
   }
 
   /** After this, every earlier coordinator has stopped issuing and its last order is over. */
@@ -126,39 +135,40 @@
     });
   }
 
-  async #send(
-    upstream: Upstream,
-    fencingToken: Offset,
-    order: EngineOrder,
-  ): Promise<void> {
-    const address = mapAddress(this.#options.dialMap ?? {}, upstream.address);
-    let status: number;
-    let text: string;
-    try {
-      const response = await request(`http://${address}/orders`, {
-        method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify({ order, fencingToken }),
-        signal: AbortSignal.any([
-          this.#stopController.signal,
-          AbortSignal.timeout(this.#timeout),
-        ]),
-      });
-      status = response.statusCode;
-      text = await response.body.text();
-    } catch (cause) {
-      throw new EngineOrderError(
-        "order_failed",
-        `engine ${upstream.name} did not answer the order`,
-        { cause },
-      );
-    }
+  async #send(name: UpstreamName, ownership: Ownership, order: EngineOrder) {
+    const body = JSON.stringify({ order, fencingToken: ownership.token });
+    const answer = await this.#options.caller.call({
+      upstream: name,
+      method: "POST",
+      path: "/orders",
+      headers: { "content-type": "application/json" },
+      body: Buffer.from(body),
+      requestId: brandAs<RequestId>(randomUUID()),
+      isRepeatable: false,
+      signal: AbortSignal.any([
+        this.#stopController.signal,
+        AbortSignal.timeout(this.#timeout),
+      ]),
+      checkBeforeSend: () => this.#checkOwnership(name, ownership),
+    });
+    let text = "";
+    for await (const chunk of answer.body) text += Buffer.from(chunk);
+    const { status } = answer;
     if (status >= 200 && status < 300) return;
     throw new EngineOrderError(
       status === 409 ? "order_fenced" : "order_refused",
-      `engine ${upstream.name} answered ${status}: ${text.slice(0, 200)}`,
+      `engine ${name} answered ${status}: ${text.slice(0, quotedAnswerBytes)}`,
     );
   }
+
+  /** Made in the turn in which the order is written: the wait or a pause may have been long. */
+  #checkOwnership(name: UpstreamName, ownership: Ownership): void {
+    if (
+      this.#stopController.signal.aborted ||
+      this.#ownerships.get(name) !== ownership ||
+      !this.#options.control.isFresh()
+    ) throw notCoordinator(name);
+  }
 }
 
 function notCoordinator(upstream: UpstreamName): EngineOrderError {
--- a/packages/routing/upstream-attempt.ts
+++ b/packages/routing/upstream-attempt.ts
@@ -110,6 +110,12 @@
       controller.abort(new Error("the call has ended"));
       return;
     }
+    try {
+      this.#options.request.checkBeforeSend?.();
+    } catch (error) {
+      this.#failWith(error);
+      return;
+    }
     this.#phase = "sent";
     this.#startTimer(
       this.#options.timeouts.firstByteMilliseconds,
--- a/packages/routing/upstream-caller.ts
+++ b/packages/routing/upstream-caller.ts
@@ -22,6 +22,11 @@
   /** Whether the call may be repeated; calls that may not use a fresh connection. */
   readonly isRepeatable: boolean;
   readonly signal?: AbortSignal | undefined;
+  /**
+   * Called in the turn in which the request is written, after the connection was made; if it
+   * throws, nothing is sent and the call fails with its error.
+   */
+  readonly checkBeforeSend?: (() => void) | undefined;
 }
 
 export interface UpstreamAnswer {
--- a/packages/routing/upstream-client.test.ts
+++ b/packages/routing/upstream-client.test.ts
@@ -8,7 +8,7 @@
 import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import { test, type TestContext } from "node:test";
-import type { UpstreamError } from "../common/errors.ts";
+import { CallerError, type UpstreamError } from "../common/errors.ts";
 import { brandAs, type RequestId, type UpstreamName } from "../common/ids.ts";
 import type { Upstream } from "../control/document.ts";
 import type { UpstreamAnswer, UpstreamRequest } from "./upstream-caller.ts";
@@ -215,6 +215,20 @@
   assert.equal((await failure).verdict, "unknown");
 });
 
+test("a check that fails once the connection is made keeps the request from being sent", async (context) => {
+  const { address, received } = await startServer(context, () => {});
+  const call = createCaller(context, address);
+  for (const isRepeatable of [true, false]) {
+    const checkBeforeSend = () => {
+      throw new CallerError({ status: 401, code: "unknown_key", message: "" });
+    };
+    const failure = await failureOf(call({ isRepeatable, checkBeforeSend }));
+    assert.deepEqual(failure, { code: "unknown_key", verdict: "not_run" });
+  }
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  assert.ok(received.every((bytes) => bytes === ""));
+});
+
 test("calls that may not be repeated never use a connection that could be stale", async (context) => {
   const whole =
     `${ok}content-type: application/json\r\ncontent-length: 2\r\n\r\n{}`;
--- a/packages/routing/upstream-directory.test.ts
+++ b/packages/routing/upstream-directory.test.ts
@@ -13,6 +13,7 @@
 import { createBatchItemRunner } from "./batch-item-runner.ts";
 import { EngineOrders } from "./engine-orders.ts";
 import type { BatchItemCall, UpstreamRequest } from "./upstream-caller.ts";
+import { UpstreamClient } from "./upstream-client.ts";
 import { UpstreamDirectory } from "./upstream-directory.ts";
 
 const engine = brandAs<UpstreamName>("e1");
@@ -68,6 +69,14 @@
   }
 }
 
+function createCaller(context: TestContext, { state }: FakeControl) {
+  const client = new UpstreamClient({
+    findUpstream: (name) => state.configuration.upstreams.get(name),
+  });
+  context.after(() => client.close());
+  return client;
+}
+
 test("leaving and removed upstreams get nothing new; an unreadable list changes nothing", async (context) => {
   let answer: unknown;
   let status = 200;
@@ -125,6 +134,7 @@
   let owner: InstanceId = self;
   const orders = new EngineOrders({
     control: control.view,
+    caller: createCaller(context, control),
     instance: self,
     ownerOf: () => owner,
   });
@@ -161,11 +171,12 @@
   control.isInForce = new Promise((resolve) => setInForce = resolve);
   const orders = new EngineOrders({
     control: control.view,
+    caller: createCaller(context, control),
     instance: self,
     ownerOf: () => owner,
     orderTimeoutMilliseconds: 60,
   });
-  const issue = () => orders.issue(engine, { kind: "change_role", role: "r" });
+  const issue = () => orders.issue(engine, { kind: "set_role", role: "r" });
   const first = issue();
   setInForce();
   await new Promise((resolve) => setTimeout(resolve, 30));
