Test the whole path under engine faults and bound repeats that may have run

Cause: a request that makes an engine exit was sent to three engines, and no test covered server, router and client together against crossed and cut answers. Ruled out: no repeat at all, which would turn each lost engine into failed requests of callers. Conclusion: at most two attempts of one request may have run.

--- /dev/null
+++ b/packages/http/whole-path.test.ts
@@ -0,0 +1,115 @@
+/**
+ * Callers, router and client together against engine stand-ins with faults: every answer that
+ * looks whole is the caller's own, and the capacity reports balance.
+ */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CallerClient } from "../client/caller-client.ts";
+import { SeededRandom } from "../common/random.ts";
+import type { UpstreamName } from "../common/ids.ts";
+import type { Upstream } from "../control/document.ts";
+import { UpstreamRouter } from "../routing/online-router.ts";
+import { UpstreamClient } from "../routing/upstream-client.ts";
+import { UpstreamDirectory } from "../routing/upstream-directory.ts";
+import { promptDigest } from "../stand-ins/engine/answer.ts";
+import { startEngine } from "../stand-ins/engine/engine.ts";
+import { putJson } from "../stand-ins/shared/test-support.ts";
+import { CallerServer } from "./server/caller-server.ts";
+import { Fixture, key } from "./testing/fixture.ts";
+
+test("under engine faults a caller gets its own whole answer or an error", async (context) => {
+  const engines = await Promise.all([1, 2, 3].map(() =>
+    startEngine({
+      port: 0,
+      models: ["tagger"],
+      concurrency: 8,
+      tokenMilliseconds: 1,
+      minimumPrefillMilliseconds: 1,
+      stopLimitMilliseconds: 50,
+    })
+  ));
+  const fixture = await Fixture.start(context);
+  const upstreams = engines.map(({ port }, index) => ({
+    name: `e${index}`,
+    kind: "engine",
+    address: `127.0.0.1:${port}`,
+    concurrency: 8,
+  } as unknown as Upstream));
+  fixture.configuration = {
+    ...fixture.configuration,
+    upstreams: new Map(upstreams.map((entry) => [entry.name, entry])),
+    engines: new Map(
+      [...fixture.configuration.engines.keys()].map((model) =>
+        [model, upstreams] as const
+      ),
+    ),
+  };
+  const inFlight = new Map<UpstreamName, number>();
+  const count = (name: UpstreamName, change: number) =>
+    inFlight.set(name, (inFlight.get(name) ?? 0) + change);
+  const directory = new UpstreamDirectory({ control: fixture.control });
+  const caller = new UpstreamClient({
+    findUpstream: (name) => directory.find(name),
+  });
+  const server = new CallerServer({
+    host: "127.0.0.1",
+    port: 0,
+    control: fixture.control,
+    limiter: { take: () => Promise.resolve({ admitted: true }) },
+    batch: fixture.batch,
+    router: new UpstreamRouter({
+      caller,
+      upstreams: directory,
+      random: new SeededRandom(4),
+      capacity: {
+        onlineStarted: (name) => {
+          count(name, 1);
+          return () => count(name, -1);
+        },
+        loadOf: (name) => (inFlight.get(name) ?? 0) / 8,
+      },
+    }),
+  });
+  const baseUrl = `http://127.0.0.1:${await server.listen()}`;
+  context.after(async () => {
+    await server.close();
+    await caller.close();
+    await Promise.all(engines.map((engine) => engine.close()));
+  });
+  const client = new CallerClient({ baseUrl, key });
+  const random = new SeededRandom(9);
+  const faults = ["truncateAnswers", "swapAnswers", "endWithoutDone"];
+  let whole = 0;
+  let failed = 0;
+  const askOnce = async (index: number) => {
+    const messages = [{ role: "user", content: `lot ${index}` }];
+    const body = { model: "tagger", messages, max_tokens: 6 };
+    const expected = `digest:${promptDigest(messages)}`;
+    if (index % 2 === 0) {
+      const answer = await client.chatStream(body);
+      if (answer.isComplete) assert.ok(answer.text.startsWith(expected));
+      else assert.ok(answer.error, "a short stream without an error");
+      return answer.isComplete;
+    }
+    const { status, body: answer } = await client.json<
+      { choices: { message: { content: string } }[]; error: unknown }
+    >("POST", "/v1/chat/completions", body);
+    if (status !== 200) assert.ok(answer.error);
+    else assert.ok(answer.choices[0]?.message.content.startsWith(expected));
+    return status === 200;
+  };
+  for (let round = 0; round < 20; round++) {
+    const engine = random.pick(engines)!;
+    await putJson(`http://127.0.0.1:${engine.port}/faults`, {
+      [random.pick(faults)!]: 1,
+    });
+    const results = await Promise.all(
+      Array.from({ length: 20 }, (_, index) => askOnce(round * 20 + index)),
+    );
+    whole += results.filter(Boolean).length;
+    failed += results.filter((isWhole) => !isWhole).length;
+  }
+  assert.ok(whole >= 380, `${whole} whole, ${failed} failed`);
+  assert.deepEqual([...new Set(inFlight.values())], [0]);
+});
--- a/packages/routing/constants.ts
+++ b/packages/routing/constants.ts
@@ -39,6 +39,8 @@
 export const retryBudgetExtra = 3;
 export const retryWindowMilliseconds = 10_000;
 export const maximumAttempts = 3;
+/** A request that makes engines fail must not meet all of them. */
+export const maximumAttemptsThatMayHaveRun = 2;
 /** Pause before the same upstream is tried again because no other is left. */
 export const repeatDelayMilliseconds = 50;
 
--- a/packages/routing/online-router.test.ts
+++ b/packages/routing/online-router.test.ts
@@ -119,6 +119,9 @@
     const second = createRouter(["a", "b"], [verdict]);
     await assert.rejects(second.route(false), { verdict });
     assert.equal(second.calls.length, 1);
+    const poison = createRouter(["a", "b", "c"], [verdict, verdict, verdict]);
+    await assert.rejects(poison.route(true), { verdict });
+    assert.equal(poison.calls.length, 2);
     const third = createRouter(["a", "b"], [verdict]);
     assert.equal(await textOf(await third.route(true)), "ok");
   }
--- a/packages/routing/online-router.ts
+++ b/packages/routing/online-router.ts
@@ -13,6 +13,7 @@
 import {
   chatPath,
   maximumAttempts,
+  maximumAttemptsThatMayHaveRun,
   repeatDelayMilliseconds,
 } from "./constants.ts";
 import { EngineChoice } from "./engine-choice.ts";
@@ -140,6 +141,7 @@
     const tried = new Set<UpstreamName>();
     let lastError: UpstreamError | undefined;
     let worst: Verdict = "not_run";
+    let mayHaveRun = 0;
     for (let attempt = 1;; attempt++) {
       const upstream = this.#choose(attempts, tried);
       if (upstream === undefined) {
@@ -159,11 +161,13 @@
         if (verdictRank[error.verdict] > verdictRank[worst]) {
           worst = error.verdict;
         }
+        if (error.verdict !== "not_run") mayHaveRun += 1;
         const mayRetry = error.code !== "upstream_call_aborted" &&
           error.code !== "upstream_request_invalid" &&
           (error.verdict === "not_run" || attempts.isRepeatable);
         if (
           !mayRetry || attempt >= maximumAttempts ||
+          mayHaveRun >= maximumAttemptsThatMayHaveRun ||
           !this.#retryBudget.tryRetry()
         ) throw withVerdict(error, worst);
       }
