Stop uploads of withdrawn keys and close answers whose head is refused

Cause: an upload may take minutes, in which a withdrawn key went on working; an upstream header that Node refuses left the answer's body open, so that capacity counted the request for ever. Two set-cookie headers were joined. Ruled out: passing cookies on; callers' cookies are dropped as credentials. Conclusion: the key is checked at each chunk of an upload; the body is closed on every path.

--- a/packages/http/admission/admission.ts
+++ b/packages/http/admission/admission.ts
@@ -39,9 +39,14 @@
 
   /** Throws unless the key is in force now and the instance is fresh. */
   readonly check = (): void => {
-    const { control } = this.#options;
-    if (!control.isFresh()) throw notFreshError();
-    const owner = control.state.configuration.keys.get(this.#keyHash);
+    if (!this.#options.control.isFresh()) throw notFreshError();
+    this.checkKey();
+  };
+
+  /** Throws unless the key is in force; for requests that have begun. */
+  readonly checkKey = (): void => {
+    const { keys } = this.#options.control.state.configuration;
+    const owner = keys.get(this.#keyHash);
     if (owner?.workspace !== this.workspace) throw unknownKeyError();
   };
 
--- a/packages/http/caller-server.test.ts
+++ b/packages/http/caller-server.test.ts
@@ -144,6 +144,11 @@
     fixture.answer = () => ({ ...answerOf({}, body), status });
     return fixture.chat(hello).then(errorOf);
   };
+  fixture.answer = () => answerOf({ "x-name": "a\nb" }, "ok");
+  assert.equal(
+    await errorOf(await fixture.chat(hello)),
+    "500 internal_error unknown",
+  );
   assert.equal(await refuse(400), "400 upstream_refused false");
   assert.equal(await refuse(401), "502 upstream_failed false");
   fixture.answer = () => {
@@ -201,6 +206,7 @@
 
 test("an upload is streamed whatever the order of its fields", async (context) => {
   const fixture = await Fixture.start(context, { limits: { fileBytes: 100 } });
+  const { configuration } = fixture;
   const upload = (...fields: [string, string | Blob][]) => {
     const body = new FormData();
     for (const [name, value] of fields) {
@@ -248,6 +254,14 @@
   });
   assert.equal(await errorOf(broken), "400 invalid_multipart true");
   assert.equal(fixture.uploads.length, 2);
+  fixture.batch.createFile = async ({ content }) => {
+    fixture.withoutKeys();
+    for await (const _chunk of content);
+    return assert.fail("the upload of a withdrawn key was whole");
+  };
+  const withdrawn = await upload(["purpose", "batch"], ["file", file]);
+  assert.equal(await errorOf(withdrawn), "401 unknown_key true");
+  fixture.configuration = configuration;
   const content = await fixture.fetch("/v1/files/file-1/content");
   assert.equal(await content.text(), "line 1\nline 2\n");
   assert.equal((await fixture.fetch("/v1/files/none")).status, 404);
--- a/packages/http/files/file-actions.ts
+++ b/packages/http/files/file-actions.ts
@@ -12,7 +12,11 @@
   path: "/v1/files",
   takesToken: "first",
   async handle({ request, response, admission, services, signal }) {
-    const upload = new FileUpload(request, services.limits.fileBytes);
+    const upload = new FileUpload({
+      request,
+      limit: services.limits.fileBytes,
+      checkKey: admission.checkKey,
+    });
     const { filename, content } = await upload.start();
     admission.check();
     try {
--- a/packages/http/files/file-upload.ts
+++ b/packages/http/files/file-upload.ts
@@ -19,18 +19,27 @@
   readonly content: AsyncIterable<Uint8Array>;
 }
 
+export interface FileUploadOptions {
+  request: IncomingMessage;
+  limit: number;
+  /** Throws once the key is withdrawn; an upload may take minutes. */
+  checkKey: () => void;
+}
+
 export class FileUpload {
   readonly #request: IncomingMessage;
   readonly #limit: number;
+  readonly #checkKey: () => void;
   readonly #formEnd: Promise<void>;
   #resolveFormEnd!: () => void;
   #purpose: string | undefined;
   #file: Readable | undefined;
   #error: CallerError | undefined;
 
-  constructor(request: IncomingMessage, limit: number) {
-    this.#request = request;
-    this.#limit = limit;
+  constructor(options: FileUploadOptions) {
+    this.#request = options.request;
+    this.#limit = options.limit;
+    this.#checkKey = options.checkKey;
     this.#formEnd = new Promise((resolve) => this.#resolveFormEnd = resolve);
   }
 
@@ -104,12 +113,15 @@
     try {
       for await (const chunk of stream) {
         if (this.#error) throw this.#error;
+        this.#checkKey();
         yield chunk as Uint8Array;
       }
     } catch (error) {
+      if (error instanceof CallerError) this.#fail(error);
       throw this.#error ?? error;
     }
     await this.#formEnd;
+    this.#checkKey();
     if (this.#error) throw this.#error;
   }
 
--- a/packages/http/server/caller-server.ts
+++ b/packages/http/server/caller-server.ts
@@ -230,7 +230,7 @@
       parameters: Record<string, string>;
     },
   ): Promise<void> {
-    const { metrics, clock } = this.#services;
+    const { metrics, clock, logger } = this.#services;
     this.#connections.track(request, response);
     if (this.#connections.isDraining) response.shouldKeepAlive = false;
     const abortController = new AbortController();
@@ -242,6 +242,9 @@
       metrics.setActive(this.#connections.activeRequests);
       if (!response.writableFinished) abortController.abort();
     });
+    response.on("error", (error) => {
+      logger.debug("answer could not be written", { reason: String(error) });
+    });
     metrics.setActive(this.#connections.activeRequests);
     const requestId = brandAs<RequestId>(randomUUID());
     response.setHeader("x-request-id", requestId);
--- a/packages/http/server/send-answer.ts
+++ b/packages/http/server/send-answer.ts
@@ -68,9 +68,9 @@
   const { response } = context;
   const isEventStream = (options.headers["content-type"] ?? "")
     .startsWith("text/event-stream");
-  response.writeHead(options.status, options.headers);
   let isFirst = true;
   try {
+    response.writeHead(options.status, options.headers);
     for await (const chunk of body) {
       if (isFirst) {
         isFirst = false;
@@ -84,6 +84,11 @@
     response.end();
   } catch (error) {
     if (context.signal.aborted || response.destroyed) return;
+    if (!response.headersSent) {
+      // The head was refused, so nothing has read the body and nothing else will end it.
+      await body[Symbol.asyncIterator]().return?.();
+      throw error;
+    }
     reportFailure(context, error);
     await breakOff(context, error, isEventStream);
   }
--- a/packages/routing/forwarded-headers.ts
+++ b/packages/routing/forwarded-headers.ts
@@ -68,7 +68,10 @@
   return selected;
 }
 
-/** Headers of an upstream's answer that the caller gets. */
+/**
+ * Headers of an upstream's answer that the caller gets. Cookies pass in neither direction, so
+ * `set-cookie` would have no effect.
+ */
 export function selectAnswerHeaders(
   headers: IncomingHeaderRecord,
 ): Record<string, string> {
@@ -77,7 +80,8 @@
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined) continue;
     if (
-      hopByHopHeaders.has(name) || named.has(name) || name === "x-request-id"
+      hopByHopHeaders.has(name) || named.has(name) ||
+      name === "x-request-id" || name === "set-cookie"
     ) continue;
     selected[name] = joinValues(value);
   }
