--- a/packages/batch/carry-forward.ts
+++ b/packages/batch/carry-forward.ts
@@ -27,7 +27,7 @@
 
 export interface CarryForwardOptions {
   instance: InstanceId;
-  incarnation: Incarnation;
+  incarnation: () => Incarnation;
   control: ControlView;
   client: LogClient;
   budget: AppendBudget;
@@ -122,7 +122,7 @@
     const completion = await files.find(file);
     if (!completion) return;
     const writer = brandAs<WriterId>(
-      `carry/${instance}/${incarnation}/${file}/${this.#carried++}`,
+      `carry/${instance}/${incarnation()}/${file}/${this.#carried++}`,
     );
     const carried = await carryFile(completion, {
       ...this.#options,
--- a/packages/batch/fleet-batch-service.ts
+++ b/packages/batch/fleet-batch-service.ts
@@ -58,7 +58,7 @@
 
 export interface FleetBatchServiceOptions {
   instance: InstanceId;
-  incarnation: Incarnation;
+  incarnation: () => Incarnation;
   control: ControlView;
   partitionOwner: PartitionOwnerLookup;
   logClient: LogClient;
--- a/packages/batch/partition/owner.ts
+++ b/packages/batch/partition/owner.ts
@@ -39,7 +39,7 @@
 export interface PartitionOwnerOptions {
   partition: PartitionNumber;
   instance: InstanceId;
-  incarnation: Incarnation;
+  incarnation: () => Incarnation;
   control: ControlView;
   client: LogClient;
   budget: AppendBudget;
@@ -184,7 +184,7 @@
     if (previous.owner === instance) return true;
     const member = control.state.members.get(previous.owner);
     if (!member || member.incarnation !== previous.incarnation) return true;
-    if (previous.incarnation === incarnation) return true;
+    if (previous.incarnation === incarnation()) return true;
     if (member.state === "leaving") return false;
     return clock.monotonicNow() - this.#startedAt > releaseWaitMilliseconds;
   }
@@ -193,7 +193,7 @@
     const { instance, incarnation, control, partition } = this.#options;
     this.#phase = "opening";
     const writerId = brandAs<WriterId>(
-      `${instance}/${incarnation}/partition-${partition}/${++writerCount}`,
+      `${instance}/${incarnation()}/partition-${partition}/${++writerCount}`,
     );
     this.#writerId = writerId;
     this.#writer = new GroupCommitWriter({
@@ -209,7 +209,7 @@
       await this.#appendAndRead(this.#writer, {
         kind: "epoch-opened",
         owner: instance,
-        incarnation,
+        incarnation: incarnation(),
         controlOffset: control.state.appliedOffset,
       });
     } catch (error) {
--- a/packages/batch/partition/partition-set.ts
+++ b/packages/batch/partition/partition-set.ts
@@ -22,7 +22,7 @@
     "partition" | "control" | "instance" | "incarnation"
   > {
   instance: InstanceId;
-  incarnation: Incarnation;
+  incarnation: () => Incarnation;
   control: ControlView;
   partitionOwner: PartitionOwnerLookup;
   /** Ends the work of an owner before its epoch is released. */
@@ -90,7 +90,7 @@
 
   #isMember(): boolean {
     const { instance, incarnation, control } = this.#options;
-    return control.state.members.get(instance)?.incarnation === incarnation;
+    return control.state.members.get(instance)?.incarnation === incarnation();
   }
 
   #assign(): void {
--- a/packages/batch/testing/fake-fleet.ts
+++ b/packages/batch/testing/fake-fleet.ts
@@ -229,7 +229,7 @@
       isDead: false,
       service: new FleetBatchService({
         instance,
-        incarnation,
+        incarnation: () => incarnation,
         control,
         partitionOwner: (state, partition) =>
           pickByRendezvous(
--- a/packages/common/command-line.ts
+++ b/packages/common/command-line.ts
@@ -95,6 +95,7 @@
   if (field instanceof z.ZodOptional) {
     return flagOfField(field.unwrap() as z.ZodType);
   }
+  if (field instanceof z.ZodPipe) return flagOfField(field.in as z.ZodType);
   if (field instanceof z.ZodEnum) {
     const choices = field.options as string[];
     return { type: "string", requiresArg: true, choices, description };
@@ -102,7 +103,7 @@
   if (field instanceof z.ZodNumber) {
     return { type: "number", requiresArg: true, description };
   }
-  if (field instanceof z.ZodString) {
+  if (field instanceof z.ZodString || field instanceof z.ZodURL) {
     return { type: "string", requiresArg: true, description };
   }
   if (field instanceof z.ZodBoolean) return { type: "boolean", description };
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -24,6 +24,8 @@
 export interface InstanceOptions {
   settings: InstanceSettings;
   logger: Logger;
+  /** Ends the program gracefully. */
+  requestStop: () => void;
 }
 
 /** Exit status when the drain limit closed connections that were still in use. */
@@ -32,14 +34,16 @@
 export class Instance {
   readonly #settings: InstanceSettings;
   readonly #logger: Logger;
+  readonly #requestStop: () => void;
   readonly #store = new DisposableStore();
   readonly #blackboard: Blackboard;
   #services: InstanceServices | undefined;
   #callers: CallerServer | undefined;
   #stopping: Promise<number> | undefined;
 
-  constructor({ settings, logger }: InstanceOptions) {
+  constructor({ settings, logger, requestStop }: InstanceOptions) {
     this.#settings = settings;
+    this.#requestStop = requestStop;
     this.#logger = logger.child({ instance: settings.instance });
     this.#blackboard = createBlackboard({
       instance: settings.instance,
@@ -56,6 +60,7 @@
       blackboard,
       logger: this.#logger,
       store: this.#store,
+      requestStop: this.#requestStop,
     });
     this.#services = services;
     for (const controller of controllers) {
--- a/packages/instance/main.ts
+++ b/packages/instance/main.ts
@@ -9,8 +9,8 @@
   name: "rosemaryrudder-instance",
   description: "Serves callers of online and batch inference.",
   schema: instanceSettingsSchema,
-  start: async ({ settings, logger }) => {
-    const instance = new Instance({ settings, logger });
+  start: async (context) => {
+    const instance = new Instance(context);
     await instance.start();
     return instance;
   },
--- a/packages/instance/services.ts
+++ b/packages/instance/services.ts
@@ -30,6 +30,7 @@
 import { UpstreamHealth } from "../routing/upstream-health.ts";
 import type { OnlineRouter } from "../routing/upstream-caller.ts";
 import type { Blackboard } from "./blackboard.ts";
+import { createIncarnation } from "./incarnation.ts";
 import type { InstanceSettings } from "./settings.ts";
 
 export interface InstanceServices {
@@ -50,6 +51,8 @@
   blackboard: Blackboard;
   logger: Logger;
   store: DisposableStore;
+  /** Ends the instance gracefully. */
+  requestStop: () => void;
 }
 
 interface Foundation {
@@ -70,7 +73,7 @@
   const routing = createRouting(options, foundation);
   const batch = new FleetBatchService({
     instance: blackboard.instance,
-    incarnation: blackboard.incarnation,
+    incarnation: () => blackboard.incarnation,
     control,
     partitionOwner,
     logClient: client,
@@ -102,7 +105,7 @@
 }
 
 async function createFoundation(
-  { settings, blackboard, logger, store }: ServicesOptions,
+  { settings, blackboard, logger, store, requestStop }: ServicesOptions,
 ): Promise<Foundation> {
   const network = new TcpPeerNetwork({
     instance: blackboard.instance,
@@ -135,6 +138,12 @@
     network,
     budget,
     logger,
+    renewIncarnation: () => {
+      blackboard.incarnation = createIncarnation();
+      network.setIncarnation(blackboard.incarnation);
+      return blackboard.incarnation;
+    },
+    onReplaced: () => requestStop(),
   });
   store.add(() => control.stop());
   return { network, control, client, budget };
--- a/packages/instance/status.ts
+++ b/packages/instance/status.ts
@@ -22,6 +22,7 @@
       zone,
       state,
     })),
+    control: control.statistics,
     batch: batch.statistics,
     usage: {
       processorSeconds: blackboard.processorSeconds,
