Add the operators' tool

Cause: teams need to check, publish and compare sections, manage keys and cancel jobs. Conclusion: works against a log in memory; not yet run against the log service process.

--- a/packages/control/configuration.ts
+++ b/packages/control/configuration.ts
@@ -64,10 +64,16 @@
   section: SectionName,
   result: z.ZodSafeParseError<unknown>,
 ): ValidationProblem[] {
-  return result.error.issues.map((issue) => ({
-    path: [section, ...issue.path.map(String)].join("."),
-    reason: issue.message,
-  }));
+  return result.error.issues.flatMap((issue) => {
+    const path = [section, ...issue.path.map(String)];
+    if (issue.code !== "unrecognized_keys") {
+      return [{ path: path.join("."), reason: issue.message }];
+    }
+    return issue.keys.map((key) => ({
+      path: [...path, key].join("."),
+      reason: "is not a known field",
+    }));
+  });
 }
 
 export interface BuildOptions {
--- a/packages/control/document.ts
+++ b/packages/control/document.ts
@@ -23,6 +23,10 @@
   message:
     "must be 1 to 63 of a-z, 0-9, '.' and '-', beginning with a letter or digit",
 });
+/** Name of a section or of a team. */
+export const sectionNameSchema = nameSchema.transform((name) =>
+  brandAs<SectionName>(name)
+);
 const sha256Schema = z.string().regex(/^[0-9a-f]{64}$/, {
   message: "must be the SHA-256 of the key as 64 hexadecimal digits",
 });
--- /dev/null
+++ b/packages/operator/commands/status.ts
@@ -0,0 +1,116 @@
+/** `status`: shows which versions of the sections each member has applied. */
+
+import { request } from "undici";
+import { z } from "zod";
+import type { Member } from "../../control/control-state.ts";
+import type { ReducedControlState } from "../../control/reduced-state.ts";
+import { defineCommand } from "../command.ts";
+import { mapInParallel } from "../parallel.ts";
+import { statusParallelism, statusTimeoutMilliseconds } from "../constants.ts";
+import { ControlLog } from "../control-log.ts";
+
+const answerSchema = z.object({
+  incarnation: z.string().optional(),
+  isFresh: z.boolean().optional(),
+  appliedOffset: z.number(),
+  sections: z.record(z.string(), z.number()),
+});
+
+interface MemberStatus {
+  readonly instance: string;
+  readonly zone: string;
+  readonly state: Member["state"];
+  readonly reachable: boolean;
+  readonly fresh: boolean | null;
+  readonly appliedOffset: number | null;
+  readonly sections: Readonly<Record<string, number>>;
+  /** Sections of which the member has not applied the current version. */
+  readonly behind: readonly string[];
+}
+
+export const statusCommand = defineCommand({
+  usage: "status",
+  description: "Show which section versions each member has applied",
+  options: {
+    json: { type: "boolean", default: false, description: "Print JSON" },
+  },
+  flags: z.object({ json: z.boolean() }),
+  run: async (context, { json }) => {
+    const log = new ControlLog(
+      context.openLog(),
+      context.settings.timeoutSeconds,
+    );
+    await log.refresh();
+    const { state } = log;
+    const members = await mapInParallel(
+      [...state.members.values()],
+      statusParallelism,
+      (member) => askMember(member, state),
+    );
+    const versions = Object.fromEntries(state.configuration.sectionVersions);
+    if (json) {
+      const { appliedOffset } = state;
+      context.print(
+        JSON.stringify({ appliedOffset, sections: versions, members }),
+      );
+    } else {
+      context.print(`log: ${showVersions(versions)}`);
+      for (const member of members) context.print(describeMember(member));
+    }
+    const isUpToDate = members.every(({ reachable, behind }) =>
+      reachable && behind.length === 0
+    );
+    return isUpToDate ? 0 : 1;
+  },
+});
+
+async function askMember(
+  { instance, zone, state, metricsUrl }: Member,
+  control: ReducedControlState,
+): Promise<MemberStatus> {
+  const common = { instance, zone, state };
+  const answer = await fetchStatus(metricsUrl);
+  const sections = answer?.sections ?? {};
+  const behind = [...control.configuration.sectionVersions]
+    .filter(([name, version]) => (sections[name] ?? 0) < version)
+    .map(([name]) => name);
+  return {
+    ...common,
+    reachable: answer !== undefined,
+    fresh: answer?.isFresh ?? null,
+    appliedOffset: answer?.appliedOffset ?? null,
+    sections,
+    behind,
+  };
+}
+
+async function fetchStatus(metricsUrl: string) {
+  try {
+    const response = await request(new URL("/status", metricsUrl), {
+      signal: AbortSignal.timeout(statusTimeoutMilliseconds),
+    });
+    const parsed = answerSchema.safeParse(await response.body.json());
+    return response.statusCode === 200 ? parsed.data : undefined;
+  } catch {
+    // Members that do not answer are shown as unreachable.
+    return undefined;
+  }
+}
+
+function describeMember(member: MemberStatus): string {
+  const { instance, zone, state, reachable, fresh, sections, behind } = member;
+  if (!reachable) return `${instance} (${zone}, ${state}): unreachable`;
+  const details = [
+    state,
+    ...(fresh === false ? ["not fresh"] : []),
+    ...(behind.length > 0 ? [`behind: ${behind.join(", ")}`] : []),
+  ].join(", ");
+  return `${instance} (${zone}, ${details}): ${showVersions(sections)}`;
+}
+
+function showVersions(sections: Readonly<Record<string, number>>): string {
+  const parts = Object.entries(sections).map(([name, version]) =>
+    `${name} ${version}`
+  );
+  return parts.length === 0 ? "no sections" : parts.join(", ");
+}
--- /dev/null
+++ b/packages/operator/difference.ts
@@ -0,0 +1,43 @@
+/** Differences between two versions of a section, as lines with paths. */
+
+/** Fields that name the items of a list, so that items are compared by name, not by place. */
+const namingFields = ["id", "name"] as const;
+
+/** Lines that begin with `+`, `-` or `~`; none if the values are equal. */
+export function describeDifferences(
+  before: unknown,
+  after: unknown,
+  path = "",
+): string[] {
+  if (JSON.stringify(before) === JSON.stringify(after)) return [];
+  if (before === undefined) return [`+ ${path}: ${show(after)}`];
+  if (after === undefined) return [`- ${path}: ${show(before)}`];
+  const left = fieldsOf(before);
+  const right = fieldsOf(after);
+  if (!left || !right) return [`~ ${path}: ${show(before)} -> ${show(after)}`];
+  const names = [...new Set([...left.keys(), ...right.keys()])];
+  return names.flatMap((name) =>
+    describeDifferences(
+      left.get(name),
+      right.get(name),
+      path === "" ? name : `${path}.${name}`,
+    )
+  );
+}
+
+/** Fields of an object, or the items of a list by their names. */
+function fieldsOf(value: unknown): Map<string, unknown> | undefined {
+  if (value === null || typeof value !== "object") return undefined;
+  if (!Array.isArray(value)) return new Map(Object.entries(value));
+  const names = value.map((item) => {
+    const naming = namingFields.find((field) =>
+      typeof item?.[field] === "string"
+    );
+    return naming ? item[naming] as string : JSON.stringify(item);
+  });
+  return new Map(value.map((item, index) => [names[index] ?? "", item]));
+}
+
+function show(value: unknown): string {
+  return JSON.stringify(value);
+}
