--- a/packages/demo/fleet.ts
+++ b/packages/demo/fleet.ts
@@ -86,7 +86,13 @@
 
 function createTemporaryDirectory(store: DisposableStore): string {
   const directory = mkdtempSync(join(tmpdir(), "rosemaryrudder-"));
-  store.add(() => rmSync(directory, { recursive: true, force: true }));
+  const remove = () => rmSync(directory, { recursive: true, force: true });
+  // The folder holds keys, so it also goes when the launcher ends without dispose().
+  process.once("exit", remove);
+  store.add(() => {
+    process.off("exit", remove);
+    remove();
+  });
   return directory;
 }
 
--- /dev/null
+++ b/packages/demo/online-load.ts
@@ -0,0 +1,102 @@
+/** Online chat requests at a steady rate, sent to the instances in turn as a balancer does. */
+
+import type { Dispatcher } from "undici";
+import { CallerClient, type StreamedAnswer } from "../client/caller-client.ts";
+import {
+  LatencyHistogram,
+  type LatencySummary,
+} from "../measure/latency-histogram.ts";
+import { planArrivals, runOpenLoop } from "../measure/open-loop.ts";
+
+export interface OnlineLoadOptions {
+  /** Addresses of the instances that the balancer knows to be up. */
+  targets: () => readonly string[];
+  keys: readonly string[];
+  model: string;
+  ratePerSecond: number;
+  durationMilliseconds: number;
+  seed: number;
+  dispatcher: Dispatcher;
+  signal?: AbortSignal;
+}
+
+export interface OnlineLoadResult {
+  readonly firstToken: LatencySummary;
+  readonly completed: number;
+  /** Requests that were refused or interrupted, by error code. */
+  readonly failures: ReadonlyMap<string, number>;
+}
+
+/** Instances that a balancer tries when one refuses without having run the request. */
+const maximumTries = 3;
+
+export async function runOnlineLoad(
+  options: OnlineLoadOptions,
+): Promise<OnlineLoadResult> {
+  const { ratePerSecond, durationMilliseconds, seed, signal } = options;
+  const histogram = new LatencyHistogram();
+  const failures = new Map<string, number>();
+  let completed = 0;
+  const arrivals = planArrivals({
+    seed,
+    durationMilliseconds,
+    peakRatePerSecond: ratePerSecond,
+    rateAt: () => ratePerSecond,
+  });
+  await runOpenLoop({
+    arrivals,
+    ...(signal ? { signal } : {}),
+    send: async ({ index }) => {
+      const answer = await sendThroughBalancer(options, index);
+      if (answer.isComplete) {
+        completed += 1;
+        histogram.record(answer.firstTokenMilliseconds);
+        return;
+      }
+      const code = answer.error?.code ?? "incomplete";
+      failures.set(code, (failures.get(code) ?? 0) + 1);
+    },
+  });
+  return { firstToken: histogram.summary(), completed, failures };
+}
+
+async function sendThroughBalancer(
+  { targets, keys, model, dispatcher, seed }: OnlineLoadOptions,
+  index: number,
+): Promise<StreamedAnswer> {
+  const body = {
+    model,
+    messages: [
+      { role: "system", content: "You write short notices to buyers." },
+      { role: "user", content: `Notice ${seed}-${index}: two bags of class A` },
+    ],
+    max_tokens: 16,
+  };
+  let answer: StreamedAnswer | undefined;
+  for (let turn = 0; turn < maximumTries; turn++) {
+    const urls = targets();
+    const baseUrl = urls[(index + turn) % urls.length] ?? "";
+    const key = keys[index % keys.length] ?? "";
+    const client = new CallerClient({ baseUrl, key, dispatcher });
+    answer = await client.chatStream(body).catch(connectionFailed);
+    const mayTryAgain = answer.error?.not_run === true && answer.status !== 429;
+    if (!mayTryAgain) break;
+  }
+  return answer ?? connectionFailed(new Error("no instance is up"));
+}
+
+function connectionFailed(error: unknown): StreamedAnswer {
+  const code = (error as { code?: string }).code ?? "connection_failed";
+  return {
+    status: 0,
+    text: "",
+    isComplete: false,
+    firstTokenMilliseconds: Number.NaN,
+    totalMilliseconds: Number.NaN,
+    error: {
+      message: String(error),
+      code,
+      not_run: code === "ECONNREFUSED" ? true : "unknown",
+    },
+  };
+}
