--- a/packages/http/server/send-answer.ts
+++ b/packages/http/server/send-answer.ts
@@ -68,9 +68,9 @@
   const { response } = context;
   const isEventStream = (options.headers["content-type"] ?? "")
     .startsWith("text/event-stream");
-  response.writeHead(options.status, options.headers);
   let isFirst = true;
   try {
+    response.writeHead(options.status, options.headers);
     for await (const chunk of body) {
       if (isFirst) {
         isFirst = false;
@@ -84,15 +84,17 @@
     response.end();
   } catch (error) {
     if (context.signal.aborted || response.destroyed) return;
+    if (!response.headersSent) {
+      // The head was refused, so nothing has read the body and nothing else will end it.
+      await body[Symbol.asyncIterator]().return?.();
+      throw error;
+    }
     reportFailure(context, error);
     await breakOff(context, error, isEventStream);
   }
 }
 
-/**
- * Ends an answer that has begun so that the caller cannot take it for whole. Resolves once the
- * connection is destroyed, because the server ends an answer whose handler has returned.
- */
+/** Ends an answer that has begun so that the caller cannot take it for whole. */
 async function breakOff(
   context: RequestContext,
   error: unknown,
@@ -110,6 +112,8 @@
       });
     });
   }
+  // Without framing, the end of the connection is the end of the answer; a reset is not.
+  if (context.request.httpVersion === "1.0") response.socket?.resetAndDestroy();
   response.destroy();
 }
 
--- a/packages/routing/online-router.ts
+++ b/packages/routing/online-router.ts
@@ -3,13 +3,19 @@
  * it runs, and sends it again when its verdict or its route allows that.
  */
 
-import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
+import type { SeededRandom } from "../common/random.ts";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { OnlineCapacity } from "../capacity/capacity.ts";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { CallerError, UpstreamError } from "../common/errors.ts";
 import type { UpstreamName } from "../common/ids.ts";
 import type { Verdict } from "../common/verdict.ts";
-import { chatPath, maximumAttempts } from "./constants.ts";
+import {
+  chatPath,
+  maximumAttempts,
+  maximumAttemptsThatMayHaveRun,
+  repeatDelayMilliseconds,
+} from "./constants.ts";
 import { EngineChoice } from "./engine-choice.ts";
 import { RetryBudget } from "./retry-budget.ts";
 import { startReading, TrackedBody } from "./tracked-body.ts";
@@ -34,7 +40,7 @@
   caller: UpstreamCaller;
   upstreams: UpstreamLookup;
   capacity: OnlineCapacity;
-  random: RandomGenerator;
+  random: SeededRandom;
   health?: UpstreamHealth;
   retryBudget?: RetryBudget;
   clock?: Clock;
@@ -92,6 +98,7 @@
         requestId: request.requestId,
         isRepeatable: true,
         signal: request.signal,
+        checkBeforeSend: request.checkBeforeAttempt,
       }),
       checkBeforeAttempt: request.checkBeforeAttempt,
       isRepeatable: true,
@@ -113,6 +120,7 @@
         requestId,
         isRepeatable: route.repeatable,
         signal,
+        checkBeforeSend: request.checkBeforeAttempt,
       }),
       checkBeforeAttempt: request.checkBeforeAttempt,
       isRepeatable: route.repeatable,
@@ -133,11 +141,13 @@
     const tried = new Set<UpstreamName>();
     let lastError: UpstreamError | undefined;
     let worst: Verdict = "not_run";
+    let mayHaveRun = 0;
     for (let attempt = 1;; attempt++) {
       const upstream = this.#choose(attempts, tried);
       if (upstream === undefined) {
         throw lastError ? withVerdict(lastError, worst) : noUpstreamError();
       }
+      if (tried.has(upstream)) await sleep(repeatDelayMilliseconds);
       tried.add(upstream);
       try {
         return await this.#attempt(attempts, upstream);
@@ -151,11 +161,13 @@
         if (verdictRank[error.verdict] > verdictRank[worst]) {
           worst = error.verdict;
         }
+        if (error.verdict !== "not_run") mayHaveRun += 1;
         const mayRetry = error.code !== "upstream_call_aborted" &&
           error.code !== "upstream_request_invalid" &&
           (error.verdict === "not_run" || attempts.isRepeatable);
         if (
           !mayRetry || attempt >= maximumAttempts ||
+          mayHaveRun >= maximumAttemptsThatMayHaveRun ||
           !this.#retryBudget.tryRetry()
         ) throw withVerdict(error, worst);
       }
@@ -191,6 +203,7 @@
     try {
       const answer = await this.#options.caller.call(attempts.build(upstream));
       const start = await startReading(answer.body, attempts.isReadWhole);
+      this.#health.recordAnswer(upstream);
       this.#options.onFirstToken?.({
         upstream,
         isStreamed: attempts.isStreamed,
