Switch the logging library on before it is loaded

Cause: no program wrote any log line. The library reads ROARR_LOG when it is loaded and gives out a logger that discards everything, also its children, when the variable is not set. Ruled out: setting the variable in createLogger(); a trial showed that the logger exported by the library is already the discarding one by then. Asking every user to set the variable. Conclusion: packages/common/enable-roarr.ts is imported before the library.

--- a/packages/common/logging.ts
+++ b/packages/common/logging.ts
@@ -3,6 +3,7 @@
  * message and the context of the program that wrote it. Keys of callers never enter a context.
  */
 
+import "./enable-roarr.ts";
 import { ROARR, Roarr } from "roarr";
 import process from "node:process";
 
