--- a/packages/demo/example-documents.ts
+++ b/packages/demo/example-documents.ts
@@ -11,15 +11,18 @@
 import { createTeamKeyPair, type TeamKeyPair } from "../control/signing.ts";
 import type { FleetPlan } from "./fleet-plan.ts";
 
-/** The parts of a document that the launcher and tests work with. */
-export interface ExampleDocument {
+/** The sections of a document, with the parts that the launcher and tests work with. */
+export interface ExampleSections {
   platform: {
+    version: number;
     log: Record<string, unknown>;
     teams: { name: string; publicKey: string; sections: string[] }[];
     upstreams: Record<string, unknown>[];
     [field: string]: unknown;
   };
   [section: string]: {
+    /** Version that was edited. */
+    version: number;
     workspaces?: ExampleWorkspace[];
     routes?: ExampleRoute[];
     [field: string]: unknown;
@@ -49,9 +52,9 @@
 }
 
 export interface PreparedDocument {
-  /** YAML with one top-level field for each section. */
+  /** Text of the document's file. */
   readonly text: string;
-  readonly document: ExampleDocument;
+  readonly sections: ExampleSections;
   readonly teamKeys: ReadonlyMap<string, TeamKeyPair>;
   readonly workspaces: readonly PreparedWorkspace[];
 }
@@ -60,7 +63,7 @@
   /** File name in the folder `examples`. */
   template: string;
   /** Changes the document before it is written. */
-  edit?: (document: ExampleDocument) => void;
+  edit?: (sections: ExampleSections) => void;
 }
 
 const placeholder = /\$\{([a-zA-Z]+):([a-z0-9.-]+)\}/g;
@@ -99,15 +102,15 @@
     placeholder,
     (_, kind: string, name: string) => valueOf(kind, name),
   );
-  const document = parse(filled) as ExampleDocument;
-  document.platform.upstreams = plan.upstreams.map(describeUpstream);
-  Object.assign(document.platform.log, limitsOfLog(plan));
-  edit(document);
+  const { sections } = parse(filled) as { sections: ExampleSections };
+  sections.platform.upstreams = plan.upstreams.map(describeUpstream);
+  Object.assign(sections.platform.log, limitsOfLog(plan));
+  edit(sections);
   return {
-    text: stringify(document),
-    document,
+    text: stringify({ sections }),
+    sections,
     teamKeys,
-    workspaces: Object.values(document).flatMap((section) =>
+    workspaces: Object.values(sections).flatMap((section) =>
       (section.workspaces ?? []).map((workspace) => ({
         ...workspace,
         key: keys.get(workspace.id) ?? "",
--- a/packages/demo/published-fleet.ts
+++ b/packages/demo/published-fleet.ts
@@ -42,12 +42,12 @@
   });
   fleet.publisher.setTeamKeys(prepared.teamKeys);
   await fleet.publish(prepared.text);
-  const sections = Object.keys(prepared.document);
+  const names = Object.keys(prepared.sections);
   await waitForSections({
     metricsUrls: fleet.instances
       .filter(({ pid }) => pid !== undefined)
       .map(({ metricsUrl }) => metricsUrl),
-    versions: Object.fromEntries(sections.map((section) => [section, 1])),
+    versions: Object.fromEntries(names.map((section) => [section, 1])),
   });
   return prepared;
 }
