--- a/packages/common/enable-roarr.ts
+++ b/packages/common/enable-roarr.ts
@@ -1,6 +1,6 @@
 /**
- * Switches the logging library on. It reads this variable once, when it is loaded, and otherwise
- * discards all messages; so this module must be imported before it.
+ * Turns the log library on. It reads this variable of the environment once, when it is first
+ * imported, so this module has to be imported before it.
  */
 
 import process from "node:process";
