Test faults of instances and the log, and state not_run only when it is certain

Cause: items of a cancelled range whose start mark came after range-cancelled were reported with not_run true although their call had begun; aborted calls left no trace either. Ruled out: waiting for each start mark before the call, which costs one append per item; instead marks are flushed before the cancel, aborts that may have run are recorded, and a range whose owner was lost without a release never claims not_run. Ruled out: the reader's long poll as the sign of the end of a stream, since it answers an idle stream only after 500 ms; the follower now asks for the end at once.

--- a/packages/batch/constants.ts
+++ b/packages/batch/constants.ts
@@ -1,5 +1,10 @@
 /** Constants of files, partitions, jobs and item execution. */
 
+import type { Offset } from "../common/ids.ts";
+
+/** Beyond the end of any stream; a read from here reports only where a stream ends. */
+export const beyondEnd = 2 ** 40 as Offset;
+
 /** Line data of one chunk record; the rest of 256 KiB is left for offsets and envelope. */
 export const maximumChunkDataBytes = 240 * 1024;
 /** Lines of one chunk; keeps the list of offsets within the rest of the record. */
--- a/packages/batch/execution/executor.ts
+++ b/packages/batch/execution/executor.ts
@@ -146,7 +146,9 @@
   /** Aborts the calls of a cancelled range before its record is in the log. */
   cancel(job: RangeState["spec"]["job"], range: number): void {
     const run = this.#runs.get(rangeKey(job, range));
-    if (run) this.#voidRun(run);
+    if (!run) return;
+    this.#voidRun(run);
+    this.#recorder.flushStarted(run);
   }
 
   /** Called at intervals, for what depends on time and freshness. */
@@ -339,13 +341,13 @@
       case "void":
         break;
       case "returned":
-        this.#recorder.noteReturned(run, line);
+        this.#recorder.noteReturned(run, line, outcome.isNotRun);
         this.#makeReady(item, 0);
         break;
       case "intent-late":
         void outcome.recorded.then((isInEffect) => {
           if (!isInEffect) return;
-          this.#recorder.noteReturned(run, line);
+          this.#recorder.noteReturned(run, line, true);
           this.#makeReady(item, 0);
         });
         break;
@@ -382,7 +384,7 @@
       void this.#handleAttempt(item, failure);
       return;
     }
-    this.#recorder.noteReturned(item.run, item.line);
+    this.#recorder.noteReturned(item.run, item.line, true);
     this.#makeReady(item, backOff(item.refusals));
   }
 
--- a/packages/batch/execution/item-loader.ts
+++ b/packages/batch/execution/item-loader.ts
@@ -10,6 +10,7 @@
 import { Buffer } from "node:buffer";
 import { errorLine, type ItemFailure } from "./item-outcome.ts";
 import { planItem } from "./item-target.ts";
+import { mayHaveRun } from "../partition/state.ts";
 import { fileLine, isSuspect, type RangeRun } from "./range-run.ts";
 import type { ReadyItem } from "./ready-items.ts";
 
@@ -45,7 +46,7 @@
       return end(run, line, "", {
         code: "input_missing",
         message: "the line of the input file is no longer stored",
-        verdict: "not_run",
+        verdict: mayHaveRun(range, line) ? "unknown" : "not_run",
       });
     }
     const intent = range.intents.get(line);
@@ -70,7 +71,7 @@
       item,
     );
     if (plan.kind === "impossible") {
-      const verdict = attempts ? "unknown" : "not_run";
+      const verdict = mayHaveRun(range, line) ? "unknown" : "not_run";
       return end(run, line, item.custom_id, { ...plan, verdict });
     }
     if (!options.isSuspect && isSuspect(run, line)) return { kind: "suspect" };
--- a/packages/batch/execution/item-recorder.ts
+++ b/packages/batch/execution/item-recorder.ts
@@ -49,12 +49,17 @@
       return;
     }
     this.#started.set(run, [line]);
-    setImmediate(() => this.#flushStarted(run));
+    setImmediate(() => this.flushStarted(run));
   }
 
-  noteReturned(run: RangeRun, line: number): void {
-    this.#flushStarted(run);
-    run.owner.note({ kind: "item-returned", ...idOf(run), lines: [line] });
+  noteReturned(run: RangeRun, line: number, isNotRun: boolean): void {
+    this.flushStarted(run);
+    run.owner.note({
+      kind: "item-returned",
+      ...idOf(run),
+      lines: [line],
+      isNotRun,
+    });
   }
 
   /** False if the epoch ended before the attempt was in effect. */
@@ -132,7 +137,8 @@
     }
   }
 
-  #flushStarted(run: RangeRun): void {
+  /** Appends the marks of started items now, before an entry that makes them void. */
+  flushStarted(run: RangeRun): void {
     const lines = this.#started.get(run);
     if (!lines) return;
     this.#started.delete(run);
--- a/packages/batch/execution/item-runner.ts
+++ b/packages/batch/execution/item-runner.ts
@@ -6,6 +6,7 @@
 
 import { randomUUID } from "node:crypto";
 import type { BatchGrant } from "../../capacity/capacity.ts";
+import { UpstreamError } from "../../common/errors.ts";
 import { brandAs, type RequestId } from "../../common/ids.ts";
 import type { ControlView } from "../../control/control-state.ts";
 import type { RunBatchItem } from "../../routing/upstream-caller.ts";
@@ -23,7 +24,7 @@
 export type RunOutcome =
   | (CallOutcome & { readonly requestId: RequestId })
   /** The item goes back without an attempt. */
-  | { readonly kind: "returned" }
+  | { readonly kind: "returned"; readonly isNotRun: boolean }
   /** The item goes back once its late intent is in the log. */
   | { readonly kind: "intent-late"; readonly recorded: Promise<boolean> }
   /** The result does not count any more. */
@@ -55,7 +56,10 @@
     // Checked in the same turn as the call, because the instance may have been paused.
     const mayStart = this.#options.control.isFresh() && !isOver(run) &&
       !grant.revoked.aborted;
-    return mayStart ? await this.#call(item, grant) : { kind: "returned" };
+    return mayStart ? await this.#call(item, grant) : {
+      kind: "returned",
+      isNotRun: true,
+    };
   }
 
   async #call(item: ReadyItem, grant: BatchGrant): Promise<RunOutcome> {
@@ -85,7 +89,10 @@
       outcome = classifyAnswer(answer, { isRepeatable, requestId });
     } catch (error) {
       if (abort.signal.aborted) {
-        return { kind: run.void.signal.aborted ? "void" : "returned" };
+        if (run.void.signal.aborted) return { kind: "void" };
+        const isNotRun = error instanceof UpstreamError &&
+          error.verdict === "not_run";
+        return { kind: "returned", isNotRun };
       }
       outcome = classifyError(error, { isRepeatable, requestId });
     } finally {
--- a/packages/batch/files/file-store.ts
+++ b/packages/batch/files/file-store.ts
@@ -7,7 +7,7 @@
 import { RosemaryrudderError } from "../../common/errors.ts";
 import type { FileId, Offset } from "../../common/ids.ts";
 import type { LogClient, StoredRecord } from "../../log/log-client.ts";
-import { maximumCachedChunks } from "../constants.ts";
+import { beyondEnd, maximumCachedChunks } from "../constants.ts";
 import {
   decodeFileRecord,
   type FileChunk,
@@ -15,8 +15,6 @@
   fileStream,
 } from "./file-records.ts";
 
-/** Beyond the end of any stream; a read from here reports only where a stream ends. */
-const beyondEnd = 2 ** 40 as Offset;
 const maximumCachedCompletions = 256;
 
 export class FileMissingError extends RosemaryrudderError {
--- a/packages/batch/jobs/range-handler.ts
+++ b/packages/batch/jobs/range-handler.ts
@@ -11,7 +11,9 @@
 import type { PartitionOwner } from "../partition/owner.ts";
 import type { PartitionSet } from "../partition/partition-set.ts";
 import {
+  isDone,
   isRangeFinished,
+  mayHaveRun,
   rangeKey,
   rangeSpecOf,
   type RangeState,
@@ -140,11 +142,7 @@
     if (!owner) return notOwner;
     const state = owner.state.ranges.get(rangeKey(job, range));
     if (!state) return { kind: "unknown-range" };
-    const mayHaveRun = new Set([
-      ...state.started.keys(),
-      ...state.attempts.keys(),
-      ...state.intents.keys(),
-    ]);
+    const lines = Array.from({ length: state.spec.lines }, (_, line) => line);
     return {
       kind: "index",
       records: state.index.map(({ offset, hasCopies }) => ({
@@ -152,7 +150,11 @@
         hasCopies,
       })),
       isCancelled: state.isCancelled,
-      mayHaveRun: state.isCancelled ? [...mayHaveRun] : [],
+      mayHaveRun: state.isCancelled
+        ? lines.filter((line) =>
+          !isDone(state, line) && mayHaveRun(state, line)
+        )
+        : [],
     };
   }
 }
--- a/packages/batch/partition/checkpoint.ts
+++ b/packages/batch/partition/checkpoint.ts
@@ -13,10 +13,12 @@
 import { type EntryOf, entrySchema } from "./entries.ts";
 import type { JobState, PartitionState, RangeState } from "./state.ts";
 
-interface StoredRange extends Omit<RangeState, "done" | "started" | "index"> {
+interface StoredRange
+  extends Omit<RangeState, "done" | "started" | "aborted" | "index"> {
   /** Bits from the byte of the watermark on; all lines before it are done. */
   done: Uint8Array;
   started: Map<number, Offset>;
+  aborted: number[];
   index: [number, number, boolean][];
 }
 
@@ -35,6 +37,7 @@
       started: [...range.started],
       attempts: [...range.attempts],
       intents: [...range.intents],
+      aborted: [...range.aborted],
       index: range.index.map((record) => [
         record.offset,
         record.time,
@@ -80,6 +83,7 @@
     started: new Map(range.started),
     attempts: new Map(range.attempts),
     intents: new Map(range.intents),
+    aborted: new Set(range.aborted),
     index: range.index.map(([offset, time, hasCopies]) => ({
       offset: offset as Offset,
       time,
--- a/packages/batch/partition/entries.ts
+++ b/packages/batch/partition/entries.ts
@@ -100,6 +100,8 @@
     kind: z.literal("item-returned"),
     ...ofRange,
     lines: z.array(count),
+    /** False if an aborted call may have run. */
+    isNotRun: z.boolean(),
   }),
   z.object({
     kind: z.literal("item-attempted"),
--- a/packages/batch/partition/follower.ts
+++ b/packages/batch/partition/follower.ts
@@ -8,7 +8,8 @@
 import type { Logger } from "../../common/logging.ts";
 import type { LogClient, StoredRecord } from "../../log/log-client.ts";
 import { StreamReader } from "../../log/stream-reader.ts";
-import { missingCheckpointMilliseconds } from "../constants.ts";
+import { LogUnavailableError } from "../../common/errors.ts";
+import { beyondEnd, missingCheckpointMilliseconds } from "../constants.ts";
 import { CheckpointCollector, decodeState } from "./checkpoint.ts";
 import type { PartitionEntry } from "./entries.ts";
 import { applyRecord } from "./reducer.ts";
@@ -21,6 +22,10 @@
   logger: Logger;
   /** Called after each record with the entries that took effect. */
   onApplied: (entries: readonly PartitionEntry[], stored: StoredRecord) => void;
+  /** Called once, when everything has been read that was stored at the start. */
+  onCaughtUp?: () => void;
+  /** Records were dropped before they could be read; the state will be replaced. */
+  onGap?: () => void;
 }
 
 /** Records that wait for a checkpoint, because older ones are gone. */
@@ -39,6 +44,8 @@
   #state: PartitionState = createPartitionState();
   #buffering: Buffering | undefined;
   #hasSeenEnd = false;
+  /** End of the stream when the follower was started. */
+  #endAtStart: Offset | undefined;
   #isStopped = false;
   /** Time in the log of the last complete checkpoint, and records since then. */
   lastCheckpointAt: number | undefined;
@@ -55,7 +62,7 @@
       logger: options.logger,
       onRecord: (record) => this.#accept(record),
       onGap: (start) => this.#handleGap(start),
-      onEndSeen: () => this.#handleEnd(),
+      onEndSeen: (end) => this.#handleEnd(end),
     });
   }
 
@@ -65,11 +72,12 @@
 
   /** Whether the end of the stream was reached with a complete state. */
   get hasSeenEnd(): boolean {
-    return this.#hasSeenEnd && !this.#buffering;
+    return this.#hasSeenEnd;
   }
 
   start(): void {
     this.#reader.start();
+    void this.#findEnd();
   }
 
   stop(): void {
@@ -87,10 +95,33 @@
     return new Promise((settle) => this.#waiting.push({ offset, settle }));
   }
 
+  /** Asks for the end at once, because a long poll at the end answers only after its time. */
+  async #findEnd(): Promise<void> {
+    const { client, stream } = this.#options;
+    try {
+      const from = beyondEnd;
+      const { end } = await client.read(stream, { from, waitMilliseconds: 0 });
+      this.#endAtStart = end;
+      this.#checkCaughtUp();
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError)) throw error;
+      // The reader's own long poll will tell.
+    }
+  }
+
+  #checkCaughtUp(): void {
+    const end = this.#endAtStart;
+    if (this.#hasSeenEnd || this.#buffering || this.#isStopped) return;
+    if (end === undefined || this.#state.appliedOffset < end - 1) return;
+    this.#hasSeenEnd = true;
+    this.#options.onCaughtUp?.();
+  }
+
   #accept(record: StoredRecord): void {
     if (this.#isStopped) return;
     if (this.#buffering) this.#buffer(this.#buffering, record);
     else this.#apply(record);
+    this.#checkCaughtUp();
   }
 
   #apply(record: StoredRecord): void {
@@ -120,6 +151,7 @@
       records: [],
       endSeenAt: undefined,
     };
+    this.#options.onGap?.();
   }
 
   #buffer(buffering: Buffering, record: StoredRecord): void {
@@ -138,10 +170,13 @@
     }
   }
 
-  #handleEnd(): void {
-    this.#hasSeenEnd = true;
+  #handleEnd(end: Offset): void {
     const buffering = this.#buffering;
-    if (!buffering) return;
+    if (!buffering) {
+      this.#endAtStart ??= end;
+      this.#checkCaughtUp();
+      return;
+    }
     const now = this.#options.clock.monotonicNow();
     buffering.endSeenAt ??= now;
     if (now - buffering.endSeenAt < missingCheckpointMilliseconds) return;
@@ -152,5 +187,6 @@
     const state = createPartitionState();
     state.appliedOffset = buffering.firstOffset - 1 as Offset;
     this.#restore(buffering, state);
+    this.#checkCaughtUp();
   }
 }
--- a/packages/batch/partition/owner.ts
+++ b/packages/batch/partition/owner.ts
@@ -88,6 +88,9 @@
       clock: options.clock,
       logger: options.logger,
       onApplied: (entries) => this.#handleEntries(entries),
+      onCaughtUp: () => this.maintain(),
+      // Work in this epoch relies on the state that is about to be replaced.
+      onGap: () => this.#phase === "following" || this.stop(),
     });
   }
 
@@ -253,6 +256,8 @@
       } else if (entries.length > 0) {
         this.#options.onEntries(this, entries);
       }
+    } else if (entries.some(({ kind }) => kind === "epoch-released")) {
+      this.maintain();
     }
   }
 
--- a/packages/batch/partition/range-reducer.ts
+++ b/packages/batch/partition/range-reducer.ts
@@ -23,6 +23,8 @@
     started: new Map(),
     attempts: new Map(),
     intents: new Map(),
+    aborted: new Set(),
+    hasLostOwner: false,
     index: [],
   };
 }
@@ -44,6 +46,7 @@
       for (const line of entry.lines) {
         range.started.delete(line);
         range.intents.delete(line);
+        if (!entry.isNotRun && isOpen(range, line)) range.aborted.add(line);
       }
       return true;
     case "item-attempted":
@@ -109,6 +112,7 @@
   range.started.delete(line);
   range.attempts.delete(line);
   range.intents.delete(line);
+  range.aborted.delete(line);
   addToIndex(range, stored, false);
   return true;
 }
--- a/packages/batch/partition/reducer.test.ts
+++ b/packages/batch/partition/reducer.test.ts
@@ -70,6 +70,7 @@
   }),
   fc.record({
     kind: fc.constantFrom("item-started", "item-returned"),
+    isNotRun: fc.boolean(),
     job: fc.constant("job"),
     range: anyRange,
     lines: fc.array(anyLine, { maxLength: 4 }),
@@ -202,6 +203,10 @@
     for (const entry of record.entries as Record<string, never>[]) {
       if (entry.kind === "epoch-opened") {
         if (epoch && entry.controlOffset! < epoch.control) continue;
+        for (const range of epoch && !isReleased ? ranges.values() : []) {
+          const isFinished = range.cancelled || range.outcomes.size === lines;
+          range.hasLostOwner ||= !isFinished;
+        }
         epoch = {
           offset,
           control: entry.controlOffset!,
@@ -226,6 +231,8 @@
   started: Set<number>;
   attempts: Map<number, number>;
   intents: Set<number>;
+  aborted: Set<number>;
+  hasLostOwner: boolean;
   offsets: Set<number>;
 }
 
@@ -256,6 +263,8 @@
       started: new Set(),
       attempts: new Map(),
       intents: new Set(),
+      aborted: new Set(),
+      hasLostOwner: false,
       offsets: new Set(),
     });
   } else if (kind === "range-removed") {
@@ -273,6 +282,8 @@
     for (const each of entry.lines) {
       range.started.delete(each);
       range.intents.delete(each);
+      const isUnfinished = each < lines && !range.outcomes.has(each);
+      if (!entry.isNotRun && isUnfinished) range.aborted.add(each);
     }
   }
   if (kind === "item-intent" && isOpen(line)) range.intents.add(line);
@@ -290,6 +301,7 @@
       range.started.delete(line);
       range.attempts.delete(line);
       range.intents.delete(line);
+      range.aborted.delete(line);
     }
   }
 }
@@ -326,6 +338,8 @@
     assert.equal(range.isCancelled, naiveRange.cancelled);
     assert.deepEqual(new Set(range.started.keys()), naiveRange.started);
     assert.deepEqual(new Set(range.intents.keys()), naiveRange.intents);
+    assert.deepEqual(range.aborted, naiveRange.aborted);
+    assert.equal(range.hasLostOwner, naiveRange.hasLostOwner);
     assert.deepEqual(
       [...range.attempts].map(([line, { count }]) => [line, count]),
       [...naiveRange.attempts],
--- a/packages/batch/partition/reducer.ts
+++ b/packages/batch/partition/reducer.ts
@@ -15,7 +15,12 @@
   type RangeEntry,
 } from "./entries.ts";
 import { applyRangeEntry, createRange } from "./range-reducer.ts";
-import { type PartitionState, rangeCount, rangeKey } from "./state.ts";
+import {
+  isRangeFinished,
+  type PartitionState,
+  rangeCount,
+  rangeKey,
+} from "./state.ts";
 
 /** Applies one record and returns the entries that took part, for observers. */
 export function applyRecord(
@@ -91,6 +96,11 @@
 ): boolean {
   const current = state.epoch;
   if (current && entry.controlOffset < current.controlOffset) return false;
+  if (current && !current.isReleased) {
+    for (const range of state.ranges.values()) {
+      if (!isRangeFinished(range)) range.hasLostOwner = true;
+    }
+  }
   state.epoch = {
     offset,
     owner: entry.owner,
--- a/packages/batch/partition/state.ts
+++ b/packages/batch/partition/state.ts
@@ -64,6 +64,10 @@
   readonly started: Map<number, Offset>;
   readonly attempts: Map<number, ItemAttempts>;
   readonly intents: Map<number, Offset>;
+  /** Lines without an outcome whose call was aborted and may have run. */
+  readonly aborted: Set<number>;
+  /** An owner was lost without a release; calls that it began may have left no mark. */
+  hasLostOwner: boolean;
   /** Records that hold visible completions of this range, by ascending offset. */
   index: IndexedRecord[];
 }
@@ -119,6 +123,13 @@
   return range.isCancelled || range.watermark >= range.spec.lines;
 }
 
+/** Whether the call of a line without an outcome may have run. */
+export function mayHaveRun(range: RangeState, line: number): boolean {
+  return range.hasLostOwner || range.aborted.has(line) ||
+    range.started.has(line) || range.attempts.has(line) ||
+    range.intents.has(line);
+}
+
 /** Whether a line, counted from the start of the range, has its outcome. */
 export function isDone(range: RangeState, line: number): boolean {
   return ((range.done[line >> 3] ?? 0) & (1 << (line & 7))) !== 0;
--- a/packages/batch/testing/fake-log.ts
+++ b/packages/batch/testing/fake-log.ts
@@ -20,8 +20,8 @@
 export class FakeLog {
   readonly #streams = new Map<string, FakeStream>();
   isDown = false;
-  /** The next appends take effect, but their answers are lost. */
-  lostAnswers = 0;
+  /** Every third append takes effect, but its answer is lost. */
+  losesEveryThirdAnswer = false;
   appendMilliseconds = 0;
   appends = 0;
   bytes = 0;
@@ -85,8 +85,7 @@
     this.appends++;
     this.bytes += data.length;
     for (const wake of [...stream.wake]) wake();
-    if (this.lostAnswers > 0) {
-      this.lostAnswers--;
+    if (this.losesEveryThirdAnswer && this.appends % 3 === 0) {
       throw new LogUnavailableError("the answer was lost", {
         mayHaveTakenEffect: true,
       });
