Report how long the answers to batch items take

Cause: the metrics have a class for batch items that nothing could fill. Ruled out: a second clock in the batch package; only the runner sees the first byte of an answer. Conclusion: createBatchItemRunner has onTiming; the instance wires it to the metrics once BatchItemCall carries the workspace.

--- a/packages/routing/batch-item-runner.ts
+++ b/packages/routing/batch-item-runner.ts
@@ -1,6 +1,7 @@
 /** Runs one attempt at one batch item and collects its complete answer. */
 
 import { Buffer } from "node:buffer";
+import { type Clock, systemClock } from "../common/clock.ts";
 import { UpstreamError } from "../common/errors.ts";
 import type { ControlView } from "../control/control-state.ts";
 import { chatPath, maximumWholeAnswerBytes } from "./constants.ts";
@@ -19,15 +20,28 @@
   control: ControlView;
   health?: UpstreamHealth;
   maximumAnswerBytes?: number;
+  clock?: Clock;
+  /** Told how long each complete answer took, for metrics. */
+  onTiming?: (timing: BatchItemTiming) => void;
+}
+
+export interface BatchItemTiming {
+  readonly call: BatchItemCall;
+  /** From the start of the call to the first byte of the answer's body. */
+  readonly firstByteMilliseconds: number;
+  readonly totalMilliseconds: number;
 }
 
 export function createBatchItemRunner(
   options: BatchItemRunnerOptions,
 ): RunBatchItem {
-  const { caller, control, health } = options;
+  const { caller, control, health, onTiming, clock = systemClock } = options;
   const limit = options.maximumAnswerBytes ?? maximumWholeAnswerBytes;
   return async (call) => {
     health?.recordStart(call.upstream);
+    const startedAt = clock.monotonicNow();
+    const elapsed = () => clock.monotonicNow() - startedAt;
+    let firstByteMilliseconds: number | undefined;
     try {
       const answer = await caller.call({
         upstream: call.upstream,
@@ -41,10 +55,19 @@
         requestId: call.requestId,
         isRepeatable: call.isRepeatable,
         signal: call.signal,
+        checkBeforeSend: call.checkBeforeSend,
+      });
+      const collected = await collect(answer, limit, () => {
+        firstByteMilliseconds ??= elapsed();
       });
-      const body = await collect(answer, limit);
       health?.recordSuccess(call.upstream);
-      return body;
+      const totalMilliseconds = elapsed();
+      onTiming?.({
+        call,
+        firstByteMilliseconds: firstByteMilliseconds ?? totalMilliseconds,
+        totalMilliseconds,
+      });
+      return collected;
     } catch (error) {
       if (error instanceof UpstreamError) {
         health?.recordFailure(call.upstream, error);
@@ -86,10 +109,12 @@
 async function collect(
   answer: UpstreamAnswer,
   limit: number,
+  onChunk: () => void,
 ): Promise<BatchItemAnswer> {
   const chunks: Uint8Array[] = [];
   let bytes = 0;
   for await (const chunk of answer.body) {
+    onChunk();
     bytes += chunk.byteLength;
     if (bytes > limit) {
       throw new UpstreamError(
--- a/packages/routing/upstream-caller.ts
+++ b/packages/routing/upstream-caller.ts
@@ -75,6 +75,8 @@
 /** One batch item as it is sent to the upstream that its grant names. */
 export interface BatchItemCall {
   readonly job: JobId;
+  /** For metrics, where it is known. */
+  readonly workspace?: WorkspaceId | undefined;
   readonly file: FileId;
   readonly line: number;
   readonly upstream: UpstreamName;
@@ -85,6 +87,8 @@
   readonly requestId: RequestId;
   readonly isRepeatable: boolean;
   readonly signal: AbortSignal;
+  /** Called in the turn in which the request is written; see UpstreamRequest. */
+  readonly checkBeforeSend?: (() => void) | undefined;
 }
 
 /** A complete answer of an upstream to a batch item. */
--- a/packages/routing/upstream-directory.test.ts
+++ b/packages/routing/upstream-directory.test.ts
@@ -195,11 +195,13 @@
 
 test("batch items are never streamed, and route items lose their prefix", async () => {
   const calls: UpstreamRequest[] = [];
+  const timed: string[] = [];
   const run = createBatchItemRunner({
     control: new FakeControl([], [
       { pathPrefix: "/scale", stripPrefix: true },
     ]).view,
     maximumAnswerBytes: 10,
+    onTiming: ({ call }) => timed.push(call.path),
     caller: {
       call(request) {
         calls.push(request);
@@ -234,6 +236,7 @@
   }
   await item("/scale/lots?a=1");
   assert.equal(calls.at(-1)?.path, "/lots?a=1");
+  assert.deepEqual(timed, [chat, chat, "/scale/lots?a=1"]);
   await assert.rejects(item("/scale/big"), { verdict: "ran" });
   await assert.rejects(item("/none"), { verdict: "not_run" });
 });
