Let slow requests finish while draining and prefer engines with free capacity

Cause: draining closed a connection on which part of a request's head had arrived; a request could wait in an engine's queue although engines outside its four candidates were free. Ruled out: choosing the least loaded of all engines, which would be the same one for every instance while load reports lag.

--- a/packages/http/constants.ts
+++ b/packages/http/constants.ts
@@ -3,6 +3,8 @@
 export const maximumJsonBytes = 4 * 1024 * 1024;
 export const maximumRouteBodyBytes = 8 * 1024 * 1024;
 export const maximumFileBytes = 512 * 1024 * 1024;
+/** Fields and separators of a form, beside its file. */
+export const maximumFormBytes = 64 * 1024;
 /** Above the usual 60 s of balancers, so that the balancer closes idle connections first. */
 export const keepAliveMilliseconds = 65_000;
 /** Time for the whole of a request to arrive; an upload of the largest file needs minutes. */
--- a/packages/http/draining.test.ts
+++ b/packages/http/draining.test.ts
@@ -56,6 +56,23 @@
   await Promise.all([whenIdle, once(idle, "close")]);
 });
 
+test("a request whose head arrives slowly while draining is answered", async (context) => {
+  const fixture = await Fixture.start(context);
+  const socket = connect(Number(new URL(fixture.url).port), "127.0.0.1");
+  await once(socket, "connect");
+  const head =
+    `GET /v1/models HTTP/1.1\r\nauthorization: Bearer ${key}\r\n\r\n`;
+  socket.write(head.slice(0, 40));
+  await fixture.server.stopAccepting();
+  await new Promise((resolve) => setTimeout(resolve, 1_200));
+  let text = "";
+  socket.on("data", (data) => text += data);
+  socket.write(head.slice(40));
+  await once(socket, "close");
+  assert.match(text, /200 OK/);
+  await fixture.server.whenIdle();
+});
+
 test("a keep-alive connection that just became idle is not closed at once", async (context) => {
   const fixture = await Fixture.start(context);
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
--- a/packages/http/files/file-upload.ts
+++ b/packages/http/files/file-upload.ts
@@ -13,6 +13,7 @@
   missingField,
 } from "../errors/error-answer.ts";
 import { incompleteBody } from "../bodies/read-body.ts";
+import { maximumFormBytes } from "../constants.ts";
 
 export interface UploadedFile {
   readonly filename: string;
@@ -50,6 +51,10 @@
 
   /** Reads up to the file; its content is to be read to the end. */
   start(): Promise<UploadedFile> {
+    const announced = Number(this.#request.headers["content-length"] ?? 0);
+    if (announced > this.#limit + maximumFormBytes) {
+      return Promise.reject(bodyTooLarge(this.#limit));
+    }
     const form = this.#createParser();
     return new Promise((resolve, reject) => {
       form.on("field", (name, value) => {
--- a/packages/http/server/caller-server.ts
+++ b/packages/http/server/caller-server.ts
@@ -108,6 +108,8 @@
         keepAliveTimeout: keepAliveMilliseconds,
         headersTimeout: headersTimeoutMilliseconds,
         requestTimeout: requestTimeoutMilliseconds,
+        // Nothing depends on the host, and Node's own refusal has no body.
+        requireHostHeader: false,
       },
       toNodeHandler(this.#createApp()),
     );
--- a/packages/http/server/connections.ts
+++ b/packages/http/server/connections.ts
@@ -6,11 +6,17 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "../../common/clock.ts";
-import { drainIdleMilliseconds, drainSweepMilliseconds } from "../constants.ts";
+import {
+  drainIdleMilliseconds,
+  drainSweepMilliseconds,
+  headersTimeoutMilliseconds,
+} from "../constants.ts";
 
 interface ConnectionState {
   activeRequests: number;
   idleSince: number;
+  /** Bytes that had arrived when the connection became idle. */
+  bytesRead: number;
 }
 
 export class Connections {
@@ -44,6 +50,7 @@
       if (state) {
         state.activeRequests -= 1;
         state.idleSince = this.#clock.monotonicNow();
+        state.bytesRead = request.socket.bytesRead;
       }
       this.#wakeIfIdle();
     });
@@ -80,6 +87,7 @@
     this.#states.set(socket, {
       activeRequests: 0,
       idleSince: this.#clock.monotonicNow(),
+      bytesRead: 0,
     });
     socket.once("close", () => {
       this.#states.delete(socket);
@@ -88,9 +96,13 @@
   }
 
   #sweep(): void {
-    const limit = this.#clock.monotonicNow() - drainIdleMilliseconds;
+    const now = this.#clock.monotonicNow();
     for (const [socket, state] of this.#states) {
-      if (state.activeRequests === 0 && state.idleSince <= limit) {
+      if (state.activeRequests > 0) continue;
+      // Part of a request's head has arrived; Node ends a head that takes too long.
+      const isArriving = socket.bytesRead > state.bytesRead &&
+        now - state.idleSince < headersTimeoutMilliseconds;
+      if (!isArriving && now - state.idleSince >= drainIdleMilliseconds) {
         socket.destroySoon();
       }
     }
--- a/packages/routing/candidates.test.ts
+++ b/packages/routing/candidates.test.ts
@@ -34,6 +34,21 @@
   }
 });
 
+test("a request waits in no queue while any engine has free capacity", () => {
+  const loads = Object.fromEntries(ranked.map((name) => [name, 1]));
+  for (let seed = 0; seed < 20; seed++) {
+    const free = { ...loads, e17: 0.9, e18: 0.5 };
+    assert.match(chooseEngine(choose(free, { seed })) ?? "", /e17|e18/);
+    const full = { ...loads, e1: 3, e0: 2 };
+    assert.equal(
+      (full as Record<string, number>)[
+        chooseEngine(choose(full, { seed })) ?? ""
+      ],
+      1,
+    );
+  }
+});
+
 test("candidates are the best ranked available ones and two different random ones", () => {
   for (let seed = 0; seed < 50; seed++) {
     const names = selectCandidates(choose({}, { seed, excluded: ["e0"] }))
--- a/packages/routing/candidates.ts
+++ b/packages/routing/candidates.ts
@@ -41,19 +41,29 @@
   return candidates;
 }
 
-/** The candidate with the lowest load after the bonus; the better rank wins a tie. */
+/**
+ * The candidate with the lowest load after the bonus; the better rank wins a tie. If every
+ * candidate is full, a random engine with free capacity is better than waiting in a queue; a
+ * random one, because the least loaded would be the same for all instances.
+ */
 export function chooseEngine<Name extends string>(
   options: CandidateOptions<Name>,
 ): Name | undefined {
   let best: Name | undefined;
   let bestScore = Infinity;
+  let isEveryOneFull = true;
   for (const { name, hasAffinity } of selectCandidates(options)) {
     const load = options.loadOf(name);
+    if (load < 1) isEveryOneFull = false;
     const score = hasAffinity && load < 1 ? load - affinityBonus : load;
     if (score < bestScore) {
       best = name;
       bestScore = score;
     }
   }
-  return best;
+  if (best === undefined || !isEveryOneFull) return best;
+  const free = options.ranked.filter((name) =>
+    options.isAvailable(name) && options.loadOf(name) < 1
+  );
+  return options.random.pick(free) ?? best;
 }
