Write the example documents in the form that the operators' tool publishes

Cause: the launcher wrote one top-level field for each section, and the tool expects them below 'sections' with the version that was edited, so every publish of the demo would have been refused. Ruled out: accepting both forms; a section without a version could only overwrite what others did.

--- a/packages/demo/example-documents.ts
+++ b/packages/demo/example-documents.ts
@@ -49,7 +49,7 @@
 }
 
 export interface PreparedDocument {
-  /** YAML with one top-level field for each section. */
+  /** YAML in the form that the operators' tool publishes, each section as a new one. */
   readonly text: string;
   readonly document: ExampleDocument;
   readonly teamKeys: ReadonlyMap<string, TeamKeyPair>;
@@ -104,7 +104,13 @@
   Object.assign(document.platform.log, limitsOfLog(plan));
   edit(document);
   return {
-    text: stringify(document),
+    text: stringify({
+      sections: Object.fromEntries(
+        Object.entries(document).map((
+          [name, body],
+        ) => [name, { version: 0, ...body }]),
+      ),
+    }),
     document,
     teamKeys,
     workspaces: Object.values(document).flatMap((section) =>
