--- a/packages/demo/example-documents.ts
+++ b/packages/demo/example-documents.ts
@@ -11,18 +11,15 @@
 import { createTeamKeyPair, type TeamKeyPair } from "../control/signing.ts";
 import type { FleetPlan } from "./fleet-plan.ts";
 
-/** The sections of a document, with the parts that the launcher and tests work with. */
-export interface ExampleSections {
+/** The parts of a document that the launcher and tests work with. */
+export interface ExampleDocument {
   platform: {
-    version: number;
     log: Record<string, unknown>;
     teams: { name: string; publicKey: string; sections: string[] }[];
     upstreams: Record<string, unknown>[];
     [field: string]: unknown;
   };
   [section: string]: {
-    /** Version that was edited. */
-    version: number;
     workspaces?: ExampleWorkspace[];
     routes?: ExampleRoute[];
     [field: string]: unknown;
@@ -52,9 +49,9 @@
 }
 
 export interface PreparedDocument {
-  /** Text of the document's file. */
+  /** YAML in the form that the operators' tool publishes, each section as a new one. */
   readonly text: string;
-  readonly sections: ExampleSections;
+  readonly document: ExampleDocument;
   readonly teamKeys: ReadonlyMap<string, TeamKeyPair>;
   readonly workspaces: readonly PreparedWorkspace[];
 }
@@ -63,7 +60,7 @@
   /** File name in the folder `examples`. */
   template: string;
   /** Changes the document before it is written. */
-  edit?: (sections: ExampleSections) => void;
+  edit?: (document: ExampleDocument) => void;
 }
 
 const placeholder = /\$\{([a-zA-Z]+):([a-z0-9.-]+)\}/g;
@@ -102,15 +99,21 @@
     placeholder,
     (_, kind: string, name: string) => valueOf(kind, name),
   );
-  const { sections } = parse(filled) as { sections: ExampleSections };
-  sections.platform.upstreams = plan.upstreams.map(describeUpstream);
-  Object.assign(sections.platform.log, limitsOfLog(plan));
-  edit(sections);
+  const document = parse(filled) as ExampleDocument;
+  document.platform.upstreams = plan.upstreams.map(describeUpstream);
+  Object.assign(document.platform.log, limitsOfLog(plan));
+  edit(document);
   return {
-    text: stringify({ sections }),
-    sections,
+    text: stringify({
+      sections: Object.fromEntries(
+        Object.entries(document).map((
+          [name, body],
+        ) => [name, { version: 0, ...body }]),
+      ),
+    }),
+    document,
     teamKeys,
-    workspaces: Object.values(sections).flatMap((section) =>
+    workspaces: Object.values(document).flatMap((section) =>
       (section.workspaces ?? []).map((workspace) => ({
         ...workspace,
         key: keys.get(workspace.id) ?? "",
