Keep the prepared document as plain sections

Cause: integration tests publish the sections of a prepared document themselves, and the schema of a section does not know the version that the operators' file carries. Ruled out: the version inside each prepared section, because every user would have to remove it. Conclusion: PreparedDocument.document holds sections without versions; its text has them.

--- a/packages/demo/example-documents.ts
+++ b/packages/demo/example-documents.ts
@@ -11,18 +11,15 @@
 import { createTeamKeyPair, type TeamKeyPair } from "../control/signing.ts";
 import type { FleetPlan } from "./fleet-plan.ts";
 
-/** The sections of a document, with the parts that the launcher and tests work with. */
-export interface ExampleSections {
+/** The sections of a document without their versions. */
+export interface ExampleDocument {
   platform: {
-    version: number;
     log: Record<string, unknown>;
     teams: { name: string; publicKey: string; sections: string[] }[];
     upstreams: Record<string, unknown>[];
     [field: string]: unknown;
   };
   [section: string]: {
-    /** Version that was edited. */
-    version: number;
     workspaces?: ExampleWorkspace[];
     routes?: ExampleRoute[];
     [field: string]: unknown;
@@ -54,7 +51,7 @@
 export interface PreparedDocument {
   /** Text of the document's file. */
   readonly text: string;
-  readonly sections: ExampleSections;
+  readonly document: ExampleDocument;
   readonly teamKeys: ReadonlyMap<string, TeamKeyPair>;
   readonly workspaces: readonly PreparedWorkspace[];
 }
@@ -63,7 +60,7 @@
   /** File name in the folder `examples`. */
   template: string;
   /** Changes the document before it is written. */
-  edit?: (sections: ExampleSections) => void;
+  edit?: (sections: ExampleDocument) => void;
 }
 
 const placeholder = /\$\{([a-zA-Z]+):([a-z0-9.-]+)\}/g;
@@ -102,15 +99,18 @@
     placeholder,
     (_, kind: string, name: string) => valueOf(kind, name),
   );
-  const { sections } = parse(filled) as { sections: ExampleSections };
-  sections.platform.upstreams = plan.upstreams.map(describeUpstream);
-  Object.assign(sections.platform.log, limitsOfLog(plan));
-  edit(sections);
+  const { sections } = parse(filled) as ExampleFile;
+  const document = mapValues(sections, ({ version: _, ...body }) => body);
+  document.platform.upstreams = plan.upstreams.map(describeUpstream);
+  Object.assign(document.platform.log, limitsOfLog(plan));
+  edit(document);
+  // Every section is new in a fleet that has just started.
+  const newSections = mapValues(document, (body) => ({ version: 0, ...body }));
   return {
-    text: stringify({ sections }),
-    sections,
+    text: stringify({ sections: newSections }),
+    document,
     teamKeys,
-    workspaces: Object.values(sections).flatMap((section) =>
+    workspaces: Object.values(document).flatMap((section) =>
       (section.workspaces ?? []).map((workspace) => ({
         ...workspace,
         key: keys.get(workspace.id) ?? "",
@@ -119,6 +119,19 @@
   };
 }
 
+interface ExampleFile {
+  sections: Record<string, Record<string, unknown>>;
+}
+
+function mapValues<Value extends object>(
+  values: Record<string, Value>,
+  change: (value: Value) => object,
+): ExampleDocument {
+  return Object.fromEntries(
+    Object.entries(values).map(([name, value]) => [name, change(value)]),
+  ) as ExampleDocument;
+}
+
 function describeUpstream(upstream: FleetPlan["upstreams"][number]) {
   const { id, kind, address, models, concurrency, checksFencing } = upstream;
   const common = { name: id, kind, address, concurrency };
--- a/packages/demo/fleet.test.ts
+++ b/packages/demo/fleet.test.ts
@@ -116,23 +116,19 @@
     const deployment = deployments[name];
     assert.ok(deployment);
     const plan = planFleet(deployment, () => port++);
-    const { sections, text, workspaces, teamKeys } = prepareDocument(plan, {
+    const { document, text, workspaces, teamKeys } = prepareDocument(plan, {
       template: deployment.document,
     });
-    assert.equal(sections.platform.upstreams.length, plan.upstreams.length);
+    assert.equal(document.platform.upstreams.length, plan.upstreams.length);
     assert.equal(workspaces.length, 8);
     assert.ok(!text.includes("${"));
     assert.ok(workspaces.every(({ key }) => key !== "" && !text.includes(key)));
-    assert.equal(teamKeys.size, sections.platform.teams.length);
-    const values = Object.entries(sections).reduce(
-      (values, [name, section]) => {
-        const { version: _, ...body } = section;
-        const next = replaceSection(values, name as SectionName, body);
-        assert.deepEqual(next.problems, undefined);
-        return next.value ?? values;
-      },
-      emptySectionValues,
-    );
+    assert.equal(teamKeys.size, document.platform.teams.length);
+    const values = Object.entries(document).reduce((values, [name, body]) => {
+      const next = replaceSection(values, name as SectionName, body);
+      assert.deepEqual(next.problems, undefined);
+      return next.value ?? values;
+    }, emptySectionValues);
     const { problems } = buildConfiguration(values, {
       sectionVersions: new Map(),
     });
--- a/packages/demo/kept-fleet.ts
+++ b/packages/demo/kept-fleet.ts
@@ -7,7 +7,7 @@
   fleet: Fleet,
   prepared: PreparedDocument,
 ): object {
-  const routes = Object.values(prepared.sections).flatMap((section) =>
+  const routes = Object.values(prepared.document).flatMap((section) =>
     section.routes ?? []
   );
   return {
--- a/packages/demo/published-fleet.ts
+++ b/packages/demo/published-fleet.ts
@@ -42,7 +42,7 @@
   });
   fleet.publisher.setTeamKeys(prepared.teamKeys);
   await fleet.publish(prepared.text);
-  const names = Object.keys(prepared.sections);
+  const names = Object.keys(prepared.document);
   await waitForSections({
     metricsUrls: fleet.instances
       .filter(({ pid }) => pid !== undefined)
