--- a/packages/demo/example-documents.ts
+++ b/packages/demo/example-documents.ts
@@ -11,7 +11,7 @@
 import { createTeamKeyPair, type TeamKeyPair } from "../control/signing.ts";
 import type { FleetPlan } from "./fleet-plan.ts";
 
-/** The parts of a document that the launcher and tests work with. */
+/** The sections of a document without their versions. */
 export interface ExampleDocument {
   platform: {
     log: Record<string, unknown>;
@@ -49,7 +49,7 @@
 }
 
 export interface PreparedDocument {
-  /** YAML in the form that the operators' tool publishes, each section as a new one. */
+  /** Text of the document's file. */
   readonly text: string;
   readonly document: ExampleDocument;
   readonly teamKeys: ReadonlyMap<string, TeamKeyPair>;
@@ -60,7 +60,7 @@
   /** File name in the folder `examples`. */
   template: string;
   /** Changes the document before it is written. */
-  edit?: (document: ExampleDocument) => void;
+  edit?: (sections: ExampleDocument) => void;
 }
 
 const placeholder = /\$\{([a-zA-Z]+):([a-z0-9.-]+)\}/g;
@@ -99,18 +99,15 @@
     placeholder,
     (_, kind: string, name: string) => valueOf(kind, name),
   );
-  const document = parse(filled) as ExampleDocument;
+  const { sections } = parse(filled) as ExampleFile;
+  const document = mapValues(sections, ({ version: _, ...body }) => body);
   document.platform.upstreams = plan.upstreams.map(describeUpstream);
   Object.assign(document.platform.log, limitsOfLog(plan));
   edit(document);
+  // Every section is new in a fleet that has just started.
+  const newSections = mapValues(document, (body) => ({ version: 0, ...body }));
   return {
-    text: stringify({
-      sections: Object.fromEntries(
-        Object.entries(document).map((
-          [name, body],
-        ) => [name, { version: 0, ...body }]),
-      ),
-    }),
+    text: stringify({ sections: newSections }),
     document,
     teamKeys,
     workspaces: Object.values(document).flatMap((section) =>
@@ -122,6 +119,19 @@
   };
 }
 
+interface ExampleFile {
+  sections: Record<string, Record<string, unknown>>;
+}
+
+function mapValues<Value extends object>(
+  values: Record<string, Value>,
+  change: (value: Value) => object,
+): ExampleDocument {
+  return Object.fromEntries(
+    Object.entries(values).map(([name, value]) => [name, change(value)]),
+  ) as ExampleDocument;
+}
+
 function describeUpstream(upstream: FleetPlan["upstreams"][number]) {
   const { id, kind, address, models, concurrency, checksFencing } = upstream;
   const common = { name: id, kind, address, concurrency };
--- a/packages/integration/limits.test.ts
+++ b/packages/integration/limits.test.ts
@@ -32,8 +32,8 @@
 function startFleet(instances = 5): Promise<TestFleet> {
   return TestFleet.start({
     changes: { instances, engines: 2, plainServiceSettings: {} },
-    edit: (sections) => {
-      const found = sections[section]?.workspaces?.find(({ id }) =>
+    edit: (document) => {
+      const found = document[section]?.workspaces?.find(({ id }) =>
         id === workspace
       );
       assert.ok(found);
@@ -168,7 +168,7 @@
 
 test("a lowered and raised limit is never exceeded on the way", async () => {
   await using testFleet = await startFleet();
-  const target = testFleet.prepared.sections[section]?.workspaces?.find(
+  const target = testFleet.prepared.document[section]?.workspaces?.find(
     ({ id }) => id === workspace,
   );
   assert.ok(target);
--- a/packages/integration/test-fleet.ts
+++ b/packages/integration/test-fleet.ts
@@ -15,7 +15,7 @@
 import { signPublish } from "../control/signing.ts";
 import { type Deployment, deployments } from "../demo/deployments.ts";
 import {
-  type ExampleSections,
+  type ExampleDocument,
   type PreparedDocument,
   prepareDocument,
 } from "../demo/example-documents.ts";
@@ -32,7 +32,7 @@
   base?: string;
   /** What differs from the base. */
   changes?: Partial<Deployment>;
-  edit?: (sections: ExampleSections) => void;
+  edit?: (document: ExampleDocument) => void;
   startedInstances?: number;
 }
 
@@ -110,7 +110,7 @@
       }),
     );
     try {
-      for (const section of Object.keys(testFleet.prepared.sections)) {
+      for (const section of Object.keys(testFleet.prepared.document)) {
         await testFleet.publishSection(section);
       }
       await testFleet.waitUntilInForce();
@@ -141,18 +141,12 @@
 
   /** Publishes the section as it stands in the prepared document; gives the record's offset. */
   async publishSection(section: string): Promise<number> {
-    const { sections: published, teamKeys } = this.prepared;
+    const { document, teamKeys } = this.prepared;
     const baseVersion = this.#versions.get(section) ?? 0;
     const team =
-      published.platform.teams.find(({ sections }) =>
-        sections.includes(section)
-      )
+      document.platform.teams.find(({ sections }) => sections.includes(section))
         ?.name ?? "";
-    const { version: _version, ...content } = published[section] as Record<
-      string,
-      unknown
-    >;
-    const body = JSON.stringify(content);
+    const body = JSON.stringify(document[section]);
     const publish = { section, baseVersion, body };
     const signature = signPublish(
       publish,
@@ -213,7 +207,7 @@
 
   /** The document as an operator has it who fetched the versions in force. */
   currentDocument(): string {
-    const sections = Object.entries(this.prepared.sections).map((
+    const sections = Object.entries(this.prepared.document).map((
       [name, body],
     ) => [name, { ...body, version: this.#versions.get(name) ?? 0 }]);
     return stringify({ sections: Object.fromEntries(sections) });
