Read the instance list without combined abort signals

Cause: each poll made a combined signal from one that lives as long as the process, and such signals are kept by their source for a while. Conclusion: undici's own timeouts bound the poll; its resolution is enough.

--- a/packages/http/caller-server.test.ts
+++ b/packages/http/caller-server.test.ts
@@ -4,18 +4,22 @@
 import { Buffer } from "node:buffer";
 import { test } from "node:test";
 import { CallerError, UpstreamError } from "../common/errors.ts";
-import { answerOf, errorOf, Fixture, hello, key } from "./testing/fixture.ts";
+import {
+  answerOf,
+  assertError,
+  errorOf,
+  Fixture,
+  hello,
+  key,
+} from "./testing/fixture.ts";
 
 test("a request without a valid key, freshness or rate is refused and has not run", async (context) => {
   const fixture = await Fixture.start(context);
   const post = (headers: Record<string, string>) =>
     fixture.chat(hello, { headers });
-  assert.equal(
-    await errorOf(await post({ authorization: "" })),
-    "401 missing_key true",
-  );
-  assert.equal(
-    await errorOf(await post({ authorization: "Bearer no" })),
+  await assertError(post({ authorization: "" }), "401 missing_key true");
+  await assertError(
+    post({ authorization: "Bearer no" }),
     "401 unknown_key true",
   );
   assert.equal(
@@ -25,11 +29,11 @@
   fixture.decision = { admitted: false, retryAfterSeconds: 1.2 };
   const limited = await post({});
   assert.equal(limited.headers.get("retry-after"), "2");
-  assert.equal(await errorOf(limited), "429 rate_limited true");
+  await assertError(limited, "429 rate_limited true");
   fixture.isFresh = false;
   const stale = await post({ authorization: "Bearer issued-a-moment-ago" });
   assert.equal(stale.headers.get("retry-after"), "1");
-  assert.equal(await errorOf(stale), "503 not_fresh true");
+  await assertError(stale, "503 not_fresh true");
   assert.equal(fixture.chats.length, 1);
 });
 
@@ -42,10 +46,7 @@
       },
     },
   });
-  assert.equal(
-    await errorOf(await fixture.chat(hello)),
-    "401 unknown_key true",
-  );
+  await assertError(fixture.chat(hello), "401 unknown_key true");
   assert.equal(fixture.chats.length, 0);
 });
 
@@ -108,7 +109,7 @@
     ["x".repeat(3_000), "413 body_too_large true"],
   ];
   for (const [body, expected] of cases) {
-    assert.equal(await errorOf(await fixture.chat(body)), expected);
+    await assertError(fixture.chat(body), expected);
   }
   assert.equal(fixture.tokens, 0);
   const response = await fixture.chat('{\n "a": tru }');
@@ -145,19 +146,13 @@
     return fixture.chat(hello).then(errorOf);
   };
   fixture.answer = () => answerOf({ "x-name": "a\nb" }, "ok");
-  assert.equal(
-    await errorOf(await fixture.chat(hello)),
-    "500 internal_error unknown",
-  );
+  await assertError(fixture.chat(hello), "500 internal_error unknown");
   assert.equal(await refuse(400), "400 upstream_refused false");
   assert.equal(await refuse(401), "502 upstream_failed false");
   fixture.answer = () => {
     throw new TypeError("a fault of our own");
   };
-  assert.equal(
-    await errorOf(await fixture.chat(hello)),
-    "500 internal_error unknown",
-  );
+  await assertError(fixture.chat(hello), "500 internal_error unknown");
 });
 
 test("paths and methods that do not exist have errors in the same shape", async (context) => {
@@ -233,12 +228,9 @@
     200,
   );
   assert.equal(fixture.uploads.length, 2);
-  assert.equal(
-    await errorOf(await upload(["file", file])),
-    "400 missing_field true purpose",
-  );
-  assert.equal(
-    await errorOf(await upload(["purpose", "batch"])),
+  await assertError(upload(["file", file]), "400 missing_field true purpose");
+  await assertError(
+    upload(["purpose", "batch"]),
     "400 missing_field true file",
   );
   assert.deepEqual(
@@ -252,7 +244,7 @@
     body: "--a\r\nbroken",
     headers: { "content-type": "multipart/form-data; boundary=a" },
   });
-  assert.equal(await errorOf(broken), "400 invalid_multipart true");
+  await assertError(broken, "400 invalid_multipart true");
   assert.equal(fixture.uploads.length, 2);
   fixture.batch.createFile = async ({ content }) => {
     fixture.withoutKeys();
@@ -260,7 +252,7 @@
     return assert.fail("the upload of a withdrawn key was whole");
   };
   const withdrawn = await upload(["purpose", "batch"], ["file", file]);
-  assert.equal(await errorOf(withdrawn), "401 unknown_key true");
+  await assertError(withdrawn, "401 unknown_key true");
   fixture.configuration = configuration;
   const content = await fixture.fetch("/v1/files/file-1/content");
   assert.equal(await content.text(), "line 1\nline 2\n");
@@ -319,7 +311,7 @@
     [{ ...body, metadata: { a: 1 } }, "invalid_field true metadata"],
   ];
   for (const [request, expected] of invalid) {
-    assert.equal(await errorOf(await create(request)), `400 ${expected}`);
+    await assertError(create(request), `400 ${expected}`);
   }
   const get = (path: string) =>
     fixture.fetch(path).then((response) => response.json()) as Promise<
--- a/packages/http/testing/fixture.ts
+++ b/packages/http/testing/fixture.ts
@@ -1,5 +1,6 @@
 /** Fakes of the services behind the interface for callers, shared by its tests. */
 
+import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import type { TestContext } from "node:test";
 import type {
@@ -262,3 +263,10 @@
   return [response.status, error.code, error.not_run, error.param ?? ""]
     .join(" ").trim();
 }
+
+export async function assertError(
+  response: Response | Promise<Response>,
+  expected: string,
+): Promise<void> {
+  assert.equal(await errorOf(await response), expected);
+}
--- a/packages/routing/upstream-directory.ts
+++ b/packages/routing/upstream-directory.ts
@@ -146,10 +146,9 @@
     const response = await request(
       `${this.#options.instanceListUrl}/instances`,
       {
-        signal: AbortSignal.any([
-          this.#abortController.signal,
-          AbortSignal.timeout(directoryTimeoutMilliseconds),
-        ]),
+        signal: this.#abortController.signal,
+        headersTimeout: directoryTimeoutMilliseconds,
+        bodyTimeout: directoryTimeoutMilliseconds,
       },
     );
     const text = await response.body.text();
