--- /dev/null
+++ b/packages/measure/engine-usage.ts
@@ -0,0 +1,28 @@
+/** What the engines have done, from their own statistics. */
+
+import type { Fleet } from "../demo/fleet.ts";
+
+export interface EngineUsage {
+  readonly completed: number;
+  readonly busySlotMilliseconds: number;
+  readonly slots: number;
+}
+
+export async function readEngineUsage(fleet: Fleet): Promise<EngineUsage> {
+  const engines = fleet.upstreams.filter(({ kind }) => kind === "engine");
+  const statistics = await Promise.all(engines.map(async ({ url }) => {
+    const response = await fetch(`${url}/statistics`);
+    return await response.json() as {
+      completed: number;
+      busySlotMilliseconds: number;
+      concurrency: number;
+    };
+  }));
+  const sum = (pick: (one: (typeof statistics)[number]) => number) =>
+    statistics.reduce((total, one) => total + pick(one), 0);
+  return {
+    completed: sum((one) => one.completed),
+    busySlotMilliseconds: sum((one) => one.busySlotMilliseconds),
+    slots: sum((one) => one.concurrency),
+  };
+}
--- /dev/null
+++ b/packages/measure/measures.ts
@@ -0,0 +1,123 @@
+/** The four measures, computed from the counts of one scenario. */
+
+import type { BatchJob, JobProgress } from "./batch-run.ts";
+import type { EngineUsage } from "./engine-usage.ts";
+import type { OnlineRunResult } from "./online-run.ts";
+
+export interface RunWindow {
+  readonly online: OnlineRunResult;
+  readonly seconds: number;
+  /** Slot time that the engines spent in the window. */
+  readonly busySlotSeconds: number;
+  readonly slots: number;
+}
+
+export interface BatchWindow extends RunWindow {
+  readonly before: readonly JobProgress[];
+  readonly after: readonly JobProgress[];
+  /** Time at which the job with the near deadline was done, if it was. */
+  readonly urgentSeconds: number | undefined;
+}
+
+export interface Measures {
+  readonly itemsPerSecond: number;
+  /** Batch items as a share of what the slots that online leaves free could do. */
+  readonly batchShare: number;
+  readonly firstTokenAlone: number;
+  readonly firstTokenWithBatch: number;
+  readonly firstTokenRatio: number;
+  readonly worstBatchShare: number;
+  /** Share of requests refused although the workspace was within its rate. */
+  readonly refusedWithinRate: number;
+  readonly interrupted: number;
+  readonly urgentSeconds: number | undefined;
+  readonly errors: Readonly<Record<string, number>>;
+}
+
+export interface MeasureOptions {
+  alone: RunWindow;
+  withBatch: BatchWindow;
+  /** Mean slot time of one batch item on an idle engine. */
+  itemSlotSeconds: number;
+  /** Workspaces that stay within their rate in this scenario. */
+  withinRate: (workspace: string) => boolean;
+}
+
+export function computeMeasures(options: MeasureOptions): Measures {
+  const { alone, withBatch, itemSlotSeconds, withinRate } = options;
+  const finished = finishedByJob(withBatch);
+  const items = [...finished.values()].reduce((sum, count) => sum + count, 0);
+  const itemsPerSecond = items / withBatch.seconds;
+  const onlineSlots = alone.busySlotSeconds / alone.seconds;
+  const freeSlots = withBatch.slots - onlineSlots;
+  return {
+    itemsPerSecond,
+    batchShare: itemsPerSecond * itemSlotSeconds / freeSlots,
+    firstTokenAlone: alone.online.firstToken.p99,
+    firstTokenWithBatch: withBatch.online.firstToken.p99,
+    firstTokenRatio: withBatch.online.firstToken.p99 /
+      alone.online.firstToken.p99,
+    worstBatchShare: worstShare(finished),
+    refusedWithinRate: refusedShare([alone, withBatch], withinRate),
+    interrupted: [alone, withBatch].flatMap(({ online }) => [
+      ...online.byWorkspace.values(),
+    ]).reduce((sum, counts) => sum + counts.interrupted, 0),
+    urgentSeconds: withBatch.urgentSeconds,
+    errors: mergeErrors([alone, withBatch]),
+  };
+}
+
+function finishedByJob({ before, after }: BatchWindow): Map<BatchJob, number> {
+  const start = new Map(before.map(({ job, finished }) => [job, finished]));
+  return new Map(
+    after.map(({ job, finished }) => [job, finished - (start.get(job) ?? 0)]),
+  );
+}
+
+/** Completed items of the worst-served workspace relative to its weighted entitlement. */
+function worstShare(finished: ReadonlyMap<BatchJob, number>): number {
+  const items = new Map<string, number>();
+  const weights = new Map<string, number>();
+  for (const [{ workspace, weight }, count] of finished) {
+    items.set(workspace, (items.get(workspace) ?? 0) + count);
+    weights.set(workspace, weight);
+  }
+  const total = [...items.values()].reduce((sum, count) => sum + count, 0);
+  const weightSum = [...weights.values()].reduce((sum, one) => sum + one, 0);
+  if (total === 0) return 0;
+  return Math.min(
+    ...[...items].map(([workspace, count]) =>
+      count / (total * (weights.get(workspace) ?? 1) / weightSum)
+    ),
+  );
+}
+
+function refusedShare(
+  windows: readonly RunWindow[],
+  withinRate: (workspace: string) => boolean,
+): number {
+  let sent = 0;
+  let refused = 0;
+  for (const { online } of windows) {
+    for (const [workspace, counts] of online.byWorkspace) {
+      if (!withinRate(workspace)) continue;
+      sent += counts.sent;
+      refused += counts.rateLimited + counts.otherRefusals;
+    }
+  }
+  return sent === 0 ? 0 : refused / sent;
+}
+
+function mergeErrors(windows: readonly RunWindow[]): Record<string, number> {
+  const merged: Record<string, number> = {};
+  for (const { online } of windows) {
+    for (const [code, count] of online.errors) {
+      merged[code] = (merged[code] ?? 0) + count;
+    }
+  }
+  return merged;
+}
+
+export function usedBetween(before: EngineUsage, after: EngineUsage): number {
+  return (after.busySlotMilliseconds - before.busySlotMilliseconds) / 1_000;
+}
--- /dev/null
+++ b/packages/measure/online-run.ts
@@ -0,0 +1,160 @@
+/** Online load of a scenario: chat requests of all workspaces, spread over the instances. */
+
+import type { Dispatcher } from "undici";
+import { CallerClient, type StreamedAnswer } from "../client/caller-client.ts";
+import { SeededRandom } from "../common/random.ts";
+import type { PreparedWorkspace } from "../demo/example-documents.ts";
+import { LatencyHistogram, type LatencySummary } from "./latency-histogram.ts";
+import { planArrivals, runOpenLoop } from "./open-loop.ts";
+import type { Scenario } from "./scenarios/scenario.ts";
+
+export interface OnlineRunOptions {
+  scenario: Scenario;
+  workspaces: readonly PreparedWorkspace[];
+  model: string;
+  /** Addresses of the instances that the balancer knows to be up. */
+  targets: () => readonly string[];
+  dispatcher: Dispatcher;
+  seed: number;
+  durationMilliseconds: number;
+}
+
+export interface WorkspaceCounts {
+  sent: number;
+  completed: number;
+  rateLimited: number;
+  otherRefusals: number;
+  interrupted: number;
+}
+
+export interface OnlineRunResult {
+  readonly firstToken: LatencySummary;
+  readonly total: LatencySummary;
+  readonly byWorkspace: ReadonlyMap<string, WorkspaceCounts>;
+  readonly errors: ReadonlyMap<string, number>;
+  readonly maximumLagMilliseconds: number;
+}
+
+/** Instances that a balancer tries when one refuses or cannot be reached. */
+const maximumTries = 3;
+const maximumTokens = 12;
+const hotPrefix =
+  "Rules of the association for buyer notices, valid on all hulling days. "
+    .repeat(8);
+
+export async function runOnline(
+  options: OnlineRunOptions,
+): Promise<OnlineRunResult> {
+  const { scenario, workspaces, seed, durationMilliseconds } = options;
+  const firstToken = new LatencyHistogram();
+  const total = new LatencyHistogram();
+  const errors = new Map<string, number>();
+  const byWorkspace = new Map(
+    workspaces.map(({ id }) => [id, createCounts()] as const),
+  );
+  const runs = workspaces.map((workspace, index) => {
+    const factor = index === 0 ? scenario.firstWorkspaceFactor ?? 1 : 1;
+    const rate = workspace.ratePerSecond * factor;
+    const random = new SeededRandom(seed + 1_000 + index);
+    return runOpenLoop({
+      arrivals: planArrivals({
+        seed: seed + index,
+        durationMilliseconds,
+        peakRatePerSecond: rate * scenario.peakOnlineShare,
+        rateAt: (at) => rate * scenario.onlineShareAt(at),
+      }),
+      send: async ({ index: number }) => {
+        const counts = byWorkspace.get(workspace.id) ?? createCounts();
+        counts.sent++;
+        const isHot = random.next() < (scenario.hotPrefixShare ?? 0);
+        const content = `${isHot ? hotPrefix : ""}${workspace.id} ${number}`;
+        const start = random.integerBelow(1_000_000);
+        const answer = await sendThroughBalancer(
+          options,
+          workspace.key,
+          content,
+          start,
+        );
+        record(answer, counts, errors);
+        if (!answer.isComplete) return;
+        firstToken.record(answer.firstTokenMilliseconds);
+        total.record(answer.totalMilliseconds);
+      },
+    });
+  });
+  const results = await Promise.all(runs);
+  return {
+    firstToken: firstToken.summary(),
+    total: total.summary(),
+    byWorkspace,
+    errors,
+    maximumLagMilliseconds: Math.max(
+      ...results.map((result) => result.maximumLagMilliseconds),
+    ),
+  };
+}
+
+function createCounts(): WorkspaceCounts {
+  return {
+    sent: 0,
+    completed: 0,
+    rateLimited: 0,
+    otherRefusals: 0,
+    interrupted: 0,
+  };
+}
+
+function record(
+  answer: StreamedAnswer,
+  counts: WorkspaceCounts,
+  errors: Map<string, number>,
+): void {
+  if (answer.isComplete) {
+    counts.completed++;
+    return;
+  }
+  if (answer.status === 429) counts.rateLimited++;
+  else if (answer.error?.not_run === true) counts.otherRefusals++;
+  else counts.interrupted++;
+  const code = answer.error?.code ?? "incomplete";
+  errors.set(code, (errors.get(code) ?? 0) + 1);
+}
+
+async function sendThroughBalancer(
+  { targets, model, dispatcher }: OnlineRunOptions,
+  key: string,
+  content: string,
+  start: number,
+): Promise<StreamedAnswer> {
+  const body = {
+    model,
+    messages: [{ role: "user", content }],
+    max_tokens: maximumTokens,
+  };
+  let answer: StreamedAnswer = connectionFailed(new Error("no instance is up"));
+  for (let turn = 0; turn < maximumTries; turn++) {
+    const urls = targets();
+    const baseUrl = urls[(start + turn) % urls.length] ?? "";
+    const client = new CallerClient({ baseUrl, key, dispatcher });
+    answer = await client.chatStream(body).catch(connectionFailed);
+    const mayTryAgain = answer.error?.not_run === true && answer.status !== 429;
+    if (!mayTryAgain) break;
+  }
+  return answer;
+}
+
+function connectionFailed(error: unknown): StreamedAnswer {
+  const code = (error as { code?: string }).code ?? "connection_failed";
+  return {
+    status: 0,
+    text: "",
+    isComplete: false,
+    firstTokenMilliseconds: Number.NaN,
+    totalMilliseconds: Number.NaN,
+    error: {
+      message: String(error),
+      code,
+      not_run: code === "ECONNREFUSED" ? true : "unknown",
+    },
+  };
+}
