--- a/packages/instance/blackboard.ts
+++ b/packages/instance/blackboard.ts
@@ -25,6 +25,8 @@
   residentBytes: number;
   controlBytesSent: number;
   controlBytesReceived: number;
+  logBytesSent: number;
+  logBytesReceived: number;
 }
 
 export interface BlackboardOptions {
@@ -44,5 +46,7 @@
     residentBytes: 0,
     controlBytesSent: 0,
     controlBytesReceived: 0,
+    logBytesSent: 0,
+    logBytesReceived: 0,
   };
 }
--- a/packages/instance/controllers/usage-controller.ts
+++ b/packages/instance/controllers/usage-controller.ts
@@ -11,7 +11,9 @@
   | "processorSeconds"
   | "residentBytes"
   | "controlBytesSent"
-  | "controlBytesReceived";
+  | "controlBytesReceived"
+  | "logBytesSent"
+  | "logBytesReceived";
 
 const gauges: readonly { field: UsageField; name: string; help: string }[] = [
   {
@@ -34,6 +36,16 @@
     name: "rosemaryrudder_peer_bytes_received",
     help: "Bytes received from other instances.",
   },
+  {
+    field: "logBytesSent",
+    name: "rosemaryrudder_log_bytes_sent",
+    help: "Bytes sent to the log service.",
+  },
+  {
+    field: "logBytesReceived",
+    name: "rosemaryrudder_log_bytes_received",
+    help: "Bytes received from the log service.",
+  },
 ];
 
 export const usageController: Controller = {
@@ -45,6 +57,8 @@
       blackboard.residentBytes = process.memoryUsage.rss();
       blackboard.controlBytesSent = services.network.bytesSent;
       blackboard.controlBytesReceived = services.network.bytesReceived;
+      blackboard.logBytesSent = services.logClient.bytesSent;
+      blackboard.logBytesReceived = services.logClient.bytesReceived;
     };
     for (const { field, name, help } of gauges) {
       services.metrics.registry.registerMetric(
--- a/packages/instance/services.ts
+++ b/packages/instance/services.ts
@@ -35,6 +35,7 @@
 
 export interface InstanceServices {
   readonly network: TcpPeerNetwork;
+  readonly logClient: HttpLogClient;
   readonly control: ControlService;
   readonly limiter: Limiter;
   readonly capacity: BatchCapacity & OnlineCapacity;
@@ -90,6 +91,7 @@
   store.add(() => batch.dispose());
   return {
     network,
+    logClient: client,
     control,
     batch,
     metrics,
--- a/packages/instance/status.ts
+++ b/packages/instance/status.ts
@@ -29,6 +29,8 @@
       residentBytes: blackboard.residentBytes,
       controlBytesSent: blackboard.controlBytesSent,
       controlBytesReceived: blackboard.controlBytesReceived,
+      logBytesSent: blackboard.logBytesSent,
+      logBytesReceived: blackboard.logBytesReceived,
     },
   };
 }
--- a/packages/integration/test-fleet.ts
+++ b/packages/integration/test-fleet.ts
@@ -3,25 +3,21 @@
  * the caller interface and the journals of the upstreams.
  */
 
-import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import { stringify } from "yaml";
 import {
   CallerClient,
   createClientDispatcher,
 } from "../client/caller-client.ts";
-import { brandAs, type StreamName, type WriterId } from "../common/ids.ts";
 import { RosemaryrudderError } from "../common/errors.ts";
-import { signPublish } from "../control/signing.ts";
 import { type Deployment, deployments } from "../demo/deployments.ts";
+import { DirectPublisher } from "../demo/direct-publisher.ts";
 import {
   type ExampleDocument,
   type PreparedDocument,
   prepareDocument,
 } from "../demo/example-documents.ts";
 import { type Fleet, type FleetInstance, startFleet } from "../demo/fleet.ts";
-import { GroupCommitWriter } from "../log/group-commit-writer.ts";
-import { HttpLogClient } from "../log/log-client.ts";
 import {
   type JournalLine,
   readJournal,
@@ -77,19 +73,15 @@
   readonly fleet: Fleet;
   readonly prepared: PreparedDocument;
   readonly #dispatcher = createClientDispatcher();
-  readonly #logClient: HttpLogClient;
-  readonly #writer: GroupCommitWriter;
-  readonly #versions = new Map<string, number>();
+  /** The operators' path to the log has no fault proxy on it. */
+  readonly #publisher: DirectPublisher;
 
   constructor(fleet: Fleet, prepared: PreparedDocument) {
     this.fleet = fleet;
     this.prepared = prepared;
-    // The operators' path to the log has no fault proxy on it.
-    this.#logClient = new HttpLogClient({ baseUrl: fleet.log.url });
-    this.#writer = new GroupCommitWriter({
-      client: this.#logClient,
-      stream: brandAs<StreamName>("control"),
-      writer: brandAs<WriterId>(`test-${process.pid}-${Date.now()}`),
+    this.#publisher = new DirectPublisher({
+      published: { fleet, prepared },
+      initialVersion: 0,
     });
   }
 
@@ -139,27 +131,9 @@
     return instance;
   }
 
-  /** Publishes the section as it stands in the prepared document; gives the record's offset. */
-  async publishSection(section: string): Promise<number> {
-    const { document, teamKeys } = this.prepared;
-    const baseVersion = this.#versions.get(section) ?? 0;
-    const team =
-      document.platform.teams.find(({ sections }) => sections.includes(section))
-        ?.name ?? "";
-    const body = JSON.stringify(document[section]);
-    const publish = { section, baseVersion, body };
-    const signature = signPublish(
-      publish,
-      teamKeys.get(team)?.privateKeyPem ?? "",
-    );
-    const offset = await this.#writer.append({
-      type: "section-published",
-      ...publish,
-      team,
-      signature,
-    });
-    this.#versions.set(section, baseVersion + 1);
-    return offset;
+  /** Publishes the section as it stands in the prepared document. */
+  publishSection(section: string): Promise<void> {
+    return this.#publisher.publish(section);
   }
 
   /** Waits until every running instance has applied the sections that were published. */
@@ -167,7 +141,7 @@
     for (const instance of this.runningInstances) {
       await waitUntil(`${instance.id} applies the document`, async () => {
         const { sections } = await this.status(instance);
-        return [...this.#versions].every(([name, version]) =>
+        return [...this.#publisher.versions].every(([name, version]) =>
           sections[name] === version
         );
       });
@@ -209,7 +183,7 @@
   currentDocument(): string {
     const sections = Object.entries(this.prepared.document).map((
       [name, body],
-    ) => [name, { ...body, version: this.#versions.get(name) ?? 0 }]);
+    ) => [name, { ...body, version: this.#publisher.versions.get(name) ?? 0 }]);
     return stringify({ sections: Object.fromEntries(sections) });
   }
 
@@ -256,8 +230,7 @@
   }
 
   async dispose(): Promise<void> {
-    this.#writer.close();
-    await this.#logClient.close();
+    await this.#publisher.dispose();
     await this.#dispatcher.destroy();
     await this.fleet.dispose();
   }
--- a/packages/log/log-client.ts
+++ b/packages/log/log-client.ts
@@ -63,6 +63,9 @@
   ),
 });
 
+/** Typical size of the head of a request or an answer. */
+const headBytes = 160;
+
 /** Errors after which no byte of the request can have reached the service. */
 const notSentCodes = new Set([
   "ECONNREFUSED",
@@ -73,6 +76,9 @@
 export class HttpLogClient implements LogClient {
   readonly #options: Required<HttpLogClientOptions>;
   readonly #agent: Agent;
+  /** Bytes of requests and answers, with an estimate for their heads. */
+  bytesSent = 0;
+  bytesReceived = 0;
 
   constructor(options: HttpLogClientOptions) {
     this.#options = {
@@ -154,8 +160,10 @@
         dispatcher: this.#agent,
         signal,
       });
+      this.bytesSent += headBytes + (options.body?.length ?? 0);
       status = response.statusCode;
       bytes = new Uint8Array(await response.body.arrayBuffer());
+      this.bytesReceived += headBytes + bytes.length;
     } catch (cause) {
       const code = (cause as { code?: string }).code ?? "";
       throw new LogUnavailableError(
