Test two publishes that reach the log at the same time

Cause: a trial without the base-version check in the reducer left the race test green, because the tool refuses an old base before it appends. Ruled out: a fault of the reducer; with the check, the second publish is void at every instance.

--- a/packages/integration/configuration.test.ts
+++ b/packages/integration/configuration.test.ts
@@ -75,6 +75,34 @@
   assert.ok(performance.now() - startedAt < inForceLimitMilliseconds);
 });
 
+test("two publishes that reach the log at once have one winner at every instance", async () => {
+  await using testFleet = await TestFleet.start();
+  const target = testFleet.prepared.document[section]?.workspaces?.[0];
+  assert.ok(target);
+  const publishers = [1, 2].map(() => testFleet.createPublisher(1));
+  try {
+    const rates = [31, 32];
+    await Promise.all(publishers.map((publisher, index) => {
+      target.ratePerSecond = rates[index] ?? 0;
+      return publisher.publish(section);
+    }));
+    for (const instance of testFleet.instances) {
+      await waitUntil(`${instance.id} has read both`, async () => {
+        const { sections, appliedOffset } = await testFleet.status(instance);
+        const { appliedOffset: first } = await testFleet.status(
+          testFleet.instance(0),
+        );
+        return (sections[section] ?? 0) >= 2 && appliedOffset === first;
+      });
+      await sleep(500);
+      const { sections } = await testFleet.status(instance);
+      assert.equal(sections[section], 2, "both publishes were accepted");
+    }
+  } finally {
+    for (const publisher of publishers) await publisher.dispose();
+  }
+});
+
 test("a publish with a lost answer and its repetition have one effect", async () => {
   await using testFleet = await TestFleet.start();
   const text = testFleet.currentDocument()
--- a/packages/integration/test-fleet.ts
+++ b/packages/integration/test-fleet.ts
@@ -136,6 +136,14 @@
     return this.#publisher.publish(section);
   }
 
+  /** Another operator's way to the log, based on a version of the sections. */
+  createPublisher(initialVersion: number): DirectPublisher {
+    return new DirectPublisher({
+      published: { fleet: this.fleet, prepared: this.prepared },
+      initialVersion,
+    });
+  }
+
   /** Waits until every running instance has applied the sections that were published. */
   async waitUntilInForce(): Promise<void> {
     for (const instance of this.runningInstances) {
