End a program that is still starting on SIGTERM

Cause: an instance that waits for a log in an outage ignored SIGTERM, because the signal only acted once the program had started. Ruled out: an abort signal through all start functions; a program that is still starting has served nothing, so it can end at once with status 0. A member record that it may have appended is removed by eviction.

--- a/packages/common/program.ts
+++ b/packages/common/program.ts
@@ -55,9 +55,12 @@
     const logger = createLogger({ program: options.name, level });
     let requestStop = () => {};
     const stopRequested = new Promise<void>((resolve) => requestStop = resolve);
-    process.on("SIGTERM", requestStop);
-    process.on("SIGINT", requestStop);
-    const running = await options.start({ settings, logger, requestStop });
+    process.on("SIGTERM", () => requestStop());
+    process.on("SIGINT", () => requestStop());
+    const starting = options.start({ settings, logger, requestStop });
+    const running = await Promise.race([starting, stopRequested]);
+    // A program that is still starting, such as one that waits for the log, has served nothing.
+    if (!running) process.exit(0);
     await stopRequested;
     logger.info("stopping");
     process.exit(await running.stop() ?? 0);
--- a/packages/stand-ins/log-service/log-service.ts
+++ b/packages/stand-ins/log-service/log-service.ts
@@ -85,6 +85,8 @@
   readonly #statistics = new AppendStatistics();
   readonly #store = new DisposableStore();
   #isClosing = false;
+  /** Appends and reads that met an outage. */
+  #refusedCalls = 0;
   #faults: LogFaults = {
     outage: false,
     dropAppendAnswers: 0,
@@ -186,6 +188,7 @@
   }
 
   #refuse({ response }: HttpExchange): void {
+    this.#refusedCalls += 1;
     sendError(response, 503, "the log is unavailable", { "retry-after": "1" });
   }
 
@@ -213,6 +216,7 @@
     }]);
     return {
       ...this.#statistics.describe(Date.now()),
+      refusedCalls: this.#refusedCalls,
       streams: Object.fromEntries(streams),
     };
   }
