--- a/packages/integration/test-fleet.ts
+++ b/packages/integration/test-fleet.ts
@@ -5,6 +5,7 @@
 
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
+import { stringify } from "yaml";
 import {
   CallerClient,
   createClientDispatcher,
@@ -146,14 +147,14 @@
       document.platform.teams.find(({ sections }) => sections.includes(section))
         ?.name ?? "";
     const body = JSON.stringify(document[section]);
-    const content = { section, baseVersion, body };
+    const publish = { section, baseVersion, body };
     const signature = signPublish(
-      content,
+      publish,
       teamKeys.get(team)?.privateKeyPem ?? "",
     );
     const offset = await this.#writer.append({
       type: "section-published",
-      ...content,
+      ...publish,
       team,
       signature,
     });
@@ -189,6 +190,29 @@
     });
   }
 
+  /** A caller that meets the instance's own listener, as a balancer in the zone does. */
+  directClient(instanceIndex: number, workspace: string): CallerClient {
+    return new CallerClient({
+      baseUrl: this.instance(instanceIndex).directUrl,
+      key: this.keyOf(workspace),
+      dispatcher: this.#dispatcher,
+    });
+  }
+
+  /** Command of the operators' tool with the keys of all teams. */
+  publishCommand(): string[] {
+    this.fleet.publisher.setTeamKeys(this.prepared.teamKeys);
+    return this.fleet.publisher.command;
+  }
+
+  /** The document as an operator has it who fetched the versions in force. */
+  currentDocument(): string {
+    const sections = Object.entries(this.prepared.document).map((
+      [name, body],
+    ) => [name, { ...body, version: this.#versions.get(name) ?? 0 }]);
+    return stringify({ sections: Object.fromEntries(sections) });
+  }
+
   keyOf(workspace: string): string {
     const found = this.prepared.workspaces.find(({ id }) => id === workspace);
     if (!found) throw new RosemaryrudderError("unknown_workspace", workspace);
@@ -226,6 +250,11 @@
     return lines.flat();
   }
 
+  async journalOf(upstream: string): Promise<JournalLine[]> {
+    const found = this.fleet.upstreams.find(({ id }) => id === upstream);
+    return found ? await readJournal(found.url) : [];
+  }
+
   async dispose(): Promise<void> {
     this.#writer.close();
     await this.#logClient.close();
