Test the limiter with random faults and fix what they found

A differential test compares the fleet with one bucket over random crashes, pauses, membership changes, losses and limits, under tight freshness. Ruled out: fewer holders for small bursts; refusals at the rate stayed alike. Added: waiting up to the time of one token instead of refusing, counted per request, and balancing of levels between holders when one collects.

--- a/packages/control/testing/virtual-control.ts
+++ b/packages/control/testing/virtual-control.ts
@@ -46,9 +46,10 @@
     return offset;
   }
 
-  /** The view of a process that has applied everything published so far. */
-  open(process: VirtualProcess): VirtualControlView {
-    const view = new VirtualControlView(this, this.#time, process);
+  /** The view of a process that has applied everything published, or only the first state. */
+  open(process: VirtualProcess, isAtStart = false): VirtualControlView {
+    const applied = isAtStart ? 0 : this.published.length - 1;
+    const view = new VirtualControlView(this, this.#time, process, applied);
     this.#views.add(view);
     return view;
   }
@@ -65,11 +66,12 @@
     stream: VirtualControlStream,
     time: VirtualTime,
     process: VirtualProcess,
+    applied: number,
   ) {
     this.#stream = stream;
     this.#time = time;
     this.#process = process;
-    this.#applied = stream.published.length - 1;
+    this.#applied = applied;
   }
 
   get state(): ControlState {
--- a/packages/limits/bucket.ts
+++ b/packages/limits/bucket.ts
@@ -1,8 +1,11 @@
 /**
- * A holder's token bucket as plain data. The level plus the tokens in transit never grows above
- * the capacity, so the buckets of all holders together never hold more than the burst.
+ * A holder's token bucket as plain data. Generated tokens fill the level, together with the
+ * tokens in transit, up to the capacity; tokens that other holders gave up fill it up to the
+ * maximum. So the buckets of all holders together never hold more than the burst.
  */
 
+import { tokenQuantum } from "./constants.ts";
+
 /** Tokens that were given to another instance, which may still use them. */
 export interface PendingTransfer {
   readonly id: number;
@@ -15,7 +18,10 @@
   readonly level: number;
   /** Monotonic milliseconds up to which tokens have been generated. */
   readonly refilledAt: number;
+  /** Highest level that generated tokens reach: the share that is in force. */
   readonly capacity: number;
+  /** Highest level of all: the share under the last record, which may not be in force yet. */
+  readonly maximum: number;
   readonly ratePerMillisecond: number;
   /** In order of expiry. */
   readonly pending: readonly PendingTransfer[];
@@ -26,6 +32,7 @@
     level: 0,
     refilledAt: now,
     capacity: 0,
+    maximum: 0,
     ratePerMillisecond: 0,
     pending: [],
   };
@@ -68,6 +75,24 @@
   return { ...bucket, level: bucket.level - amount };
 }
 
+/**
+ * The amount to give to an instance that asks. It gets what it needs, only whole tokens if it
+ * wants so, and half of what the bucket has more than the asker's own: a bucket at its capacity
+ * loses generated tokens while others are empty.
+ */
+export function amountToGive(
+  bucket: Bucket,
+  asked: { amount: number; whole: boolean; spare: number },
+): number {
+  const wanted = Math.max(0, Math.min(bucket.level, asked.amount));
+  const needed = asked.whole ? Math.floor(wanted) : wanted;
+  if (needed <= 0) return 0;
+  const askerLevel = Math.max(0, bucket.capacity - asked.spare);
+  const lead = (bucket.level - needed - askerLevel) / 2;
+  const extra = Math.max(0, Math.min(asked.spare, lead));
+  return Math.floor((needed + extra) / tokenQuantum) * tokenQuantum;
+}
+
 /** Moves tokens into transit; the transfer must expire last of all pending ones. */
 export function give(bucket: Bucket, transfer: PendingTransfer): Bucket {
   return {
@@ -79,30 +104,36 @@
 
 /**
  * Ends a transfer whose receiver has used the tokens or returns some. A transfer that has
- * expired is not known any more: its capacity may be filled again, so the refund is void.
+ * expired is not known any more: its capacity may be filled again, so the refund is void. The
+ * share may have shrunk during the transfer; what exceeds it is dropped.
  */
 export function settle(bucket: Bucket, id: number, refund: number): Bucket {
   const transfer = bucket.pending.find((candidate) => candidate.id === id);
   if (!transfer) return bucket;
-  const returned = Math.min(Math.max(0, refund), transfer.amount);
-  return {
+  const settled = {
     ...bucket,
-    level: bucket.level + returned,
     pending: bucket.pending.filter((candidate) => candidate !== transfer),
   };
+  return deposit(settled, Math.min(Math.max(0, refund), transfer.amount));
 }
 
-/** Tokens that fit in without exceeding the capacity. */
+/** Generated tokens that the bucket could still take. */
 export function room(bucket: Bucket): number {
   return Math.max(0, bucket.capacity - pendingAmount(bucket) - bucket.level);
 }
 
+/** Adds tokens that were taken from a bucket before, up to the maximum. */
 export function deposit(bucket: Bucket, amount: number): Bucket {
-  return { ...bucket, level: bucket.level + amount };
+  const highest = bucket.maximum - pendingAmount(bucket);
+  const level = Math.max(
+    bucket.level,
+    Math.min(bucket.level + amount, highest),
+  );
+  return { ...bucket, level };
 }
 
-/** Drops the tokens above the maximum, tokens in transit included. */
-export function clip(bucket: Bucket, maximum: number): Bucket {
-  const highest = Math.max(0, maximum - pendingAmount(bucket));
+/** Drops the tokens above the maximum. */
+export function clip(bucket: Bucket): Bucket {
+  const highest = Math.max(0, bucket.maximum - pendingAmount(bucket));
   return bucket.level > highest ? { ...bucket, level: highest } : bucket;
 }
--- a/packages/limits/collection.ts
+++ b/packages/limits/collection.ts
@@ -7,19 +7,25 @@
 import type { InstanceId } from "../common/ids.ts";
 import { delay, type Timers } from "../common/timers.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
-import { deposit, refill, room, spend } from "./bucket.ts";
+import { deposit, room, spend } from "./bucket.ts";
 import {
+  maximumPatienceMilliseconds,
+  maximumRefusalMilliseconds,
+  minimumPatienceMilliseconds,
   minimumRefusalMilliseconds,
   overloadMemoryMilliseconds,
-  patienceMilliseconds,
+  overloadShortages,
   slowHolderMilliseconds,
   suspectMilliseconds,
-  tokenQuantum,
   transferDeadlineMilliseconds,
 } from "./constants.ts";
 import { shareOf } from "./holders.ts";
 import { collectMessage, settleMessage } from "./messages.ts";
-import type { WorkspaceEntry } from "./workspace-entry.ts";
+import {
+  refillEntry,
+  type WaitingRequest,
+  type WorkspaceEntry,
+} from "./workspace-entry.ts";
 
 export interface CollectionContext {
   readonly instance: InstanceId;
@@ -39,8 +45,13 @@
   amount: number;
 }
 
-export function floorToQuantum(amount: number): number {
-  return Math.floor(amount / tokenQuantum) * tokenQuantum;
+/** How long a request of the workspace may wait for its token, in milliseconds. */
+export function patienceOf(entry: WorkspaceEntry): number {
+  const rate = entry.allocation.limit?.ratePerSecond ?? 0;
+  return Math.max(
+    minimumPatienceMilliseconds,
+    Math.min(maximumPatienceMilliseconds, rate > 0 ? 1_000 / rate : 0),
+  );
 }
 
 export class Collection {
@@ -57,23 +68,25 @@
   /** Serves the waiting requests as far as tokens can be had, and refuses the others. */
   async run(): Promise<void> {
     const entry = this.#entry;
-    const startedAt = this.#now();
-    const isOverloaded =
-      startedAt - entry.lastRefusalAt < overloadMemoryMilliseconds;
-    const patientUntil = startedAt + (isOverloaded ? 0 : patienceMilliseconds);
     for (;;) {
       if (await this.#askAll(true)) break;
       if (this.#estimatedTotal() >= 1 && await this.#askAll(false)) break;
       const rate = this.#ratePerMillisecond();
       const total = this.#estimatedTotal();
-      const patience = patientUntil - this.#now();
-      const servable = Math.floor(total + rate * patience);
-      if (patience <= 0 || servable < 1 || !this.#context.isFresh()) break;
-      this.#refuse(servable);
+      const longestWait = this.#isOverloaded() ? 0 : patienceOf(entry);
+      const servable = Math.floor(total + rate * longestWait);
+      if (servable < 1 || longestWait === 0 || !this.#context.isFresh()) break;
+      this.#refuse(entry.waiting.splice(servable));
+      this.#refuseOlderThan(longestWait);
+      const oldest = entry.waiting[0];
+      if (!oldest) break;
+      const patience = oldest.since + longestWait - this.#now();
+      // Fractions that several instances hold while they wait would help none of them.
+      this.#giveBackAll();
       const missing = Math.max(0, 1 - total);
       await delay(
         this.#context.timers,
-        Math.min(patience, Math.max(2, Math.ceil(missing / rate))),
+        Math.max(2, Math.min(patience, Math.ceil(missing / rate))),
       );
     }
     this.#finish();
@@ -87,27 +100,35 @@
     return (this.#entry.allocation.limit?.ratePerSecond ?? 0) / 1_000;
   }
 
+  #isOverloaded(): boolean {
+    const { consecutiveShortages, lastRefusalAt } = this.#entry;
+    return consecutiveShortages >= overloadShortages &&
+      this.#now() - lastRefusalAt < overloadMemoryMilliseconds;
+  }
+
   #finish(): void {
     const entry = this.#entry;
     this.#isOver = true;
-    if (entry.waiting.length > 0) this.#refuse(0);
-    else entry.consecutiveShortages = 0;
+    this.#refuse(entry.waiting.splice(0));
+    this.#giveBackAll();
+  }
+
+  #giveBackAll(): void {
     for (const part of this.#parts) this.#giveBack(part);
     this.#parts = [];
   }
 
-  /** Refuses the requests behind the first ones. */
-  #refuse(keep: number): void {
+  /** Refuses the requests, and those that come within a time that doubles with each shortage. */
+  #refuse(requests: readonly WaitingRequest[]): void {
+    if (requests.length === 0) return;
     const entry = this.#entry;
-    const refused = entry.waiting.splice(keep);
-    if (refused.length === 0) return;
     const now = this.#now();
     const rate = this.#ratePerMillisecond();
-    if (keep === 0 && rate > 0) {
+    if (rate > 0 && now >= entry.refuseUntil) {
       const burst = entry.allocation.limit?.burst ?? 0;
       // Doubling spares the holders under overload; half the time to fill the buckets again
       // keeps the tokens generated meanwhile from being lost.
-      const longest = Math.min(250, 0.5 * burst / rate);
+      const longest = Math.min(maximumRefusalMilliseconds, 0.5 * burst / rate);
       const first = Math.max(0, 1 - this.#estimatedTotal()) / rate;
       const doubled = first * 2 ** Math.min(10, entry.consecutiveShortages);
       entry.refuseUntil = now +
@@ -115,7 +136,14 @@
       entry.consecutiveShortages += 1;
     }
     entry.lastRefusalAt = now;
-    for (const resolve of refused) resolve(false);
+    for (const { resolve } of requests) resolve(false);
+  }
+
+  #refuseOlderThan(longestWait: number): void {
+    const { waiting } = this.#entry;
+    const now = this.#now();
+    const patient = waiting.findIndex(({ since }) => now - since < longestWait);
+    this.#refuse(waiting.splice(0, patient < 0 ? waiting.length : patient));
   }
 
   /** Asks one holder after the other; returns whether no request is waiting any more. */
@@ -173,10 +201,15 @@
   }
 
   #localLevel(): number {
-    this.#entry.bucket = refill(this.#entry.bucket, this.#now());
+    if (!this.#context.isFresh()) return 0;
+    refillEntry(this.#entry, this.#now());
     return Math.max(0, this.#entry.bucket.level);
   }
 
+  #spare(): number {
+    return this.#context.isFresh() ? room(this.#entry.bucket) : 0;
+  }
+
   #collected(): number {
     const now = this.#now();
     this.#parts = this.#parts.filter((part) => part.expiresAt > now);
@@ -198,7 +231,7 @@
     const reply = network.request(
       holder,
       collectMessage,
-      { workspace: entry.id, amount, whole },
+      { workspace: entry.id, amount, whole, spare: this.#spare() },
       { deadlineMilliseconds: transferDeadlineMilliseconds },
     ).then((answer) => {
       const now = this.#now();
@@ -233,11 +266,21 @@
       if (!this.#context.isFresh()) return false;
       if (this.#collected() + this.#localLevel() < 1) return false;
       this.#useOne();
-      waiting.shift()?.(true);
+      waiting.shift()?.resolve(true);
+      this.#noteAdmission();
     }
     return true;
   }
 
+  /** Shortages are forgotten when requests have been admitted for some time. */
+  #noteAdmission(): void {
+    const entry = this.#entry;
+    const sinceRefusal = this.#now() - entry.lastRefusalAt;
+    if (sinceRefusal >= overloadMemoryMilliseconds) {
+      entry.consecutiveShortages = 0;
+    }
+  }
+
   #useOne(): void {
     let missing = 1;
     while (missing > 0) {
@@ -255,9 +298,13 @@
 
   #giveBack(part: CollectedPart): void {
     const now = this.#now();
-    const bucket = refill(this.#entry.bucket, now);
-    const kept = part.expiresAt > now ? Math.min(room(bucket), part.amount) : 0;
-    this.#entry.bucket = deposit(bucket, kept);
+    if (part.expiresAt <= now) return;
+    let kept = 0;
+    if (this.#context.isFresh()) {
+      refillEntry(this.#entry, now);
+      kept = Math.min(room(this.#entry.bucket), part.amount);
+      this.#entry.bucket = deposit(this.#entry.bucket, kept);
+    }
     this.#settle(part, part.amount - kept);
   }
 
--- a/packages/limits/constants.ts
+++ b/packages/limits/constants.ts
@@ -17,10 +17,17 @@
 /** How long a holder that failed to answer is asked last. */
 export const suspectMilliseconds = 1_000;
 
-/** How long a request may wait for the rest of its token to be generated. */
-export const patienceMilliseconds = 100;
+/**
+ * How long a request may wait for its token to be generated: the time that one token takes,
+ * within these bounds. Buckets that are full lose what a single bucket would keep, so the last
+ * token can be late.
+ */
+export const minimumPatienceMilliseconds = 200;
+export const maximumPatienceMilliseconds = 1_000;
 
-/** No request waits for tokens while the workspace was refused this recently. */
+/** After this many collections in a row that came short, no request waits for tokens. */
+export const overloadShortages = 4;
+/** Shortages before this time are forgotten. */
 export const overloadMemoryMilliseconds = 1_000;
 
 /** Bounds of the time for which refusals are answered without asking the holders. */
@@ -29,3 +36,9 @@
 
 /** Handovers that arrived before the record they belong to. */
 export const maximumEarlyHandovers = 4_096;
+
+/**
+ * Period in which freshness is noted and all buckets are refilled even if they are not used. A
+ * handover is accepted for 250 ms after freshness was last noted.
+ */
+export const refillMilliseconds = 100;
--- a/packages/limits/fleet-limiter.ts
+++ b/packages/limits/fleet-limiter.ts
@@ -15,15 +15,15 @@
 import { systemTimers, type Timers } from "../common/timers.ts";
 import type { ControlState, ControlView } from "../control/control-state.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
-import { give, refill, settle, spend } from "./bucket.ts";
+import { amountToGive, give, settle, spend } from "./bucket.ts";
 import {
   Collection,
   type CollectionContext,
-  floorToQuantum,
+  patienceOf,
 } from "./collection.ts";
 import {
   maximumEarlyHandovers,
-  patienceMilliseconds,
+  refillMilliseconds,
   transferDeadlineMilliseconds,
 } from "./constants.ts";
 import { HolderIndex } from "./holder-index.ts";
@@ -34,7 +34,9 @@
   applyInForce,
   changeAllocation,
   createEntry,
+  type Handover,
   receiveHandover,
+  refillEntry,
   resetBucket,
   startFull,
   type WorkspaceEntry,
@@ -51,12 +53,6 @@
   logger?: Logger;
 }
 
-interface EarlyHandover {
-  readonly workspace: WorkspaceId;
-  readonly offset: Offset;
-  readonly amount: number;
-}
-
 const admitted: LimitDecision = { admitted: true };
 
 export class FleetLimiter implements Limiter {
@@ -67,7 +63,10 @@
   readonly #collectionContext: CollectionContext;
   #lastIncarnation: Incarnation | undefined;
   #nextTransfer = 1;
-  #earlyHandovers: EarlyHandover[] = [];
+  #earlyHandovers: Handover[] = [];
+  #cancelRefill = () => {};
+  /** When the instance was last seen to be fresh. */
+  #lastFreshAt = Number.NEGATIVE_INFINITY;
   #isDisposed = false;
 
   constructor(options: FleetLimiterOptions) {
@@ -77,13 +76,13 @@
       logger: silentLogger,
       ...options,
     };
-    const { instance, network, clock, timers, control } = this.#options;
+    const { instance, network, clock, timers } = this.#options;
     this.#collectionContext = {
       instance,
       network,
       clock,
       timers,
-      isFresh: () => control.isFresh(),
+      isFresh: () => this.#isFresh(),
       suspects: new Map(),
     };
   }
@@ -92,19 +91,20 @@
     const { control, network } = this.#options;
     network.handle(
       collectMessage,
-      ({ workspace, amount, whole }) => this.#give(workspace, amount, whole),
+      ({ workspace, ...asked }) => this.#give(workspace, asked),
     );
     network.handle(settleMessage, ({ workspace, transfer, refund }) => {
       const entry = this.#entries.get(workspace);
-      if (!entry) return null;
-      const bucket = refill(entry.bucket, this.#now());
-      entry.bucket = settle(bucket, transfer, refund);
+      if (!entry || !this.#isFresh()) return null;
+      refillEntry(entry, this.#now());
+      entry.bucket = settle(entry.bucket, transfer, refund);
       return null;
     });
     network.handle(handoverMessage, (handover) => {
       this.#receiveHandover(handover);
       return null;
     });
+    this.#repeatRefill();
     // Workspaces that exist already may have spent their burst: they start empty.
     this.#applyState(control.state, undefined);
     this.#store.add(
@@ -114,32 +114,34 @@
 
   async dispose(): Promise<void> {
     this.#isDisposed = true;
+    this.#cancelRefill();
     await this.#store.dispose();
   }
 
   take(workspace: WorkspaceId): Promise<LimitDecision> {
     const entry = this.#entries.get(workspace);
     const limit = entry?.allocation.limit;
-    if (!entry || !limit || !this.#options.control.isFresh()) {
+    if (!entry || !limit || !this.#isFresh()) {
       return Promise.resolve({ admitted: false, retryAfterSeconds: 1 });
     }
     const now = this.#now();
-    entry.bucket = refill(entry.bucket, now);
+    refillEntry(entry, now);
     if (entry.waiting.length === 0 && entry.bucket.level >= 1) {
       entry.bucket = spend(entry.bucket, 1);
-      entry.consecutiveShortages = 0;
       return Promise.resolve(admitted);
     }
     const servable = limit.burst +
-      limit.ratePerSecond * patienceMilliseconds / 1_000;
+      limit.ratePerSecond * patienceOf(entry) / 1_000;
     if (now < entry.refuseUntil || entry.waiting.length >= servable) {
       entry.lastRefusalAt = now;
       return Promise.resolve(this.#refusal(entry));
     }
     return new Promise((resolve) => {
-      entry.waiting.push((isAdmitted) =>
-        resolve(isAdmitted ? admitted : this.#refusal(entry))
-      );
+      entry.waiting.push({
+        since: now,
+        resolve: (isAdmitted) =>
+          resolve(isAdmitted ? admitted : this.#refusal(entry)),
+      });
       if (!entry.isCollecting) void this.#collect(entry);
     });
   }
@@ -153,7 +155,7 @@
         workspace: entry.id,
         reason: String(error),
       });
-      for (const resolve of entry.waiting.splice(0)) resolve(false);
+      for (const { resolve } of entry.waiting.splice(0)) resolve(false);
     } finally {
       entry.isCollecting = false;
     }
@@ -168,20 +170,41 @@
     };
   }
 
+  /** Keeps the levels recent, so that a holder that shrinks hands over what it has. */
+  #repeatRefill(): void {
+    const { timers } = this.#options;
+    const cancel = timers.after(refillMilliseconds, () => {
+      if (this.#isDisposed) return;
+      this.#repeatRefill();
+      if (!this.#isFresh()) return;
+      const now = this.#now();
+      for (const entry of this.#entries.values()) refillEntry(entry, now);
+    });
+    this.#cancelRefill = cancel;
+  }
+
+  #isFresh(): boolean {
+    const isFresh = this.#options.control.isFresh();
+    if (isFresh) this.#lastFreshAt = this.#now();
+    return isFresh;
+  }
+
   #now(): number {
     return this.#options.clock.monotonicNow();
   }
 
-  #give(workspace: WorkspaceId, amount: number, whole: boolean) {
+  #give(
+    workspace: WorkspaceId,
+    asked: { amount: number; whole: boolean; spare: number },
+  ) {
     const entry = this.#entries.get(workspace);
-    if (!entry || !this.#options.control.isFresh()) {
+    if (!entry || !this.#isFresh()) {
       return { transfer: 0, amount: 0, level: 0 };
     }
     const now = this.#now();
-    const bucket = refill(entry.bucket, now);
-    entry.bucket = bucket;
-    const wanted = Math.max(0, Math.min(bucket.level, amount));
-    const given = whole ? Math.floor(wanted) : floorToQuantum(wanted);
+    refillEntry(entry, now);
+    const { bucket } = entry;
+    const given = amountToGive(bucket, asked);
     if (given <= 0) return { transfer: 0, amount: 0, level: bucket.level };
     const transfer = this.#nextTransfer++;
     entry.bucket = give(bucket, {
@@ -192,8 +215,8 @@
     return { transfer, amount: given, level: entry.bucket.level };
   }
 
-  #receiveHandover(handover: EarlyHandover): void {
-    const { workspace, offset, amount } = handover;
+  #receiveHandover(handover: Handover): void {
+    const { workspace, offset } = handover;
     if (offset > this.#options.control.state.appliedOffset) {
       if (this.#earlyHandovers.length < maximumEarlyHandovers) {
         this.#earlyHandovers.push(handover);
@@ -201,7 +224,7 @@
       return;
     }
     const entry = this.#entries.get(workspace);
-    if (entry) receiveHandover(entry, offset, amount, this.#now());
+    if (entry) receiveHandover(entry, handover, this.#now());
   }
 
   #applyState(state: ControlState, previous: ControlState | undefined): void {
@@ -230,7 +253,10 @@
         instance,
         offset: state.appliedOffset,
         isMember,
-        now,
+        // A fresh instance knows all records but those of the freshness window. So a record
+        // that was unknown at that time came into force, with the time for transfers in
+        // transit added, no earlier than this.
+        notInForceBefore: this.#lastFreshAt + transferDeadlineMilliseconds,
         allocation: {
           limit: workspace && {
             ratePerSecond: workspace.ratePerSecond,
@@ -279,9 +305,9 @@
     // Tokens that a holder gave right before it applied the record may be used until then.
     timers.after(transferDeadlineMilliseconds, () => {
       if (this.#isDisposed) return;
-      const now = this.#now();
+      const options = { now: this.#now(), isFresh: this.#isFresh() };
       for (const entry of this.#entries.values()) {
-        applyInForce(entry, offset, now);
+        applyInForce(entry, offset, options);
       }
     });
   }
--- a/packages/limits/limits.test.ts
+++ b/packages/limits/limits.test.ts
@@ -2,7 +2,10 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
+import { compliantPatterns, runCompliant } from "./testing/compliant.ts";
 import { LimiterFleet } from "./testing/limiter-fleet.ts";
+import { runSchedule, scheduleArbitrary } from "./testing/random-schedule.ts";
 
 test("a new workspace has its whole burst at once and its rate afterwards", async () => {
   const fleet = new LimiterFleet({ seed: 1, members: 5 });
@@ -20,3 +23,54 @@
   assert.ok(fleet.admissions.length >= 0.95 * 216);
   assert.ok(fleet.overdraft() < 1e-6);
 });
+
+test("no schedule of faults admits more than one bucket would", async () => {
+  await fc.assert(
+    fc.asyncProperty(scheduleArbitrary, async (schedule) => {
+      const overdraft = (await runSchedule(schedule)).overdraft();
+      assert.ok(overdraft < 1e-6, `${overdraft} tokens too many`);
+    }),
+    { seed: 1, numRuns: 400 },
+  );
+});
+
+test("demand that one bucket would admit is admitted, at low bursts and at high ones", async () => {
+  for (const pattern of compliantPatterns) {
+    const { offered, refused } = await runCompliant(pattern);
+    assert.ok(offered > 150, `${pattern.name}: ${offered} requests`);
+    assert.ok(
+      refused <= pattern.accepted * offered,
+      `${pattern.name}: ${refused} of ${offered} refused`,
+    );
+  }
+});
+
+test("under overload the rate is used up and the holders are asked seldom", async () => {
+  const fleet = new LimiterFleet({ seed: 1, members: 10 });
+  await fleet.time.runUntil(3_000);
+  fleet.setLimit(50, 20);
+  await fleet.time.runUntil(3_100);
+  const messagesBefore = fleet.network.messages;
+  for (let turn = 1; turn <= 5_000; turn++) {
+    void fleet.takeAnywhere();
+    await fleet.time.runUntil(3_100 + 2 * turn);
+  }
+  // 20 at once and 50 a second for 10 s.
+  const admitted = fleet.admissions.length;
+  assert.ok(admitted >= 0.95 * 520, `${admitted} admitted`);
+  assert.ok(fleet.overdraft() < 1e-6);
+  const messages = (fleet.network.messages - messagesBefore) / 5_000;
+  assert.ok(messages < 5, `${messages} messages a request`);
+});
+
+test("a planned leave refuses no request within the rate", async () => {
+  const { refused, offered } = await runCompliant({
+    ...compliantPatterns[0]!,
+    intensity: 0.8,
+    eachSecond: (fleet, second) => {
+      if (second === 5) fleet.leave(fleet.name(3));
+    },
+  });
+  assert.ok(offered > 700);
+  assert.equal(refused, 0);
+});
--- a/packages/limits/messages.ts
+++ b/packages/limits/messages.ts
@@ -15,6 +15,8 @@
     amount: z.number().positive(),
     /** Whether only whole tokens are wanted. */
     whole: z.boolean(),
+    /** Tokens that fit into the asker's own bucket besides. */
+    spare: amountSchema,
   }).parse,
   z.object({
     transfer: z.number().int(),
--- a/packages/limits/share-schedule.ts
+++ b/packages/limits/share-schedule.ts
@@ -15,6 +15,8 @@
   /** Growth of the capacity over the record before; handovers may fill it early. */
   readonly growth: number;
   readonly handedOver: number;
+  /** Monotonic milliseconds before which no instance can have grown by the record. */
+  readonly notInForceBefore: number;
 }
 
 export interface ShareSchedule {
@@ -48,14 +50,13 @@
 
 export function addShare(
   schedule: ShareSchedule,
-  offset: Offset,
-  share: Share,
+  added: Pick<WaitingShare, "offset" | "share" | "notInForceBefore">,
 ): ShareSchedule {
   const latest = latestShare(schedule);
-  if (isSameShare(latest, share)) return schedule;
-  const growth = Math.max(0, share.capacity - latest.capacity);
-  const added: WaitingShare = { offset, share, growth, handedOver: 0 };
-  return { ...schedule, waiting: [...schedule.waiting, added] };
+  if (isSameShare(latest, added.share)) return schedule;
+  const growth = Math.max(0, added.share.capacity - latest.capacity);
+  const entry: WaitingShare = { ...added, growth, handedOver: 0 };
+  return { ...schedule, waiting: [...schedule.waiting, entry] };
 }
 
 /** Puts the records up to the offset in force. */
@@ -74,17 +75,19 @@
 
 /**
  * Accepts tokens that another holder lost by the record. Once the record is in force the grown
- * capacity can be filled otherwise, and the tokens are void.
+ * capacity can be filled otherwise, here or at other holders, and the tokens are void.
  */
 export function acceptHandover(
   schedule: ShareSchedule,
-  offset: Offset,
-  amount: number,
+  handover: { readonly offset: Offset; readonly amount: number },
+  now: number,
 ): { schedule: ShareSchedule; accepted: number } {
+  const refused = { schedule, accepted: 0 };
+  const { offset, amount } = handover;
   const target = schedule.waiting.find((entry) => entry.offset === offset);
-  if (!target) return { schedule, accepted: 0 };
+  if (!target || now >= target.notInForceBefore) return refused;
   const accepted = Math.min(amount, target.growth - target.handedOver);
-  if (!(accepted > 0)) return { schedule, accepted: 0 };
+  if (!(accepted > 0)) return refused;
   const waiting = schedule.waiting.map((entry) =>
     entry === target
       ? { ...entry, handedOver: entry.handedOver + accepted }
--- a/packages/limits/testing/limiter-fleet.ts
+++ b/packages/limits/testing/limiter-fleet.ts
@@ -26,9 +26,12 @@
   seed: number;
   members: number;
   latencyMilliseconds?: number;
+  /** Probability that a message takes up to 300 times as long. */
+  slowProbability?: number;
   lossProbability?: number;
-  /** Longest delay until a process has applied a record. */
+  /** Delay after which a slow process applies a record; the others apply it at once. */
   controlDelayMilliseconds?: number;
+  slowControlProbability?: number;
 }
 
 interface LimitVersion {
@@ -38,6 +41,12 @@
   readonly burst: number;
 }
 
+interface LimiterProcess {
+  readonly process: VirtualProcess;
+  readonly limiter: FleetLimiter;
+  incarnation: Incarnation;
+}
+
 export const workspace = brandAs<WorkspaceId>("walnut");
 
 export class LimiterFleet {
@@ -45,10 +54,7 @@
   readonly random: SeededRandom;
   readonly network: VirtualNetwork;
   readonly control: VirtualControlStream;
-  readonly processes = new Map<
-    InstanceId,
-    { process: VirtualProcess; limiter: FleetLimiter }
-  >();
+  readonly processes = new Map<InstanceId, LimiterProcess>();
   readonly admissions: number[] = [];
   readonly limits: LimitVersion[] = [];
   refusals = 0;
@@ -56,11 +62,14 @@
 
   constructor(options: LimiterFleetOptions) {
     const { latencyMilliseconds = 1, lossProbability = 0 } = options;
-    const { controlDelayMilliseconds = 20 } = options;
+    const { controlDelayMilliseconds = 20, slowProbability = 0 } = options;
+    const { slowControlProbability = 1 } = options;
     this.random = new SeededRandom(options.seed);
     this.network = new VirtualNetwork({
       time: this.time,
-      latency: () => latencyMilliseconds * (0.5 + this.random.next()),
+      latency: () =>
+        latencyMilliseconds * (0.5 + this.random.next()) *
+        (this.random.next() < slowProbability ? 300 : 1),
       isLost: () => this.random.next() < lossProbability,
     });
     this.control = new VirtualControlStream(
@@ -71,10 +80,13 @@
         configuration: emptyConfiguration(),
         members: new Map(),
       },
-      () => this.random.next() * controlDelayMilliseconds,
+      () =>
+        this.random.next() < slowControlProbability
+          ? (0.9 + 0.1 * this.random.next()) * controlDelayMilliseconds
+          : 5,
     );
     for (let index = 0; index < options.members; index++) {
-      this.join(this.name(index));
+      this.join(this.name(index), "before");
     }
   }
 
@@ -82,20 +94,44 @@
     return brandAs<InstanceId>(`instance-${index}`);
   }
 
-  /** Starts a process, or a new run of it, and publishes that it joined. */
-  join(instance: InstanceId): void {
-    const incarnation = brandAs<Incarnation>(`run-${this.#incarnations++}`);
+  /**
+   * Starts a process in place of an earlier one, and publishes that it joined. Its limiter may
+   * start before or after that, or with the first record of the stream.
+   */
+  join(instance: InstanceId, start: "before" | "after" | "replay"): void {
+    this.crash(instance);
+    const incarnation = this.#nextIncarnation();
+    if (start === "after") this.#publishJoined(instance, incarnation);
     const process = this.network.start(instance, incarnation);
-    const limiter = new FleetLimiter({
+    const view = this.control.open(process, start === "replay");
+    const limiter: FleetLimiter = new FleetLimiter({
       instance,
-      incarnation: () => incarnation,
-      control: this.control.open(process),
+      incarnation: () => entry.incarnation,
+      control: view,
       network: process,
       clock: this.time,
       timers: process,
     });
+    const entry = { process, limiter, incarnation };
     limiter.start();
-    this.processes.set(instance, { process, limiter });
+    this.processes.set(instance, entry);
+    view.applyUpTo(this.control.latest.appliedOffset);
+    if (start !== "after") this.#publishJoined(instance, incarnation);
+  }
+
+  /** Lets a running process join again after its eviction. */
+  rejoin(instance: InstanceId): void {
+    const entry = this.processes.get(instance);
+    if (!entry?.process.isRunning) return;
+    entry.incarnation = this.#nextIncarnation();
+    this.#publishJoined(instance, entry.incarnation);
+  }
+
+  #nextIncarnation(): Incarnation {
+    return brandAs<Incarnation>(`run-${this.#incarnations++}`);
+  }
+
+  #publishJoined(instance: InstanceId, incarnation: Incarnation): void {
     this.changeMember(instance, {
       instance,
       incarnation,
@@ -152,7 +188,9 @@
   }
 
   takeAnywhere(): Promise<boolean> {
-    return this.take(this.random.pick([...this.processes.keys()])!);
+    return this.take(
+      this.random.pick([...this.processes.keys()]) ?? this.name(0),
+    );
   }
 
   /**
--- a/packages/limits/workspace-entry.ts
+++ b/packages/limits/workspace-entry.ts
@@ -1,14 +1,7 @@
 /** What an instance keeps for each workspace, and the changes of it when a record is applied. */
 
 import type { InstanceId, Offset, WorkspaceId } from "../common/ids.ts";
-import {
-  type Bucket,
-  clip,
-  createBucket,
-  deposit,
-  pendingAmount,
-  refill,
-} from "./bucket.ts";
+import { type Bucket, clip, createBucket, deposit, refill } from "./bucket.ts";
 import {
   type Allocation,
   type HandoverPart,
@@ -32,14 +25,20 @@
   readonly at: number;
 }
 
+export interface WaitingRequest {
+  /** Monotonic milliseconds. */
+  readonly since: number;
+  readonly resolve: (isAdmitted: boolean) => void;
+}
+
 export interface WorkspaceEntry {
   readonly id: WorkspaceId;
   allocation: Allocation;
   schedule: ShareSchedule;
   bucket: Bucket;
   readonly knownLevels: Map<InstanceId, KnownLevel>;
-  /** Requests that wait for the collection in progress; each resolves to its admission. */
-  readonly waiting: ((isAdmitted: boolean) => void)[];
+  /** Requests that wait for the collection in progress, in order of arrival. */
+  readonly waiting: WaitingRequest[];
   isCollecting: boolean;
   /** Monotonic milliseconds until which requests are refused without asking the holders. */
   refuseUntil: number;
@@ -53,7 +52,14 @@
   /** Whether this run of the instance is a member after the change. */
   readonly isMember: boolean;
   readonly allocation: Allocation;
-  readonly now: number;
+  /** Monotonic milliseconds before which no instance can have grown by the record. */
+  readonly notInForceBefore: number;
+}
+
+export interface Handover {
+  readonly workspace: WorkspaceId;
+  readonly offset: Offset;
+  readonly amount: number;
 }
 
 const noAllocation: Allocation = { limit: undefined, holders: [] };
@@ -80,7 +86,11 @@
 }
 
 function applySchedule(entry: WorkspaceEntry): void {
-  entry.bucket = { ...entry.bucket, ...effectiveShare(entry.schedule) };
+  entry.bucket = {
+    ...entry.bucket,
+    ...effectiveShare(entry.schedule),
+    maximum: latestShare(entry.schedule).capacity,
+  };
 }
 
 /**
@@ -99,19 +109,33 @@
   entry.bucket = { ...entry.bucket, level: share.capacity };
 }
 
-/** Applies a change; returns the tokens to hand over to the holders that grow. */
+/**
+ * Generates the tokens due. Only a fresh instance may do so: while it misses a record, the
+ * share that the record took from it generates tokens at another holder.
+ */
+export function refillEntry(entry: WorkspaceEntry, now: number): void {
+  entry.bucket = refill(entry.bucket, now);
+}
+
+/**
+ * Applies a change; returns the tokens to hand over to the holders that grow. The time since
+ * the last refill counts with the lower of both shares, because the record may be in force for
+ * a part of it already.
+ */
 export function changeAllocation(
   entry: WorkspaceEntry,
   change: AllocationChange,
 ): HandoverPart[] {
   const before = entry.allocation;
-  const share = ownShareOf(change);
-  entry.bucket = refill(entry.bucket, change.now);
   const levelBefore = entry.bucket.level;
   entry.allocation = change.allocation;
-  entry.schedule = addShare(entry.schedule, change.offset, share);
+  entry.schedule = addShare(entry.schedule, {
+    offset: change.offset,
+    share: ownShareOf(change),
+    notInForceBefore: change.notInForceBefore,
+  });
   applySchedule(entry);
-  entry.bucket = clip(entry.bucket, share.capacity);
+  entry.bucket = clip(entry.bucket);
   return splitHandover(
     before,
     change.allocation,
@@ -129,26 +153,27 @@
 export function applyInForce(
   entry: WorkspaceEntry,
   offset: Offset,
-  now: number,
+  { now, isFresh }: { now: number; isFresh: boolean },
 ): void {
   const schedule = putInForce(entry.schedule, offset);
   if (schedule === entry.schedule) return;
-  entry.bucket = refill(entry.bucket, now);
+  if (isFresh) refillEntry(entry, now);
+  else entry.bucket = { ...entry.bucket, refilledAt: now };
   entry.schedule = schedule;
   applySchedule(entry);
 }
 
 export function receiveHandover(
   entry: WorkspaceEntry,
-  offset: Offset,
-  amount: number,
+  handover: Handover,
   now: number,
 ): void {
-  const { schedule, accepted } = acceptHandover(entry.schedule, offset, amount);
+  const { schedule, accepted } = acceptHandover(
+    entry.schedule,
+    handover,
+    now,
+  );
   if (accepted === 0) return;
   entry.schedule = schedule;
-  const bucket = refill(entry.bucket, now);
-  const highest = latestShare(schedule).capacity;
-  const free = Math.max(0, highest - pendingAmount(bucket) - bucket.level);
-  entry.bucket = deposit(bucket, Math.min(accepted, free));
+  entry.bucket = deposit(entry.bucket, accepted);
 }
