Split jobs into four ranges for each partition

Cause: one range for each partition left instances idle, as hashes put none on some partitions and several on others. Ruled out: ranges below 100 items, which would multiply the records of the home partition.

--- a/packages/batch/constants.ts
+++ b/packages/batch/constants.ts
@@ -22,6 +22,8 @@
 /** Items in one range; small jobs get small ranges, so that all partitions take part. */
 export const minimumRangeItems = 100;
 export const maximumRangeItems = 2_000;
+/** Ranges that a job has for each partition, because their hashes spread a few unevenly. */
+export const rangesPerPartition = 4;
 
 /** Calls that answer a caller are repeated towards the current owner for this long. */
 export const ownerRetryMilliseconds = 10_000;
--- a/packages/batch/descriptions.ts
+++ b/packages/batch/descriptions.ts
@@ -10,6 +10,7 @@
   lifetimeRetentionShare,
   maximumRangeItems,
   minimumRangeItems,
+  rangesPerPartition,
 } from "./constants.ts";
 import type { FileCompletion } from "./files/file-records.ts";
 import type { FoundJob } from "./jobs/job-client.ts";
@@ -26,7 +27,7 @@
 }
 
 export function rangeItemsFor(lines: number, partitions: number): number {
-  const even = Math.ceil(lines / partitions);
+  const even = Math.ceil(lines / (partitions * rangesPerPartition));
   return Math.min(maximumRangeItems, Math.max(minimumRangeItems, even));
 }
 
--- a/packages/batch/testing/fake-fleet.ts
+++ b/packages/batch/testing/fake-fleet.ts
@@ -189,6 +189,7 @@
 export interface FakeFleetOptions {
   partitions?: number;
   retentionSeconds?: number;
+  appendsPerSecond?: number;
   runItem: RunBatchItem;
 }
 
@@ -199,7 +200,12 @@
   readonly #options: Required<FakeFleetOptions>;
 
   constructor(options: FakeFleetOptions) {
-    this.#options = { partitions: 4, retentionSeconds: 3_600, ...options };
+    this.#options = {
+      partitions: 4,
+      retentionSeconds: 3_600,
+      appendsPerSecond: 4_000,
+      ...options,
+    };
   }
 
   /** Starts an instance, without telling the others. */
@@ -237,7 +243,10 @@
             ).map((candidate) => candidate.instance),
           ),
         logClient: this.log.client(gate),
-        appendBudget: new AppendBudget({ fleetAppendsPerSecond: 4_000 }),
+        appendBudget: new AppendBudget({
+          fleetAppendsPerSecond: this.#options.appendsPerSecond,
+          countMembers: () => control.state.members.size,
+        }),
         network: this.#network(instance),
         capacity,
         runItem,
