Answer about jobs while a partition is being released

Cause: a planned release waits for calls that may not be repeated; meanwhile nobody answered for the home partition, so submissions and cancels failed after 10 s. Ruled out: ending the drain after a time, which would turn running calls into may_have_run; the releasing owner goes on answering, and its successor names it to whoever asks too early. Conclusion: a release no longer refuses requests of callers.

--- a/packages/batch/execution/executor.ts
+++ b/packages/batch/execution/executor.ts
@@ -65,6 +65,8 @@
   readonly #runs = new Map<string, RangeRun>();
   /** The item of each owner that is started alone. */
   readonly #alone = new Map<PartitionOwner, { run: RangeRun; line: number }>();
+  /** Owners that start nothing any more, because they are being released. */
+  readonly #draining = new WeakSet<PartitionOwner>();
   #ordered: RangeRun[] | undefined;
   #isPumpScheduled = false;
   #isDisposed = false;
@@ -104,6 +106,7 @@
 
   /** Ends the owner's work: calls that may be repeated go back, the others finish. */
   async drain(owner: PartitionOwner): Promise<void> {
+    this.#draining.add(owner);
     for (const run of this.#runsOf(owner)) run.draining.abort();
     this.#ready.removeWhere(({ run }) => run.owner === owner);
     this.#schedulePump();
@@ -164,6 +167,7 @@
 
   #addRun(owner: PartitionOwner, range: RangeState): void {
     if (isRangeFinished(range) || !owner.isActive) return;
+    if (this.#draining.has(owner)) return;
     const now = this.#options.clock.monotonicNow();
     const run = createRangeRun(owner, range, now);
     this.#runs.set(run.key, run);
--- a/packages/batch/fleet-faults.test.ts
+++ b/packages/batch/fleet-faults.test.ts
@@ -190,6 +190,32 @@
   assert.equal(suspects.length, 0, "a returned item was counted as lost");
 });
 
+test("jobs are accepted and cancelled while their home owner waits for a long call", async (context) => {
+  const calls: BatchItemCall[] = [];
+  const fleet = new FakeFleet({ runItem: slowly(2_500, calls), partitions: 1 });
+  context.after(() => fleet.dispose());
+  const [a, b] = fleet.start("a", "b") as [FakeInstance, FakeInstance];
+  const [home, other] = await waitFor(() =>
+    a.service.statistics.partitions > 0
+      ? [a, b]
+      : b.service.statistics.partitions > 0 && [b, a]
+  );
+  const long = await submit(home!, scaleItems(3));
+  await waitFor(() => calls.length === 3);
+  fleet.publish([other!], [a, b], [home!]);
+  const released = home!.service.release();
+  const startedAt = Date.now();
+  const job = await submit(other!, chatItems(50));
+  await other!.service.cancelJob(workspace, job.id);
+  assert.equal((await waitUntilEnded(other!, job.id)).status, "cancelled");
+  assert.ok(Date.now() - startedAt < 1_500);
+  assert.equal(home!.service.statistics.running, 3);
+  await released;
+  const ended = await waitUntilEnded(other!, long.id);
+  assert.equal(ended.counts.completed, 3);
+  assert.equal(calls.length, 3);
+});
+
 test("a cancelled job stops within 2 s and its items end as cancelled", async (context) => {
   const calls: BatchItemCall[] = [];
   const fleet = new FakeFleet({ runItem: slowly(30, calls) });
--- a/packages/batch/jobs/home-owner.ts
+++ b/packages/batch/jobs/home-owner.ts
@@ -20,6 +20,7 @@
   type JobAnswer,
   type JobListAnswer,
   listJobsMessage,
+  type NotOwner,
   rangeChangedMessage,
   submitJobMessage,
 } from "./job-messages.ts";
@@ -33,10 +34,10 @@
   clock: Clock;
 }
 
-const notOwner = { kind: "not-owner" } as const;
-
 export class HomeOwner {
   readonly #options: HomeOwnerOptions;
+  /** Jobs whose cancel by operators is being recorded. */
+  readonly #cancelling = new Set<JobId>();
 
   constructor(options: HomeOwnerOptions) {
     this.#options = options;
@@ -76,9 +77,12 @@
     for (const job of cancelledJobs) {
       for (const owner of this.#options.partitions.activeOwners()) {
         const state = owner.state.jobs.get(job);
-        if (state && mayCancel(state) && !owner.isLogStalled) {
-          void this.#recordCancel(owner, job);
-        }
+        const isPending = this.#cancelling.has(job);
+        if (!state || !mayCancel(state) || isPending) continue;
+        this.#cancelling.add(job);
+        void this.#recordCancel(owner, job).finally(() =>
+          this.#cancelling.delete(job)
+        );
       }
     }
   }
@@ -98,7 +102,7 @@
         await owner.append({ kind: "job-accepted", spec });
       }
       const job = owner.state.jobs.get(spec.id);
-      if (!job) return notOwner;
+      if (!job) return this.#notOwner(spec.workspace);
       if (job.spec.fingerprint !== spec.fingerprint) {
         return {
           kind: "refused",
@@ -122,7 +126,7 @@
       if (mayCancel(job)) {
         if (owner.isLogStalled) return logUnavailable();
         await this.#recordCancel(owner, id);
-        if (mayCancel(job)) return notOwner;
+        if (mayCancel(job)) return this.#notOwner(workspace);
       }
       return this.#answer(owner, workspace, id);
     });
@@ -189,17 +193,28 @@
   async #withOwner<Answer>(
     workspace: WorkspaceId,
     action: (owner: PartitionOwner) => Answer | Promise<Answer>,
-  ): Promise<Answer | typeof notOwner> {
+  ): Promise<Answer | NotOwner> {
     const owner = this.#ownerOf(workspace);
-    if (!owner) return notOwner;
+    // An instance that was paused may not have read yet that its epoch has been replaced.
+    if (!owner || !this.#options.control.isFresh()) {
+      return this.#notOwner(workspace);
+    }
     try {
       const answer = await action(owner);
-      return owner.isActive ? answer : notOwner;
+      return owner.isActive ? answer : this.#notOwner(workspace);
     } catch (error) {
       if (!(error instanceof RosemaryrudderError)) throw error;
-      return notOwner;
+      return this.#notOwner(workspace);
     }
   }
+
+  #notOwner(workspace: WorkspaceId): NotOwner {
+    const { control, partitions } = this.#options;
+    const { platform } = control.state.configuration;
+    const holder = platform &&
+      partitions.holderOf(partitionOf(workspace, platform.partitions));
+    return { kind: "not-owner", holder };
+  }
 }
 
 function mayCancel(job: JobState): boolean {
--- a/packages/batch/jobs/job-client.ts
+++ b/packages/batch/jobs/job-client.ts
@@ -5,7 +5,12 @@
 
 import type { Clock } from "../../common/clock.ts";
 import { CallerError, RosemaryrudderError } from "../../common/errors.ts";
-import type { JobId, PartitionNumber, WorkspaceId } from "../../common/ids.ts";
+import type {
+  InstanceId,
+  JobId,
+  PartitionNumber,
+  WorkspaceId,
+} from "../../common/ids.ts";
 import type {
   ControlView,
   PartitionOwnerLookup,
@@ -27,6 +32,7 @@
   type JobAnswer,
   type JobResults,
   listJobsMessage,
+  type NotOwner,
   submitJobMessage,
 } from "./job-messages.ts";
 
@@ -113,8 +119,10 @@
     const { clock, control, partitionOwner, network } = this.#options;
     const endsAt = clock.monotonicNow() + ownerRetryMilliseconds;
     let mayHaveRun = false;
+    let holder: InstanceId | undefined;
     while (clock.monotonicNow() < endsAt) {
-      const owner = partitionOwner(control.state, partition);
+      const owner = holder ?? partitionOwner(control.state, partition);
+      holder = undefined;
       if (owner) {
         try {
           const answer = await network.request(owner, message, body, {
@@ -130,6 +138,7 @@
               { kind: "not-owner" | "refused" }
             >;
           }
+          holder = (answer as WithKind as NotOwner).holder;
         } catch (error) {
           if (error instanceof CallerError) throw error;
           if (!(error instanceof RosemaryrudderError)) throw error;
--- a/packages/batch/jobs/job-messages.ts
+++ b/packages/batch/jobs/job-messages.ts
@@ -1,7 +1,12 @@
 /** Messages between instances about jobs and their ranges. */
 
 import { z } from "zod";
-import type { FileId, JobId, WorkspaceId } from "../../common/ids.ts";
+import type {
+  FileId,
+  InstanceId,
+  JobId,
+  WorkspaceId,
+} from "../../common/ids.ts";
 import { brandAs } from "../../common/ids.ts";
 import { definePeerMessage } from "../../protocol/peer-message.ts";
 import { jobSpecSchema } from "../partition/entries.ts";
@@ -41,7 +46,16 @@
  * Answers name their kind instead of failing, so that the asking instance can tell a refusal of
  * the request from an instance that does not own the partition.
  */
-const notOwnerSchema = z.object({ kind: z.literal("not-owner") });
+const notOwnerSchema = z.object({
+  kind: z.literal("not-owner"),
+  /** The instance that still holds the epoch, if the asked one is to follow it. */
+  holder: z.string().nullish().transform((value) =>
+    value === null || value === undefined
+      ? undefined
+      : brandAs<InstanceId>(value)
+  ),
+});
+export type NotOwner = z.output<typeof notOwnerSchema>;
 const refusedSchema = z.object({
   kind: z.literal("refused"),
   status: z.number().int(),
--- a/packages/batch/jobs/range-handler.ts
+++ b/packages/batch/jobs/range-handler.ts
@@ -19,6 +19,7 @@
   type RangeState,
 } from "../partition/state.ts";
 import {
+  type NotOwner,
   type RangeIndexAnswer,
   rangeIndexMessage,
   type RangeReport,
@@ -33,8 +34,6 @@
   executor: Executor;
 }
 
-const notOwner = { kind: "not-owner" } as const;
-
 export class RangeHandler {
   readonly #options: RangeHandlerOptions;
   /** Entries that are being appended, so that repeated messages do not add more of them. */
@@ -59,16 +58,16 @@
   async #sync(request: SyncRanges): Promise<SyncAnswer> {
     const partition = request.partition as PartitionNumber;
     const owner = this.#options.partitions.active(partition);
-    if (!owner) return notOwner;
+    if (!owner) return this.#notOwner(partition);
     try {
       await Promise.all(
         request.ranges.map((range) => this.#settle(owner, request, range)),
       );
     } catch (error) {
       if (!(error instanceof RosemaryrudderError)) throw error;
-      return notOwner;
+      return this.#notOwner(partition);
     }
-    if (!owner.isActive) return notOwner;
+    if (!owner.isActive) return this.#notOwner(partition);
     const { ranges } = owner.state;
     return {
       kind: "reports",
@@ -131,6 +130,11 @@
     await appended;
   }
 
+  #notOwner(partition: PartitionNumber): NotOwner {
+    const holder = this.#options.partitions.holderOf(partition);
+    return { kind: "not-owner", holder };
+  }
+
   #describeIndex(
     { partition, job, range }: {
       partition: number;
@@ -139,7 +143,7 @@
     },
   ): RangeIndexAnswer {
     const owner = this.#options.partitions.active(partition as PartitionNumber);
-    if (!owner) return notOwner;
+    if (!owner) return this.#notOwner(partition as PartitionNumber);
     const state = owner.state.ranges.get(rangeKey(job, range));
     if (!state) return { kind: "unknown-range" };
     const lines = Array.from({ length: state.spec.lines }, (_, line) => line);
--- a/packages/batch/jobs/range-sync.ts
+++ b/packages/batch/jobs/range-sync.ts
@@ -47,6 +47,8 @@
   /** Ranges whose end is being recorded. */
   readonly finishing: Set<number>;
   readonly outstanding: Set<PartitionNumber>;
+  /** Instances that still hold the epoch of a partition that is being handed over. */
+  readonly holders: Map<PartitionNumber, InstanceId>;
   isRemoving: boolean;
 }
 
@@ -99,6 +101,7 @@
         removed: new Set(),
         finishing: new Set(),
         outstanding: new Set(),
+        holders: new Map(),
         isRemoving: false,
       };
       jobs.set(job, sync);
@@ -154,7 +157,9 @@
     },
   ): Promise<void> {
     const { control, partitionOwner, network } = this.#options;
-    const rangeOwner = partitionOwner(control.state, partition);
+    const rangeOwner = sync.holders.get(partition) ??
+      partitionOwner(control.state, partition);
+    sync.holders.delete(partition);
     if (!rangeOwner) return;
     const { id, workspace, inputFile, deadline, lines, rangeItems } = job.spec;
     sync.outstanding.add(partition);
@@ -165,6 +170,10 @@
         ranges,
         wanted,
       }, { deadlineMilliseconds: ownerRequestMilliseconds });
+      if (answer.kind === "not-owner" && answer.holder) {
+        sync.holders.set(partition, answer.holder);
+        sync.nextAt = 0;
+      }
       if (answer.kind !== "reports" || !owner.isActive) return;
       for (const report of answer.reports) {
         this.#handleReport(owner, job, sync, { report, wanted });
--- a/packages/batch/partition/partition-set.ts
+++ b/packages/batch/partition/partition-set.ts
@@ -47,21 +47,24 @@
     this.#options = options;
   }
 
-  /** The owner of a partition if its epoch is open here and it is not being released. */
+  /**
+   * The owner of a partition if its epoch is open here. An owner that is being released goes on
+   * answering about jobs, because calls that it waits for may take long.
+   */
   active(partition: PartitionNumber): PartitionOwner | undefined {
-    const owner = this.#owners.get(partition);
-    return owner?.isActive ? owner : undefined;
+    return this.activeOwners().find((owner) => owner.partition === partition);
   }
 
   activeOwners(): PartitionOwner[] {
-    return [...this.#owners.values()].filter((owner) => owner.isActive);
+    return [...this.#owners.values(), ...this.#releasing.keys()].filter((
+      owner,
+    ) => owner.isActive);
   }
 
-  /** Whether any owner, also one that is being released, waits for the log. */
-  get isLogStalled(): boolean {
-    return [...this.#owners.values(), ...this.#releasing.keys()].some((owner) =>
-      owner.isLogStalled
-    );
+  /** The instance whose epoch is still open, as far as this instance follows the partition. */
+  holderOf(partition: PartitionNumber): InstanceId | undefined {
+    const epoch = this.#owners.get(partition)?.state.epoch;
+    return epoch && !epoch.isReleased ? epoch.owner : undefined;
   }
 
   maintain(): void {
--- a/packages/batch/testing/fake-fleet.ts
+++ b/packages/batch/testing/fake-fleet.ts
@@ -258,9 +258,19 @@
   }
 
   /** Publishes the members to all instances, or to some of them only. */
-  publish(members: FakeInstance[], readers = [...this.instances.values()]) {
+  publish(
+    members: FakeInstance[],
+    readers = [...this.instances.values()],
+    leaving: FakeInstance[] = [],
+  ) {
     for (const { control } of readers) {
-      control.setMembers(members.map(({ member }) => member));
+      control.setMembers([
+        ...members.map(({ member }) => member),
+        ...leaving.map(({ member }) => ({
+          ...member,
+          state: "leaving" as const,
+        })),
+      ]);
     }
   }
 
