Name the valid entries of each record that holds results

Cause: a random schedule showed a reader that hid a result, because it took a cancel without effect in the same record for one with effect; readers repeated part of the reducer's rules. Conclusion: what is visible follows from the reducer alone.

--- a/packages/batch/jobs/home-owner.ts
+++ b/packages/batch/jobs/home-owner.ts
@@ -22,6 +22,7 @@
   listJobsMessage,
   type NotOwner,
   rangeChangedMessage,
+  type Refused,
   submitJobMessage,
 } from "./job-messages.ts";
 import type { RangeSync } from "./range-sync.ts";
@@ -155,6 +156,7 @@
         .filter(({ spec }) => spec.workspace === workspace)
         .sort(newestFirst);
       const position = jobs.findIndex(({ spec }) => spec.id === after);
+      if (after !== undefined && position === -1) return unknownAfter();
       const page = jobs.slice(position + 1, position + 1 + limit);
       return {
         kind: "jobs" as const,
@@ -225,7 +227,17 @@
   return right.createdAt - left.createdAt || (left.id < right.id ? -1 : 1);
 }
 
-function logUnavailable(): JobAnswer {
+function unknownAfter(): Refused {
+  return {
+    kind: "refused",
+    status: 400,
+    code: "job_not_found",
+    message: "the job named by 'after' does not exist",
+    isNotRun: true,
+  };
+}
+
+function logUnavailable(): Refused {
   return {
     kind: "refused",
     status: 503,
--- a/packages/batch/jobs/job-messages.ts
+++ b/packages/batch/jobs/job-messages.ts
@@ -64,6 +64,7 @@
   /** False if the request may still take effect. */
   isNotRun: z.boolean(),
 });
+export type Refused = z.output<typeof refusedSchema>;
 const jobAnswerSchema = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("job"),
@@ -167,7 +168,12 @@
 const rangeIndexAnswerSchema = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("index"),
-    records: z.array(z.object({ offset: count, hasCopies: z.boolean() })),
+    records: z.array(z.object({
+      offset: count,
+      first: count,
+      last: count,
+      hasCopies: z.boolean(),
+    })),
     isCancelled: z.boolean(),
     /** Lines of a cancelled range that may have run although they have no outcome. */
     mayHaveRun: z.array(count),
--- a/packages/batch/jobs/range-handler.ts
+++ b/packages/batch/jobs/range-handler.ts
@@ -149,10 +149,7 @@
     const lines = Array.from({ length: state.spec.lines }, (_, line) => line);
     return {
       kind: "index",
-      records: state.index.map(({ offset, hasCopies }) => ({
-        offset,
-        hasCopies,
-      })),
+      records: state.index,
       isCancelled: state.isCancelled,
       mayHaveRun: state.isCancelled
         ? lines.filter((line) =>
--- a/packages/batch/partition/checkpoint.ts
+++ b/packages/batch/partition/checkpoint.ts
@@ -19,7 +19,7 @@
   done: Uint8Array;
   started: Map<number, Offset>;
   aborted: number[];
-  index: [number, number, boolean][];
+  index: [number, number, boolean, number, number][];
 }
 
 export function encodeState(state: PartitionState): Uint8Array {
@@ -42,6 +42,8 @@
         record.offset,
         record.time,
         record.hasCopies,
+        record.first,
+        record.last,
       ]),
     }]),
   });
@@ -84,8 +86,10 @@
     attempts: new Map(range.attempts),
     intents: new Map(range.intents),
     aborted: new Set(range.aborted),
-    index: range.index.map(([offset, time, hasCopies]) => ({
+    index: range.index.map(([offset, time, hasCopies, first, last]) => ({
       offset: offset as Offset,
+      first,
+      last,
       time,
       hasCopies,
     })),
--- a/packages/batch/partition/range-reducer.ts
+++ b/packages/batch/partition/range-reducer.ts
@@ -1,7 +1,7 @@
 /** The part of the reducer that concerns the items of one range. */
 
 import { Buffer } from "node:buffer";
-import type { StoredRecord } from "../../log/log-client.ts";
+import type { Offset } from "../../common/ids.ts";
 import type { EntryOf, RangeEntry, RangeSpec } from "./entries.ts";
 import { isDone, type RangeState } from "./state.ts";
 
@@ -10,6 +10,15 @@
   EntryOf<"range-removed"> | EntryOf<"range-finished">
 >;
 
+/** Where an entry stands in the stream. */
+export interface EntryPlace {
+  readonly offset: Offset;
+  /** Time at which the log accepted the record. */
+  readonly time: number;
+  /** Position in the record. */
+  readonly position: number;
+}
+
 export function createRange(spec: RangeSpec): RangeState {
   return {
     spec,
@@ -33,7 +42,7 @@
 export function applyRangeEntry(
   range: RangeState,
   entry: ItemEntry,
-  stored: StoredRecord,
+  place: EntryPlace,
 ): boolean {
   switch (entry.kind) {
     case "item-started":
@@ -58,8 +67,8 @@
       return true;
     case "item-completed":
       return entry.isCopy
-        ? indexCopy(range, entry, stored)
-        : complete(range, entry, stored);
+        ? indexCopy(range, entry, place)
+        : complete(range, entry, place);
     case "range-carried":
       range.index = range.index.filter(({ offset }) => offset >= entry.before);
       return true;
@@ -93,7 +102,7 @@
 function complete(
   range: RangeState,
   entry: EntryOf<"item-completed">,
-  stored: StoredRecord,
+  place: EntryPlace,
 ): boolean {
   const { line } = entry;
   if (range.isCancelled || !isOpen(range, line)) return false;
@@ -113,31 +122,38 @@
   range.attempts.delete(line);
   range.intents.delete(line);
   range.aborted.delete(line);
-  addToIndex(range, stored, false);
+  addToIndex(range, place, false);
   return true;
 }
 
 function indexCopy(
   range: RangeState,
   entry: EntryOf<"item-completed">,
-  stored: StoredRecord,
+  place: EntryPlace,
 ): boolean {
   if (entry.line >= range.spec.lines || !isDone(range, entry.line)) {
     return false;
   }
-  addToIndex(range, stored, true);
+  addToIndex(range, place, true);
   return true;
 }
 
 function addToIndex(
   range: RangeState,
-  { offset, time }: StoredRecord,
+  { offset, time, position }: EntryPlace,
   hasCopies: boolean,
 ): void {
   const last = range.index.at(-1);
   if (last?.offset === offset) {
     last.hasCopies ||= hasCopies;
+    last.last = position;
   } else {
-    range.index.push({ offset, time, hasCopies });
+    range.index.push({
+      offset,
+      first: position,
+      last: position,
+      time,
+      hasCopies,
+    });
   }
 }
--- a/packages/batch/partition/reducer.ts
+++ b/packages/batch/partition/reducer.ts
@@ -14,7 +14,11 @@
   type PartitionEntry,
   type RangeEntry,
 } from "./entries.ts";
-import { applyRangeEntry, createRange } from "./range-reducer.ts";
+import {
+  applyRangeEntry,
+  createRange,
+  type EntryPlace,
+} from "./range-reducer.ts";
 import {
   isRangeFinished,
   type PartitionState,
@@ -31,9 +35,12 @@
   const record = decodeRecord(stored.data);
   if (!record || isDuplicate(state, record)) return [];
   const accepted: PartitionEntry[] = [];
-  for (const raw of record.entries) {
+  const { offset, time } = stored;
+  for (const [position, raw] of record.entries.entries()) {
     const parsed = entrySchema.safeParse(raw);
-    if (parsed.success && applyEntry(state, parsed.data, record, stored)) {
+    if (!parsed.success) continue;
+    const place = { offset, time, position };
+    if (applyEntry(state, parsed.data, record, place)) {
       accepted.push(parsed.data);
     }
   }
@@ -57,11 +64,11 @@
   state: PartitionState,
   entry: PartitionEntry,
   record: LogRecord,
-  stored: StoredRecord,
+  place: EntryPlace,
 ): boolean {
   if (entry.kind === "checkpoint") return true;
   if (entry.kind === "epoch-opened") {
-    return openEpoch(state, entry, record, stored.offset);
+    return openEpoch(state, entry, record, place.offset);
   }
   const { epoch } = state;
   const isCurrent = epoch?.offset === entry.epoch &&
@@ -84,7 +91,7 @@
     case "range-removed":
       return state.ranges.delete(rangeKey(entry.job, entry.range));
     default:
-      return applyToRange(state, entry, stored);
+      return applyToRange(state, entry, place);
   }
 }
 
@@ -172,8 +179,8 @@
     RangeEntry,
     EntryOf<"range-removed"> | EntryOf<"range-finished">
   >,
-  stored: StoredRecord,
+  place: EntryPlace,
 ): boolean {
   const range = state.ranges.get(rangeKey(entry.job, entry.range));
-  return range !== undefined && applyRangeEntry(range, entry, stored);
+  return range !== undefined && applyRangeEntry(range, entry, place);
 }
--- a/packages/batch/partition/state.ts
+++ b/packages/batch/partition/state.ts
@@ -41,8 +41,12 @@
   message: string;
 }
 
+/** A record that holds visible completions of a range. */
 export interface IndexedRecord {
   readonly offset: Offset;
+  /** Positions of the first and last entry of the record that took effect. */
+  readonly first: number;
+  last: number;
   /** Time at which the log accepted it. */
   readonly time: number;
   /** Whether it holds copies of completions that were carried forward. */
--- a/packages/batch/results/carry-results.ts
+++ b/packages/batch/results/carry-results.ts
@@ -24,6 +24,7 @@
     stream: partitionStream(owner.partition),
     job,
     range: number,
+    lines: range.spec.lines,
     records,
     seen: new Set(),
   });
--- a/packages/batch/results/range-results.ts
+++ b/packages/batch/results/range-results.ts
@@ -17,12 +17,23 @@
   }
 }
 
+/** A record with completions of the range, as its owner's state names it. */
+export interface ResultRecord {
+  readonly offset: number;
+  /** Positions of the first and last entry that took effect. */
+  readonly first: number;
+  readonly last: number;
+  readonly hasCopies: boolean;
+}
+
 export interface RangeResultsOptions {
   client: LogClient;
   stream: StreamName;
   job: JobId;
   range: number;
-  records: readonly { offset: number; hasCopies: boolean }[];
+  /** Number of lines of the range. */
+  lines: number;
+  records: readonly ResultRecord[];
   /** Lines that have been read already; grows while reading. */
   seen: Set<number>;
 }
@@ -37,14 +48,15 @@
 }
 
 async function* readPass(
-  { client, stream, job, range, seen }: RangeResultsOptions,
-  wanted: readonly { offset: number }[],
+  options: RangeResultsOptions,
+  wanted: readonly ResultRecord[],
   isCopy: boolean,
 ): AsyncGenerator<EntryOf<"item-completed">> {
-  const offsets = wanted.map(({ offset }) => offset);
-  for await (const record of readRecords(client, stream, offsets)) {
-    for (const entry of completionsIn(record, job, range)) {
-      if ((entry.isCopy ?? false) !== isCopy || seen.has(entry.line)) continue;
+  const { client, stream, lines, seen } = options;
+  for await (const [stored, place] of readRecords(client, stream, wanted)) {
+    for (const entry of completionsIn(stored, place, options)) {
+      if ((entry.isCopy ?? false) !== isCopy) continue;
+      if (entry.line >= lines || seen.has(entry.line)) continue;
       seen.add(entry.line);
       yield entry;
     }
@@ -55,12 +67,12 @@
 async function* readRecords(
   client: LogClient,
   stream: StreamName,
-  offsets: readonly number[],
-): AsyncGenerator<StoredRecord> {
+  wanted: readonly ResultRecord[],
+): AsyncGenerator<[StoredRecord, ResultRecord]> {
   let position = 0;
-  while (position < offsets.length) {
-    const from = offsets[position] as Offset;
-    const isAlone = offsets[position + 1] !== from + 1;
+  for (let next = wanted[position]; next; next = wanted[position]) {
+    const from = next.offset as Offset;
+    const isAlone = wanted[position + 1]?.offset !== from + 1;
     const { records } = await client.read(stream, {
       from,
       waitMilliseconds: 0,
@@ -70,35 +82,28 @@
       throw new ResultsMissingError(stream, from);
     }
     for (const record of records) {
-      if (record.offset !== offsets[position]) break;
-      yield record;
+      const place = wanted[position];
+      if (!place || record.offset !== place.offset) break;
+      yield [record, place];
       position++;
     }
   }
 }
 
 function completionsIn(
-  record: StoredRecord,
-  job: JobId,
-  range: number,
+  stored: StoredRecord,
+  { first, last }: ResultRecord,
+  { job, range }: RangeResultsOptions,
 ): EntryOf<"item-completed">[] {
   const found: EntryOf<"item-completed">[] = [];
-  let isCancelled = false;
-  for (const raw of decodeRecord(record.data)?.entries ?? []) {
-    const { kind } = raw as { kind?: unknown };
-    if (kind !== "item-completed" && kind !== "range-cancelled") continue;
+  const entries = decodeRecord(stored.data)?.entries ?? [];
+  for (const raw of entries.slice(first, last + 1)) {
+    if ((raw as { kind?: unknown }).kind !== "item-completed") continue;
     const parsed = entrySchema.safeParse(raw);
-    if (!parsed.success) continue;
-    const entry = parsed.data;
-    const isOfRange = "range" in entry && entry.job === job &&
+    const entry = parsed.success ? parsed.data : undefined;
+    const isOfRange = entry?.kind === "item-completed" && entry.job === job &&
       entry.range === range;
-    if (!isOfRange) continue;
-    if (entry.kind === "range-cancelled") isCancelled = true;
-    else if (
-      entry.kind === "item-completed" && (entry.isCopy || !isCancelled)
-    ) {
-      found.push(entry);
-    }
+    if (isOfRange) found.push(entry);
   }
   return found;
 }
--- a/packages/batch/results/result-reader.ts
+++ b/packages/batch/results/result-reader.ts
@@ -80,6 +80,7 @@
           stream: partitionStream(partition),
           job,
           range,
+          lines: spec.lines,
           records: index.records,
           seen,
         });
