--- a/packages/batch/descriptions.ts
+++ b/packages/batch/descriptions.ts
@@ -70,7 +70,7 @@
 export function fileNotFound(): CallerError {
   return new CallerError({
     status: 404,
-    code: "file_not_found",
+    code: "unknown_file",
     message: "there is no such file in this workspace",
   });
 }
--- a/packages/batch/execution/item-runner.ts
+++ b/packages/batch/execution/item-runner.ts
@@ -76,6 +76,7 @@
     try {
       const answer = await this.#options.runItem({
         job: spec.job,
+        workspace: grant.workspace,
         file: spec.inputFile,
         line: fileLine(run, item.line),
         upstream: grant.upstream,
--- a/packages/http/metrics/serving-metrics.ts
+++ b/packages/http/metrics/serving-metrics.ts
@@ -19,6 +19,12 @@
     labelNames: ["code"],
     registers: [this.registry],
   });
+  readonly #attempts = new Counter({
+    name: "rosemaryrudder_upstream_attempts_total",
+    help: "Attempts of online requests at upstreams, by outcome.",
+    labelNames: ["outcome", "retry"],
+    registers: [this.registry],
+  });
   readonly #active = new Gauge({
     name: "rosemaryrudder_active_requests",
     help: "Requests of callers that are being answered.",
@@ -41,6 +47,10 @@
     this.#errors.inc({ code });
   }
 
+  recordAttempt(outcome: string, isRetry: boolean): void {
+    this.#attempts.inc({ outcome, retry: String(isRetry) });
+  }
+
   setActive(count: number): void {
     this.#active.set(count);
   }
--- a/packages/instance/services.ts
+++ b/packages/instance/services.ts
@@ -70,7 +70,7 @@
   const foundation = await createFoundation(options);
   const { network, control, client, budget } = foundation;
   const metrics = new ServingMetrics();
-  const routing = createRouting(options, foundation);
+  const routing = createRouting(options, foundation, metrics);
   const batch = new FleetBatchService({
     instance: blackboard.instance,
     incarnation: () => blackboard.incarnation,
@@ -84,6 +84,15 @@
       caller: routing.caller,
       control,
       health: routing.health,
+      onTiming: ({ call, firstByteMilliseconds, totalMilliseconds }) => {
+        if (call.workspace === undefined) return;
+        metrics.recordFirstToken(
+          call.workspace,
+          "batch",
+          firstByteMilliseconds,
+        );
+        metrics.recordTotal(call.workspace, "batch", totalMilliseconds);
+      },
     }),
     logger,
   });
@@ -152,6 +161,7 @@
 function createRouting(
   { settings, blackboard, logger, store }: ServicesOptions,
   { network, control }: Foundation,
+  metrics: ServingMetrics,
 ) {
   const directory = new UpstreamDirectory({
     control,
@@ -205,6 +215,8 @@
     capacity,
     health,
     random: new SeededRandom(hashNumber(blackboard.incarnation) | 0),
+    onAttempt: ({ outcome, isRetry }) =>
+      metrics.recordAttempt(outcome, isRetry),
     onFirstToken: ({ upstream, isStreamed, milliseconds }) => {
       if (isStreamed) capacity.recordFirstToken(upstream, milliseconds);
     },
--- a/packages/routing/online-router.test.ts
+++ b/packages/routing/online-router.test.ts
@@ -24,6 +24,7 @@
 function createRouter(names: readonly string[], outcomes: Outcome[]) {
   const calls: UpstreamRequest[] = [];
   const inFlight = new Map<string, number>();
+  const attempts: string[] = [];
   const live = new Set(names);
   const engines = names.map((name) => ({ name }) as Upstream);
   let now = 0;
@@ -65,6 +66,7 @@
       loadOf: (name) => (inFlight.get(name) ?? 0) / 4,
     },
     random: new SeededRandom(1),
+    onAttempt: ({ outcome, isRetry }) => attempts.push(`${outcome} ${isRetry}`),
     clock: { monotonicNow: () => now, wallNow: () => 0 },
   });
   const chat = (changes: Partial<OnlineChatRequest> = {}) =>
@@ -95,6 +97,7 @@
     chat,
     route,
     calls,
+    attempts,
     live,
     running,
     advance: (milliseconds: number) => now += milliseconds,
@@ -114,6 +117,7 @@
 test("a call that may not be repeated is sent again only if it has not run", async () => {
   const first = createRouter(["a", "b"], ["not_run"]);
   assert.equal(await textOf(await first.route(false)), "ok");
+  assert.deepEqual(first.attempts, ["upstream_failed false", "answered true"]);
   assert.equal(new Set(first.calls.map((call) => call.upstream)).size, 2);
   for (const verdict of ["unknown", "ran"] as const) {
     const second = createRouter(["a", "b"], [verdict]);
--- a/packages/routing/online-router.ts
+++ b/packages/routing/online-router.ts
@@ -36,6 +36,12 @@
   readonly milliseconds: number;
 }
 
+export interface AttemptSample {
+  /** "answered" or the code of the error with which the attempt ended. */
+  readonly outcome: string;
+  readonly isRetry: boolean;
+}
+
 export interface UpstreamRouterOptions {
   caller: UpstreamCaller;
   upstreams: UpstreamLookup;
@@ -46,6 +52,8 @@
   clock?: Clock;
   /** Told the time from the start of an attempt to the first byte of its body. */
   onFirstToken?: (sample: FirstTokenSample) => void;
+  /** Told about each attempt once its answer has begun or it has failed. */
+  onAttempt?: (sample: AttemptSample) => void;
 }
 
 interface Attempts {
@@ -150,12 +158,21 @@
       if (tried.has(upstream)) await sleep(repeatDelayMilliseconds);
       tried.add(upstream);
       try {
-        return await this.#attempt(attempts, upstream);
+        const answer = await this.#attempt(attempts, upstream);
+        this.#options.onAttempt?.({
+          outcome: "answered",
+          isRetry: attempt > 1,
+        });
+        return answer;
       } catch (error) {
         if (error instanceof CallerError) {
           throw withCallerVerdict(error, worst);
         }
         if (!(error instanceof UpstreamError)) throw error;
+        this.#options.onAttempt?.({
+          outcome: error.code,
+          isRetry: attempt > 1,
+        });
         this.#health.recordFailure(upstream, error);
         lastError = error;
         if (verdictRank[error.verdict] > verdictRank[worst]) {
