--- a/packages/http/batches/batch-actions.ts
+++ b/packages/http/batches/batch-actions.ts
@@ -40,7 +40,7 @@
   name: "get_batch",
   method: "GET",
   path: "/v1/batches/:id",
-  takesToken: "first",
+  takesToken: "never",
   async handle({ response, parameters, admission, services }) {
     const job = await services.batch.getJob(
       admission.workspace,
@@ -55,7 +55,7 @@
   name: "list_batches",
   method: "GET",
   path: "/v1/batches",
-  takesToken: "first",
+  takesToken: "never",
   async handle({ response, query, admission, services }) {
     const parameters = new URLSearchParams(query);
     const limit = parseLimit(parameters.get("limit"));
@@ -80,7 +80,7 @@
   name: "cancel_batch",
   method: "POST",
   path: "/v1/batches/:id/cancel",
-  takesToken: "first",
+  takesToken: "never",
   async handle({ response, parameters, admission, services }) {
     admission.check();
     const job = await services.batch.cancelJob(
--- a/packages/http/files/file-actions.ts
+++ b/packages/http/files/file-actions.ts
@@ -38,7 +38,7 @@
   name: "get_file",
   method: "GET",
   path: "/v1/files/:id",
-  takesToken: "first",
+  takesToken: "never",
   async handle({ response, parameters, admission, services }) {
     const file = await services.batch.getFile(
       admission.workspace,
@@ -53,7 +53,7 @@
   name: "get_file_content",
   method: "GET",
   path: "/v1/files/:id/content",
-  takesToken: "first",
+  takesToken: "never",
   async handle(context) {
     const { parameters, admission, services } = context;
     const content = await services.batch.readFile(
--- a/packages/http/models/models-action.ts
+++ b/packages/http/models/models-action.ts
@@ -8,7 +8,7 @@
   name: "list_models",
   method: "GET",
   path: "/v1/models",
-  takesToken: "first",
+  takesToken: "never",
   handle({ admission, services, response }) {
     const { engines } = services.control.state.configuration;
     const models = [...engines.keys()]
--- a/packages/http/server/caller-action.ts
+++ b/packages/http/server/caller-action.ts
@@ -50,9 +50,10 @@
   /** Path with `:name` parameters. */
   readonly path: string;
   /**
-   * When the token of the rate is taken: before the action, or by the action itself once it
-   * knows that the request is valid.
+   * When the token of the rate is taken: before the action, by the action itself once it knows
+   * that the request is valid, or never. Reads take none, because a workspace that polls its
+   * batches would otherwise be refused although it is within its rate.
    */
-  readonly takesToken: "first" | "itself";
+  readonly takesToken: "first" | "itself" | "never";
   handle(context: AdmittedContext): Promise<void>;
 }
