--- a/packages/batch/testing/fake-fleet.ts
+++ b/packages/batch/testing/fake-fleet.ts
@@ -191,6 +191,7 @@
 export interface FakeFleetOptions {
   partitions?: number;
   retentionSeconds?: number;
+  appendsPerSecond?: number;
   runItem: RunBatchItem;
 }
 
@@ -201,7 +202,12 @@
   readonly #options: Required<FakeFleetOptions>;
 
   constructor(options: FakeFleetOptions) {
-    this.#options = { partitions: 4, retentionSeconds: 3_600, ...options };
+    this.#options = {
+      partitions: 4,
+      retentionSeconds: 3_600,
+      appendsPerSecond: 4_000,
+      ...options,
+    };
   }
 
   /** Starts an instance, without telling the others. */
@@ -239,7 +245,10 @@
             ).map((candidate) => candidate.instance),
           ),
         logClient: this.log.client(gate),
-        appendBudget: new AppendBudget({ fleetAppendsPerSecond: 4_000 }),
+        appendBudget: new AppendBudget({
+          fleetAppendsPerSecond: this.#options.appendsPerSecond,
+          countMembers: () => control.state.members.size,
+        }),
         network: this.#network(instance),
         capacity,
         runItem,
@@ -251,9 +260,19 @@
   }
 
   /** Publishes the members to all instances, or to some of them only. */
-  publish(members: FakeInstance[], readers = [...this.instances.values()]) {
+  publish(
+    members: FakeInstance[],
+    readers = [...this.instances.values()],
+    leaving: FakeInstance[] = [],
+  ) {
     for (const { control } of readers) {
-      control.setMembers(members.map(({ member }) => member));
+      control.setMembers([
+        ...members.map(({ member }) => member),
+        ...leaving.map(({ member }) => ({
+          ...member,
+          state: "leaving" as const,
+        })),
+      ]);
     }
   }
 
