Gather the constants of the stand-ins and the demo

Cause: the house style wants the constants of a package in one place. Ruled out: settings for all of them; only what a deployment may want to change is a setting. Conclusion: no change of behaviour, except that an engine also exports the state of requests that are not streamed.

--- a/packages/demo/demo-run.ts
+++ b/packages/demo/demo-run.ts
@@ -18,6 +18,16 @@
 import type { Fleet } from "./fleet.ts";
 import { createLotTaggingItems, toJsonLines } from "./lot-tagging.ts";
 import { type OnlineLoadResult, runOnlineLoad } from "./online-load.ts";
+import {
+  baselineMilliseconds,
+  baselineSeed,
+  batchPollMilliseconds,
+  batchTimeoutMilliseconds,
+  killShare,
+  onlineRatePerSecond,
+  progressMilliseconds,
+  withBatchSeed,
+} from "./constants.ts";
 
 export interface DemoOptions {
   fleet: Fleet;
@@ -25,7 +35,6 @@
   dispatcher: Dispatcher;
   /** Shows a line of progress. */
   show: (line: string) => void;
-  baselineMilliseconds?: number;
 }
 
 export interface DemoResult {
@@ -36,17 +45,8 @@
   readonly batchMilliseconds: number;
 }
 
-const onlineRatePerSecond = 30;
-const baselineSeed = 1;
-const withBatchSeed = 2;
-/** The instance is killed when this share of the items is done. */
-const killShare = 0.3;
-const batchTimeoutMilliseconds = 40_000;
-const pollMilliseconds = 150;
-const progressMilliseconds = 1_000;
-
 export async function runDemo(options: DemoOptions): Promise<DemoResult> {
-  const { fleet, show, baselineMilliseconds = 8_000 } = options;
+  const { fleet, show } = options;
   await showOneAnswer(options);
   show(`online requests without a batch (${baselineMilliseconds} ms)`);
   const baseline = await runOnlineLoad({
@@ -175,7 +175,7 @@
       shownAt = performance.now();
     }
     if (body?.status === "completed") return body;
-    await delay(pollMilliseconds);
+    await delay(batchPollMilliseconds);
   }
   throw new RosemaryrudderError("demo_failed", "the batch did not end in time");
 }
--- a/packages/demo/fleet-plan.ts
+++ b/packages/demo/fleet-plan.ts
@@ -5,6 +5,7 @@
 
 import type { Deployment } from "./deployments.ts";
 import { callersName, linkName } from "./link-control.ts";
+import { defaultUpstreamConcurrency } from "./constants.ts";
 
 const host = "127.0.0.1";
 
@@ -235,15 +236,12 @@
     url,
     readyUrl: `${url}/healthz`,
     models: isEngine ? deployment.models : [],
-    concurrency: Number(settings["concurrency"] ?? defaultConcurrency),
+    concurrency: Number(settings["concurrency"] ?? defaultUpstreamConcurrency),
     checksFencing: settings["checksFencing"] === true,
     settings: { name: id, host, port, ...settings },
   };
 }
 
-/** Concurrency that the document gives an upstream whose settings name none. */
-const defaultConcurrency = 8;
-
 function planService(
   id: string,
   program: string,
--- a/packages/demo/fleet-status.ts
+++ b/packages/demo/fleet-status.ts
@@ -4,6 +4,7 @@
 import { request } from "undici";
 import { z } from "zod";
 import { RosemaryrudderError } from "../common/errors.ts";
+import { statusPollMilliseconds } from "./constants.ts";
 
 const statusSchema = z.looseObject({
   appliedOffset: z.number().optional(),
@@ -11,8 +12,6 @@
 });
 export type InstanceStatus = z.output<typeof statusSchema>;
 
-const pollMilliseconds = 50;
-
 /** The status of an instance, or undefined while it does not answer. */
 export async function readStatus(
   metricsUrl: string,
@@ -58,7 +57,7 @@
           }`,
         );
       }
-      await delay(pollMilliseconds);
+      await delay(statusPollMilliseconds);
     }
   }
 }
--- a/packages/demo/fleet.ts
+++ b/packages/demo/fleet.ts
@@ -14,6 +14,7 @@
 import { stringify } from "yaml";
 import { DisposableStore } from "../common/disposable-store.ts";
 import { RosemaryrudderError } from "../common/errors.ts";
+import { guardEndMilliseconds } from "./constants.ts";
 import { type Deployment, deployments } from "./deployments.ts";
 import {
   type FleetPlan,
@@ -288,6 +289,6 @@
     if (!guard || guard.exitCode !== null) return;
     const ended = new Promise((resolve) => guard.once("exit", resolve));
     guard.stdin?.end();
-    await Promise.race([ended, delay(1_000)]);
+    await Promise.race([ended, delay(guardEndMilliseconds)]);
   }
 }
--- a/packages/demo/main.ts
+++ b/packages/demo/main.ts
@@ -12,9 +12,9 @@
 import { deployments } from "./deployments.ts";
 import { describeKeptFleet } from "./kept-fleet.ts";
 import { type PublishedFleet, startPublishedFleet } from "./published-fleet.ts";
+import { parentPollMilliseconds } from "./constants.ts";
 
 const name = "rosemaryrudder-demo";
-const parentPollMilliseconds = 300;
 
 const flags = await yargs(hideBin(process.argv))
   .scriptName(name)
--- a/packages/demo/managed-process.ts
+++ b/packages/demo/managed-process.ts
@@ -8,6 +8,11 @@
 import process from "node:process";
 import { setTimeout as delay } from "node:timers/promises";
 import { RosemaryrudderError } from "../common/errors.ts";
+import {
+  readyPollMilliseconds,
+  readyTimeoutMilliseconds,
+  shownLogLines,
+} from "./constants.ts";
 
 export interface ManagedProcessOptions {
   id: string;
@@ -26,10 +31,6 @@
   }
 }
 
-const readyTimeoutMilliseconds = 30_000;
-const pollMilliseconds = 30;
-const shownLogLines = 15;
-
 export class ManagedProcess {
   readonly #options: ManagedProcessOptions;
   #child: ChildProcess | undefined;
@@ -97,7 +98,7 @@
           `${this.id} was not ready in time:\n${this.recentLog()}`,
         );
       }
-      await delay(pollMilliseconds);
+      await delay(readyPollMilliseconds);
     }
   }
 
--- a/packages/demo/online-load.ts
+++ b/packages/demo/online-load.ts
@@ -7,6 +7,7 @@
   type LatencySummary,
 } from "../measure/latency-histogram.ts";
 import { planArrivals, runOpenLoop } from "../measure/open-loop.ts";
+import { maximumBalancerTries } from "./constants.ts";
 
 export interface OnlineLoadOptions {
   /** Addresses of the instances that the balancer knows to be up. */
@@ -27,9 +28,6 @@
   readonly failures: ReadonlyMap<string, number>;
 }
 
-/** Instances that a balancer tries when one refuses without having run the request. */
-const maximumTries = 3;
-
 export async function runOnlineLoad(
   options: OnlineLoadOptions,
 ): Promise<OnlineLoadResult> {
@@ -73,7 +71,7 @@
     max_tokens: 16,
   };
   let answer: StreamedAnswer | undefined;
-  for (let turn = 0; turn < maximumTries; turn++) {
+  for (let turn = 0; turn < maximumBalancerTries; turn++) {
     const urls = targets();
     const baseUrl = urls[(index + turn) % urls.length] ?? "";
     const key = keys[index % keys.length] ?? "";
--- a/packages/demo/port-block.ts
+++ b/packages/demo/port-block.ts
@@ -7,12 +7,9 @@
 
 import { createServer, type Server } from "node:net";
 import { RosemaryrudderError } from "../common/errors.ts";
+import { firstFleetPort, lastFleetPort, portBlockSize } from "./constants.ts";
 
 const host = "127.0.0.1";
-const firstPort = 10_000;
-/** Linux gives out ports from 32768 on. */
-const lastPort = 32_767;
-const blockSize = 320;
 
 export class PortBlock {
   readonly #lock: Server;
@@ -28,7 +25,7 @@
     if (port === undefined) {
       throw new RosemaryrudderError(
         "ports_exhausted",
-        `a fleet can use at most ${blockSize - 1} ports`,
+        `a fleet can use at most ${portBlockSize - 1} ports`,
       );
     }
     return port;
@@ -43,14 +40,16 @@
 export async function claimPortBlock(
   random: () => number = Math.random,
 ): Promise<PortBlock> {
-  const count = Math.floor((lastPort - firstPort + 1) / blockSize);
+  const count = Math.floor(
+    (lastFleetPort - firstFleetPort + 1) / portBlockSize,
+  );
   const offset = Math.floor(random() * count);
   for (let turn = 0; turn < count; turn++) {
-    const start = firstPort + (offset + turn) % count * blockSize;
+    const start = firstFleetPort + (offset + turn) % count * portBlockSize;
     const lock = await tryListen(start);
     if (!lock) continue;
     const ports = Array.from(
-      { length: blockSize - 1 },
+      { length: portBlockSize - 1 },
       (_, index) => start + 1 + index,
     );
     const probes = await Promise.all(ports.map(tryListen));
@@ -60,7 +59,7 @@
       ),
     );
     const free = ports.filter((_, index) => probes[index] !== undefined);
-    if (free.length > blockSize / 2) return new PortBlock(lock, free);
+    if (free.length > portBlockSize / 2) return new PortBlock(lock, free);
     lock.close();
   }
   throw new RosemaryrudderError("ports_exhausted", "no block of ports is free");
--- a/packages/stand-ins/engine/engine.ts
+++ b/packages/stand-ins/engine/engine.ts
@@ -43,14 +43,13 @@
   engineSettingsSchema,
   noEngineFaults,
 } from "./settings.ts";
+import { streamExpiryIntervalMilliseconds } from "../constants.ts";
 
 export interface RunningEngine {
   readonly port: number;
   close(): Promise<void>;
 }
 
-const expiryIntervalMilliseconds = 1_000;
-
 export async function startEngine(
   given: z.input<typeof engineSettingsSchema>,
   logger: Logger = silentLogger,
@@ -119,7 +118,7 @@
     this.#store.add(() => this.#scheduler.stop());
     this.#store.addInterval(
       () => this.#streams.dropExpired(),
-      expiryIntervalMilliseconds,
+      streamExpiryIntervalMilliseconds,
     );
   }
 
@@ -319,7 +318,7 @@
         sender.end();
       },
     };
-    if (isStreamed) this.#streams.hold(state);
+    this.#streams.hold(state);
     response.on("close", () => {
       this.#scheduler.cancel(generation);
       this.#streams.release(state);
--- a/packages/stand-ins/engine/orders.ts
+++ b/packages/stand-ins/engine/orders.ts
@@ -6,6 +6,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { z } from "zod";
 import type { EngineSettings } from "./settings.ts";
+import { maximumKeptOrders } from "../constants.ts";
 
 export const orderRequestSchema = z.strictObject({
   order: z.looseObject({
@@ -21,8 +22,6 @@
   readonly body: Record<string, unknown>;
 }
 
-const maximumKeptOrders = 1_000;
-
 export class OrderBook {
   readonly #settings: EngineSettings;
   readonly #models: Set<string>;
--- a/packages/stand-ins/engine/prefix-cache.ts
+++ b/packages/stand-ins/engine/prefix-cache.ts
@@ -5,6 +5,7 @@
  */
 
 import { hashNumber } from "../../common/hashing.ts";
+import { maximumCacheEvents } from "../constants.ts";
 
 export interface CacheEvent {
   readonly sequence: number;
@@ -20,7 +21,6 @@
   eventLossShare: number;
 }
 
-const maximumEvents = 10_000;
 const hashRange = 2 ** 48;
 
 export class PrefixCache {
@@ -88,8 +88,8 @@
       this.#options.eventLossShare;
     if (isLost) return;
     this.#events.push({ sequence, time: Date.now(), type, block });
-    if (this.#events.length >= 2 * maximumEvents) {
-      this.#events = this.#events.slice(-maximumEvents);
+    if (this.#events.length >= 2 * maximumCacheEvents) {
+      this.#events = this.#events.slice(-maximumCacheEvents);
     }
   }
 }
--- a/packages/stand-ins/fault-proxy/delay-queue.ts
+++ b/packages/stand-ins/fault-proxy/delay-queue.ts
@@ -4,11 +4,11 @@
  */
 
 import { performance } from "node:perf_hooks";
-
-/** Delays below this run at once; the loopback hop itself takes about as long. */
-const immediateMilliseconds = 0.5;
-/** Timers fire in whole milliseconds, so an action may run this much before its time. */
-const toleranceMilliseconds = 0.25;
+import {
+  compactionThreshold,
+  delayToleranceMilliseconds,
+  immediateDelayMilliseconds,
+} from "../constants.ts";
 
 export class DelayQueue {
   #entries: { dueAt: number; action: () => void }[] = [];
@@ -19,7 +19,9 @@
 
   add(delayMilliseconds: number, action: () => void): void {
     const isEmpty = this.#next === this.#entries.length;
-    if (isEmpty && !this.#isHeld && delayMilliseconds < immediateMilliseconds) {
+    if (
+      isEmpty && !this.#isHeld && delayMilliseconds < immediateDelayMilliseconds
+    ) {
       return action();
     }
     const dueAt = performance.now() + delayMilliseconds;
@@ -53,7 +55,7 @@
   }
 
   #run(): void {
-    const limit = performance.now() + toleranceMilliseconds;
+    const limit = performance.now() + delayToleranceMilliseconds;
     for (
       let entry = this.#entries[this.#next];
       entry && entry.dueAt <= limit && !this.#isHeld;
@@ -63,7 +65,7 @@
       entry.action();
     }
     if (this.#next === this.#entries.length) this.clear();
-    else if (this.#next >= 1_024) {
+    else if (this.#next >= compactionThreshold) {
       this.#entries = this.#entries.slice(this.#next);
       this.#next = 0;
     }
--- a/packages/stand-ins/fault-proxy/link.ts
+++ b/packages/stand-ins/fault-proxy/link.ts
@@ -6,6 +6,10 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 import { DelayQueue } from "./delay-queue.ts";
 import type { LinkChange, LinkMode, LinkSettings } from "./settings.ts";
+import {
+  listenRetryMilliseconds,
+  targetProbeMilliseconds,
+} from "../constants.ts";
 
 export interface LinkOptions {
   settings: LinkSettings;
@@ -20,9 +24,6 @@
   dropTimer: ReturnType<typeof setTimeout> | undefined;
 }
 
-const listenRetryMilliseconds = 50;
-const targetProbeMilliseconds = 100;
-
 export class Link {
   readonly #options: LinkOptions;
   readonly #connections = new Set<Connection>();
--- a/packages/stand-ins/log-service/append-statistics.ts
+++ b/packages/stand-ins/log-service/append-statistics.ts
@@ -1,7 +1,6 @@
 /** Counts appends and the most of them that fell into any window of one second. */
 
-const windowMilliseconds = 1_000;
-const compactionThreshold = 4_096;
+import { compactionThreshold, peakWindowMilliseconds } from "../constants.ts";
 
 export class AppendStatistics {
   #appends = 0;
@@ -35,7 +34,7 @@
   }
 
   #forget(now: number): void {
-    while ((this.#times[this.#first] ?? now) <= now - windowMilliseconds) {
+    while ((this.#times[this.#first] ?? now) <= now - peakWindowMilliseconds) {
       this.#first += 1;
     }
     if (this.#first >= compactionThreshold) {
--- a/packages/stand-ins/log-service/log-service.ts
+++ b/packages/stand-ins/log-service/log-service.ts
@@ -22,6 +22,10 @@
 import { TokenBucket } from "../shared/token-bucket.ts";
 import { AppendStatistics } from "./append-statistics.ts";
 import { StoredStream } from "./stored-stream.ts";
+import {
+  maximumPollMilliseconds,
+  pruneIntervalMilliseconds,
+} from "../constants.ts";
 
 export const logServiceSettingsSchema = z.strictObject({
   host: z.string().default("127.0.0.1"),
@@ -53,9 +57,6 @@
   close(): Promise<void>;
 }
 
-const pruneIntervalMilliseconds = 250;
-const maximumWaitMilliseconds = 30_000;
-
 export async function startLogService(
   given: z.input<typeof logServiceSettingsSchema>,
   logger: Logger = silentLogger,
@@ -170,7 +171,7 @@
     const maximumBytes = numberOf(query.get("max"), 512 * 1024);
     const wait = Math.min(
       numberOf(query.get("wait"), 0),
-      maximumWaitMilliseconds,
+      maximumPollMilliseconds,
     );
     if (this.#faults.outage) return this.#refuse(exchange);
     const pause = this.#settings.readDelayMilliseconds +
--- a/packages/stand-ins/log-service/stored-stream.ts
+++ b/packages/stand-ins/log-service/stored-stream.ts
@@ -1,5 +1,7 @@
 /** One append-only stream in memory, with its oldest records dropped after the retention. */
 
+import { compactionThreshold } from "../constants.ts";
+
 export interface LogRecord {
   readonly offset: number;
   readonly time: number;
@@ -12,9 +14,6 @@
   readonly records: readonly LogRecord[];
 }
 
-/** Dropped records are removed from the array in groups, because shifting it is linear. */
-const compactionThreshold = 1_024;
-
 export class StoredStream {
   #records: LogRecord[] = [];
   /** Index of the oldest record that is still kept. */
--- a/packages/stand-ins/shared/http-service.ts
+++ b/packages/stand-ins/shared/http-service.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from "node:http";
 import type { z } from "zod";
+import { idleCloseIntervalMilliseconds } from "../constants.ts";
 
 export interface HttpExchange {
   readonly request: IncomingMessage;
@@ -36,8 +37,6 @@
   closeLimitMilliseconds?: number;
 }
 
-const idleCloseIntervalMilliseconds = 25;
-
 export async function startHttpService(
   { host, port, handle, closeLimitMilliseconds = 2_000 }: HttpServiceOptions,
 ): Promise<HttpService> {
--- a/packages/stand-ins/shared/journal.ts
+++ b/packages/stand-ins/shared/journal.ts
@@ -6,6 +6,7 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import { type HttpExchange, sendBytes } from "./http-service.ts";
+import { compactionThreshold } from "../constants.ts";
 
 export type JournalOutcome =
   | "running"
@@ -23,9 +24,6 @@
   setOutcome(outcome: JournalOutcome): void;
 }
 
-/** Removing entries from the front is linear, so they are removed in groups. */
-const compactionThreshold = 1_024;
-
 export class Journal {
   readonly #maximumEntries: number;
   #entries: StoredEntry[] = [];
