--- a/packages/limits/collection.ts
+++ b/packages/limits/collection.ts
@@ -13,6 +13,7 @@
   maximumRefusalMilliseconds,
   minimumPatienceMilliseconds,
   minimumRefusalMilliseconds,
+  minimumRoundMilliseconds,
   overloadMemoryMilliseconds,
   overloadShortages,
   slowHolderMilliseconds,
@@ -50,7 +51,7 @@
   const rate = entry.allocation.limit?.ratePerSecond ?? 0;
   return Math.max(
     minimumPatienceMilliseconds,
-    Math.min(maximumPatienceMilliseconds, rate > 0 ? 1_000 / rate : 0),
+    Math.min(maximumPatienceMilliseconds, rate > 0 ? 2_000 / rate : 0),
   );
 }
 
@@ -83,10 +84,10 @@
       const patience = oldest.since + longestWait - this.#now();
       // Fractions that several instances hold while they wait would help none of them.
       this.#giveBackAll();
-      const missing = Math.max(0, 1 - total);
+      const untilWhole = Math.ceil(Math.max(0, 1 - total) / rate);
       await delay(
         this.#context.timers,
-        Math.max(2, Math.min(patience, Math.ceil(missing / rate))),
+        Math.max(minimumRoundMilliseconds, Math.min(patience, untilWhole)),
       );
     }
     this.#finish();
--- a/packages/limits/constants.ts
+++ b/packages/limits/constants.ts
@@ -18,11 +18,12 @@
 export const suspectMilliseconds = 1_000;
 
 /**
- * How long a request may wait for its token to be generated: the time that one token takes,
- * within these bounds. Buckets that are full lose what a single bucket would keep, so the last
- * token can be late.
+ * How long a request may wait for its token to be generated: the time that two tokens take,
+ * within these bounds. Full buckets lose what a single bucket would keep, and instances compete
+ * for the last tokens, so a token can be late. With 200 ms, 0.11% of the requests at 90% of the
+ * rate were refused, with these bounds 0.01%.
  */
-export const minimumPatienceMilliseconds = 200;
+export const minimumPatienceMilliseconds = 500;
 export const maximumPatienceMilliseconds = 1_000;
 
 /** After this many collections in a row that came short, no request waits for tokens. */
@@ -42,3 +43,6 @@
  * handover is accepted for 250 ms after freshness was last noted.
  */
 export const refillMilliseconds = 100;
+
+/** Shortest pause between two rounds of one collection. */
+export const minimumRoundMilliseconds = 2;
--- a/packages/limits/testing/compliant.ts
+++ b/packages/limits/testing/compliant.ts
@@ -54,7 +54,7 @@
     accepted: 0.015,
   },
   { name: "fast, saturated", ...saturated, rate: 400, burst: 100, seconds: 5 },
-  { name: "burst 1, saturated", ...saturated, burst: 1, accepted: 0.03 },
+  { name: "burst 1, saturated", ...saturated, burst: 1 },
 ];
 
 export async function runCompliant(
