--- /dev/null
+++ b/packages/batch/results/range-results.ts
@@ -0,0 +1,109 @@
+/**
+ * Reads the visible completions of one range from its partition's stream. Copies that were
+ * carried forward are read first: they hold what was decided, while a record that is still
+ * stored may hold a later completion of the same line that never counted. After that the first
+ * completion of a line in stream order is the visible one.
+ */
+
+import { RosemaryrudderError } from "../../common/errors.ts";
+import type { JobId, Offset, StreamName } from "../../common/ids.ts";
+import type { LogClient, StoredRecord } from "../../log/log-client.ts";
+import { decodeRecord } from "../../log/record.ts";
+import { type EntryOf, entrySchema } from "../partition/entries.ts";
+
+export class ResultsMissingError extends RosemaryrudderError {
+  constructor(stream: StreamName, offset: number) {
+    super("results_missing", `record ${offset} of ${stream} is gone`);
+  }
+}
+
+/** A record with completions of the range, as its owner's state names it. */
+export interface ResultRecord {
+  readonly offset: number;
+  /** Positions of the first and last entry that took effect. */
+  readonly first: number;
+  readonly last: number;
+  readonly hasCopies: boolean;
+}
+
+export interface RangeResultsOptions {
+  client: LogClient;
+  stream: StreamName;
+  job: JobId;
+  range: number;
+  /** Number of lines of the range. */
+  lines: number;
+  records: readonly ResultRecord[];
+  /** Lines that have been read already; grows while reading. */
+  seen: Set<number>;
+}
+
+export async function* readRangeResults(
+  options: RangeResultsOptions,
+): AsyncGenerator<EntryOf<"item-completed">> {
+  const { records } = options;
+  const withCopies = records.filter(({ hasCopies }) => hasCopies);
+  yield* readPass(options, withCopies, true);
+  yield* readPass(options, records, false);
+}
+
+async function* readPass(
+  options: RangeResultsOptions,
+  wanted: readonly ResultRecord[],
+  isCopy: boolean,
+): AsyncGenerator<EntryOf<"item-completed">> {
+  const { client, stream, lines, seen } = options;
+  for await (const [stored, place] of readRecords(client, stream, wanted)) {
+    for (const entry of completionsIn(stored, place, options)) {
+      if ((entry.isCopy ?? false) !== isCopy) continue;
+      if (entry.line >= lines || seen.has(entry.line)) continue;
+      seen.add(entry.line);
+      yield entry;
+    }
+  }
+}
+
+/** Reads the records at the given ascending offsets; neighbours come with one read. */
+async function* readRecords(
+  client: LogClient,
+  stream: StreamName,
+  wanted: readonly ResultRecord[],
+): AsyncGenerator<[StoredRecord, ResultRecord]> {
+  let position = 0;
+  for (let next = wanted[position]; next; next = wanted[position]) {
+    const from = next.offset as Offset;
+    const isAlone = wanted[position + 1]?.offset !== from + 1;
+    const { records } = await client.read(stream, {
+      from,
+      waitMilliseconds: 0,
+      ...(isAlone ? { maximumBytes: 1 } : {}),
+    });
+    if (records[0]?.offset !== from) {
+      throw new ResultsMissingError(stream, from);
+    }
+    for (const record of records) {
+      const place = wanted[position];
+      if (!place || record.offset !== place.offset) break;
+      yield [record, place];
+      position++;
+    }
+  }
+}
+
+function completionsIn(
+  stored: StoredRecord,
+  { first, last }: ResultRecord,
+  { job, range }: RangeResultsOptions,
+): EntryOf<"item-completed">[] {
+  const found: EntryOf<"item-completed">[] = [];
+  const entries = decodeRecord(stored.data)?.entries ?? [];
+  for (const raw of entries.slice(first, last + 1)) {
+    if ((raw as { kind?: unknown }).kind !== "item-completed") continue;
+    const parsed = entrySchema.safeParse(raw);
+    const entry = parsed.success ? parsed.data : undefined;
+    const isOfRange = entry?.kind === "item-completed" && entry.job === job &&
+      entry.range === range;
+    if (isOfRange) found.push(entry);
+  }
+  return found;
+}
--- a/packages/routing/upstream-caller.ts
+++ b/packages/routing/upstream-caller.ts
@@ -22,6 +22,11 @@
   /** Whether the call may be repeated; calls that may not use a fresh connection. */
   readonly isRepeatable: boolean;
   readonly signal?: AbortSignal | undefined;
+  /**
+   * Called in the turn in which the request is written, after the connection was made; if it
+   * throws, nothing is sent and the call fails with its error.
+   */
+  readonly checkBeforeSend?: (() => void) | undefined;
 }
 
 export interface UpstreamAnswer {
@@ -70,6 +75,8 @@
 /** One batch item as it is sent to the upstream that its grant names. */
 export interface BatchItemCall {
   readonly job: JobId;
+  /** For metrics, where it is known. */
+  readonly workspace?: WorkspaceId | undefined;
   readonly file: FileId;
   readonly line: number;
   readonly upstream: UpstreamName;
@@ -80,6 +87,8 @@
   readonly requestId: RequestId;
   readonly isRepeatable: boolean;
   readonly signal: AbortSignal;
+  /** Called in the turn in which the request is written; see UpstreamRequest. */
+  readonly checkBeforeSend?: (() => void) | undefined;
 }
 
 /** A complete answer of an upstream to a batch item. */
--- a/packages/stand-ins/log-service/log-service.ts
+++ b/packages/stand-ins/log-service/log-service.ts
@@ -37,15 +37,16 @@
 });
 export type LogServiceSettings = z.output<typeof logServiceSettingsSchema>;
 
+/** No defaults here: a change of faults leaves those alone that it does not name. */
 export const logFaultsSchema = z.strictObject({
   /** Every append and read answers 503. */
-  outage: z.boolean().default(false),
+  outage: z.boolean(),
   /** This many further appends take effect, but their connection closes without an answer. */
-  dropAppendAnswers: z.number().int().nonnegative().default(0),
+  dropAppendAnswers: z.number().int().nonnegative(),
   /** Added to the delay of every append and read. */
-  slowMilliseconds: z.number().nonnegative().default(0),
-});
-export type LogFaults = z.output<typeof logFaultsSchema>;
+  slowMilliseconds: z.number().nonnegative(),
+}).partial();
+export type LogFaults = Required<z.output<typeof logFaultsSchema>>;
 
 export interface RunningLogService {
   readonly port: number;
@@ -84,7 +85,13 @@
   readonly #statistics = new AppendStatistics();
   readonly #store = new DisposableStore();
   #isClosing = false;
-  #faults: LogFaults = logFaultsSchema.parse({});
+  /** Appends and reads that met an outage. */
+  #refusedCalls = 0;
+  #faults: LogFaults = {
+    outage: false,
+    dropAppendAnswers: 0,
+    slowMilliseconds: 0,
+  };
 
   constructor(settings: LogServiceSettings, logger: Logger) {
     this.#settings = settings;
@@ -120,7 +127,7 @@
   }
 
   async #setFaults({ request, response }: HttpExchange): Promise<void> {
-    const change = await readJson(request, logFaultsSchema.partial());
+    const change = await readJson(request, logFaultsSchema);
     this.#faults = { ...this.#faults, ...change };
     this.#logger.info("faults changed", { ...this.#faults });
     if (this.#faults.outage) {
@@ -181,6 +188,7 @@
   }
 
   #refuse({ response }: HttpExchange): void {
+    this.#refusedCalls += 1;
     sendError(response, 503, "the log is unavailable", { "retry-after": "1" });
   }
 
@@ -208,6 +216,7 @@
     }]);
     return {
       ...this.#statistics.describe(Date.now()),
+      refusedCalls: this.#refusedCalls,
       streams: Object.fromEntries(streams),
     };
   }
