Ask few engines for batch capacity and pass over calls that go on

It asks 8 engines by rendezvous, and exchanges one that gave nothing for 2 s. Calls that may not be repeated go on after a revocation: after 250 ms another grant is revoked in their place, and their time is not counted as the time that a revocation takes. Ruled out: asking all engines with a fraction of the demand each. Conclusion: one test for each of the two new rules; both pass.

--- a/packages/capacity/capacity-service.ts
+++ b/packages/capacity/capacity-service.ts
@@ -65,6 +65,7 @@
     };
     const { instance, control, network, timers } = this.#options;
     this.#client = new CapacityClient({
+      instance,
       control,
       clock,
       timers,
--- a/packages/capacity/capacity.test.ts
+++ b/packages/capacity/capacity.test.ts
@@ -30,7 +30,9 @@
   return grants;
 }
 
-function createFleet(options: { members?: number; concurrency?: number } = {}) {
+function createFleet(
+  options: { members?: number; concurrency?: number; engines?: number } = {},
+) {
   const fleet = new CapacityFleet({
     seed: 1,
     members: 3,
@@ -144,6 +146,40 @@
   assert.equal(grants.length, 4);
 });
 
+test("a revoked call that cannot be aborted does not keep the slot from online requests", async () => {
+  const { fleet, services: [first, second] } = createFleet();
+  const grants: BatchGrant[] = [];
+  first!.onGrant((grant) => grants.push(grant));
+  first!.setDemand([demandOf("walnut", 100)]);
+  await fleet.time.runUntil(1_000);
+  second!.onlineStarted(engine);
+  await fleet.time.runUntil(1_200);
+  const countRevoked = () => grants.filter((it) => it.revoked.aborted).length;
+  assert.equal(countRevoked(), 1);
+  await fleet.time.runUntil(1_500);
+  assert.equal(countRevoked(), 2);
+});
+
+test("with many engines an instance asks some of them, and others when they give nothing", async () => {
+  const { fleet, services: [first, second] } = createFleet({
+    engines: 40,
+    concurrency: 1,
+  });
+  const grants = collectGrants(first!);
+  first!.setDemand([demandOf("walnut", 100)]);
+  await fleet.time.runUntil(5_000);
+  assert.equal(grants.length, 8);
+  first!.setDemand([]);
+  for (const grant of grants.splice(0)) grant.release();
+  for (let index = 0; index < 36; index++) {
+    second!.onlineStarted(engineName(index));
+  }
+  await fleet.time.runUntil(5_100);
+  first!.setDemand([demandOf("walnut", 4)]);
+  await fleet.time.runUntil(30_000);
+  assert.equal(grants.length, 4, "the four free engines are found");
+});
+
 const scenario: EngineScenario = {
   name: "steady",
   seed: 1,
--- a/packages/capacity/client.ts
+++ b/packages/capacity/client.ts
@@ -9,6 +9,7 @@
 import type { Timers } from "../common/timers.ts";
 import type { ControlState, ControlView } from "../control/control-state.ts";
 import type { Upstream } from "../control/document.ts";
+import { AskedUpstreams } from "./asked-upstreams.ts";
 import type { BatchDemand, BatchGrant, CapacityTarget } from "./capacity.ts";
 import {
   batchLoadWeight,
@@ -25,6 +26,7 @@
 import { targetKey } from "./scheduler.ts";
 
 export interface CapacityClientOptions {
+  instance: InstanceId;
   control: ControlView;
   clock: Clock;
   timers: Timers;
@@ -66,12 +68,6 @@
   number: number;
 }
 
-function isServing(upstream: Upstream, target: CapacityTarget): boolean {
-  return target.kind === "upstream"
-    ? upstream.name === target.upstream
-    : upstream.models.includes(target.model);
-}
-
 export class CapacityClient {
   readonly #options: CapacityClientOptions;
   readonly #uses = new Map<UpstreamName, UpstreamUse>();
@@ -80,9 +76,11 @@
   #handler: (grant: BatchGrant) => void = () => {};
   #isFlushScheduled = false;
   #heartbeatTurn = 0;
+  readonly #asked: AskedUpstreams;
 
   constructor(options: CapacityClientOptions) {
     this.#options = options;
+    this.#asked = new AskedUpstreams(options.instance);
   }
 
   onlineStarted(upstream: UpstreamName): () => void {
@@ -153,6 +151,9 @@
       const use = this.#useOf(upstream);
       if (use.held.has(id)) continue;
       use.held.set(id, held);
+      if (target.kind === "model") {
+        this.#asked.noteGrant(target.model, upstream, held.receivedAt);
+      }
       this.#deductDemand(workspace, target);
       this.#handler({
         id,
@@ -194,6 +195,11 @@
   heartbeat(): void {
     const now = this.#options.clock.monotonicNow();
     this.#heartbeatTurn += 1;
+    const isHolding = (upstream: UpstreamName) =>
+      (this.#uses.get(upstream)?.held.size ?? 0) > 0;
+    if (this.#demand.length > 0 && this.#asked.rotate(isHolding, now)) {
+      this.#touchDemanded();
+    }
     const isOnlineTurn = this.#heartbeatTurn % onlineHeartbeatTurns === 0;
     for (const use of this.#uses.values()) {
       const isBatch = use.held.size > 0 || this.#demandAt(use).length > 0;
@@ -273,10 +279,19 @@
     );
     if (!upstream) return [];
     return this.#demand.filter((entry) =>
-      entry.count > 0 && isServing(upstream, entry.target)
+      entry.count > 0 && this.#isAskedFor(upstream, entry.target)
     );
   }
 
+  #isAskedFor(upstream: Upstream, target: CapacityTarget): boolean {
+    if (target.kind === "upstream") return upstream.name === target.upstream;
+    if (!upstream.models.includes(target.model)) return false;
+    const { control, clock } = this.#options;
+    const engines = control.state.configuration.engines.get(target.model) ?? [];
+    const now = clock.monotonicNow();
+    return this.#asked.isAsked(target.model, engines, upstream.name, now);
+  }
+
   #deductDemand(workspace: WorkspaceId, target: CapacityTarget): void {
     const key = targetKey(target);
     const entry = this.#demand.find((candidate) =>
--- a/packages/capacity/constants.ts
+++ b/packages/capacity/constants.ts
@@ -24,6 +24,12 @@
 /** Weight of the newest call in the moving average of slot time. */
 export const slotTimeWeight = 0.1;
 
+/**
+ * Calls that may not be repeated are not aborted. A revoked grant that is held for this long
+ * counts as such a call, and another grant is revoked in its place.
+ */
+export const stuckRevocationMilliseconds = 250;
+
 export const defaultOnlineReserve = 1;
 
 /**
--- a/packages/capacity/online-reserve.ts
+++ b/packages/capacity/online-reserve.ts
@@ -8,6 +8,8 @@
 
 /** Part of the time to first token that the wait for a revocation may take without a reserve. */
 const tolerableWait = 0.06;
+/** Time to first token that is assumed before one was recorded. */
+const assumedFirstTokenMilliseconds = 150;
 const revocationWeight = 0.2;
 /** Revocation time that is assumed before one was measured. */
 const initialRevocationMilliseconds = 5;
@@ -79,10 +81,11 @@
     now: number;
   },
 ): number {
-  const { concurrency, firstToken, now } = options;
+  const { concurrency, now } = options;
+  const firstToken = options.firstToken ?? assumedFirstTokenMilliseconds;
   if (now - reserve.lastOnlineAt > quietMilliseconds) return 0;
   const wait = reserve.revocationMilliseconds;
-  if (firstToken !== undefined && wait <= tolerableWait * firstToken) return 0;
+  if (wait <= tolerableWait * firstToken) return 0;
   const most = Math.max(reserve.setting, Math.floor(concurrency * maximumPart));
   const wanted = Math.max(reserve.setting, Math.floor(reserve.recentBurst));
   // A single slot must stay usable for batch work.
--- a/packages/capacity/scheduler.ts
+++ b/packages/capacity/scheduler.ts
@@ -6,7 +6,11 @@
 
 import type { InstanceId, UpstreamName, WorkspaceId } from "../common/ids.ts";
 import type { BatchDemand, CapacityTarget } from "./capacity.ts";
-import { initialSlotMilliseconds, slotTimeWeight } from "./constants.ts";
+import {
+  initialSlotMilliseconds,
+  slotTimeWeight,
+  stuckRevocationMilliseconds,
+} from "./constants.ts";
 import {
   createLearnedLimit,
   type LearnedLimit,
@@ -157,7 +161,10 @@
   if (!grant) return;
   state.grants.delete(id);
   if (grant.revokedAt !== undefined) {
-    state.reserve = noteRevocation(state.reserve, now - grant.revokedAt);
+    const waited = now - grant.revokedAt;
+    if (waited < stuckRevocationMilliseconds) {
+      state.reserve = noteRevocation(state.reserve, waited);
+    }
     return;
   }
   const used = Math.max(0, now - grant.grantedAt);
@@ -310,10 +317,13 @@
   now: number,
 ): GrantRecord[] {
   const limit = Math.floor(state.learned.limit);
-  const standing = [...state.grants.values()].filter((it) =>
-    it.revokedAt === undefined
-  );
-  const excess = onlineInFlight(state) + standing.length - limit;
+  const standing: GrantRecord[] = [];
+  let stuck = 0;
+  for (const grant of state.grants.values()) {
+    if (grant.revokedAt === undefined) standing.push(grant);
+    else if (now - grant.revokedAt >= stuckRevocationMilliseconds) stuck += 1;
+  }
+  const excess = onlineInFlight(state) + standing.length + stuck - limit;
   if (excess <= 0) return [];
   const newest = standing.sort((left, right) =>
     right.grantedAt - left.grantedAt || right.number - left.number
