Share the balancer's behaviour between demo and measurements

Cause: the retry towards the next instance stood twice, word for word, and the refusal for a missing upstream twice as well. Ruled out: nothing; behaviour stays as it was. Before and after: the demo's tests pass; three pairs of duplicated places are gone. Conclusion: one function in the client package.

--- a/packages/demo/constants.ts
+++ b/packages/demo/constants.ts
@@ -18,8 +18,6 @@
 export const defaultUpstreamConcurrency = 8;
 
 export const onlineRatePerSecond = 30;
-/** Instances that a balancer tries when one refuses without having run the request. */
-export const maximumBalancerTries = 3;
 export const baselineMilliseconds = 8_000;
 export const baselineSeed = 1;
 export const withBatchSeed = 2;
--- a/packages/demo/online-load.ts
+++ b/packages/demo/online-load.ts
@@ -1,13 +1,13 @@
 /** Online chat requests at a steady rate, sent to the instances in turn as a balancer does. */
 
 import type { Dispatcher } from "undici";
-import { CallerClient, type StreamedAnswer } from "../client/caller-client.ts";
+import { streamThroughBalancer } from "../client/balanced-chat.ts";
+import type { StreamedAnswer } from "../client/caller-client.ts";
 import {
   LatencyHistogram,
   type LatencySummary,
 } from "../measure/latency-histogram.ts";
 import { planArrivals, runOpenLoop } from "../measure/open-loop.ts";
-import { maximumBalancerTries } from "./constants.ts";
 
 export interface OnlineLoadOptions {
   /** Addresses of the instances that the balancer knows to be up. */
@@ -58,7 +58,7 @@
   return { firstToken: histogram.summary(), completed, failures };
 }
 
-async function sendThroughBalancer(
+function sendThroughBalancer(
   { targets, keys, model, dispatcher, seed }: OnlineLoadOptions,
   index: number,
 ): Promise<StreamedAnswer> {
@@ -70,31 +70,12 @@
     ],
     max_tokens: 16,
   };
-  let answer: StreamedAnswer | undefined;
-  for (let turn = 0; turn < maximumBalancerTries; turn++) {
-    const urls = targets();
-    const baseUrl = urls[(index + turn) % urls.length] ?? "";
-    const key = keys[index % keys.length] ?? "";
-    const client = new CallerClient({ baseUrl, key, dispatcher });
-    answer = await client.chatStream(body).catch(connectionFailed);
-    const mayTryAgain = answer.error?.not_run === true && answer.status !== 429;
-    if (!mayTryAgain) break;
-  }
-  return answer ?? connectionFailed(new Error("no instance is up"));
-}
-
-function connectionFailed(error: unknown): StreamedAnswer {
-  const code = (error as { code?: string }).code ?? "connection_failed";
-  return {
-    status: 0,
-    text: "",
-    isComplete: false,
-    firstTokenMilliseconds: Number.NaN,
-    totalMilliseconds: Number.NaN,
-    error: {
-      message: String(error),
-      code,
-      not_run: code === "ECONNREFUSED" ? true : "unknown",
-    },
-  };
+  const key = keys[index % keys.length] ?? "";
+  return streamThroughBalancer({
+    targets,
+    key,
+    body,
+    firstTarget: index,
+    dispatcher,
+  });
 }
--- a/packages/measure/naive/naive-router.ts
+++ b/packages/measure/naive/naive-router.ts
@@ -3,8 +3,8 @@
  * load, prefixes or health.
  */
 
-import { CallerError } from "../../common/errors.ts";
 import type { UpstreamName } from "../../common/ids.ts";
+import { noUpstreamError } from "../../routing/online-router.ts";
 import type {
   OnlineChatRequest,
   OnlineRouter,
@@ -61,12 +61,6 @@
   #next(names: readonly UpstreamName[]): UpstreamName {
     const name = names[this.#turn++ % Math.max(1, names.length)];
     if (name !== undefined) return name;
-    throw new CallerError({
-      status: 503,
-      code: "no_upstream",
-      message: "no upstream is available for the request",
-      verdict: "not_run",
-      retryAfterSeconds: 1,
-    });
+    throw noUpstreamError();
   }
 }
--- a/packages/measure/online-run.ts
+++ b/packages/measure/online-run.ts
@@ -1,7 +1,8 @@
 /** Online load of a scenario: chat requests of all workspaces, spread over the instances. */
 
 import type { Dispatcher } from "undici";
-import { CallerClient, type StreamedAnswer } from "../client/caller-client.ts";
+import { streamThroughBalancer } from "../client/balanced-chat.ts";
+import type { StreamedAnswer } from "../client/caller-client.ts";
 import { SeededRandom } from "../common/random.ts";
 import type { PreparedWorkspace } from "../demo/example-documents.ts";
 import { LatencyHistogram, type LatencySummary } from "./latency-histogram.ts";
@@ -35,8 +36,6 @@
   readonly maximumLagMilliseconds: number;
 }
 
-/** Instances that a balancer tries when one refuses or cannot be reached. */
-const maximumTries = 3;
 const maximumTokens = 12;
 const hotPrefix =
   "Rules of the association for buyer notices, valid on all hulling days. "
@@ -68,13 +67,17 @@
         counts.sent++;
         const isHot = random.next() < (scenario.hotPrefixShare ?? 0);
         const content = `${isHot ? hotPrefix : ""}${workspace.id} ${number}`;
-        const start = random.integerBelow(1_000_000);
-        const answer = await sendThroughBalancer(
-          options,
-          workspace.key,
-          content,
-          start,
-        );
+        const answer = await streamThroughBalancer({
+          targets: options.targets,
+          dispatcher: options.dispatcher,
+          key: workspace.key,
+          body: {
+            model: options.model,
+            messages: [{ role: "user", content }],
+            max_tokens: maximumTokens,
+          },
+          firstTarget: random.integerBelow(1_000_000),
+        });
         record(answer, counts, errors);
         if (!answer.isComplete) return;
         firstToken.record(answer.firstTokenMilliseconds);
@@ -119,42 +122,3 @@
   const code = answer.error?.code ?? "incomplete";
   errors.set(code, (errors.get(code) ?? 0) + 1);
 }
-
-async function sendThroughBalancer(
-  { targets, model, dispatcher }: OnlineRunOptions,
-  key: string,
-  content: string,
-  start: number,
-): Promise<StreamedAnswer> {
-  const body = {
-    model,
-    messages: [{ role: "user", content }],
-    max_tokens: maximumTokens,
-  };
-  let answer: StreamedAnswer = connectionFailed(new Error("no instance is up"));
-  for (let turn = 0; turn < maximumTries; turn++) {
-    const urls = targets();
-    const baseUrl = urls[(start + turn) % urls.length] ?? "";
-    const client = new CallerClient({ baseUrl, key, dispatcher });
-    answer = await client.chatStream(body).catch(connectionFailed);
-    const mayTryAgain = answer.error?.not_run === true && answer.status !== 429;
-    if (!mayTryAgain) break;
-  }
-  return answer;
-}
-
-function connectionFailed(error: unknown): StreamedAnswer {
-  const code = (error as { code?: string }).code ?? "connection_failed";
-  return {
-    status: 0,
-    text: "",
-    isComplete: false,
-    firstTokenMilliseconds: Number.NaN,
-    totalMilliseconds: Number.NaN,
-    error: {
-      message: String(error),
-      code,
-      not_run: code === "ECONNREFUSED" ? true : "unknown",
-    },
-  };
-}
--- a/packages/routing/online-router.ts
+++ b/packages/routing/online-router.ts
@@ -243,7 +243,7 @@
   }
 }
 
-function noUpstreamError(): CallerError {
+export function noUpstreamError(): CallerError {
   return new CallerError({
     status: 503,
     code: "no_upstream",
