Make the checkpoint test notice checkpoints that a reader may not use

Cause: with the rule on `asOf` taken out of the follower, the test of trimmed streams still passed, since no schedule had a state-changing record between a state and its checkpoint. Ruled out: a longer schedule alone, which left the fault unnoticed as well.

--- a/packages/batch/partition/reducer.test.ts
+++ b/packages/batch/partition/reducer.test.ts
@@ -112,7 +112,7 @@
   let compared = 0;
   await fc.assert(
     fc.asyncProperty(
-      fc.array(anyCommand, { minLength: 10, maxLength: 30 }),
+      fc.array(anyCommand, { minLength: 15, maxLength: 40 }),
       fc.nat(),
       async (commands, seed) => {
         const { records, state } = buildRecords(commands);
@@ -148,7 +148,7 @@
         }
       },
     ),
-    { numRuns: 150, seed: 20_263 },
+    { numRuns: 300, seed: 20_263 },
   );
   assert.ok(compared > 20, `only ${compared} schedules had a checkpoint`);
 });
--- a/packages/batch/testing/partition-schedules.ts
+++ b/packages/batch/testing/partition-schedules.ts
@@ -160,7 +160,13 @@
     } else if (command.do === "release") {
       write(last, [{ kind: "epoch-released", epoch: last.offset }]);
     } else {
-      for (const entry of checkpointEntries(`${records.length}`, state, 150)) {
+      const parts = checkpointEntries(`${records.length}`, state, 150);
+      // Records between the state and its checkpoint make it useless to some readers.
+      for (let count = 0; command.gap && count < 3; count++) {
+        const spec = rangeSpec(100 + records.length);
+        write(last, [{ kind: "range-accepted", epoch: last.offset, spec }]);
+      }
+      for (const entry of parts) {
         write(last, [entry]);
         if (command.gap) write(last, [{ kind: "unknown to this release" }]);
       }
