--- a/packages/demo/deployments.ts
+++ b/packages/demo/deployments.ts
@@ -18,7 +18,10 @@
   readonly instanceListSettings: Readonly<Record<string, unknown>>;
   /** Settings of the instances that differ from their defaults. */
   readonly instanceSettings: Readonly<Record<string, unknown>>;
-  /** The links are spread over this many fault proxies, so that none becomes a bottleneck. */
+  /**
+   * The links are spread over this many fault proxies, so that none becomes a bottleneck. With
+   * 0 all connections are direct, without delays.
+   */
   readonly faultProxies: number;
   /** Template of the document that fits the deployment, in the folder `examples`. */
   readonly document: string;
--- a/packages/demo/fleet-plan.ts
+++ b/packages/demo/fleet-plan.ts
@@ -100,6 +100,7 @@
     targetPort: number,
     delayMilliseconds: number,
   ) => {
+    if (deployment.faultProxies === 0) return `${host}:${targetPort}`;
     const listenPort = takePort();
     const name = linkName(source, target);
     links.push({ name, listenPort, targetPort, delayMilliseconds });
@@ -170,7 +171,7 @@
       },
     };
   });
-  const count = Math.max(1, deployment.faultProxies);
+  const count = deployment.faultProxies;
   const faultProxies = numbered(count).map((number) =>
     planService(
       `fault-proxy-${number}`,
