Make the answers test meet streams without a last event

Cause: a trial without the check for the last event left the test green, because the whole answers before the streams had used the fault up. Ruled out: a fault of the check itself. Measured: with the fault set again before the streams, the trial is red and the real code green. Conclusion: the check is guarded now.

--- a/packages/integration/answers.test.ts
+++ b/packages/integration/answers.test.ts
@@ -5,6 +5,7 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { EngineFaults } from "../stand-ins/engine/settings.ts";
 import { TestFleet, waitUntil } from "./test-fleet.ts";
 
 const workspace = "lot-tagging";
@@ -46,15 +47,20 @@
     { lateMilliseconds: 300 },
     { endWithoutDone: 8 },
   ];
-  for (const fault of faults) {
+  const setFaults = async (fault: Partial<EngineFaults>) => {
     for (const engine of ["engine-1", "engine-2"]) {
       await testFleet.fleet.setFaults(engine, fault);
     }
+  };
+  for (const fault of faults) {
+    await setFaults(fault);
     await Promise.all(contents.map(async (content, index) => {
       const { status, text, body } = await ask(index % 3, content);
       if (status === 200) assert.equal(text, reference.get(content));
       else assert.ok(body.error?.code, "an error without a code");
     }));
+    // Whole answers use the fault up.
+    await setFaults(fault);
     await Promise.all(contents.map(async (content, index) => {
       const answer = await testFleet.client(index % 3, workspace)
         .chatStream(testFleet.chatBody(content, { max_tokens: 8 }));
@@ -65,14 +71,12 @@
         assert.ok(expected.startsWith(answer.text), "text of another answer");
       }
     }));
-    for (const engine of ["engine-1", "engine-2"]) {
-      await testFleet.fleet.setFaults(engine, {
-        truncateAnswers: 0,
-        swapAnswers: 0,
-        lateMilliseconds: 0,
-        endWithoutDone: 0,
-      });
-    }
+    await setFaults({
+      truncateAnswers: 0,
+      swapAnswers: 0,
+      lateMilliseconds: 0,
+      endWithoutDone: 0,
+    });
   }
 });
 
