Issue model orders from the coordinator of each engine

Cause: the coordinator of an engine could issue fenced orders, but no instance used it, so a model added to the document was never loaded; a restarted instance would also have taken the ownership of its earlier incarnation, with its old token, and an item's start was not checked when it was written. Ruled out: ordering without reading the engine's models first, which repeats the order of a predecessor; the check comes after the wait for the predecessor. Change: a controller reads the models of owned engines (at most every 2 s, every 30 s without a change) and orders missing ones, one at a time, with back-off up to 60 s; ownership counts only for the running incarnation; batch calls pass checkBeforeSend. The test of the wait for a predecessor depended on two real timers of 30 and 60 ms firing apart; it now runs in virtual time and also checks that nothing is sent before the ownership is in force and 1 ms before the wait ends. Conclusion: orders go to each engine from one issuer; load_model is the only order issued so far.

--- a/packages/batch/execution/item-runner.ts
+++ b/packages/batch/execution/item-runner.ts
@@ -6,7 +6,7 @@
 
 import { randomUUID } from "node:crypto";
 import type { BatchGrant } from "../../capacity/capacity.ts";
-import { UpstreamError } from "../../common/errors.ts";
+import { RosemaryrudderError, UpstreamError } from "../../common/errors.ts";
 import { brandAs, type RequestId } from "../../common/ids.ts";
 import type { ControlView } from "../../control/control-state.ts";
 import type { RunBatchItem } from "../../routing/upstream-caller.ts";
@@ -30,6 +30,13 @@
   /** The result does not count any more. */
   | { readonly kind: "void" };
 
+/** The item must not start any more. It says nothing about the upstream's health. */
+class ItemNotStartedError extends RosemaryrudderError {
+  constructor() {
+    super("item_not_started", "the item must not start any more");
+  }
+}
+
 export interface ItemRunnerOptions {
   control: ControlView;
   runItem: RunBatchItem;
@@ -53,13 +60,14 @@
       if (!isInEffect) return { kind: "void" };
     }
     if (run.void.signal.aborted || run.owner.isStopped) return { kind: "void" };
-    // Checked in the same turn as the call, because the instance may have been paused.
-    const mayStart = this.#options.control.isFresh() && !isOver(run) &&
+    return this.#mayStart(item, grant)
+      ? await this.#call(item, grant)
+      : { kind: "returned", isNotRun: true };
+  }
+
+  #mayStart({ run }: ReadyItem, grant: BatchGrant): boolean {
+    return this.#options.control.isFresh() && !isOver(run) &&
       !grant.revoked.aborted;
-    return mayStart ? await this.#call(item, grant) : {
-      kind: "returned",
-      isNotRun: true,
-    };
   }
 
   async #call(item: ReadyItem, grant: BatchGrant): Promise<RunOutcome> {
@@ -86,9 +94,18 @@
         requestId,
         isRepeatable,
         signal: abort.signal,
+        // Connecting takes time, and the instance may have been paused meanwhile.
+        checkBeforeSend: () => {
+          if (!this.#mayStart(item, grant)) throw new ItemNotStartedError();
+        },
       });
       outcome = classifyAnswer(answer, { isRepeatable, requestId });
     } catch (error) {
+      if (error instanceof ItemNotStartedError) {
+        return run.void.signal.aborted
+          ? { kind: "void" }
+          : { kind: "returned", isNotRun: true };
+      }
       if (abort.signal.aborted) {
         if (run.void.signal.aborted) return { kind: "void" };
         const isNotRun = error instanceof UpstreamError &&
--- a/packages/batch/fleet-faults.test.ts
+++ b/packages/batch/fleet-faults.test.ts
@@ -295,6 +295,71 @@
   assert.equal(attempts.length, 0);
 });
 
+test("an item is not written after its grant or the freshness has ended", async (context) => {
+  const written: number[] = [];
+  const endings: ((instance: FakeInstance) => void)[] = [
+    ({ capacity }) => capacity.revokeAll(),
+    ({ control }) => control.isFresh = () => false,
+  ];
+  for (const [index, end] of endings.entries()) {
+    let isFirst = true;
+    const fleet = new FakeFleet({
+      runItem: async (call) => {
+        await delay(1);
+        // As after a pause between the connect and the write.
+        if (isFirst) {
+          isFirst = false;
+          end(instance);
+          assert.throws(() => call.checkBeforeSend?.(), `ending ${index}`);
+          setTimeout(() => instance.control.isFresh = () => true, 50);
+        }
+        call.checkBeforeSend?.();
+        written.push(call.line);
+        return ok(call);
+      },
+    });
+    context.after(() => fleet.dispose());
+    const [instance] = fleet.start("a") as [FakeInstance];
+    const job = await submit(instance, scaleItems(20));
+    const ended = await waitUntilEnded(instance, job.id);
+    assert.deepEqual(ended.counts, { total: 20, completed: 20, failed: 0 });
+    assert.equal(written.length, 20 * (index + 1), "an item ran twice");
+    assert.equal(
+      fleet.log.streams().flatMap((name) =>
+        fleet.log.entries(name).filter(({ kind }) => kind === "item-attempted")
+      ).length,
+      0,
+    );
+  }
+});
+
+test("an item whose job is cancelled while its call connects is not written", async (context) => {
+  const failures: unknown[] = [];
+  const fleet = new FakeFleet({
+    runItem: async (call) => {
+      await new Promise((resolve) =>
+        call.signal.addEventListener("abort", resolve)
+      );
+      try {
+        call.checkBeforeSend?.();
+      } catch (error) {
+        failures.push((error as { code?: string }).code);
+        throw error;
+      }
+      return ok(call);
+    },
+  });
+  context.after(() => fleet.dispose());
+  const [a] = fleet.start("a") as [FakeInstance];
+  const job = await submit(a, chatItems(5));
+  await waitFor(() => a.service.statistics.running === 5);
+  await a.service.cancelJob(workspace, job.id);
+  const ended = await waitUntilEnded(a, job.id);
+  assert.equal(ended.counts.completed, 0);
+  await waitFor(() => failures.length === 5);
+  assert.deepEqual(new Set(failures), new Set(["item_not_started"]));
+});
+
 test("an item that kills its instance fails after three attempts and the rest completes", async (context) => {
   const poison = 17;
   const spare = ["b", "c", "d", "e", "f", "g"];
--- /dev/null
+++ b/packages/instance/controllers/engine-order-controller.ts
@@ -0,0 +1,34 @@
+/** Orders the engines that this instance coordinates to load the models of the document. */
+
+import { hashNumber } from "../../common/hashing.ts";
+import { SeededRandom } from "../../common/random.ts";
+import { ownerOf } from "../../control/owners.ts";
+import { EngineModels } from "../../routing/engine-models.ts";
+import { EngineOrders } from "../../routing/engine-orders.ts";
+import type { Controller } from "../controller.ts";
+
+export const engineOrderController: Controller = {
+  name: "engine-orders",
+  start({ blackboard, services, logger, store }) {
+    const { control, caller, directory } = services;
+    const orders = new EngineOrders({
+      control,
+      caller,
+      instance: blackboard.instance,
+      incarnation: () => blackboard.incarnation,
+      ownerOf: (state, upstream) => ownerOf(state, `capacity/${upstream}`),
+    });
+    store.add(() => orders.stop());
+    const random = new SeededRandom(hashNumber(blackboard.incarnation) | 0);
+    const models = new EngineModels({
+      control,
+      caller,
+      orders,
+      isLive: (engine) => directory.isLive(engine),
+      random: () => random.next(),
+      logger,
+    });
+    models.start();
+    store.add(() => models.stop());
+  },
+};
--- a/packages/instance/instance.ts
+++ b/packages/instance/instance.ts
@@ -9,6 +9,7 @@
 import { CallerServer } from "../http/server/caller-server.ts";
 import { type Blackboard, createBlackboard } from "./blackboard.ts";
 import type { Controller } from "./controller.ts";
+import { engineOrderController } from "./controllers/engine-order-controller.ts";
 import { peerController } from "./controllers/peer-controller.ts";
 import { usageController } from "./controllers/usage-controller.ts";
 import { createIncarnation } from "./incarnation.ts";
@@ -19,6 +20,7 @@
 export const controllers: readonly Controller[] = [
   peerController,
   usageController,
+  engineOrderController,
 ];
 
 export interface InstanceOptions {
@@ -64,7 +66,12 @@
     });
     this.#services = services;
     for (const controller of controllers) {
-      controller.start({ blackboard, services, store: this.#store });
+      controller.start({
+        blackboard,
+        services,
+        logger: this.#logger,
+        store: this.#store,
+      });
     }
     await this.#openOperatorServer(services);
     services.control.start();
--- a/packages/instance/services.ts
+++ b/packages/instance/services.ts
@@ -28,7 +28,10 @@
 import { UpstreamClient } from "../routing/upstream-client.ts";
 import { UpstreamDirectory } from "../routing/upstream-directory.ts";
 import { UpstreamHealth } from "../routing/upstream-health.ts";
-import type { OnlineRouter } from "../routing/upstream-caller.ts";
+import type {
+  OnlineRouter,
+  UpstreamCaller,
+} from "../routing/upstream-caller.ts";
 import type { Blackboard } from "./blackboard.ts";
 import { createIncarnation } from "./incarnation.ts";
 import type { InstanceSettings } from "./settings.ts";
@@ -40,6 +43,7 @@
   readonly limiter: Limiter;
   readonly capacity: BatchCapacity & OnlineCapacity;
   readonly directory: UpstreamDirectory;
+  readonly caller: UpstreamCaller;
   readonly router: OnlineRouter;
   readonly batch: FleetBatchService;
   readonly metrics: ServingMetrics;
@@ -107,6 +111,7 @@
     limiter: routing.limiter,
     capacity: routing.capacity,
     directory: routing.directory,
+    caller: routing.caller,
     router: routing.router,
     startServing: async () => {
       await routing.directory.start();
--- a/packages/routing/constants.ts
+++ b/packages/routing/constants.ts
@@ -45,3 +45,12 @@
 export const repeatDelayMilliseconds = 50;
 
 export const orderTimeoutMilliseconds = 5_000;
+
+/** Least time between two checks of the models that an engine has. */
+export const modelCheckSpacingMilliseconds = 2_000;
+/** An engine that was restarted has lost the models that it was ordered to load. */
+export const modelCheckIntervalMilliseconds = 30_000;
+export const modelCheckTimeoutMilliseconds = 5_000;
+export const maximumOrderBackOffMilliseconds = 60_000;
+/** Largest list of models that is read from an engine. */
+export const maximumModelListBytes = 256 * 1024;
--- /dev/null
+++ b/packages/routing/engine-models.ts
@@ -0,0 +1,258 @@
+/**
+ * Keeps the models of engines in step with the document. The coordinator of an engine reads
+ * which models the engine has and orders it to load those that the document names besides. Each
+ * engine has one check or order in progress at most, and failures are repeated with back-off.
+ */
+
+import { Buffer } from "node:buffer";
+import { randomUUID } from "node:crypto";
+import { z } from "zod";
+import { type Clock, systemClock } from "../common/clock.ts";
+import { RosemaryrudderError } from "../common/errors.ts";
+import {
+  brandAs,
+  type ModelName,
+  type RequestId,
+  type UpstreamName,
+} from "../common/ids.ts";
+import { type Logger, silentLogger } from "../common/logging.ts";
+import { systemTimers, type Timers } from "../common/timers.ts";
+import type { ControlState, ControlView } from "../control/control-state.ts";
+import {
+  maximumModelListBytes,
+  maximumOrderBackOffMilliseconds,
+  modelCheckIntervalMilliseconds,
+  modelCheckSpacingMilliseconds,
+  modelCheckTimeoutMilliseconds,
+} from "./constants.ts";
+import { EngineOrderError, type EngineOrders } from "./engine-orders.ts";
+import type { UpstreamCaller } from "./upstream-caller.ts";
+
+export interface EngineModelsOptions {
+  control: ControlView;
+  caller: UpstreamCaller;
+  /** Must have been created before, so that it learns of each change first. */
+  orders: Pick<EngineOrders, "isCoordinator" | "whenReady" | "issue">;
+  /** Whether the engine may get new work. */
+  isLive: (engine: UpstreamName) => boolean;
+  /** A number from 0 to 1 that spreads the repetitions of several engines. */
+  random: () => number;
+  logger?: Logger;
+  clock?: Clock;
+  timers?: Timers;
+}
+
+interface EngineEntry {
+  readonly name: UpstreamName;
+  wanted: readonly ModelName[];
+  /** Monotonic time of the last check. */
+  checkedAt: number;
+  failures: number;
+  isBusy: boolean;
+  /** The document has changed since the check in progress began. */
+  isChanged: boolean;
+  cancelTimer: () => void;
+}
+
+const modelListSchema = z.object({
+  data: z.array(z.object({ id: z.string() })),
+});
+
+export class EngineModels {
+  readonly #options: Required<EngineModelsOptions>;
+  /** The engines that this instance coordinates. */
+  readonly #entries = new Map<UpstreamName, EngineEntry>();
+  #stopListening: () => void = () => {};
+
+  constructor(options: EngineModelsOptions) {
+    this.#options = {
+      logger: silentLogger,
+      clock: systemClock,
+      timers: systemTimers,
+      ...options,
+    };
+  }
+
+  start(): void {
+    const { control } = this.#options;
+    this.#stopListening = control.onChange((state) => this.#update(state));
+    this.#update(control.state);
+  }
+
+  stop(): void {
+    this.#stopListening();
+    for (const name of [...this.#entries.keys()]) this.#drop(name);
+  }
+
+  #update({ configuration }: ControlState): void {
+    const { orders } = this.#options;
+    for (const name of [...this.#entries.keys()]) {
+      const isKept = configuration.upstreams.has(name) &&
+        orders.isCoordinator(name);
+      if (!isKept) this.#drop(name);
+    }
+    for (const { name, kind, models } of configuration.upstreams.values()) {
+      if (kind !== "engine" || !orders.isCoordinator(name)) continue;
+      const known = this.#entries.get(name);
+      if (known && haveSameItems(known.wanted, models)) continue;
+      const entry = known ?? createEntry(name);
+      this.#entries.set(name, entry);
+      entry.wanted = models;
+      entry.failures = 0;
+      entry.isChanged = true;
+      if (!entry.isBusy) this.#schedule(entry, 0);
+    }
+  }
+
+  #drop(name: UpstreamName): void {
+    this.#entries.get(name)?.cancelTimer();
+    this.#entries.delete(name);
+  }
+
+  #isCurrent(entry: EngineEntry): boolean {
+    return this.#entries.get(entry.name) === entry;
+  }
+
+  /** Checks after the delay, but not sooner after the last check than the spacing. */
+  #schedule(entry: EngineEntry, milliseconds: number): void {
+    const { clock, timers } = this.#options;
+    const spacing = entry.checkedAt + modelCheckSpacingMilliseconds -
+      clock.monotonicNow();
+    entry.cancelTimer();
+    entry.cancelTimer = timers.after(
+      Math.max(milliseconds, spacing),
+      () => void this.#run(entry),
+    );
+  }
+
+  async #run(entry: EngineEntry): Promise<void> {
+    entry.isBusy = true;
+    entry.isChanged = false;
+    let wait = modelCheckIntervalMilliseconds;
+    try {
+      if (this.#options.isLive(entry.name)) await this.#check(entry);
+      else wait = modelCheckSpacingMilliseconds;
+      entry.failures = 0;
+    } catch (error) {
+      wait = this.#noteFailure(entry, error);
+    }
+    entry.isBusy = false;
+    if (this.#isCurrent(entry)) {
+      this.#schedule(entry, entry.isChanged ? 0 : wait);
+    }
+  }
+
+  async #check(entry: EngineEntry): Promise<void> {
+    const { orders, clock } = this.#options;
+    await orders.whenReady(entry.name);
+    entry.checkedAt = clock.monotonicNow();
+    entry.isChanged = false;
+    const loaded = await this.#readModels(entry.name);
+    let failure: unknown;
+    for (const model of entry.wanted) {
+      // Document and ownership may have changed during the orders before.
+      if (!this.#isCurrent(entry)) return;
+      if (loaded.has(model) || !entry.wanted.includes(model)) continue;
+      try {
+        await this.#load(entry, model);
+      } catch (error) {
+        if (isLostOwnership(error)) throw error;
+        // One model that cannot be loaded does not keep the others out.
+        failure ??= error;
+      }
+    }
+    if (failure !== undefined) throw failure;
+  }
+
+  async #load({ name }: EngineEntry, model: ModelName): Promise<void> {
+    const { orders, logger } = this.#options;
+    logger.info("ordering an engine to load a model", { engine: name, model });
+    await orders.issue(name, { kind: "load_model", model });
+    logger.info("an engine has loaded a model", { engine: name, model });
+  }
+
+  async #readModels(name: UpstreamName): Promise<ReadonlySet<string>> {
+    const answer = await this.#options.caller.call({
+      upstream: name,
+      method: "GET",
+      path: "/v1/models",
+      headers: { accept: "application/json" },
+      requestId: brandAs<RequestId>(randomUUID()),
+      isRepeatable: true,
+      signal: AbortSignal.timeout(modelCheckTimeoutMilliseconds),
+    });
+    const chunks: Uint8Array[] = [];
+    let bytes = 0;
+    for await (const chunk of answer.body) {
+      bytes += chunk.byteLength;
+      if (bytes > maximumModelListBytes) {
+        throw unreadable(name, `is larger than ${maximumModelListBytes} bytes`);
+      }
+      chunks.push(chunk);
+    }
+    if (answer.status !== 200) {
+      throw unreadable(name, `was answered with ${answer.status}`);
+    }
+    const text = Buffer.concat(chunks).toString("utf8");
+    const { data } = modelListSchema.parse(JSON.parse(text));
+    return new Set(data.map(({ id }) => id));
+  }
+
+  /** Gives the time until the next check. */
+  #noteFailure(entry: EngineEntry, error: unknown): number {
+    const { logger, random } = this.#options;
+    const reason = error instanceof Error ? error.message : String(error);
+    if (isLostOwnership(error)) {
+      // It is not known yet whether the ownership or only the freshness was lost.
+      logger.info("orders to an engine are suspended", {
+        engine: entry.name,
+        reason,
+      });
+      return modelCheckSpacingMilliseconds;
+    }
+    if (!this.#isCurrent(entry)) return 0;
+    entry.failures += 1;
+    const backOff = Math.min(
+      maximumOrderBackOffMilliseconds,
+      modelCheckSpacingMilliseconds * 2 ** entry.failures,
+    );
+    const wait = Math.round(backOff * (1 + random()) / 2);
+    logger.warn("the models of an engine differ from the document", {
+      engine: entry.name,
+      reason,
+      repeatedAfterMilliseconds: wait,
+    });
+    return wait;
+  }
+}
+
+function createEntry(name: UpstreamName): EngineEntry {
+  return {
+    name,
+    wanted: [],
+    checkedAt: Number.NEGATIVE_INFINITY,
+    failures: 0,
+    isBusy: false,
+    isChanged: false,
+    cancelTimer: () => {},
+  };
+}
+
+function haveSameItems<Item>(
+  left: readonly Item[],
+  right: readonly Item[],
+): boolean {
+  return left.length === right.length &&
+    left.every((item) => right.includes(item));
+}
+
+function isLostOwnership(error: unknown): boolean {
+  return error instanceof EngineOrderError && error.code === "not_coordinator";
+}
+
+function unreadable(name: UpstreamName, reason: string): RosemaryrudderError {
+  return new RosemaryrudderError(
+    "models_unreadable",
+    `the list of models of engine ${name} ${reason}`,
+  );
+}
--- a/packages/routing/engine-orders.ts
+++ b/packages/routing/engine-orders.ts
@@ -10,11 +10,13 @@
 import { RosemaryrudderError } from "../common/errors.ts";
 import {
   brandAs,
+  type Incarnation,
   type InstanceId,
   type Offset,
   type RequestId,
   type UpstreamName,
 } from "../common/ids.ts";
+import { systemTimers, type Timers } from "../common/timers.ts";
 import type { ControlState, ControlView } from "../control/control-state.ts";
 import { orderTimeoutMilliseconds, quotedAnswerBytes } from "./constants.ts";
 import type { UpstreamCaller } from "./upstream-caller.ts";
@@ -32,15 +34,18 @@
   control: ControlView;
   caller: UpstreamCaller;
   instance: InstanceId;
+  incarnation: () => Incarnation;
   /** The coordinator of an upstream in a control state. */
   ownerOf: (
     state: ControlState,
     upstream: UpstreamName,
   ) => InstanceId | undefined;
   orderTimeoutMilliseconds?: number;
+  timers?: Timers;
 }
 
 interface Ownership {
+  readonly incarnation: Incarnation;
   /** Control offset at which this instance became coordinator. */
   readonly token: Offset;
   /** Resolves when orders of an earlier coordinator can no longer arrive. */
@@ -50,6 +55,7 @@
 export class EngineOrders {
   readonly #options: EngineOrdersOptions;
   readonly #timeout: number;
+  readonly #timers: Timers;
   readonly #ownerships = new Map<UpstreamName, Ownership>();
   /** The last order to each upstream, which the next one waits for. */
   readonly #queues = new Map<UpstreamName, Promise<unknown>>();
@@ -60,6 +66,7 @@
     this.#options = options;
     this.#timeout = options.orderTimeoutMilliseconds ??
       orderTimeoutMilliseconds;
+    this.#timers = options.timers ?? systemTimers;
     this.#stopListening = options.control.onChange((state) =>
       this.#update(state)
     );
@@ -81,6 +88,20 @@
     return issued;
   }
 
+  /** Whether this instance coordinates the engine as far as it has read the log. */
+  isCoordinator(upstream: UpstreamName): boolean {
+    return this.#ownerships.has(upstream);
+  }
+
+  /**
+   * Resolves once no order of an earlier coordinator can arrive any more. What the engine holds
+   * after this is changed by this instance alone. Throws an EngineOrderError if the ownership
+   * has ended meanwhile.
+   */
+  async whenReady(name: UpstreamName): Promise<void> {
+    await this.#acquire(name);
+  }
+
   stop(): void {
     this.#stopListening();
     this.#stopController.abort();
@@ -88,12 +109,17 @@
 
   #update(state: ControlState): void {
     const { instance, ownerOf } = this.#options;
+    const incarnation = this.#options.incarnation();
+    // A restarted instance reads that its earlier incarnation owned engines; it does not.
+    const isMember = state.members.get(instance)?.incarnation === incarnation;
     for (const upstream of state.configuration.upstreams.values()) {
       if (upstream.kind !== "engine") continue;
-      const isOwner = ownerOf(state, upstream.name) === instance;
-      if (!isOwner) this.#ownerships.delete(upstream.name);
-      else if (!this.#ownerships.has(upstream.name)) {
-        this.#ownerships.set(upstream.name, {
+      const { name } = upstream;
+      const isOwner = isMember && ownerOf(state, name) === instance;
+      if (!isOwner) this.#ownerships.delete(name);
+      else if (this.#ownerships.get(name)?.incarnation !== incarnation) {
+        this.#ownerships.set(name, {
+          incarnation,
           token: state.membershipOffset,
           predecessorIsOver: undefined,
         });
@@ -107,9 +133,15 @@
   }
 
   async #issueNow(name: UpstreamName, order: EngineOrder): Promise<void> {
-    const { control } = this.#options;
+    await this.#send(name, await this.#acquire(name), order);
+  }
+
+  /** The ownership under which orders may be issued, after the wait for the predecessor. */
+  async #acquire(name: UpstreamName): Promise<Ownership> {
     const ownership = this.#ownerships.get(name);
-    const upstream = control.state.configuration.upstreams.get(name);
+    const upstream = this.#options.control.state.configuration.upstreams.get(
+      name,
+    );
     if (!ownership || !upstream) throw notCoordinator(name);
     if (!upstream.checksFencing) {
       ownership.predecessorIsOver ??= this.#waitForPredecessor(ownership.token)
@@ -120,18 +152,22 @@
       await ownership.predecessorIsOver;
     }
     this.#checkOwnership(name, ownership);
-    await this.#send(name, ownership, order);
+    return ownership;
   }
 
   /** After this, every earlier coordinator has stopped issuing and its last order is over. */
   async #waitForPredecessor(token: Offset): Promise<void> {
     await this.#options.control.whenInForce(token);
-    await new Promise((resolve) => {
-      const timer = setTimeout(resolve, this.#timeout);
-      this.#stopController.signal.addEventListener("abort", () => {
-        clearTimeout(timer);
-        resolve(undefined);
-      });
+    const { signal } = this.#stopController;
+    if (signal.aborted) return;
+    await new Promise<void>((resolve) => {
+      const finish = () => {
+        cancel();
+        signal.removeEventListener("abort", finish);
+        resolve();
+      };
+      const cancel = this.#timers.after(this.#timeout, finish);
+      signal.addEventListener("abort", finish);
     });
   }
 
--- a/packages/routing/upstream-directory.test.ts
+++ b/packages/routing/upstream-directory.test.ts
@@ -8,7 +8,13 @@
 import { once } from "node:events";
 import { createServer, type RequestListener } from "node:http";
 import { test, type TestContext } from "node:test";
-import { brandAs, type InstanceId, type UpstreamName } from "../common/ids.ts";
+import {
+  brandAs,
+  type Incarnation,
+  type InstanceId,
+  type UpstreamName,
+} from "../common/ids.ts";
+import { VirtualTime } from "../common/testing/virtual-time.ts";
 import type { ControlListener, ControlView } from "../control/control-state.ts";
 import { createBatchItemRunner } from "./batch-item-runner.ts";
 import { EngineOrders } from "./engine-orders.ts";
@@ -18,6 +24,7 @@
 
 const engine = brandAs<UpstreamName>("e1");
 const self = brandAs<InstanceId>("i1");
+const incarnation = brandAs<Incarnation>("i1.1");
 
 async function serve(
   context: TestContext,
@@ -41,6 +48,7 @@
   constructor(upstreams: object[], routes: object[] = []) {
     this.state = {
       membershipOffset: 10,
+      members: new Map([[self, { incarnation }]]),
       configuration: {
         upstreams: new Map(
           upstreams.map((entry) => [(entry as { name: string }).name, entry]),
@@ -136,6 +144,7 @@
     control: control.view,
     caller: createCaller(context, control),
     instance: self,
+    incarnation: () => incarnation,
     ownerOf: () => owner,
   });
   const issue = (model: string) =>
@@ -167,20 +176,27 @@
     { name: engine, kind: "engine", address, checksFencing: false },
   ]);
   let owner: InstanceId = self;
+  const time = new VirtualTime();
   let setInForce = () => {};
   control.isInForce = new Promise((resolve) => setInForce = resolve);
   const orders = new EngineOrders({
     control: control.view,
     caller: createCaller(context, control),
     instance: self,
+    incarnation: () => incarnation,
     ownerOf: () => owner,
-    orderTimeoutMilliseconds: 60,
+    // The wait is in virtual time; only the calls themselves take real time.
+    orderTimeoutMilliseconds: 60_000,
+    timers: time,
   });
   const issue = () => orders.issue(engine, { kind: "set_role", role: "r" });
   const first = issue();
+  await time.runUntil(100_000);
+  assert.equal(count, 0, "sent before the ownership is in force");
   setInForce();
-  await new Promise((resolve) => setTimeout(resolve, 30));
-  assert.equal(count, 0);
+  await time.runUntil(159_999);
+  assert.equal(count, 0, "sent before the order timeout has passed");
+  await time.runUntil(160_000);
   await first;
   await issue();
   assert.equal(count, 2);
