--- a/packages/demo/fleet-plan.ts
+++ b/packages/demo/fleet-plan.ts
@@ -5,6 +5,7 @@
 
 import type { Deployment } from "./deployments.ts";
 import { callersName, linkName } from "./link-control.ts";
+import { defaultUpstreamConcurrency } from "./constants.ts";
 
 const host = "127.0.0.1";
 
@@ -99,6 +100,7 @@
     targetPort: number,
     delayMilliseconds: number,
   ) => {
+    if (deployment.faultProxies === 0) return `${host}:${targetPort}`;
     const listenPort = takePort();
     const name = linkName(source, target);
     links.push({ name, listenPort, targetPort, delayMilliseconds });
@@ -169,7 +171,7 @@
       },
     };
   });
-  const count = Math.max(1, deployment.faultProxies);
+  const count = deployment.faultProxies;
   const faultProxies = numbered(count).map((number) =>
     planService(
       `fault-proxy-${number}`,
@@ -235,15 +237,12 @@
     url,
     readyUrl: `${url}/healthz`,
     models: isEngine ? deployment.models : [],
-    concurrency: Number(settings["concurrency"] ?? defaultConcurrency),
+    concurrency: Number(settings["concurrency"] ?? defaultUpstreamConcurrency),
     checksFencing: settings["checksFencing"] === true,
     settings: { name: id, host, port, ...settings },
   };
 }
 
-/** Concurrency that the document gives an upstream whose settings name none. */
-const defaultConcurrency = 8;
-
 function planService(
   id: string,
   program: string,
