Report slot use and wasted slot time

Cause: the batch share alone does not tell idle slots from work that was taken back. Ruled out: reading the journals for cancelled calls, which have no durations.

--- a/packages/measure/measures.ts
+++ b/packages/measure/measures.ts
@@ -23,6 +23,10 @@
   readonly itemsPerSecond: number;
   /** Batch items as a share of what the slots that online leaves free could do. */
   readonly batchShare: number;
+  /** Busy slot time of the engines while batch ran, as a share of all slot time. */
+  readonly slotUse: number;
+  /** Slot time of calls that were taken back, as a share of what online leaves free. */
+  readonly wastedShare: number;
   readonly firstTokenAlone: number;
   readonly firstTokenWithBatch: number;
   readonly firstTokenRatio: number;
@@ -50,9 +54,13 @@
   const itemsPerSecond = items / withBatch.seconds;
   const onlineSlots = alone.busySlotSeconds / alone.seconds;
   const freeSlots = withBatch.slots - onlineSlots;
+  const usedSlots = withBatch.busySlotSeconds / withBatch.seconds;
   return {
     itemsPerSecond,
     batchShare: itemsPerSecond * itemSlotSeconds / freeSlots,
+    slotUse: usedSlots / withBatch.slots,
+    wastedShare: (usedSlots - onlineSlots - itemsPerSecond * itemSlotSeconds) /
+      freeSlots,
     firstTokenAlone: alone.online.firstToken.p99,
     firstTokenWithBatch: withBatch.online.firstToken.p99,
     firstTokenRatio: withBatch.online.firstToken.p99 /
