Resume the paused order issuer while it cannot read its eviction

Cause: the integration test passed in a trial in which the issuer did not check its freshness, because the resumed issuer found the model loaded already. Ruled out: relying on the ownership alone, which a paused issuer loses only when it reads the log. Change: the paused issuer is cut off from the log and its peers and resumes before its successor has ordered; the test waits until the issuer's own order was due. Conclusion: both guards of an engine that ignores tokens are now covered by real processes.

--- a/packages/integration/orders.test.ts
+++ b/packages/integration/orders.test.ts
@@ -156,9 +156,19 @@
   // The first order to this engine waits for a possible predecessor, which leaves time to pause.
   await addModel(testFleet, ignoringEngine, "walnut-13b");
   await testFleet.waitUntilInForce();
-  testFleet.fleet.pause(ignoring);
+  const { fleet } = testFleet;
+  fleet.pause(ignoring);
   assert.deepEqual(await ordersOf(testFleet, ignoringEngine), []);
+  // Resumed before the successor's order, and unable to read that it was evicted.
+  await fleet.faults.freeze(ignoring, "log");
+  await fleet.faults.freeze(ignoring, "instance-*");
+  await fleet.faults.freeze("instance-*", ignoring);
   await waitUntilMember(testFleet, ignoring, false);
+  fleet.resume(ignoring);
+  await waitUntil(
+    "the old issuer has found its order due",
+    () => fleet.readLog(ignoring).includes("orders to an engine are suspended"),
+  );
   const [next] = await waitUntilLoaded(testFleet, ignoringEngine, "walnut-13b");
   assert.ok(next);
   const eviction = await recordOfToken(testFleet, next.token);
@@ -170,10 +180,10 @@
     `ordered ${waited} ms after the eviction`,
   );
 
-  testFleet.fleet.resume(ignoring);
+  await fleet.faults.healAll();
   await waitUntilMember(testFleet, ignoring, true);
 
-  await testFleet.fleet.kill(checking);
+  await fleet.kill(checking);
   await addModel(testFleet, checkingEngine, "walnut-30b");
   const orders = await waitUntilLoaded(testFleet, checkingEngine, "walnut-30b");
   assert.deepEqual(
@@ -183,7 +193,7 @@
   assert.ok(orders[1]!.token > first.token);
   const { types } = await recordOfToken(testFleet, orders[1]!.token);
   assert.deepEqual(types, ["member-evicted"]);
-  // The eviction of another instance has passed since the paused issuer resumed.
+  // The paused issuer has had links again for as long as this eviction took.
   assert.equal((await ordersOf(testFleet, ignoringEngine)).length, 1);
 });
 
