Stop the executor from spinning at the end of a range

Cause: a range whose lines were all taken, but with fewer ready items than wanted, was loaded again in every turn of the event loop: nothing to load, schedule, load again. The slope for 1,000 items showed 101 % of a core on each instance where 28,000 items cost 9 %. Ruled out: the cost of running items, because larger jobs cost less. Before: the demand was set 210,164 times in 500 ms with all items under way; after: fewer than 50, the bound of the new test, which failed before. Conclusion: a range asks for more only while it has lines that nobody has looked at.

--- a/packages/batch/execution/executor.ts
+++ b/packages/batch/execution/executor.ts
@@ -40,6 +40,7 @@
   compareRuns,
   createRangeRun,
   fileLine,
+  hasLinesToTake,
   isOver,
   type RangeRun,
   takeNextLine,
@@ -237,7 +238,7 @@
   }
 
   #wantsMore(run: RangeRun, minimum: number): boolean {
-    if (isOver(run)) return false;
+    if (isOver(run) || !hasLinesToTake(run)) return false;
     if (this.#recorder.unrecorded >= maximumUnrecordedItems) return false;
     const hasBytes = this.#ready.bytes < maximumReadyBytes;
     if (run.readyCount < (hasBytes ? minimum : 1)) return true;
--- a/packages/batch/execution/range-run.ts
+++ b/packages/batch/execution/range-run.ts
@@ -67,6 +67,11 @@
     run.owner.isStopped || isRangeFinished(run.range);
 }
 
+/** Whether lines are left that nobody has looked at; lines that failed to load come back. */
+export function hasLinesToTake(run: RangeRun): boolean {
+  return run.cursor < run.range.spec.lines;
+}
+
 /** The next line without an outcome that nobody has taken; marks it as taken. */
 export function takeNextLine(run: RangeRun): number | undefined {
   run.cursor = Math.max(run.cursor, run.range.watermark);
--- a/packages/batch/fleet-faults.test.ts
+++ b/packages/batch/fleet-faults.test.ts
@@ -82,6 +82,21 @@
   await assertOneOutcomeEach(c, job.id, 400);
 });
 
+test("an executor whose items all run or wait for capacity is idle", async (context) => {
+  const fleet = new FakeFleet({ runItem: slowly(1_500) });
+  context.after(() => fleet.dispose());
+  const [a] = fleet.start("a") as [FakeInstance];
+  a.capacity.concurrency = 4;
+  const job = await submit(a, chatItems(12));
+  await waitFor(() => a.service.statistics.running === 4);
+  await delay(200);
+  const before = a.capacity.demandCount;
+  await delay(500);
+  const updates = a.capacity.demandCount - before;
+  assert.ok(updates < 50, `the demand was set ${updates} times in 500 ms`);
+  await waitUntilEnded(a, job.id);
+});
+
 test("a job survives the death of its home owner right after the acknowledgement", async (context) => {
   const fleet = new FakeFleet({ runItem: slowly(2) });
   context.after(() => fleet.dispose());
--- a/packages/batch/testing/fake-fleet.ts
+++ b/packages/batch/testing/fake-fleet.ts
@@ -139,12 +139,15 @@
     { grant: BatchGrant; revoke: () => void }
   >();
   concurrency = 16;
+  /** Times that the demand was set. */
+  demandCount = 0;
   #demand: readonly BatchDemand[] = [];
   #handler: (grant: BatchGrant) => void = () => {};
   #nextId = 0;
 
   setDemand(demand: readonly BatchDemand[]): void {
     this.#demand = demand;
+    this.demandCount += 1;
     this.#give();
   }
 
