--- a/packages/control/control-service.ts
+++ b/packages/control/control-service.ts
@@ -299,6 +299,14 @@
     const { members } = state;
     if (members === this.#groupedMembers) return;
     this.#voters.excludeLeft(leftIncarnations(this.#groupedMembers, members));
+    for (const member of this.#groupedMembers.values()) {
+      const current = members.get(member.instance);
+      // An evicted member may still act on its old state; all others that are gone do not.
+      const hasEnded = current
+        ? current.incarnation !== member.incarnation
+        : member.state === "leaving";
+      if (hasEnded) this.#voters.addEnded(incarnationKey(member));
+    }
     this.#groupedMembers = members;
     this.#voters.add(voterKeys(members), {
       offset: record.offset,
--- a/packages/control/freshness.test.ts
+++ b/packages/control/freshness.test.ts
@@ -222,6 +222,14 @@
   assert.equal(history.majorityOffset(300, appliedOf), 12);
   assert.equal(history.majorityOffset(2_200, appliedOf), 12);
   assert.equal(history.majorityOffset(2_400, appliedOf), 20);
+  // Voters that left in order do not hold up a process that never heard them.
+  const restarted = new VoterHistory();
+  restarted.add(["a", "b"], { offset: 0, time: 0, now: 0 });
+  restarted.add(["a", "c"], { offset: 10, time: 100, now: 100 });
+  const offsetOf = (voter: string) => voter === "b" ? -1 : 20;
+  assert.equal(restarted.majorityOffset(5_000, offsetOf), -1);
+  restarted.addEnded("b");
+  assert.equal(restarted.majorityOffset(5_000, offsetOf), 20);
 });
 
 test("an eviction needs the reports of a majority, or of all after a long silence", () => {
--- a/packages/operator/constants.ts
+++ b/packages/operator/constants.ts
@@ -2,7 +2,7 @@
 
 export const programName = "rosemaryrudder";
 /** Waiting time for the log if `--timeout` is not given. */
-export const defaultTimeoutSeconds = 30;
+export const defaultTimeoutSeconds = 10;
 export const statusTimeoutMilliseconds = 2_000;
 /** Members that `status` asks at once. */
 export const statusParallelism = 32;
--- a/packages/operator/difference.ts
+++ b/packages/operator/difference.ts
@@ -20,11 +20,17 @@
     describeDifferences(
       left.get(name),
       right.get(name),
-      path === "" ? name : `${path}.${name}`,
+      joinPath(path, name),
     )
   );
 }
 
+/** Items that have no name are listed under the path of their list. */
+function joinPath(path: string, name: string): string {
+  if (path === "") return name;
+  return /^["{[]/.test(name) ? path : `${path}.${name}`;
+}
+
 /** Fields of an object, or the items of a list by their names. */
 function fieldsOf(value: unknown): Map<string, unknown> | undefined {
   if (value === null || typeof value !== "object") return undefined;
