Cancel jobs only from their own section, and survive a malformed log answer

Cause: the home owner looked at the cancelled jobs of all sections, so one team could cancel the jobs of another; a log answer that was not CBOR raised another error than the reader repeats on. Ruled out: nothing else reads the flat list for a decision. Before: the test with the job listed in another section would have been cancelled; after: it goes on until its own section lists it. The malformed answers give LogUnavailableError. Conclusion: both fixed with a test each; the faults were found in review.

--- a/packages/batch/fleet-faults.test.ts
+++ b/packages/batch/fleet-faults.test.ts
@@ -262,6 +262,10 @@
   context.after(() => fleet.dispose());
   const [a] = fleet.start("a") as [FakeInstance];
   const job = await submit(a, chatItems(500));
+  a.control.cancelJobs([job.id], "south");
+  await delay(300);
+  const before = await a.service.getJob(workspace, job.id);
+  assert.equal(before?.status, "in_progress", "another section cancelled it");
   a.control.cancelJobs([job.id]);
   assert.equal((await waitUntilEnded(a, job.id)).status, "cancelled");
 });
--- a/packages/batch/jobs/home-owner.ts
+++ b/packages/batch/jobs/home-owner.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "../../common/clock.ts";
 import type { JobId, WorkspaceId } from "../../common/ids.ts";
 import { RosemaryrudderError } from "../../common/errors.ts";
+import { isJobCancelled } from "../../control/configuration.ts";
 import type { ControlView } from "../../control/control-state.ts";
 import type { PeerNetwork } from "../../protocol/peer-network.ts";
 import type { JobDescription } from "../batch-service.ts";
@@ -74,12 +75,13 @@
 
   /** Cancels the jobs that operators have listed in the configuration. */
   cancelListedJobs(): void {
-    const { cancelledJobs } = this.#options.control.state.configuration;
-    for (const job of cancelledJobs) {
+    const { configuration } = this.#options.control.state;
+    for (const job of configuration.cancelledJobs) {
       for (const owner of this.#options.partitions.activeOwners()) {
         const state = owner.state.jobs.get(job);
         const isPending = this.#cancelling.has(job);
         if (!state || !mayCancel(state) || isPending) continue;
+        if (!isJobCancelled(configuration, state.spec.workspace, job)) continue;
         this.#cancelling.add(job);
         void this.#recordCancel(owner, job).finally(() =>
           this.#cancelling.delete(job)
--- a/packages/batch/testing/fake-fleet.ts
+++ b/packages/batch/testing/fake-fleet.ts
@@ -15,6 +15,7 @@
   type JobId,
   type ModelName,
   type Offset,
+  type SectionName,
   type UpstreamName,
   type WorkspaceId,
   type ZoneId,
@@ -107,10 +108,17 @@
     });
   }
 
-  cancelJobs(jobs: JobId[]): void {
+  /** Lists jobs as cancelled in a section; the fleet's workspace belongs to "north". */
+  cancelJobs(jobs: JobId[], section = "north"): void {
+    const cancelledJobs = new Set(jobs);
     const configuration = {
       ...this.state.configuration,
-      cancelledJobs: new Set(jobs),
+      cancelledJobs,
+      cancelledJobsBySection: new Map([[
+        brandAs<SectionName>(section),
+        cancelledJobs,
+      ]]),
+      workspaceSections: new Map([[workspace, brandAs<SectionName>("north")]]),
     };
     const appliedOffset = this.state.appliedOffset + 1 as Offset;
     this.#replace({ ...this.state, appliedOffset, configuration });
--- a/packages/log/log-client.ts
+++ b/packages/log/log-client.ts
@@ -135,11 +135,7 @@
         signal: options.signal,
       },
     );
-    const parsed = readAnswerSchema.safeParse(decodeValue(answer));
-    if (!parsed.success) {
-      throw new LogUnavailableError("the log's answer to a read is malformed");
-    }
-    return parsed.data as unknown as LogReadResult;
+    return decodeReadAnswer(answer);
   }
 
   async close(): Promise<void> {
@@ -183,6 +179,18 @@
   }
 }
 
+function decodeReadAnswer(answer: Uint8Array): LogReadResult {
+  try {
+    return readAnswerSchema.parse(
+      decodeValue(answer),
+    ) as unknown as LogReadResult;
+  } catch (cause) {
+    throw new LogUnavailableError("the log's answer to a read is malformed", {
+      cause,
+    });
+  }
+}
+
 interface CallOptions {
   method: "GET" | "POST";
   body?: Uint8Array;
--- a/packages/log/log.test.ts
+++ b/packages/log/log.test.ts
@@ -1,6 +1,9 @@
 /** The writer groups entries, repeats lost appends with one sequence, and readers keep order. */
 
 import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import type { Clock } from "../common/clock.ts";
 import { LogUnavailableError } from "../common/errors.ts";
@@ -12,7 +15,12 @@
 } from "../common/ids.ts";
 import { AppendBudget } from "./append-budget.ts";
 import { GroupCommitWriter } from "./group-commit-writer.ts";
-import type { LogClient, LogReadResult, StoredRecord } from "./log-client.ts";
+import {
+  HttpLogClient,
+  type LogClient,
+  type LogReadResult,
+  type StoredRecord,
+} from "./log-client.ts";
 import { decodeRecord, type LogRecord } from "./record.ts";
 import { StreamReader } from "./stream-reader.ts";
 
@@ -148,6 +156,27 @@
   assert.equal(end, 7);
 });
 
+test("an answer of the log that cannot be read is a LogUnavailableError", async () => {
+  const answers = ["not cbor \xff", "", "\x83\x01", "{}"];
+  const server = createServer((_request, response) => {
+    response.end(Buffer.from(answers.shift() ?? "", "latin1"));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new HttpLogClient({ baseUrl: `http://127.0.0.1:${port}` });
+  try {
+    for (let turn = answers.length; turn > 0; turn--) {
+      await assert.rejects(
+        client.read(stream, { from: 0 as Offset, waitMilliseconds: 0 }),
+        LogUnavailableError,
+      );
+    }
+  } finally {
+    await client.close();
+    server.close();
+  }
+});
+
 test("a reader takes only the next record from a peer", () => {
   const reader = new StreamReader({
     client: new FakeLog(),
