--- a/packages/measure/batch-run.ts
+++ b/packages/measure/batch-run.ts
@@ -97,17 +97,14 @@
     completionWindow: string,
     isUrgent: boolean,
   ): Promise<BatchJob> {
-    const client = this.#client(workspace.id);
-    const file = await client.uploadFile(
-      this.#input(workspace.id, items, isUrgent),
+    const file = await this.#insist(
+      workspace.id,
+      (client) => client.uploadFile(this.#input(workspace.id, items, isUrgent)),
+    );
+    const batch = await this.#insist(
+      workspace.id,
+      (client) => client.createBatch(file.body.id, { completionWindow }),
     );
-    const batch = await client.createBatch(file.body.id, { completionWindow });
-    if (batch.status !== 200) {
-      throw new RosemaryrudderError(
-        "batch_refused",
-        JSON.stringify([file.body, batch.body]),
-      );
-    }
     return {
       workspace: workspace.id,
       weight: workspace.batchWeight ?? 1,
@@ -116,6 +113,24 @@
     };
   }
 
+  /** Repeats a call that is refused for its rate, which the naive limiter often does. */
+  async #insist<Answer extends { status: number; body: unknown }>(
+    workspace: string,
+    call: (client: CallerClient) => Promise<Answer>,
+  ): Promise<Answer> {
+    for (let attempt = 0;; attempt++) {
+      const answer = await call(this.#client(workspace));
+      if (answer.status === 200) return answer;
+      if (answer.status !== 429 || attempt >= pollAttempts) {
+        throw new RosemaryrudderError(
+          "batch_refused",
+          JSON.stringify(answer.body),
+        );
+      }
+      await new Promise((resolve) => setTimeout(resolve, 200));
+    }
+  }
+
   #input(workspace: string, items: number, isUrgent: boolean): string {
     const label = `${workspace}${isUrgent ? " urgent" : ""}`;
     return Array.from({ length: items }, (_, index) =>
