Take the log's append rate from the document

Cause: instances shared a fixed 400 appends/s whatever log.appendsPerSecond said, so a slower log would have been overrun and a faster one left unused. Ruled out: a setting of the instance; the rate belongs to the platform's section. Before: an interval of 31.25 ms for ten members at any published rate; after: 62.5 ms at 200, by the new test.

--- a/packages/batch/files/files.test.ts
+++ b/packages/batch/files/files.test.ts
@@ -89,7 +89,9 @@
 test("a file of many chunks is read back by line, also after it was carried forward", async () => {
   const log = new FakeLog();
   const client = log.client({ paused: undefined });
-  const budget = new AppendBudget({ fleetAppendsPerSecond: 100_000 });
+  const budget = new AppendBudget({
+    fleetAppendsPerSecond: () => 100_000,
+  });
   const lines = chatItems(6_000).map((item) => JSON.stringify(item));
   const content = async function* () {
     yield await Promise.resolve(Buffer.from(lines.join("\n")));
--- a/packages/batch/testing/fake-fleet.ts
+++ b/packages/batch/testing/fake-fleet.ts
@@ -257,7 +257,7 @@
           ),
         logClient: this.log.client(gate),
         appendBudget: new AppendBudget({
-          fleetAppendsPerSecond: this.#options.appendsPerSecond,
+          fleetAppendsPerSecond: () => this.#options.appendsPerSecond,
           countMembers: () => control.state.members.size,
         }),
         network: this.#network(instance),
--- a/packages/instance/services.ts
+++ b/packages/instance/services.ts
@@ -18,6 +18,7 @@
 import { FleetLimiter } from "../limits/fleet-limiter.ts";
 import type { Limiter } from "../limits/limiter.ts";
 import { AppendBudget } from "../log/append-budget.ts";
+import { defaultAppendsPerSecond } from "../log/constants.ts";
 import { HttpLogClient } from "../log/log-client.ts";
 import { NaiveCapacity } from "../measure/naive/naive-capacity.ts";
 import { NaiveLimiter } from "../measure/naive/naive-limiter.ts";
@@ -139,6 +140,9 @@
   });
   store.add(() => client.close());
   const budget = new AppendBudget({
+    fleetAppendsPerSecond: () =>
+      control.state.configuration.platform?.log.appendsPerSecond ??
+        defaultAppendsPerSecond,
     countMembers: () => control.state.members.size,
   });
   const control = new ControlService({
--- a/packages/log/append-budget.ts
+++ b/packages/log/append-budget.ts
@@ -4,10 +4,11 @@
  */
 
 import { type Clock, systemClock } from "../common/clock.ts";
-import { appendBudgetShare } from "./constants.ts";
+import { appendBudgetShare, defaultAppendsPerSecond } from "./constants.ts";
 
 export interface AppendBudgetOptions {
-  fleetAppendsPerSecond?: number;
+  /** Appends a second that the log takes from the fleet; read anew for each append. */
+  fleetAppendsPerSecond?: () => number;
   /** Number of instances that share the rate. */
   countMembers?: () => number;
   clock?: Clock;
@@ -19,7 +20,7 @@
 
   constructor(options: AppendBudgetOptions = {}) {
     this.#options = {
-      fleetAppendsPerSecond: 400,
+      fleetAppendsPerSecond: () => defaultAppendsPerSecond,
       countMembers: () => 1,
       clock: systemClock,
       ...options,
@@ -30,7 +31,7 @@
   get intervalMilliseconds(): number {
     const members = Math.max(1, this.#options.countMembers());
     return 1_000 * members /
-      (this.#options.fleetAppendsPerSecond * appendBudgetShare);
+      (this.#options.fleetAppendsPerSecond() * appendBudgetShare);
   }
 
   /** Waits for the next slot. Idle time allows a burst of up to four appends. */
--- a/packages/log/constants.ts
+++ b/packages/log/constants.ts
@@ -15,3 +15,5 @@
 export const maximumReadBytes = 512 * 1024;
 /** The share of the log's append rate that the instances together use. */
 export const appendBudgetShare = 0.8;
+/** Assumed before a document is published. */
+export const defaultAppendsPerSecond = 400;
--- a/packages/log/log.test.ts
+++ b/packages/log/log.test.ts
@@ -198,7 +198,7 @@
   let now = 0;
   const clock: Clock = { monotonicNow: () => now, wallNow: () => now };
   const budget = new AppendBudget({
-    fleetAppendsPerSecond: 400,
+    fleetAppendsPerSecond: () => 400,
     countMembers: () => 390,
     clock,
   });
@@ -210,3 +210,14 @@
   ]);
   assert.equal(immediate, "granted");
 });
+
+test("the append rate follows the rate that the document names", () => {
+  let published = 400;
+  const budget = new AppendBudget({
+    fleetAppendsPerSecond: () => published,
+    countMembers: () => 10,
+  });
+  assert.equal(budget.intervalMilliseconds, 31.25);
+  published = 200;
+  assert.equal(budget.intervalMilliseconds, 62.5);
+});
