Open listeners and map upstream addresses in one place each

Cause: the same listen code stood in two servers and the peer network, and the instance mapped upstream addresses although the upstream client does so itself. Ruled out: sharing the stand-ins' and the batch actions' alike shapes; what they do differs, and only the frame is the same.

--- a/packages/control/owners.ts
+++ b/packages/control/owners.ts
@@ -53,11 +53,6 @@
   return value;
 }
 
-/** Instances that may own something, sorted by id. */
-export function activeMembers(state: ControlState): readonly InstanceId[] {
-  return cacheOf(state.members).active;
-}
-
 export const ownerOf: OwnerLookup = (state, item) => {
   const { active, owners } = cacheOf(state.members);
   return remember(
--- a/packages/http/operators/operator-server.ts
+++ b/packages/http/operators/operator-server.ts
@@ -1,9 +1,9 @@
 /** The operators' port: health, readiness, metrics and status of one instance. */
 
 import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
 import { H3 } from "h3";
 import { toNodeHandler } from "h3/node";
+import { listenOn } from "../../common/listen.ts";
 import { type Logger, silentLogger } from "../../common/logging.ts";
 import type { ServingMetrics } from "../metrics/serving-metrics.ts";
 
@@ -33,13 +33,7 @@
   }
 
   listen(): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(this.#options.port, this.#options.host, () => {
-        this.#server.off("error", reject);
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    return listenOn(this.#server, this.#options);
   }
 
   async close(): Promise<void> {
--- a/packages/http/server/caller-server.ts
+++ b/packages/http/server/caller-server.ts
@@ -7,13 +7,14 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type AddressInfo, Server as NetServer, type Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { H3, type H3Event, type HTTPMethod } from "h3";
 import { toNodeHandler } from "h3/node";
 import type { BatchService } from "../../batch/batch-service.ts";
 import { type Clock, systemClock } from "../../common/clock.ts";
 import { CallerError } from "../../common/errors.ts";
 import { brandAs, type RequestId } from "../../common/ids.ts";
+import { listenOn } from "../../common/listen.ts";
 import { type Logger, silentLogger } from "../../common/logging.ts";
 import type { ControlView } from "../../control/control-state.ts";
 import type { Limiter } from "../../limits/limiter.ts";
@@ -127,13 +128,7 @@
 
   /** Resolves with the port that the server listens on. */
   listen(): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(this.#options.port, this.#options.host, () => {
-        this.#server.off("error", reject);
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    return listenOn(this.#server, this.#options);
   }
 
   /**
--- a/packages/instance/services.ts
+++ b/packages/instance/services.ts
@@ -182,12 +182,8 @@
   store.add(() => directory.stop());
   const health = new UpstreamHealth(systemClock);
   const caller = new UpstreamClient({
-    findUpstream: (name) => {
-      const upstream = directory.find(name);
-      if (!upstream) return undefined;
-      const address = mapAddress(settings.dialMap, upstream.address);
-      return { ...upstream, address };
-    },
+    findUpstream: (name) => directory.find(name),
+    dialMap: settings.dialMap,
   });
   store.add(() => caller.close());
   if (settings.policy === "naive") {
--- a/packages/protocol/peer-network.ts
+++ b/packages/protocol/peer-network.ts
@@ -8,6 +8,7 @@
 import { type Clock, systemClock } from "../common/clock.ts";
 import { PeerUnavailableError, RosemaryrudderError } from "../common/errors.ts";
 import type { Incarnation, InstanceId } from "../common/ids.ts";
+import { listenOn } from "../common/listen.ts";
 import { type Logger, silentLogger } from "../common/logging.ts";
 import { maximumQueuedBytes, protocolVersion } from "./constants.ts";
 import { type Envelope, envelopeSchema } from "./envelope.ts";
@@ -87,17 +88,7 @@
   listen(): Promise<number> {
     const server = createServer((socket) => this.#accept(socket));
     this.#server = server;
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(this.#options.port, this.#options.host, () => {
-        const address = server.address();
-        resolve(
-          typeof address === "object" && address
-            ? address.port
-            : this.#options.port,
-        );
-      });
-    });
+    return listenOn(server, this.#options);
   }
 
   /** Replaces the incarnation after the instance joined again. */
