--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -3,110 +3,299 @@
  * around one blackboard. Everything that depends on a platform comes in through ports.
  */
 
-import { createServer, type Server } from "node:http";
-import { systemClock } from "../common/clock.ts";
+import { createServer } from "node:http";
+import { type Clock, systemClock } from "../common/clock.ts";
 import { DisposableStore } from "../common/disposable-store.ts";
+import type { Incarnation, StreamName } from "../common/ids.ts";
 import { listenOn } from "../common/listen.ts";
 import type { Logger } from "../common/logging.ts";
 import { Blackboard } from "../fleet/blackboard.ts";
 import { type DocumentCodec, Documents } from "../fleet/documents.ts";
+import { FleetLimits } from "../fleet/limits/fleet-limits.ts";
+import { MemberTable } from "../fleet/peers/members.ts";
+import { PeerReports } from "../fleet/peers/peer-reports.ts";
+import { displaceMessage } from "../fleet/peers/report.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { CallerListener } from "../gateway/caller-listener.ts";
 import { initialDurationMilliseconds } from "../gateway/constants.ts";
 import { Gateway } from "../gateway/gateway.ts";
 import { silentMetrics } from "../gateway/gateway-metrics.ts";
 import { ServerPools } from "../gateway/server-pools.ts";
+import type { JobCodec } from "../jobs/job-codec.ts";
+import { TcpPeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
+import { BatchWork } from "./batch-work.ts";
+import {
+  memberRemovalMilliseconds,
+  memberStream,
+  sweepIntervalMilliseconds,
+} from "./constants.ts";
 import type { EntrySettings } from "./entry-settings.ts";
+import { leaveFleet } from "./leaving.ts";
+import { Membership } from "./membership.ts";
 
 export interface EntryInstanceOptions {
   readonly settings: EntrySettings;
   readonly store: KeyedStore;
   readonly callerCodec: CallerCodec;
   readonly documentCodec: DocumentCodec;
+  readonly jobCodec: JobCodec;
   readonly logger: Logger;
+  readonly clock?: Clock;
 }
 
 export class EntryInstance {
-  readonly #options: EntryInstanceOptions;
+  readonly #options: Required<EntryInstanceOptions>;
   readonly #disposables = new DisposableStore();
   readonly #blackboard = new Blackboard({ initialDurationMilliseconds });
+  readonly #members = new MemberTable();
+  readonly #pools = new ServerPools();
+  readonly #network: TcpPeerNetwork;
+  readonly #documents: Documents;
+  readonly #limits: FleetLimits;
+  readonly #reports: PeerReports;
+  readonly #membership: Membership;
+  readonly #batch: BatchWork;
+  readonly #listener: CallerListener;
+  readonly #followers: PartitionFollower[];
+  #storeAwayAt = Number.NEGATIVE_INFINITY;
+  #leaving: Promise<void> | undefined;
 
   constructor(options: EntryInstanceOptions) {
-    this.#options = options;
+    this.#options = { clock: systemClock, ...options };
+    this.#network = this.#createNetwork();
+    this.#documents = this.#createDocuments();
+    this.#limits = this.#createLimits();
+    this.#batch = this.#createBatchWork();
+    this.#reports = this.#createReports();
+    this.#membership = this.#createMembership();
+    this.#listener = this.#createListener();
+    this.#followers = this.#createFollowers();
   }
 
   async start(): Promise<void> {
-    const { settings, logger, store, callerCodec, documentCodec } =
-      this.#options;
-    const blackboard = this.#blackboard;
-    const pools = new ServerPools();
-    const documents = new Documents({
-      blackboard,
+    const { settings, logger } = this.#options;
+    await this.#network.listen();
+    this.#membership.start();
+    for (const follower of this.#followers) follower.start();
+    this.#batch.start();
+    this.#reports.start();
+    this.#disposables.addInterval(
+      () => this.#sweep(),
+      sweepIntervalMilliseconds,
+    );
+    await this.#listener.listen();
+    await this.#listenForReadiness();
+    logger.info("the instance has started", {
+      instance: settings.instance,
+      zone: settings.zone,
+      incarnation: this.#incarnation,
+    });
+  }
+
+  /** Leaves the fleet without cutting a request off; resolves when the process may end. */
+  leave(): Promise<void> {
+    this.#leaving ??= leaveFleet({
+      blackboard: this.#blackboard,
+      listener: this.#listener,
+      batch: this.#batch,
+      membership: this.#membership,
+      graceMilliseconds: this.#options.settings.graceMilliseconds,
+      now: this.#options.clock.monotonicNow,
+      logger: this.#options.logger,
+    }).finally(async () => {
+      this.#reports.stop();
+      for (const follower of this.#followers) follower.stop();
+      this.#listener.close();
+      await this.#network.close();
+      await this.#disposables.dispose();
+    });
+    return this.#leaving;
+  }
+
+  get #incarnation(): Incarnation {
+    return this.#options.settings.incarnation;
+  }
+
+  #createNetwork(): TcpPeerNetwork {
+    const { settings, logger, clock } = this.#options;
+    return new TcpPeerNetwork({
+      instance: settings.instance,
+      incarnation: settings.incarnation,
+      host: settings.peers.host,
+      port: settings.peers.port,
+      clock,
+      logger,
+    });
+  }
+
+  #createDocuments(): Documents {
+    const { documentCodec, logger, clock } = this.#options;
+    return new Documents({
+      blackboard: this.#blackboard,
       codec: documentCodec,
       logger,
-      clock: systemClock,
-      wasStoreAwayAt: () => Number.NEGATIVE_INFINITY,
+      clock,
+      wasStoreAwayAt: () => this.#storeAwayAt,
+      onChange: (kind) => {
+        if (kind === "configuration") {
+          this.#listener.applyLimits();
+          this.#reports.announce();
+        } else {
+          const { upstreams, health } = this.#blackboard;
+          this.#pools.retain((id) => upstreams.get(id) !== undefined);
+          health.retain((id) => upstreams.get(id) !== undefined);
+        }
+      },
+    });
+  }
+
+  #createLimits(): FleetLimits {
+    const { settings, clock } = this.#options;
+    return new FleetLimits({
+      blackboard: this.#blackboard,
+      clock,
+      isFirstStart: settings.isFirstStart,
+      view: () => this.#reports.view(),
+    });
+  }
+
+  #createBatchWork(): BatchWork {
+    const { settings, store, callerCodec, jobCodec, logger, clock } =
+      this.#options;
+    return new BatchWork({
+      settings,
+      store,
+      blackboard: this.#blackboard,
+      pools: this.#pools,
+      callerCodec,
+      jobCodec,
+      peers: () => this.#reports,
+      clock,
+      logger,
+    });
+  }
+
+  #createReports(): PeerReports {
+    const { settings, clock, logger } = this.#options;
+    const network = this.#network;
+    network.handle(displaceMessage, ({ server }) => {
+      this.#batch.displace(server);
+      return null;
+    });
+    return new PeerReports({
+      instance: settings.instance,
+      network,
+      members: this.#members,
+      blackboard: this.#blackboard,
+      documents: this.#documents,
+      limits: () => this.#limits,
+      jobReport: () => this.#batch.report(),
+      isStoreFailing: () =>
+        this.#followers.some((follower) => follower.isFailing),
+      clock,
+      logger,
+    });
+  }
+
+  #createMembership(): Membership {
+    const { settings, store, logger } = this.#options;
+    return new Membership({
+      store,
+      stream: memberStream as StreamName,
+      self: {
+        instance: settings.instance,
+        incarnation: settings.incarnation,
+        zone: settings.zone,
+        ...settings.peers,
+      },
+      members: this.#members,
       onChange: () => {
-        listener.applyLimits();
-        pools.retain((id) => blackboard.upstreams.get(id) !== undefined);
+        const others = this.#members.all().filter((member) =>
+          member.instance !== settings.instance
+        );
+        this.#network.setPeers(
+          new Map(others.map((member) => [member.instance, member])),
+        );
       },
+      logger,
     });
+  }
+
+  #createListener(): CallerListener {
+    const { settings, callerCodec, logger } = this.#options;
     const gateway = new Gateway({
-      blackboard,
+      blackboard: this.#blackboard,
       codec: callerCodec,
-      pools,
-      limiter: { admit: () => ({ admitted: true }) },
-      jobs: {
-        submit: (_, __, ___, response) =>
-          response.fail({ status: 503, code: "no", message: "no batch" }),
-        handle: (_, __, ___, response) =>
-          response.fail({ status: 503, code: "no", message: "no batch" }),
-      },
+      pools: this.#pools,
+      limiter: this.#limits,
+      jobs: this.#batch.calls,
       metrics: silentMetrics,
       logger,
       zone: settings.zone,
-      displaceBatch: () => {},
+      displaceBatch: (server) => this.#displaceBatch(server),
     });
-    const listener = new CallerListener({
+    return new CallerListener({
       ...settings.callers,
-      limits: () => blackboard.configuration?.configuration.limits,
-      isLeaving: () => blackboard.isLeaving,
+      limits: () => this.#blackboard.configuration?.configuration.limits,
+      isLeaving: () => this.#blackboard.isLeaving,
       handle: (...values) => gateway.handle(...values),
       logger,
     });
-    for (
-      const [kind, target] of [
-        ["configuration", documentCodec.configurationSource],
-        ["servers", documentCodec.serverSource],
-      ] as const
-    ) {
-      const follower = new PartitionFollower({
+  }
+
+  #displaceBatch(server: Parameters<BatchWork["displace"]>[0]): void {
+    if (this.#batch.displace(server)) return;
+    const [holder] = this.#blackboard.loads.batchHolders(server);
+    if (holder) this.#network.send(holder, displaceMessage, { server });
+  }
+
+  #createFollowers(): PartitionFollower[] {
+    const { store, documentCodec, logger } = this.#options;
+    const sources = [
+      ["configuration", documentCodec.configurationSource],
+      ["servers", documentCodec.serverSource],
+    ] as const;
+    return sources.map(([kind, target]) =>
+      new PartitionFollower({
         store,
         target,
         logger,
         onRecords: (records, position, isSnapshot) =>
-          documents.accept(kind, records, position, { isSnapshot }),
+          this.#documents.accept(kind, records, position, { isSnapshot }),
+        onFailure: () => this.#storeAwayAt = this.#options.clock.monotonicNow(),
+      })
+    );
+  }
+
+  /** Removes members that died, if this instance is the one that looks after the list. */
+  #sweep(): void {
+    const { settings, logger } = this.#options;
+    this.#batch.sweep();
+    if (!this.#batch.ownsFirstPartition) return;
+    if (this.#followers.some((follower) => follower.isFailing)) return;
+    const silent = this.#reports.silentMembers(memberRemovalMilliseconds);
+    for (const member of silent) {
+      if (member.instance === settings.instance) continue;
+      logger.info("a silent member is removed from the list", {
+        member: member.instance,
       });
-      follower.start();
-      this.#disposables.add(() => follower.stop());
+      void this.#membership.remove(member);
     }
-    await listener.listen();
-    await this.#listenForReadiness();
-    logger.info("the instance has started", {
-      instance: settings.instance,
-      zone: settings.zone,
-    });
   }
 
-  async #listenForReadiness(): Promise<Server> {
+  async #listenForReadiness(): Promise<void> {
     const server = createServer((message, response) => {
       message.resume();
-      response.writeHead(this.#blackboard.isReady ? 200 : 503);
+      const isReady = this.#blackboard.isReady && this.#membership.isLoaded;
+      response.writeHead(isReady ? 200 : 503);
       response.end();
     });
     await listenOn(server, this.#options.settings.readiness);
-    return server;
+    this.#disposables.add(() => {
+      server.close();
+      server.closeAllConnections();
+    });
   }
 }
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -1,6 +1,6 @@
 /** Settings of an entry instance, whatever file or platform they come from. */
 
-import type { InstanceId, ZoneId } from "../common/ids.ts";
+import type { Incarnation, InstanceId, ZoneId } from "../common/ids.ts";
 
 export interface ListenAddress {
   readonly host: string;
@@ -9,6 +9,8 @@
 
 export interface EntrySettings {
   readonly instance: InstanceId;
+  /** Differs at each start of the process. */
+  readonly incarnation: Incarnation;
   readonly zone: ZoneId;
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
--- /dev/null
+++ b/packages/entry/membership.ts
@@ -0,0 +1,117 @@
+/**
+ * The own record in the list of members: written at the start, written again if it was removed
+ * by mistake, and removed when the instance leaves.
+ */
+
+import type { Offset, PartitionNumber, StreamName } from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import {
+  encodeMember,
+  type Member,
+  type MemberTable,
+} from "../fleet/peers/members.ts";
+import type {
+  KeyedRecord,
+  KeyedStore,
+  StreamPartition,
+} from "../store/keyed-store.ts";
+import { PartitionFollower } from "../store/partition-follower.ts";
+import { membershipRetryMilliseconds } from "./constants.ts";
+
+export interface MembershipOptions {
+  readonly store: KeyedStore;
+  readonly stream: StreamName;
+  readonly self: Member;
+  readonly members: MemberTable;
+  readonly onChange: () => void;
+  readonly logger: Logger;
+}
+
+export class Membership {
+  readonly #options: MembershipOptions;
+  readonly #target: StreamPartition;
+  readonly #follower: PartitionFollower;
+  #isWriting = false;
+  #isStopped = false;
+
+  constructor(options: MembershipOptions) {
+    this.#options = options;
+    this.#target = {
+      stream: options.stream,
+      partition: 0 as PartitionNumber,
+    };
+    this.#follower = new PartitionFollower({
+      store: options.store,
+      target: this.#target,
+      logger: options.logger,
+      onRecords: (records, position, isSnapshot) =>
+        this.#accept(records, position, isSnapshot),
+    });
+  }
+
+  get isLoaded(): boolean {
+    return this.#follower.position !== undefined;
+  }
+
+  start(): void {
+    this.#follower.start();
+    void this.#register();
+  }
+
+  /** Removes the record of a member. */
+  async remove(member: Member): Promise<void> {
+    try {
+      await this.#options.store.append(this.#target, [{
+        key: member.instance,
+        value: undefined,
+      }]);
+    } catch (error) {
+      this.#options.logger.warn("the record of a member could not be removed", {
+        member: member.instance,
+        reason: String(error),
+      });
+    }
+  }
+
+  async leave(): Promise<void> {
+    this.#isStopped = true;
+    this.#follower.stop();
+    await this.remove(this.#options.self);
+  }
+
+  #accept(
+    records: readonly KeyedRecord[],
+    position: Offset,
+    isSnapshot: boolean,
+  ): void {
+    const { members, self, onChange } = this.#options;
+    if (members.accept(records, position, { isSnapshot })) onChange();
+    if (members.get(self.instance)?.incarnation !== self.incarnation) {
+      void this.#register();
+    }
+  }
+
+  async #register(): Promise<void> {
+    const { store, self, logger, members } = this.#options;
+    if (this.#isWriting) return;
+    this.#isWriting = true;
+    while (!this.#isStopped) {
+      if (members.get(self.instance)?.incarnation === self.incarnation) break;
+      try {
+        await store.append(this.#target, [{
+          key: self.instance,
+          value: encodeMember(self),
+        }]);
+        break;
+      } catch (error) {
+        logger.warn("the own record of membership could not be written", {
+          reason: String(error),
+        });
+        await new Promise((resolve) =>
+          setTimeout(resolve, membershipRetryMilliseconds)
+        );
+      }
+    }
+    this.#isWriting = false;
+  }
+}
--- /dev/null
+++ b/packages/fleet/limits/constants.ts
@@ -0,0 +1,11 @@
+/** Constants of the limits of workspaces. */
+
+/** Time over which the demand of an instance is averaged; a few bursts of a caller. */
+export const demandSmoothingMilliseconds = 1_500;
+/** Demand that every instance is credited with, so that the first request finds a token. */
+export const demandFloorPerSecond = 0.3;
+/**
+ * Demand of the fleet, as a share of the rate, above which instances compete for tokens. Usual
+ * traffic comes to two thirds of the rate and reaches 1.2 times the rate in its peaks.
+ */
+export const competitionShare = 1.4;
--- /dev/null
+++ b/packages/fleet/limits/shared-bucket.ts
@@ -0,0 +1,188 @@
+/**
+ * One instance's copy of a token bucket that the whole fleet shares. Every instance counts its
+ * own admissions and hears the counts of its peers, so all copies agree after one report
+ * interval. While the demand of the fleet exceeds the rate, an instance spends between two reports
+ * only its part of the level, in proportion to its part of the demand, so that the sum of what all
+ * spend stays within the level. A peer that is not heard is assumed to spend its even part of the
+ * rate.
+ */
+
+import type { InstanceId } from "../../common/ids.ts";
+import {
+  competitionShare,
+  demandFloorPerSecond,
+  demandSmoothingMilliseconds,
+} from "./constants.ts";
+
+export interface BucketLimit {
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+/** What an instance tells of its use of a bucket. Counts only rise within an incarnation. */
+export interface BucketUse {
+  readonly admitted: number;
+  readonly demandPerSecond: number;
+}
+
+/** Which part of the fleet an instance hears. */
+export interface FleetView {
+  /** Members with this instance. */
+  readonly members: number;
+  /** Members that are heard, with this instance. */
+  readonly heard: number;
+}
+
+export interface BucketOptions {
+  readonly now: number;
+  /** The bucket starts full; otherwise it starts empty. */
+  readonly isFull: boolean;
+  /** Gives a number from 0 to 1. */
+  readonly random?: () => number;
+}
+
+interface PeerUse {
+  readonly incarnation: string;
+  admitted: number;
+  demandPerSecond: number;
+}
+
+const millisecondsPerSecond = 1_000;
+
+export class SharedBucket {
+  readonly #random: () => number;
+  #limit: BucketLimit;
+  #level: number;
+  #updatedAt: number;
+  #admitted = 0;
+  #demandPerSecond = 0;
+  #demandAt: number;
+  #allowance = 0;
+  #heardShare = 1;
+  readonly #peers = new Map<InstanceId, PeerUse>();
+
+  constructor(
+    limit: BucketLimit,
+    { now, isFull, random = Math.random }: BucketOptions,
+  ) {
+    this.#random = random;
+    this.#limit = limit;
+    this.#level = isFull ? limit.burst : 0;
+    this.#updatedAt = now;
+    this.#demandAt = now;
+  }
+
+  get level(): number {
+    return this.#level;
+  }
+
+  setLimit(limit: BucketLimit, now: number): void {
+    this.#accrue(now);
+    this.#limit = limit;
+    this.#level = Math.min(this.#level, limit.burst);
+  }
+
+  /** Takes a token if this instance may; counts the demand in either case. */
+  take(now: number): boolean {
+    this.#noteDemand(now);
+    if (this.#allowance < 1) return false;
+    this.#allowance -= 1;
+    this.#level -= 1;
+    this.#admitted += 1;
+    return true;
+  }
+
+  /** Renews what this instance may spend until the next report interval. */
+  refresh(now: number, view: FleetView): void {
+    const heardShare = view.heard / Math.max(1, view.members);
+    // The rest of the level belongs to those that are not heard any more.
+    if (heardShare < this.#heardShare && this.#level > 0) {
+      this.#level *= heardShare / this.#heardShare;
+    }
+    this.#heardShare = heardShare;
+    this.#accrue(now);
+    this.#decayDemand(now);
+    const level = Math.max(0, this.#level);
+    this.#allowance = this.#isOverdrawn(view)
+      ? roundAtRandom(level * this.#ownShare(view), this.#random)
+      : level;
+  }
+
+  ownUse(): BucketUse {
+    return {
+      admitted: this.#admitted,
+      demandPerSecond: this.#demandPerSecond,
+    };
+  }
+
+  /** Takes the use that a peer reports into account. */
+  notePeer(peer: InstanceId, incarnation: string, use: BucketUse): void {
+    const known = this.#peers.get(peer);
+    if (known?.incarnation !== incarnation) {
+      this.#peers.set(peer, { incarnation, ...use });
+      return;
+    }
+    const spent = Math.max(0, use.admitted - known.admitted);
+    known.admitted = Math.max(known.admitted, use.admitted);
+    known.demandPerSecond = use.demandPerSecond;
+    this.#level -= spent;
+  }
+
+  forgetPeer(peer: InstanceId): void {
+    this.#peers.delete(peer);
+  }
+
+  /** Time until a refused request may be admitted. */
+  retryAfterMilliseconds(view: FleetView): number {
+    const missing = Math.max(1, 1 / this.#ownShare(view) - this.#level);
+    const rate = Math.max(this.#limit.ratePerSecond * this.#heardShare, 0.1);
+    return Math.min(
+      missing / rate * millisecondsPerSecond,
+      longestRetryAfterMilliseconds,
+    );
+  }
+
+  #accrue(now: number): void {
+    const seconds = Math.max(0, now - this.#updatedAt) / millisecondsPerSecond;
+    this.#updatedAt = now;
+    const gained = seconds * this.#limit.ratePerSecond * this.#heardShare;
+    this.#level = Math.min(this.#limit.burst, this.#level + gained);
+  }
+
+  #ownShare({ heard }: FleetView): number {
+    return (this.#demandPerSecond + demandFloorPerSecond) /
+      (this.#totalDemand() + demandFloorPerSecond * Math.max(1, heard));
+  }
+
+  /** More is asked for than the rate allows, so that instances compete for the level. */
+  #isOverdrawn({ heard }: FleetView): boolean {
+    const total = this.#totalDemand() + demandFloorPerSecond * heard;
+    return total > this.#limit.ratePerSecond * competitionShare;
+  }
+
+  #totalDemand(): number {
+    let total = this.#demandPerSecond;
+    for (const peer of this.#peers.values()) total += peer.demandPerSecond;
+    return total;
+  }
+
+  #noteDemand(now: number): void {
+    this.#decayDemand(now);
+    this.#demandPerSecond += millisecondsPerSecond /
+      demandSmoothingMilliseconds;
+  }
+
+  #decayDemand(now: number): void {
+    const elapsed = Math.max(0, now - this.#demandAt);
+    this.#demandAt = now;
+    this.#demandPerSecond *= Math.exp(-elapsed / demandSmoothingMilliseconds);
+  }
+}
+
+/** Rounds up with the probability of the fraction, so that the mean stays exact. */
+function roundAtRandom(value: number, random: () => number): number {
+  const whole = Math.floor(value);
+  return whole + (random() < value - whole ? 1 : 0);
+}
+
+const longestRetryAfterMilliseconds = 2_000;
--- /dev/null
+++ b/packages/fleet/peers/members.ts
@@ -0,0 +1,70 @@
+/**
+ * The members of the fleet, by the records that each instance writes when it starts and removes
+ * when it leaves. A record of an instance that has died stays until a living instance removes it.
+ */
+
+import type { InstanceId, Offset } from "../../common/ids.ts";
+import { decodeValue, encodeValue } from "../../protocol/frames.ts";
+import type { PeerAddress } from "../../protocol/peer-connection.ts";
+import * as z from "zod/mini";
+import type { KeyedRecord } from "../../store/keyed-store.ts";
+import { KeyedTable } from "../keyed-table.ts";
+
+export interface Member extends PeerAddress {
+  readonly instance: InstanceId;
+  readonly incarnation: string;
+  readonly zone: string;
+}
+
+const memberSchema = z.object({
+  incarnation: z.string(),
+  host: z.string(),
+  port: z.int(),
+  zone: z.string(),
+});
+
+export function encodeMember(member: Member): Uint8Array {
+  const { incarnation, host, port, zone } = member;
+  return encodeValue({ incarnation, host, port, zone });
+}
+
+export class MemberTable {
+  readonly #table = new KeyedTable();
+  #members = new Map<InstanceId, Member>();
+
+  accept(
+    records: readonly KeyedRecord[],
+    position: Offset,
+    { isSnapshot }: { isSnapshot: boolean },
+  ): boolean {
+    const news = isSnapshot
+      ? this.#table.replace(records, position)
+      : this.#table.merge(records, position);
+    for (const record of news) this.#take(record);
+    return news.length > 0;
+  }
+
+  get(instance: InstanceId): Member | undefined {
+    return this.#members.get(instance);
+  }
+
+  all(): readonly Member[] {
+    return [...this.#members.values()];
+  }
+
+  #take(record: KeyedRecord): void {
+    const instance = record.key as InstanceId;
+    const member = record.value && decodeMember(instance, record.value);
+    if (member) this.#members.set(instance, member);
+    else this.#members.delete(instance);
+  }
+}
+
+/** Undefined if the record cannot be read, as one of another version of the program. */
+function decodeMember(
+  instance: InstanceId,
+  value: Uint8Array,
+): Member | undefined {
+  const result = memberSchema.safeParse(decodeValue(value));
+  return result.success ? { instance, ...result.data } : undefined;
+}
--- a/packages/gateway/caller-request.ts
+++ b/packages/gateway/caller-request.ts
@@ -13,7 +13,8 @@
 } from "../common/ids.ts";
 
 export interface CallerRequest {
-  readonly id: RequestId;
+  /** Calls that read or end a batch job need no id. */
+  readonly id: RequestId | undefined;
   readonly method: string;
   readonly host: string;
   /** Path and query, as they were sent. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -107,6 +107,9 @@
     if (call) {
       return this.#options.jobs.handle(call, received, workspace?.id, response);
     }
+    if (request.id === undefined) {
+      return this.#refuse(request, response, missingId);
+    }
     if (route.kind === "batch") {
       return this.#options.jobs.submit(received, route, workspace, response);
     }
@@ -162,7 +165,7 @@
     const { logger, metrics, blackboard } = this.#options;
     metrics.countRefusal(answer.code);
     logger.info("a request was refused", {
-      request: request.id,
+      request: request.id ?? null,
       code: answer.code,
       path: request.path,
       configuration: blackboard.configuration?.version ?? null,
@@ -205,7 +208,7 @@
         metrics.noteOutcome(outcome, now());
         const { received, route } = outcome;
         const context = {
-          request: received.request.id,
+          request: received.request.id ?? null,
           route: route.id,
           outcome: outcome.outcome,
           server: outcome.server ?? null,
@@ -248,6 +251,12 @@
   retryAfterMilliseconds: defaultRetryAfterMilliseconds,
 };
 
+const missingId: OwnAnswer = {
+  status: 400,
+  code: "missing_id",
+  message: "the request has no id",
+};
+
 const unknownRoute: OwnAnswer = {
   status: 404,
   code: "unknown_route",
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -119,7 +119,7 @@
         lastEventId: this.#lastEventId,
       }),
       body,
-      requestId: request.id,
+      requestId: request.id ?? "",
       decodeHead: services.codec.decodeAnswer,
       ...this.#silences(),
     }, {
@@ -291,7 +291,7 @@
     else this.#runs += 1;
     const mayRepeat = failure.verdict === "not_run" || this.#isRepeatable;
     services.logger.info("an attempt failed", {
-      request: received.request.id,
+      request: received.request.id ?? null,
       server,
       verdict: failure.verdict,
       reason: failure.reason,
--- /dev/null
+++ b/packages/jobs/constants.ts
@@ -0,0 +1,40 @@
+/** Constants of the batch jobs. */
+
+/** Records that belong together are written in calls of at most this size. */
+export const maximumAppendBytes = 1_800_000;
+/** Largest value of one record, below the store's 256 KiB. */
+export const maximumValueBytes = 240_000;
+/** Results gather this long before they are written together. */
+export const resultGatherMilliseconds = 100;
+/** Pause between two reads of a partition that another instance owns. */
+export const readerPauseMilliseconds = 300;
+/** A copy of a partition older than this does not prove that a result is missing. */
+export const freshCopyMilliseconds = 600;
+/** Largest answer to a read of results. */
+export const maximumResultBytes = 900_000;
+/** Bodies of items that are kept in memory. */
+export const bodyCacheBytes = 6_000_000;
+/** How long the store may be asked to accept a job, of the time that the caller allows. */
+export const submitShare = 0.8;
+export const defaultSubmitMilliseconds = 3_000;
+/** Pause between two tries of the same write. */
+export const writeRetryMilliseconds = 150;
+/** Interval at which waiting items are matched with free servers. */
+export const executorIntervalMilliseconds = 50;
+/** Slots of each server that batch runs leave free for the next online requests. */
+export const slotsKeptFree = 1;
+/** An item this close to its due time may use the slots that are kept free. */
+export const urgentSlackMilliseconds = 2_500;
+/** An item that a server refused or broke off waits this long before it is sent again. */
+export const itemRetryMilliseconds = 150;
+/** Longest wait of an item that failed repeatedly. */
+export const itemRetryMaximumMilliseconds = 1_500;
+/** An item's first event may take this long, since it waits behind other requests. */
+export const itemSilentHeadMilliseconds = 3_000;
+export const itemSilentPauseMilliseconds = 1_500;
+/** Deadline that is sent on with an item; items have none of their own. */
+export const itemDeadlineMilliseconds = 60_000;
+/** Runs that one instance carries at the same time. */
+export const maximumRuns = 64;
+/** How long a leaving instance waits for the store to take the progress of its runs. */
+export const handOverMilliseconds = 1_500;
--- /dev/null
+++ b/packages/jobs/job-calls.ts
@@ -0,0 +1,395 @@
+/**
+ * Answers the calls on batch jobs at any instance: submit, read results, read a body, end. What
+ * an instance cannot be sure of it answers with 503; 404 means that no such job exists.
+ */
+
+import { Buffer } from "node:buffer";
+import type { JobId, RouteId, WorkspaceId } from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
+import type { JobCall, ReceivedRequest } from "../gateway/caller-request.ts";
+import type { CallerResponse, OwnAnswer } from "../gateway/caller-response.ts";
+import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
+import type { JobCalls } from "../gateway/gateway.ts";
+import { StoreUnavailableError } from "../store/keyed-store.ts";
+import {
+  defaultSubmitMilliseconds,
+  maximumResultBytes,
+  submitShare,
+  writeRetryMilliseconds,
+} from "./constants.ts";
+import type { ItemBodies } from "./item-bodies.ts";
+import type { JobCodec, SubmittedItem } from "./job-codec.ts";
+import type { JobPartition, JobPartitions } from "./job-partition.ts";
+import type { JobState } from "./partition-state.ts";
+import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
+
+export interface BatchCallsOptions {
+  readonly partitions: JobPartitions;
+  readonly bodies: ItemBodies;
+  readonly codec: JobCodec;
+  readonly now: () => number;
+  readonly wallNow: () => number;
+  readonly logger: Logger;
+}
+
+export class BatchCalls implements JobCalls {
+  readonly #options: BatchCallsOptions;
+
+  constructor(options: BatchCallsOptions) {
+    this.#options = options;
+  }
+
+  submit(
+    received: ReceivedRequest,
+    route: RouteRule,
+    workspace: WorkspaceRule | undefined,
+    response: CallerResponse,
+  ): void {
+    this.#settle(
+      this.#submit(received, route, workspace?.id, response),
+      received,
+      response,
+    );
+  }
+
+  handle(
+    call: JobCall,
+    received: ReceivedRequest,
+    workspace: WorkspaceId | undefined,
+    response: CallerResponse,
+  ): void {
+    this.#settle(
+      this.#dispatch(call, received, workspace, response),
+      received,
+      response,
+    );
+  }
+
+  #settle(
+    work: Promise<OwnAnswer | undefined>,
+    { request }: ReceivedRequest,
+    response: CallerResponse,
+  ): void {
+    work.then(
+      (answer) => {
+        if (!answer) return;
+        this.#options.logger.info("a call on a job was refused", {
+          request: request.id ?? null,
+          path: request.path,
+          code: answer.code,
+        });
+        response.fail(answer);
+      },
+      (error) => {
+        this.#options.logger.error("a call on a job failed", {
+          request: request.id ?? null,
+          path: request.path,
+          reason: String(error),
+        });
+        response.fail({
+          status: 502,
+          code: "failed",
+          message: "the call could not be carried out",
+        });
+      },
+    );
+  }
+
+  #dispatch(
+    call: JobCall,
+    received: ReceivedRequest,
+    workspace: WorkspaceId | undefined,
+    response: CallerResponse,
+  ): Promise<OwnAnswer | undefined> {
+    switch (call.kind) {
+      case "malformed":
+        return Promise.resolve(malformed(call.reason));
+      case "results":
+        return this.#results(call, received, workspace, response);
+      case "body":
+        return this.#body(call, workspace, response);
+      case "end":
+        return this.#end(call.job, workspace, response);
+    }
+  }
+
+  async #submit(
+    received: ReceivedRequest,
+    route: RouteRule,
+    workspace: WorkspaceId | undefined,
+    response: CallerResponse,
+  ): Promise<OwnAnswer | undefined> {
+    const { partitions, codec, now, logger } = this.#options;
+    const job = received.request.id as unknown as JobId;
+    const partition = partitions.of(job);
+    const items = codec.decodeSubmission(received.body);
+    if (typeof items === "string") return malformed(items);
+    const allowed = (received.request.deadlineMilliseconds ??
+      defaultSubmitMilliseconds) * submitShare;
+    const deadline = received.receivedAt + allowed;
+    let mayHaveTakenEffect = false;
+    while (now() < deadline) {
+      const known = partition.job(job);
+      if (known) return this.#accepted(known, workspace, response);
+      try {
+        const record = await this.#write(
+          partition,
+          job,
+          items,
+          route,
+          received,
+          workspace,
+        );
+        logger.info("a job was accepted", {
+          job,
+          items: items.length,
+          partition: partition.number,
+          milliseconds: Math.round(now() - received.receivedAt),
+        });
+        response.sendJson(202, { id: job, total: record.items.length });
+        return undefined;
+      } catch (error) {
+        if (!(error instanceof StoreUnavailableError)) throw error;
+        mayHaveTakenEffect ||= error.mayHaveTakenEffect;
+        logger.warn("the store did not take a job", {
+          job,
+          reason: error.message,
+          mayHaveTakenEffect: error.mayHaveTakenEffect,
+        });
+        if (!mayHaveTakenEffect) return storeAway;
+        await pause(writeRetryMilliseconds);
+      }
+    }
+    return mayHaveTakenEffect ? unknownOutcome : storeAway;
+  }
+
+  #accepted(
+    state: JobState,
+    workspace: WorkspaceId | undefined,
+    response: CallerResponse,
+  ): OwnAnswer | undefined {
+    if (state.record.workspace !== workspace) return unknownJob;
+    response.sendJson(202, {
+      id: state.record.job,
+      total: state.record.items.length,
+    });
+    return undefined;
+  }
+
+  /** Writes the bodies first, so that an accepted job has them all. */
+  async #write(
+    partition: JobPartition,
+    job: JobId,
+    items: readonly SubmittedItem[],
+    route: RouteRule,
+    received: ReceivedRequest,
+    workspace: WorkspaceId | undefined,
+  ): Promise<JobRecord> {
+    const { bodies, wallNow } = this.#options;
+    let bodyOffset: number;
+    try {
+      bodyOffset = await bodies.write(
+        partition,
+        job,
+        items.map((item) => item.body),
+      );
+    } catch (error) {
+      // Bodies without a job never run, so that their fate does not matter.
+      if (!(error instanceof StoreUnavailableError)) throw error;
+      throw new StoreUnavailableError(error.message, {
+        mayHaveTakenEffect: false,
+        cause: error,
+      });
+    }
+    const acceptedAt = wallNow();
+    const record: JobRecord = {
+      kind: "job",
+      job,
+      workspace,
+      route: route.id as RouteId,
+      host: received.request.host,
+      acceptedAt,
+      dueAt: acceptedAt + route.dueMilliseconds,
+      retainedUntil: acceptedAt + route.retentionMilliseconds,
+      maximumAttempts: route.maximumAttempts,
+      bodyOffset,
+      items: items.map(({ id, path, headers, tokens, body }) => ({
+        id,
+        path,
+        headers,
+        tokens,
+        bodyBytes: body.length,
+      })),
+    };
+    await partition.append([{ key: jobKey(job), value: encodeRecord(record) }]);
+    return record;
+  }
+
+  async #results(
+    call: Extract<JobCall, { kind: "results" }>,
+    received: ReceivedRequest,
+    workspace: WorkspaceId | undefined,
+    response: CallerResponse,
+  ): Promise<OwnAnswer | undefined> {
+    const { partitions, codec, now } = this.#options;
+    const found = await this.#find(call.job, workspace);
+    if ("status" in found) return found;
+    const partition = partitions.of(call.job);
+    const until = received.receivedAt + call.waitMilliseconds;
+    while (found.results.length <= call.after && now() < until) {
+      if (found.results.length === found.record.items.length) break;
+      if (response.isOver) return undefined;
+      await waitForChange(partition, call.job, until - now());
+    }
+    if (found.results.length <= call.after) {
+      const isComplete = found.results.length === found.record.items.length;
+      if (!isComplete && !await partition.refresh()) return storeAway;
+    }
+    const results = pageOf(found, call.after);
+    response.sendJson(
+      200,
+      codec.encodeResults({
+        total: found.record.items.length,
+        next: call.after + results.length,
+        results,
+        itemId: (item) => found.record.items[item]!.id,
+      }),
+    );
+    return undefined;
+  }
+
+  async #body(
+    call: Extract<JobCall, { kind: "body" }>,
+    workspace: WorkspaceId | undefined,
+    response: CallerResponse,
+  ): Promise<OwnAnswer | undefined> {
+    const { partitions, bodies, logger } = this.#options;
+    const found = await this.#find(call.job, workspace);
+    if ("status" in found) return found;
+    const item = found.record.items.findIndex(({ id }) => id === call.item);
+    if (item < 0) return unknownItem;
+    try {
+      const body = await bodies.read(
+        partitions.of(call.job),
+        found.record,
+        item,
+      );
+      response.sendBytes(200, "application/octet-stream", body);
+      return undefined;
+    } catch (error) {
+      logger.warn("a body that was asked for cannot be read", {
+        job: call.job,
+        item: call.item,
+        reason: String(error),
+      });
+      return storeAway;
+    }
+  }
+
+  async #end(
+    job: JobId,
+    workspace: WorkspaceId | undefined,
+    response: CallerResponse,
+  ): Promise<OwnAnswer | undefined> {
+    const { partitions, logger } = this.#options;
+    const found = await this.#find(job, workspace);
+    if ("status" in found) return found;
+    const partition = partitions.of(job);
+    if (!found.isEnded) {
+      try {
+        await partition.append([{
+          key: endKey(job),
+          value: encodeRecord({ kind: "end", job }),
+        }]);
+      } catch (error) {
+        if (!(error instanceof StoreUnavailableError)) throw error;
+        logger.warn("the store did not take the end of a job", {
+          job,
+          reason: error.message,
+        });
+        return error.mayHaveTakenEffect ? unknownOutcome : storeAway;
+      }
+      partition.poke();
+    }
+    logger.info("a job was ended by its caller", { job });
+    response.sendJson(200, { id: job, ended: true });
+    return undefined;
+  }
+
+  /** The job, or the answer if it does not exist or this instance cannot be sure. */
+  async #find(
+    job: JobId,
+    workspace: WorkspaceId | undefined,
+  ): Promise<JobState | OwnAnswer> {
+    const partition = this.#options.partitions.of(job);
+    let state = partition.job(job);
+    if (!state) {
+      if (!await partition.catchUp()) return storeAway;
+      state = partition.job(job);
+    }
+    if (!state || state.record.workspace !== workspace) return unknownJob;
+    return state;
+  }
+}
+
+/** The results from a position on; at least one if there is one, and not too many bytes. */
+function pageOf(state: JobState, after: number) {
+  const page = [];
+  let bytes = 0;
+  for (const result of state.results.slice(after)) {
+    bytes += Buffer.byteLength(result.text);
+    if (page.length > 0 && bytes > maximumResultBytes) break;
+    page.push(result);
+  }
+  return page;
+}
+
+function waitForChange(
+  partition: JobPartition,
+  job: JobId,
+  milliseconds: number,
+): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = () => {
+      clearTimeout(timer);
+      cancel();
+      resolve();
+    };
+    const timer = setTimeout(finish, Math.max(0, milliseconds));
+    const cancel = partition.onJobChange(job, finish);
+  });
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+function malformed(reason: string): OwnAnswer {
+  return { status: 400, code: "malformed_job", message: reason };
+}
+
+const storeAway: OwnAnswer = {
+  status: 503,
+  code: "store_unavailable",
+  message: "the store does not answer; nothing was done",
+  retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+};
+
+const unknownOutcome: OwnAnswer = {
+  status: 504,
+  code: "outcome_unknown",
+  message: "the store did not answer; the call may have taken effect",
+};
+
+const unknownJob: OwnAnswer = {
+  status: 404,
+  code: "unknown_job",
+  message: "no such job",
+};
+
+const unknownItem: OwnAnswer = {
+  status: 404,
+  code: "unknown_item",
+  message: "the job has no such item",
+};
--- /dev/null
+++ b/packages/jobs/ownership.ts
@@ -0,0 +1,146 @@
+/**
+ * Which partitions of the jobs this instance owns, by the store's group. Before a partition is
+ * given up, its progress is written; only the next join tells the store that it may go to
+ * another instance.
+ */
+
+import type { Clock } from "../common/clock.ts";
+import type { InstanceId, PartitionNumber, StreamName } from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import {
+  ownerJoinIntervalMilliseconds,
+  ownerLeaseMilliseconds,
+} from "../fleet/constants.ts";
+import type { KeyedStore } from "../store/keyed-store.ts";
+
+export interface OwnershipOptions {
+  readonly store: KeyedStore;
+  readonly instance: InstanceId;
+  readonly group: string;
+  readonly stream: StreamName;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Resolves when the work on the partition has been put down. */
+  readonly onLost: (partitions: readonly PartitionNumber[]) => Promise<void>;
+  readonly onWon: (partitions: readonly PartitionNumber[]) => void;
+  /** A peer claims the partition with a later generation. */
+  readonly isClaimedByPeer: (
+    partition: PartitionNumber,
+    generation: number,
+  ) => boolean;
+  /** Other instances are heard, or there are none. */
+  readonly isInTouch: () => boolean;
+}
+
+export class Ownership {
+  readonly #options: OwnershipOptions;
+  #owned = new Set<PartitionNumber>();
+  #generation = 0;
+  #leaseUntil = Number.NEGATIVE_INFINITY;
+  #isStopped = false;
+  #isFailing = false;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: OwnershipOptions) {
+    this.#options = options;
+  }
+
+  get generation(): number {
+    return this.#generation;
+  }
+
+  owned(): PartitionNumber[] {
+    return [...this.#owned];
+  }
+
+  isOwned(partition: PartitionNumber): boolean {
+    return this.#owned.has(partition);
+  }
+
+  /**
+   * New work may be started. After the lease has run out, as in an outage of the store, that
+   * holds as long as no peer has become the owner.
+   */
+  mayStart(partition: PartitionNumber): boolean {
+    if (!this.#owned.has(partition) || this.#isStopped) return false;
+    const { clock, isClaimedByPeer, isInTouch } = this.#options;
+    if (clock.monotonicNow() < this.#leaseUntil) return true;
+    return isInTouch() && !isClaimedByPeer(partition, this.#generation);
+  }
+
+  start(): void {
+    void this.#join();
+  }
+
+  /** Gives all partitions up at once. */
+  async leave(): Promise<void> {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+    const { store, group, instance, logger, onLost } = this.#options;
+    await onLost(this.owned());
+    this.#owned = new Set();
+    try {
+      await store.leave(group, instance);
+    } catch (error) {
+      logger.warn("the group of owners could not be left; the lease runs out", {
+        reason: String(error),
+      });
+    }
+  }
+
+  async #join(): Promise<void> {
+    const { store, group, stream, instance, clock } = this.#options;
+    let pause = ownerJoinIntervalMilliseconds;
+    const sentAt = clock.monotonicNow();
+    try {
+      const assignment = await store.join({
+        group,
+        member: instance,
+        stream,
+        leaseMilliseconds: ownerLeaseMilliseconds,
+        generation: this.#generation,
+      });
+      this.#leaseUntil = sentAt + ownerLeaseMilliseconds;
+      this.#noteOutcome(undefined);
+      const isNew = assignment.generation !== this.#generation;
+      await this.#take(assignment.partitions);
+      this.#generation = assignment.generation;
+      if (isNew) pause = 0;
+    } catch (error) {
+      this.#noteOutcome(error);
+      pause = ownerJoinIntervalMilliseconds / 2;
+    }
+    if (this.#isStopped) return;
+    this.#timer = setTimeout(() => void this.#join(), pause);
+  }
+
+  async #take(partitions: readonly PartitionNumber[]): Promise<void> {
+    const { logger, onLost, onWon } = this.#options;
+    const next = new Set(partitions);
+    const lost = this.owned().filter((partition) => !next.has(partition));
+    const won = partitions.filter((partition) => !this.#owned.has(partition));
+    if (this.#isStopped || lost.length + won.length === 0) return;
+    this.#owned = next;
+    logger.info("the owned partitions have changed", {
+      owned: partitions.join(","),
+      won: won.join(","),
+      lost: lost.join(","),
+      generation: this.#generation,
+    });
+    if (lost.length > 0) await onLost(lost);
+    if (won.length > 0) onWon(won);
+  }
+
+  #noteOutcome(error: unknown): void {
+    const isFailing = error !== undefined;
+    if (isFailing === this.#isFailing) return;
+    this.#isFailing = isFailing;
+    if (isFailing) {
+      this.#options.logger.warn("the group of owners cannot be joined", {
+        reason: String(error),
+      });
+    } else {
+      this.#options.logger.info("the group of owners is joined again");
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/partition-state.ts
@@ -0,0 +1,119 @@
+/**
+ * The state of the jobs of one partition: a reducer over its records. It depends on nothing but
+ * the records and their order, so every instance that has read as far holds the same results at
+ * the same positions. The first result of an item stands; later ones come from runs that were
+ * repeated and are passed over.
+ */
+
+import type { JobId } from "../common/ids.ts";
+import type {
+  BatchRecord,
+  GroupRecord,
+  ItemProgress,
+  ItemResult,
+  JobRecord,
+} from "./records.ts";
+
+export interface JobState {
+  readonly record: JobRecord;
+  /** By position. */
+  readonly results: ItemResult[];
+  /** Items that have a result. */
+  readonly finished: Set<number>;
+  readonly failures: Map<number, number>;
+  readonly progress: Map<number, ItemProgress>;
+  isEnded: boolean;
+}
+
+export class PartitionState {
+  readonly #jobs = new Map<JobId, JobState>();
+  /** Ends whose job has not been read; a job that comes after its end never runs. */
+  readonly #ended = new Set<JobId>();
+  /** Groups that were read before the job they belong to. */
+  readonly #early: GroupRecord[] = [];
+
+  job(id: JobId): JobState | undefined {
+    return this.#jobs.get(id);
+  }
+
+  isEnded(id: JobId): boolean {
+    return this.#ended.has(id);
+  }
+
+  jobs(): Iterable<JobState> {
+    return this.#jobs.values();
+  }
+
+  /** Applies a record and returns the jobs that it changed. */
+  apply(record: BatchRecord): JobId[] {
+    switch (record.kind) {
+      case "job":
+        return this.#applyJob(record);
+      case "end": {
+        this.#ended.add(record.job);
+        const state = this.#jobs.get(record.job);
+        if (state) state.isEnded = true;
+        return [record.job];
+      }
+      case "group":
+        return this.#applyGroup(record);
+    }
+  }
+
+  /** Forgets a job whose lifetime has passed. */
+  forget(id: JobId): void {
+    this.#jobs.delete(id);
+    this.#ended.delete(id);
+  }
+
+  #applyJob(record: JobRecord): JobId[] {
+    // A repeated submission writes the same job again.
+    if (this.#jobs.has(record.job)) return [];
+    this.#jobs.set(record.job, {
+      record,
+      results: [],
+      finished: new Set(),
+      failures: new Map(),
+      progress: new Map(),
+      isEnded: this.#ended.has(record.job),
+    });
+    const early = this.#early.splice(0);
+    for (const group of early) this.#applyGroup(group);
+    return [record.job];
+  }
+
+  #applyGroup(group: GroupRecord): JobId[] {
+    const changed = new Set<JobId>();
+    const unknown: GroupRecord = {
+      kind: "group",
+      results: group.results.filter((entry) => !this.#jobs.has(entry.job)),
+      failures: group.failures.filter((entry) => !this.#jobs.has(entry.job)),
+      progress: group.progress.filter((entry) => !this.#jobs.has(entry.job)),
+    };
+    if (unknown.results.length + unknown.failures.length > 0) {
+      this.#early.push(unknown);
+    }
+    for (const result of group.results) {
+      const state = this.#jobs.get(result.job);
+      if (!state || state.finished.has(result.item)) continue;
+      state.finished.add(result.item);
+      state.results.push(result);
+      state.failures.delete(result.item);
+      state.progress.delete(result.item);
+      changed.add(result.job);
+    }
+    for (const { job, item, count } of group.failures) {
+      const state = this.#jobs.get(job);
+      if (!state || state.finished.has(item)) continue;
+      state.failures.set(item, Math.max(count, state.failures.get(item) ?? 0));
+    }
+    for (const progress of group.progress) {
+      const state = this.#jobs.get(progress.job);
+      if (!state || state.finished.has(progress.item)) continue;
+      const known = state.progress.get(progress.item);
+      if (known && known.lastEventId >= progress.lastEventId) continue;
+      state.progress.set(progress.item, progress);
+    }
+    return [...changed];
+  }
+}
--- /dev/null
+++ b/packages/jobs/result-writer.ts
@@ -0,0 +1,168 @@
+/**
+ * Writes results, failures and progress of items in groups. A write is repeated with the same
+ * key until the store has taken it; a repetition that was written twice changes nothing.
+ */
+
+import { Buffer } from "node:buffer";
+import type { Logger } from "../common/logging.ts";
+import type { KeyedEntry } from "../store/keyed-store.ts";
+import {
+  maximumValueBytes,
+  resultGatherMilliseconds,
+  writeRetryMilliseconds,
+} from "./constants.ts";
+import { gather } from "./item-bodies.ts";
+import type { JobPartition } from "./job-partition.ts";
+import {
+  encodeRecord,
+  groupKey,
+  type GroupRecord,
+  type ItemFailures,
+  type ItemProgress,
+  type ItemResult,
+} from "./records.ts";
+
+export interface ResultWriterOptions {
+  readonly partition: JobPartition;
+  /** Unique for each life of an instance. */
+  readonly writer: string;
+  readonly logger: Logger;
+  readonly nextNumber: () => number;
+}
+
+interface Pending {
+  results: ItemResult[];
+  failures: ItemFailures[];
+  progress: ItemProgress[];
+}
+
+/** Bytes of ids and field names. */
+const entryOverheadBytes = 120;
+
+export class ResultWriter {
+  readonly #options: ResultWriterOptions;
+  #pending: Pending = emptyPending();
+  #isWriting = false;
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: ResultWriterOptions) {
+    this.#options = options;
+  }
+
+  get isIdle(): boolean {
+    return !this.#isWriting && countOf(this.#pending) === 0;
+  }
+
+  addResult(result: ItemResult): void {
+    this.#pending.results.push(result);
+    this.#schedule();
+  }
+
+  addFailures(failures: ItemFailures): void {
+    this.#pending.failures.push(failures);
+    this.#schedule();
+  }
+
+  addProgress(progress: ItemProgress): void {
+    this.#pending.progress.push(progress);
+    this.#schedule();
+  }
+
+  /** Writes what is pending now, and resolves after the time limit in any case. */
+  async flush(timeoutMilliseconds: number): Promise<void> {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    const limit = performance.now() + timeoutMilliseconds;
+    void this.#write();
+    while (!this.isIdle && performance.now() < limit) {
+      await new Promise((resolve) =>
+        setTimeout(resolve, flushPollMilliseconds)
+      );
+    }
+  }
+
+  #schedule(): void {
+    if (this.#timer || this.#isWriting) return;
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      void this.#write();
+    }, resultGatherMilliseconds);
+  }
+
+  async #write(): Promise<void> {
+    if (this.#isWriting || countOf(this.#pending) === 0) return;
+    this.#isWriting = true;
+    const pending = this.#pending;
+    this.#pending = emptyPending();
+    const { writer, nextNumber } = this.#options;
+    const entries = split(pending).map((group): KeyedEntry => ({
+      key: groupKey(writer, nextNumber()),
+      value: encodeRecord(group),
+    }));
+    for (const call of gather(entries)) await this.#appendUntilTaken(call);
+    this.#isWriting = false;
+    if (countOf(this.#pending) > 0) this.#schedule();
+  }
+
+  async #appendUntilTaken(entries: readonly KeyedEntry[]): Promise<void> {
+    const { partition, logger } = this.#options;
+    for (let attempt = 1;; attempt++) {
+      try {
+        await partition.append(entries);
+        return;
+      } catch (error) {
+        logger.warn("results could not be written; the write is repeated", {
+          partition: partition.number,
+          attempt,
+          reason: String(error),
+        });
+        const pause = Math.min(attempt, longestBackoff) *
+          writeRetryMilliseconds;
+        await new Promise((resolve) => setTimeout(resolve, pause));
+      }
+    }
+  }
+}
+
+const flushPollMilliseconds = 10;
+/** Repetitions after which the pause between two writes grows no more. */
+const longestBackoff = 4;
+
+function emptyPending(): Pending {
+  return { results: [], failures: [], progress: [] };
+}
+
+function countOf({ results, failures, progress }: Pending): number {
+  return results.length + failures.length + progress.length;
+}
+
+/** Splits what is pending into records that are small enough for the store. */
+function split(pending: Pending): GroupRecord[] {
+  const groups: GroupRecord[] = [];
+  let current = emptyPending();
+  let bytes = 0;
+  const add = (size: number, put: (group: Pending) => void) => {
+    if (bytes + size > maximumValueBytes && countOf(current) > 0) {
+      groups.push({ kind: "group", ...current });
+      current = emptyPending();
+      bytes = 0;
+    }
+    put(current);
+    bytes += size;
+  };
+  for (const result of pending.results) {
+    add(sizeOfText(result.text), (group) => group.results.push(result));
+  }
+  for (const progress of pending.progress) {
+    add(sizeOfText(progress.text), (group) => group.progress.push(progress));
+  }
+  for (const failures of pending.failures) {
+    add(entryOverheadBytes, (group) => group.failures.push(failures));
+  }
+  if (countOf(current) > 0) groups.push({ kind: "group", ...current });
+  return groups;
+}
+
+function sizeOfText(text: string): number {
+  return Buffer.byteLength(text) + entryOverheadBytes;
+}
--- /dev/null
+++ b/packages/jobs/work-table.ts
@@ -0,0 +1,91 @@
+/** What the owner keeps in memory for each unfinished item. */
+
+import type { JobId, PartitionNumber } from "../common/ids.ts";
+import type { ItemRun, ItemText } from "./item-run.ts";
+import type { JobState } from "./partition-state.ts";
+
+export interface ItemWork {
+  readonly partition: PartitionNumber;
+  readonly job: JobId;
+  readonly item: number;
+  readonly itemId: string;
+  /** Monotonic milliseconds. */
+  readonly dueAt: number;
+  readonly text: ItemText;
+  run: ItemRun | undefined;
+  /** Its body is being read, and a slot is taken for it. */
+  isStarting: boolean;
+  /** Its result is on the way to the store. */
+  isRecorded: boolean;
+  retryAt: number;
+  runs: number;
+  interruptions: number;
+  failures: number;
+}
+
+export class WorkTable {
+  readonly #byJob = new Map<JobId, Map<number, ItemWork>>();
+
+  /** The work on an item; it begins with what an earlier owner has written of it. */
+  of(
+    partition: PartitionNumber,
+    state: JobState,
+    item: number,
+    itemId: string,
+    { dueAt }: { dueAt: number },
+  ): ItemWork {
+    const job = state.record.job;
+    const items = this.#byJob.get(job) ?? new Map<number, ItemWork>();
+    this.#byJob.set(job, items);
+    let work = items.get(item);
+    if (!work) {
+      const progress = state.progress.get(item);
+      work = {
+        partition,
+        job,
+        item,
+        itemId,
+        dueAt,
+        text: {
+          texts: progress ? [progress.text] : [],
+          lastEventId: progress?.lastEventId,
+        },
+        run: undefined,
+        isStarting: false,
+        isRecorded: false,
+        retryAt: Number.NEGATIVE_INFINITY,
+        runs: 0,
+        interruptions: 0,
+        failures: state.failures.get(item) ?? 0,
+      };
+      items.set(item, work);
+    }
+    return work;
+  }
+
+  has(work: ItemWork): boolean {
+    return this.#byJob.get(work.job)?.get(work.item) === work;
+  }
+
+  delete(work: ItemWork): void {
+    const items = this.#byJob.get(work.job);
+    items?.delete(work.item);
+    if (items?.size === 0) this.#byJob.delete(work.job);
+  }
+
+  ofJob(job: JobId): ItemWork[] {
+    return [...this.#byJob.get(job)?.values() ?? []];
+  }
+
+  ofPartition(partition: PartitionNumber): ItemWork[] {
+    return this.#all().filter((work) => work.partition === partition);
+  }
+
+  running(): ItemWork[] {
+    return this.#all().filter((work) => work.run !== undefined);
+  }
+
+  #all(): ItemWork[] {
+    return [...this.#byJob.values()].flatMap((items) => [...items.values()]);
+  }
+}
--- a/packages/protocol/envelope.ts
+++ b/packages/protocol/envelope.ts
@@ -1,29 +1,29 @@
 /** Envelopes of the frames between instances. */
 
-import { z } from "zod";
+import * as z from "zod/mini";
 
 export const envelopeSchema = z.discriminatedUnion("kind", [
   z.object({
     kind: z.literal("hello"),
-    protocol: z.number().int(),
+    protocol: z.int(),
     instance: z.string(),
     incarnation: z.string(),
   }),
   z.object({ kind: z.literal("send"), type: z.string(), body: z.unknown() }),
   z.object({
     kind: z.literal("request"),
-    id: z.number().int(),
+    id: z.int(),
     type: z.string(),
     body: z.unknown(),
   }),
   z.object({
     kind: z.literal("reply"),
-    id: z.number().int(),
+    id: z.int(),
     body: z.unknown(),
   }),
   z.object({
     kind: z.literal("failure"),
-    id: z.number().int(),
+    id: z.int(),
     code: z.string(),
     message: z.string(),
   }),
--- a/packages/protocol/peer-network.ts
+++ b/packages/protocol/peer-network.ts
@@ -115,6 +115,12 @@
     }
   }
 
+  /** Drops the connection to a peer; the next message opens another. */
+  reconnect(instance: InstanceId): void {
+    this.#connections.get(instance)?.close();
+    this.#connections.delete(instance);
+  }
+
   send<Request, Reply>(
     instance: InstanceId,
     message: PeerMessage<Request, Reply>,
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -31,6 +31,8 @@
   ) => void;
   /** Pause between two reads, which lets records gather; 0 to read at once. */
   pauseMilliseconds?: () => number;
+  /** Called at each failed read. */
+  onFailure?: () => void;
   logger: Logger;
   clock?: Clock;
 }
@@ -48,6 +50,7 @@
   constructor(options: PartitionFollowerOptions) {
     this.#options = {
       pauseMilliseconds: () => 0,
+      onFailure: () => {},
       clock: systemClock,
       ...options,
     };
@@ -209,6 +212,7 @@
   }
 
   #noteFailure(error: unknown): void {
+    this.#options.onFailure();
     if (this.#isFailing) return;
     this.#isFailing = true;
     this.#options.logger.warn("a partition cannot be read", {
