Displace batch runs while an online request waits at its server

Cause: instances act on load reports that are up to 100 ms old, so that an online request could queue behind batch runs of several seconds.

--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -48,7 +48,15 @@
     (candidate) => candidate.online + candidate.batch,
     options,
   );
-  if (free) return { kind: "send", server: free.id, displacesBatch: false };
+  if (free) {
+    // The last free slot is taken, and further requests are likely to follow.
+    const isTight = free.online + free.batch >= free.slots - 1;
+    return {
+      kind: "send",
+      server: free.id,
+      displacesBatch: isTight && free.batch > 0,
+    };
+  }
   const displaceable = pool.filter((candidate) =>
     candidate.online < candidate.slots && candidate.batch > 0
   );
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -29,3 +29,8 @@
 export const durationWeight = 0.05;
 /** Duration of a request that is assumed before any has been seen. */
 export const initialDurationMilliseconds = 700;
+/**
+ * A server that has a free slot begins its answer within about 40 ms. A request that waits
+ * longer is behind others, and batch runs among them have to make room.
+ */
+export const unexpectedWaitMilliseconds = 70;
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -18,6 +18,7 @@
   silentHeadObjectives,
   silentPauseMinimumMilliseconds,
   silentPauseObjectives,
+  unexpectedWaitMilliseconds,
 } from "./constants.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
 import type { OnlineServices } from "./online-services.ts";
@@ -53,6 +54,7 @@
   #lastEventId: number | undefined;
   #mode: RelayMode = "direct";
   #timer: NodeJS.Timeout | undefined;
+  #waitTimer: NodeJS.Timeout | undefined;
 
   constructor(options: OnlineRequestOptions) {
     this.#options = options;
@@ -107,6 +109,7 @@
     this.#server = server.id;
     this.#attemptStartedAt = services.now();
     this.#splitter = new EventSplitter();
+    this.#head = undefined;
     services.noteSend(server.id);
     const attempt = new ServerAttempt({
       pool: services.poolOf(server),
@@ -129,9 +132,21 @@
       onFailure: (failure) => this.#handleFailure(attempt, failure),
     });
     this.#attempt = attempt;
+    this.#watchWait(attempt, server.id);
     attempt.start();
   }
 
+  /** Asks for room again while the server has not begun with the request. */
+  #watchWait(attempt: ServerAttempt, server: InstanceId): void {
+    clearInterval(this.#waitTimer);
+    this.#waitTimer = setInterval(() => {
+      if (attempt !== this.#attempt || this.#head) {
+        return clearInterval(this.#waitTimer);
+      }
+      this.#options.services.displaceBatch(server);
+    }, unexpectedWaitMilliseconds);
+  }
+
   /** Only a request that may be sent again is taken away from a silent server. */
   #silences() {
     const { route } = this.#options;
@@ -382,6 +397,7 @@
     if (this.#isOver) return;
     this.#isOver = true;
     clearTimeout(this.#timer);
+    clearInterval(this.#waitTimer);
     const { services, received, route } = this.#options;
     services.noteOutcome({
       received,
