--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -6,7 +6,7 @@
 import { createServer } from "node:http";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { DisposableStore } from "../common/disposable-store.ts";
-import type { Incarnation, StreamName } from "../common/ids.ts";
+import type { Incarnation, InstanceId, StreamName } from "../common/ids.ts";
 import { listenOn } from "../common/listen.ts";
 import type { Logger } from "../common/logging.ts";
 import { Blackboard } from "../fleet/blackboard.ts";
@@ -24,6 +24,7 @@
 import type { JobCodec } from "../jobs/job-codec.ts";
 import { TcpPeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
+import { RelayedStore } from "../store/relayed-store.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
@@ -59,12 +60,19 @@
   readonly #batch: BatchWork;
   readonly #listener: CallerListener;
   readonly #followers: PartitionFollower[];
+  readonly #store: RelayedStore;
   #storeAwayAt = Number.NEGATIVE_INFINITY;
   #leaving: Promise<void> | undefined;
 
   constructor(options: EntryInstanceOptions) {
     this.#options = { clock: systemClock, ...options };
     this.#network = this.#createNetwork();
+    this.#store = new RelayedStore({
+      direct: options.store,
+      network: this.#network,
+      helpers: () => this.#helpers(),
+      logger: options.logger,
+    });
     this.#documents = this.#createDocuments();
     this.#limits = this.#createLimits();
     this.#batch = this.#createBatchWork();
@@ -162,11 +170,10 @@
   }
 
   #createBatchWork(): BatchWork {
-    const { settings, store, callerCodec, jobCodec, logger, clock } =
-      this.#options;
+    const { settings, callerCodec, jobCodec, logger, clock } = this.#options;
     return new BatchWork({
       settings,
-      store,
+      store: this.#store,
       blackboard: this.#blackboard,
       pools: this.#pools,
       callerCodec,
@@ -193,6 +200,7 @@
       limits: () => this.#limits,
       jobReport: () => this.#batch.report(),
       isStoreFailing: () =>
+        this.#store.isDirectFailing ||
         this.#followers.some((follower) => follower.isFailing),
       clock,
       logger,
@@ -200,9 +208,9 @@
   }
 
   #createMembership(): Membership {
-    const { settings, store, logger } = this.#options;
+    const { settings, logger } = this.#options;
     return new Membership({
-      store,
+      store: this.#store,
       stream: memberStream as StreamName,
       self: {
         instance: settings.instance,
@@ -252,14 +260,14 @@
   }
 
   #createFollowers(): PartitionFollower[] {
-    const { store, documentCodec, logger } = this.#options;
+    const { documentCodec, logger } = this.#options;
     const sources = [
       ["configuration", documentCodec.configurationSource],
       ["servers", documentCodec.serverSource],
     ] as const;
     return sources.map(([kind, target]) =>
       new PartitionFollower({
-        store,
+        store: this.#store,
         target,
         logger,
         onRecords: (records, position, isSnapshot) =>
@@ -269,6 +277,17 @@
     );
   }
 
+  /** Peers that reach the store; those of the same zone are nearer. */
+  #helpers(): InstanceId[] {
+    const { zone } = this.#options.settings;
+    const isNear = (instance: InstanceId) =>
+      this.#members.get(instance)?.zone === zone;
+    return this.#reports.heardReports()
+      .filter(({ report }) => !report.isStoreFailing)
+      .map(({ instance }) => instance)
+      .sort((left, right) => Number(isNear(right)) - Number(isNear(left)));
+  }
+
   /** Removes members that died, if this instance is the one that looks after the list. */
   #sweep(): void {
     const { settings, logger } = this.#options;
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -48,15 +48,7 @@
     (candidate) => candidate.online + candidate.batch,
     options,
   );
-  if (free) {
-    // The last free slot is taken, and further requests are likely to follow.
-    const isTight = free.online + free.batch >= free.slots - 1;
-    return {
-      kind: "send",
-      server: free.id,
-      displacesBatch: isTight && free.batch > 0,
-    };
-  }
+  if (free) return { kind: "send", server: free.id, displacesBatch: false };
   const displaceable = pool.filter((candidate) =>
     candidate.online < candidate.slots && candidate.batch > 0
   );
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -15,6 +15,7 @@
 import type { ServerPools } from "../gateway/server-pools.ts";
 import { chooseBatchServer } from "./choose-batch-server.ts";
 import {
+  deliveryMilliseconds,
   executorIntervalMilliseconds,
   handOverMilliseconds,
   itemDeadlineMilliseconds,
@@ -27,6 +28,7 @@
   urgentSlackMilliseconds,
 } from "./constants.ts";
 import type { ItemBodies } from "./item-bodies.ts";
+import { RunEstimate } from "./run-estimate.ts";
 import { ItemRun, type RunOutcome } from "./item-run.ts";
 import type { JobCodec } from "./job-codec.ts";
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
@@ -55,6 +57,7 @@
 export class BatchExecutor {
   readonly #options: BatchExecutorOptions;
   readonly #work = new WorkTable();
+  readonly #estimate = new RunEstimate();
   #timer: NodeJS.Timeout | undefined;
   #waitingItems = 0;
   #isStopped = false;
@@ -77,12 +80,12 @@
 
   /** Stops one run at the server, the one whose item is due last; false if there is none. */
   displace(server: InstanceId): boolean {
-    const runs = this.#work.running().filter((work) =>
-      work.run?.server === server
-    );
-    const last = runs.sort((left, right) => right.dueAt - left.dueAt)[0];
+    const time = this.#options.now();
+    const [last] = this.#work.running()
+      .filter((work) => work.run?.server === server)
+      .sort((left, right) => this.#byUrgency(right, left, time));
     if (!last) return false;
-    last.retryAt = this.#options.now() + itemRetryMilliseconds;
+    last.retryAt = time + itemRetryMilliseconds;
     last.run!.cancel();
     return true;
   }
@@ -137,7 +140,8 @@
     const ready = this.#collectReady();
     this.#waitingItems = ready.length;
     if (ready.length === 0) return;
-    ready.sort((left, right) => left.dueAt - right.dueAt);
+    const time = now();
+    ready.sort((left, right) => this.#byUrgency(left, right, time));
     let allowance = this.#allowance(ready);
     for (const work of ready) {
       if (allowance <= 0 || this.#work.running().length >= maximumRuns) break;
@@ -154,6 +158,27 @@
     }
   }
 
+  /**
+   * Items that can still be done in time go first, the earliest due before others; among those
+   * that are late in any case, the one that needs least time.
+   */
+  #byUrgency(left: ItemWork, right: ItemWork, time: number): number {
+    const leftRest = this.#remaining(left);
+    const rightRest = this.#remaining(right);
+    const isLeftLate = time + leftRest > left.dueAt;
+    const isRightLate = time + rightRest > right.dueAt;
+    if (isLeftLate !== isRightLate) return isLeftLate ? 1 : -1;
+    return isLeftLate ? leftRest - rightRest : left.dueAt - right.dueAt;
+  }
+
+  #remaining(work: ItemWork): number {
+    const rest = this.#estimate.remainingMilliseconds(
+      work.tokens,
+      work.text.lastEventId ?? 0,
+    );
+    return rest === undefined ? 0 : rest + deliveryMilliseconds;
+  }
+
   #collectReady(): ItemWork[] {
     const { partitions, mayStart, now, wallNow } = this.#options;
     const ready: ItemWork[] = [];
@@ -164,10 +189,11 @@
       for (const state of partition.state.jobs()) {
         if (state.isEnded) continue;
         if (state.finished.size === state.record.items.length) continue;
-        for (const [item, { id }] of state.record.items.entries()) {
+        for (const [item, { id, tokens }] of state.record.items.entries()) {
           if (state.finished.has(item)) continue;
           const work = this.#work.of(partition.number, state, item, id, {
             dueAt: time + state.record.dueAt - wall,
+            tokens,
           });
           if (work.run || work.isStarting || work.isRecorded) continue;
           if (work.retryAt <= time) ready.push(work);
@@ -244,8 +270,8 @@
   ): InstanceId | undefined {
     const { blackboard, zone } = this.#options;
     const service = pickService(route, Math.random());
-    const isUrgent = work.dueAt - time < urgentSlackMilliseconds +
-        blackboard.requestDurationMilliseconds;
+    const slack = work.dueAt - time - this.#remaining(work);
+    const isUrgent = slack > 0 && slack < urgentSlackMilliseconds;
     const candidates: ServerCandidate[] = [];
     for (const server of blackboard.upstreams.ready(service)) {
       const load = blackboard.loads.estimate(server.id, time);
@@ -307,6 +333,8 @@
     });
     work.run = run;
     work.runs += 1;
+    work.runStartedAt = now();
+    work.eventsBefore = work.text.lastEventId ?? 0;
     this.#options.logger.debug("an item was sent", {
       job: work.job,
       item: work.itemId,
@@ -320,6 +348,11 @@
     const { blackboard, partitions, now, logger } = this.#options;
     work.run = undefined;
     blackboard.loads.finish(server, "batch");
+    const events = work.text.lastEventId ?? 0;
+    this.#estimate.noteRun(
+      events - work.eventsBefore,
+      now() - work.runStartedAt,
+    );
     const partition = partitions.get(work.partition)!;
     logger.info("a run of an item has ended", {
       job: work.job,
@@ -327,12 +360,13 @@
       server,
       outcome: outcome.kind,
       reason: outcome.kind === "interrupted" ? outcome.reason : null,
-      events: work.text.texts.length,
+      events,
       runs: work.runs,
     });
     switch (outcome.kind) {
       case "completed":
         blackboard.health.noteSuccess(server);
+        this.#estimate.noteCompleted(work.tokens, events);
         return this.#record(work, partition, "completed", "");
       case "impossible":
         return this.#record(work, partition, "dead_letter", "impossible");
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -38,3 +38,10 @@
 export const maximumRuns = 64;
 /** How long a leaving instance waits for the store to take the progress of its runs. */
 export const handOverMilliseconds = 1_500;
+/** Weight of a new item in the averages of events and of their duration. */
+export const estimateWeight = 0.1;
+/**
+ * Time between the end of a run and the moment at which a caller reads the result: gathering,
+ * writing and reading it at another instance.
+ */
+export const deliveryMilliseconds = 500;
--- a/packages/jobs/work-table.ts
+++ b/packages/jobs/work-table.ts
@@ -11,6 +11,8 @@
   readonly itemId: string;
   /** Monotonic milliseconds. */
   readonly dueAt: number;
+  /** Prompt tokens and the most output tokens together. */
+  readonly tokens: number;
   readonly text: ItemText;
   run: ItemRun | undefined;
   /** Its body is being read, and a slot is taken for it. */
@@ -19,6 +21,9 @@
   isRecorded: boolean;
   retryAt: number;
   runs: number;
+  runStartedAt: number;
+  /** The last event that was known when the run began. */
+  eventsBefore: number;
   interruptions: number;
   failures: number;
 }
@@ -32,7 +37,7 @@
     state: JobState,
     item: number,
     itemId: string,
-    { dueAt }: { dueAt: number },
+    { dueAt, tokens }: { dueAt: number; tokens: number },
   ): ItemWork {
     const job = state.record.job;
     const items = this.#byJob.get(job) ?? new Map<number, ItemWork>();
@@ -46,6 +51,7 @@
         item,
         itemId,
         dueAt,
+        tokens,
         text: {
           texts: progress ? [progress.text] : [],
           lastEventId: progress?.lastEventId,
@@ -55,6 +61,8 @@
         isRecorded: false,
         retryAt: Number.NEGATIVE_INFINITY,
         runs: 0,
+        runStartedAt: 0,
+        eventsBefore: 0,
         interruptions: 0,
         failures: state.failures.get(item) ?? 0,
       };
--- a/packages/store/constants.ts
+++ b/packages/store/constants.ts
@@ -9,3 +9,5 @@
 export const followRetryMilliseconds = 250;
 /** Least time between two reads that find nothing, against a store that does not wait. */
 export const emptyReadPauseMilliseconds = 50;
+/** A peer's call of the store takes a few milliseconds more than an own one. */
+export const relayTimeoutMilliseconds = 1_500;
