--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -93,6 +93,11 @@
     this.#executor.stop();
   }
 
+  /** Stops reading the partitions; called last. */
+  stop(): void {
+    for (const partition of this.#partitions.all()) partition.stop();
+  }
+
   /** Stops one own run at the server; false if there is none. */
   displace(server: InstanceId): boolean {
     return this.#executor.displace(server);
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -115,7 +115,9 @@
     }).finally(async () => {
       this.#reports.stop();
       for (const follower of this.#followers) follower.stop();
+      this.#batch.stop();
       this.#listener.close();
+      await this.#pools.destroy();
       await this.#network.close();
       await this.#disposables.dispose();
     });
--- /dev/null
+++ b/packages/fleet/documents.test.ts
@@ -0,0 +1,167 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { test } from "node:test";
+import type {
+  InstanceId,
+  Offset,
+  PartitionNumber,
+  StreamName,
+  UpstreamName,
+  ZoneId,
+} from "../common/ids.ts";
+import { silentLogger } from "../common/logging.ts";
+import type { KeyedRecord } from "../store/keyed-store.ts";
+import { Blackboard } from "./blackboard.ts";
+import { Documents } from "./documents.ts";
+import type { UpstreamServer } from "./upstreams.ts";
+
+const source = {
+  stream: "documents" as StreamName,
+  partition: 0 as PartitionNumber,
+};
+
+function record(key: string, value: unknown, offset: number): KeyedRecord {
+  return {
+    key,
+    value: value === undefined ? undefined : Buffer.from(JSON.stringify(value)),
+    offset: offset as Offset,
+  };
+}
+
+function server(id: string, offset: number, state = "ready"): KeyedRecord {
+  return record(id, { state }, offset);
+}
+
+function createFixture() {
+  const blackboard = new Blackboard({ initialDurationMilliseconds: 700 });
+  let now = 100_000;
+  let awayAt = Number.NEGATIVE_INFINITY;
+  const documents = new Documents({
+    blackboard,
+    logger: silentLogger,
+    clock: { monotonicNow: () => now, wallNow: () => now },
+    wasStoreAwayAt: () => awayAt,
+    onChange: () => {},
+    codec: {
+      configurationSource: source,
+      serverSource: source,
+      decodeConfiguration: ({ value }) => ({
+        version: JSON.parse(Buffer.from(value!).toString()).version,
+        routes: [],
+        services: [],
+        workspaces: undefined,
+        limits: {
+          maximumHeaderBytes: 1,
+          maximumBodyBytes: 1,
+          headerTimeoutMilliseconds: 1,
+          idleTimeoutMilliseconds: 1,
+        },
+      }),
+      decodeServer: ({ key, value }): UpstreamServer => {
+        const { state } = JSON.parse(Buffer.from(value!).toString());
+        if (!state) throw new Error("no state");
+        return {
+          id: key as InstanceId,
+          service: "s" as UpstreamName,
+          host: "127.0.0.1",
+          port: 1,
+          zone: "z" as ZoneId,
+          slots: 8,
+          state,
+          startedAtMilliseconds: 0,
+        };
+      },
+    },
+  });
+  return {
+    blackboard,
+    documents,
+    accept: (
+      kind: "configuration" | "servers",
+      records: KeyedRecord[],
+      isSnapshot = false,
+    ) => {
+      const end = Math.max(0, ...records.map((each) => each.offset + 1));
+      documents.accept(kind, records, end as Offset, { isSnapshot });
+    },
+    advance: (milliseconds: number) => {
+      now += milliseconds;
+      documents.sweep();
+    },
+    loseStore: () => awayAt = now,
+    readyIds: () =>
+      blackboard.upstreams.ready("s" as UpstreamName).map(({ id }) => id)
+        .join(),
+  };
+}
+
+test("the version of the configuration never falls, even if an old record comes later", () => {
+  const { blackboard, accept } = createFixture();
+  accept("configuration", [record("config", { version: 7 }, 3)]);
+  accept("configuration", [record("config", { version: 5 }, 4)]);
+  assert.equal(blackboard.configuration?.version, 7);
+});
+
+test("a configuration that cannot be read leaves the last one in force", () => {
+  const { blackboard, accept } = createFixture();
+  accept("configuration", [record("config", { version: 7 }, 3)]);
+  accept("configuration", [{
+    key: "config",
+    value: Buffer.from("{"),
+    offset: 4 as Offset,
+  }]);
+  assert.equal(blackboard.configuration?.version, 7);
+});
+
+test("a server that is removed while the store works goes at once", () => {
+  const { accept, readyIds } = createFixture();
+  accept("servers", [server("a", 0), server("b", 1)]);
+  accept("servers", [record("a", undefined, 2)]);
+  assert.equal(readyIds(), "b");
+});
+
+test("a server whose entry lapsed in an outage stays until it had time to come back", () => {
+  const fixture = createFixture();
+  fixture.accept("servers", [server("a", 0), server("b", 1)]);
+  fixture.loseStore();
+  fixture.advance(500);
+  fixture.accept("servers", [
+    record("a", undefined, 2),
+    record("b", undefined, 3),
+  ]);
+  assert.equal(fixture.readyIds(), "a,b");
+  fixture.accept("servers", [server("b", 4)]);
+  fixture.advance(2_500);
+  assert.equal(fixture.readyIds(), "b");
+});
+
+test("an entry that cannot be read names no server and hurts no other", () => {
+  const { accept, readyIds } = createFixture();
+  accept("servers", [server("a", 0), server("b", 1)]);
+  accept("servers", [record("a", { state: 0 }, 2)]);
+  assert.equal(readyIds(), "b");
+});
+
+test("a draining server takes no new requests", () => {
+  const { accept, readyIds } = createFixture();
+  accept("servers", [server("a", 0)]);
+  accept("servers", [server("a", 1, "draining")]);
+  assert.equal(readyIds(), "");
+});
+
+test("records of a peer that are older than the known ones change nothing", () => {
+  const { accept, readyIds } = createFixture();
+  accept("servers", [server("a", 0)]);
+  accept("servers", [record("a", undefined, 5)]);
+  accept("servers", [server("a", 2)]);
+  assert.equal(readyIds(), "");
+});
+
+test("a snapshot removes what it no longer holds, unless it is older than what is known", () => {
+  const { accept, readyIds } = createFixture();
+  accept("servers", [server("a", 0), server("b", 1), server("c", 2)], true);
+  accept("servers", [server("a", 0)], true);
+  assert.equal(readyIds(), "a,b,c");
+  accept("servers", [server("c", 7)], true);
+  assert.equal(readyIds(), "c");
+});
--- a/packages/fleet/limits/constants.ts
+++ b/packages/fleet/limits/constants.ts
@@ -9,3 +9,7 @@
  * traffic comes to two thirds of the rate and reaches 1.2 times the rate in its peaks.
  */
 export const competitionShare = 1.4;
+/** Time after which an instance knows of the admissions of its peers, with some reserve. */
+export const reportLagSeconds = 0.3;
+/** Requests by which the level may be overdrawn; half of what the operators allow in a window. */
+export const toleratedExcess = 10;
--- /dev/null
+++ b/packages/fleet/limits/shared-bucket.test.ts
@@ -0,0 +1,168 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { InstanceId } from "../../common/ids.ts";
+import { SeededRandom } from "../../common/random.ts";
+import { type BucketLimit, SharedBucket } from "./shared-bucket.ts";
+
+const windowMilliseconds = 5_000;
+const stepMilliseconds = 5;
+const reportMilliseconds = 100;
+
+interface Fleet {
+  buckets: SharedBucket[];
+  admittedAt: number[];
+  refused: number;
+}
+
+interface Simulation {
+  limit: BucketLimit;
+  instances: number;
+  requestsPerSecond: number;
+  seconds: number;
+  seed: number;
+  isFull?: boolean;
+  /** From this second on the instances hear only those of their own half. */
+  cutAtSecond?: number;
+}
+
+/** Instances with random arrivals that exchange their counts once in each interval. */
+function simulate(options: Simulation): Fleet {
+  const generator = new SeededRandom(options.seed);
+  const random = () => generator.next();
+  const ids = Array.from(
+    { length: options.instances },
+    (_, index) => `i${index}` as InstanceId,
+  );
+  const fleet: Fleet = {
+    buckets: ids.map(() =>
+      new SharedBucket(options.limit, {
+        now: 0,
+        isFull: options.isFull ?? true,
+        random,
+      })
+    ),
+    admittedAt: [],
+    refused: 0,
+  };
+  const isCut = (now: number) =>
+    options.cutAtSecond !== undefined && now >= options.cutAtSecond * 1_000;
+  const hears = (left: number, right: number, now: number) =>
+    !isCut(now) || left % 2 === right % 2;
+  const perStep = options.requestsPerSecond * stepMilliseconds / 1_000;
+  for (let now = 0; now < options.seconds * 1_000; now += stepMilliseconds) {
+    if (now % reportMilliseconds === 0) {
+      for (const [index, bucket] of fleet.buckets.entries()) {
+        for (const [other, peer] of fleet.buckets.entries()) {
+          if (other === index || !hears(index, other, now)) continue;
+          bucket.notePeer(ids[other]!, "one", peer.ownUse());
+        }
+      }
+      for (const [index, bucket] of fleet.buckets.entries()) {
+        const heard = ids.filter((_, other) => hears(index, other, now)).length;
+        bucket.refresh(now, { members: ids.length, heard });
+      }
+    }
+    let arrivals = Math.floor(perStep) +
+      (random() < perStep - Math.floor(perStep) ? 1 : 0);
+    for (; arrivals > 0; arrivals--) {
+      const bucket = fleet
+        .buckets[Math.floor(random() * fleet.buckets.length)]!;
+      if (bucket.take(now)) fleet.admittedAt.push(now);
+      else fleet.refused += 1;
+    }
+  }
+  return fleet;
+}
+
+function mostInWindow(times: readonly number[]): number {
+  let most = 0;
+  let start = 0;
+  for (const [end, time] of times.entries()) {
+    while (time - times[start]! >= windowMilliseconds) start += 1;
+    most = Math.max(most, end - start + 1);
+  }
+  return most;
+}
+
+/** What the operators allow in any window: a tenth and 20 requests more than the limit. */
+function allowedInWindow({ ratePerSecond, burst }: BucketLimit): number {
+  return (ratePerSecond * windowMilliseconds / 1_000 + burst) * 1.1 + 20;
+}
+
+for (const instances of [3, 11, 40]) {
+  for (const ratePerSecond of [4, 33, 200]) {
+    test(`${instances} instances hold a workspace that sends eight times ${ratePerSecond}/s to its limit`, () => {
+      const limit = { ratePerSecond, burst: ratePerSecond };
+      for (const seed of [1, 2, 3, 4, 5]) {
+        const fleet = simulate({
+          limit,
+          instances,
+          requestsPerSecond: ratePerSecond * 8,
+          seconds: 20,
+          seed,
+        });
+        assert.ok(
+          mostInWindow(fleet.admittedAt) <= allowedInWindow(limit),
+          `${mostInWindow(fleet.admittedAt)} in a window, seed ${seed}`,
+        );
+        assert.ok(fleet.admittedAt.length >= ratePerSecond * 20 * 0.8);
+      }
+    });
+  }
+}
+
+test("a workspace within its rate is refused hardly more often than by one central bucket", () => {
+  for (const ratePerSecond of [2, 10, 50]) {
+    const load = {
+      limit: { ratePerSecond, burst: ratePerSecond },
+      requestsPerSecond: ratePerSecond * 0.6,
+      seconds: 60,
+      seed: 7,
+    };
+    const central = simulate({ ...load, instances: 1 });
+    const shared = simulate({ ...load, instances: 11 });
+    const asked = shared.admittedAt.length + shared.refused;
+    assert.ok(
+      shared.refused <= central.refused + asked * 0.02,
+      `${shared.refused} against ${central.refused} of ${asked} refused at ${ratePerSecond}/s`,
+    );
+  }
+});
+
+test("two halves that do not hear each other stay within the limit together", () => {
+  const limit = { ratePerSecond: 33, burst: 33 };
+  for (const seed of [1, 2, 3]) {
+    const fleet = simulate({
+      limit,
+      instances: 10,
+      requestsPerSecond: 33 * 5,
+      seconds: 20,
+      seed,
+      cutAtSecond: 8,
+    });
+    assert.ok(mostInWindow(fleet.admittedAt) <= allowedInWindow(limit));
+  }
+});
+
+test("an instance that starts again has no burst, since the fleet may just have spent it", () => {
+  const bucket = new SharedBucket({ ratePerSecond: 10, burst: 50 }, {
+    now: 0,
+    isFull: false,
+  });
+  bucket.refresh(0, { members: 1, heard: 1 });
+  assert.equal(bucket.take(0), false);
+  bucket.refresh(1_000, { members: 1, heard: 1 });
+  assert.equal(bucket.take(1_000), true);
+});
+
+test("counts of a peer that started again are not taken for its use", () => {
+  const bucket = new SharedBucket({ ratePerSecond: 10, burst: 10 }, {
+    now: 0,
+    isFull: true,
+  });
+  const peer = "p" as InstanceId;
+  bucket.notePeer(peer, "one", { admitted: 500, demandPerSecond: 1 });
+  bucket.notePeer(peer, "two", { admitted: 3, demandPerSecond: 1 });
+  bucket.notePeer(peer, "two", { admitted: 5, demandPerSecond: 1 });
+  assert.equal(bucket.level, 8);
+});
--- a/packages/fleet/limits/shared-bucket.ts
+++ b/packages/fleet/limits/shared-bucket.ts
@@ -12,6 +12,8 @@
   competitionShare,
   demandFloorPerSecond,
   demandSmoothingMilliseconds,
+  reportLagSeconds,
+  toleratedExcess,
 } from "./constants.ts";
 
 export interface BucketLimit {
@@ -157,7 +159,10 @@
   /** More is asked for than the rate allows, so that instances compete for the level. */
   #isOverdrawn({ heard }: FleetView): boolean {
     const total = this.#totalDemand() + demandFloorPerSecond * heard;
-    return total > this.#limit.ratePerSecond * competitionShare;
+    // What arrives in one report interval is the most by which the level can be overdrawn.
+    const excess = this.#totalDemand() * reportLagSeconds;
+    return excess > toleratedExcess &&
+      total > this.#limit.ratePerSecond * competitionShare;
   }
 
   #totalDemand(): number {
--- /dev/null
+++ b/packages/jobs/partition-state.test.ts
@@ -0,0 +1,122 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fastCheck from "fast-check";
+import type { JobId, RouteId } from "../common/ids.ts";
+import { PartitionState } from "./partition-state.ts";
+import {
+  type BatchRecord,
+  decodeRecord,
+  encodeRecord,
+  type ItemResult,
+  type JobRecord,
+} from "./records.ts";
+
+const job = "j" as JobId;
+
+function jobRecord(items = 3): JobRecord {
+  return {
+    kind: "job",
+    job,
+    workspace: undefined,
+    route: "r" as RouteId,
+    host: "h",
+    acceptedAt: 0,
+    dueAt: 1,
+    retainedUntil: 2,
+    maximumAttempts: 3,
+    bodyOffset: 0,
+    items: Array.from({ length: items }, (_, index) => ({
+      id: `item${index}`,
+      path: "/p",
+      headers: [],
+      tokens: 1,
+      bodyBytes: 0,
+    })),
+  };
+}
+
+function group(results: Partial<ItemResult>[]): BatchRecord {
+  return {
+    kind: "group",
+    results: results.map((result) => ({
+      job,
+      item: 0,
+      state: "completed",
+      text: "",
+      ...result,
+    })),
+    failures: [],
+    progress: [],
+  };
+}
+
+function texts(state: PartitionState): string[] {
+  return state.job(job)!.results.map((result) =>
+    `${result.item}${result.text}`
+  );
+}
+
+test("the first result of an item stands; a second run's result is passed over", () => {
+  const state = new PartitionState();
+  state.apply(jobRecord());
+  state.apply(group([{ item: 1, text: "first" }]));
+  state.apply(group([{ item: 1, text: "second" }, { item: 0, text: "x" }]));
+  assert.deepEqual(texts(state), ["1first", "0x"]);
+});
+
+test("a job that was submitted again keeps its results and its end", () => {
+  const state = new PartitionState();
+  state.apply(jobRecord());
+  state.apply(group([{ item: 2 }]));
+  state.apply({ kind: "end", job });
+  state.apply(jobRecord());
+  assert.equal(state.job(job)!.isEnded, true);
+  assert.deepEqual(texts(state), ["2"]);
+});
+
+test("a job whose end was read first never runs", () => {
+  const state = new PartitionState();
+  state.apply({ kind: "end", job });
+  state.apply(jobRecord());
+  assert.equal(state.job(job)!.isEnded, true);
+});
+
+test("positions are the same if a repeated submission moved the job behind its results", () => {
+  fastCheck.assert(fastCheck.property(
+    fastCheck.array(
+      fastCheck.record({
+        item: fastCheck.integer({ min: 0, max: 4 }),
+        text: fastCheck.string({ maxLength: 2 }),
+      }),
+      { maxLength: 12 },
+    ),
+    (results) => {
+      const groups = results.map((result) => group([result]));
+      const live = new PartitionState();
+      for (const record of [jobRecord(5), ...groups]) live.apply(record);
+      const restored = new PartitionState();
+      for (const record of [...groups, jobRecord(5)]) restored.apply(record);
+      assert.deepEqual(texts(restored), texts(live));
+    },
+  ));
+});
+
+test("failures and progress only grow, so that an old owner's late record changes nothing", () => {
+  const state = new PartitionState();
+  state.apply(jobRecord());
+  const report = (count: number, lastEventId: number): BatchRecord => ({
+    kind: "group",
+    results: [],
+    failures: [{ job, item: 0, count }],
+    progress: [{ job, item: 1, lastEventId, text: `to ${lastEventId}` }],
+  });
+  state.apply(report(2, 40));
+  state.apply(report(1, 20));
+  assert.equal(state.job(job)!.failures.get(0), 2);
+  assert.equal(state.job(job)!.progress.get(1)!.text, "to 40");
+});
+
+test("records survive encoding", () => {
+  const record = { ...jobRecord(), workspace: undefined };
+  assert.deepEqual(decodeRecord(encodeRecord(record)), record);
+});
--- /dev/null
+++ b/packages/store/partition-follower.test.ts
@@ -0,0 +1,88 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { test } from "node:test";
+import type { PartitionNumber, StreamName } from "../common/ids.ts";
+import { silentLogger } from "../common/logging.ts";
+import type { KeyedRecord } from "./keyed-store.ts";
+import { PartitionFollower } from "./partition-follower.ts";
+import { MemoryStoreService } from "./testing/memory-keyed-store.ts";
+
+const target = {
+  stream: "jobs" as StreamName,
+  partition: 0 as PartitionNumber,
+};
+
+function entry(key: string, value = key) {
+  return { key, value: Buffer.from(value) };
+}
+
+function follow(service: MemoryStoreService, caller = "reader") {
+  const seen: KeyedRecord[] = [];
+  const snapshots: number[] = [];
+  const follower = new PartitionFollower({
+    store: service.client(caller),
+    target,
+    logger: silentLogger,
+    onRecords: (records, _position, isSnapshot) => {
+      seen.push(...records);
+      if (isSnapshot) snapshots.push(records.length);
+    },
+  });
+  follower.start();
+  return { seen, snapshots, follower };
+}
+
+async function until(condition: () => boolean, what: string): Promise<void> {
+  const limit = performance.now() + 5_000;
+  while (!condition()) {
+    assert.ok(performance.now() < limit, `timed out: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+test("a follower reads old records in order of their offsets, over several pages", async () => {
+  const service = new MemoryStoreService({ pageSize: 2 });
+  service.append(target, ["d", "a", "c", "b"].map((key) => entry(key)));
+  service.append(target, [entry("a", "later")]);
+  const { seen, follower } = follow(service);
+  await until(() => seen.length === 4, "snapshot");
+  assert.deepEqual(seen.map((record) => record.key), ["d", "c", "b", "a"]);
+  follower.stop();
+});
+
+test("a follower passes later records on, each once", async () => {
+  const service = new MemoryStoreService();
+  const { seen, follower } = follow(service);
+  await until(() => follower.position !== undefined, "snapshot");
+  for (const key of ["x", "y", "z"]) service.append(target, [entry(key)]);
+  await until(() => seen.length === 3, "records");
+  assert.deepEqual(seen.map((record) => record.offset), [0, 1, 2]);
+  follower.stop();
+});
+
+test("a follower that lost the history reads the newest records again", async () => {
+  const service = new MemoryStoreService();
+  service.append(target, [entry("a", "old")]);
+  const { seen, snapshots, follower } = follow(service);
+  await until(() => seen.length === 1, "snapshot");
+  service.refused.add("reader");
+  await until(() => follower.isFailing, "failure");
+  service.append(target, [entry("a", "new"), entry("b")]);
+  service.dropHistory();
+  service.refused.delete("reader");
+  await until(() => snapshots.length === 2, "second snapshot");
+  assert.deepEqual(
+    seen.slice(1).map((record) => record.value?.toString()),
+    ["new", "b"],
+  );
+  follower.stop();
+});
+
+test("catching up fails while the store refuses, so that nothing counts as current", async () => {
+  const service = new MemoryStoreService();
+  const { follower } = follow(service);
+  await until(() => follower.position !== undefined, "snapshot");
+  service.refused.add("reader");
+  assert.equal(await follower.catchUp(), false);
+  follower.stop();
+});
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -103,22 +103,40 @@
 
   /** Reads up to the present end of the partition; false if the store does not answer. */
   async catchUp(): Promise<boolean> {
-    const { store, target, logger } = this.#options;
     try {
-      if (this.#next === undefined) return false;
-      const result = await store.read(target, { from: this.#next });
-      this.#accept(result);
+      if (this.#next === undefined) await this.#readSnapshot();
+      else await this.#readToEnd(this.#next);
       return true;
     } catch (error) {
-      logger.warn("a read of a partition up to its end failed", {
-        stream: target.stream,
-        partition: target.partition,
+      this.#options.logger.warn("a read of a partition up to its end failed", {
+        stream: this.#options.target.stream,
+        partition: this.#options.target.partition,
         reason: String(error),
       });
       return false;
     }
   }
 
+  async #readToEnd(from: Offset): Promise<void> {
+    const { store, target, clock } = this.#options;
+    try {
+      for (let isAtEnd = false; !isAtEnd;) {
+        const sentAt = clock.monotonicNow();
+        const result = await store.read(target, { from: this.#next ?? from });
+        isAtEnd = this.#accept(result);
+        if (isAtEnd) this.#noteCurrent(sentAt);
+      }
+    } catch (error) {
+      if (!(error instanceof HistoryLostError)) throw error;
+      await this.#readSnapshot();
+    }
+  }
+
+  /** Everything that was written before this time has been passed on. */
+  #noteCurrent(sentAt: number): void {
+    this.#lastSuccessAt = Math.max(this.#lastSuccessAt, sentAt);
+  }
+
   async #run(): Promise<void> {
     while (!this.#isStopped) {
       try {
@@ -161,8 +179,8 @@
       .filter((record) => record.offset < limit)
       .sort((left, right) => left.offset - right.offset);
     this.#options.onRecords(settled, limit, true);
-    this.#moveTo(limit);
-    this.#lastSuccessAt = sentAt;
+    if (limit > (this.#next ?? -1)) this.#moveTo(limit);
+    this.#noteCurrent(sentAt);
   }
 
   async #readOn(from: Offset): Promise<void> {
@@ -174,7 +192,7 @@
       signal: this.#abort.signal,
     });
     const isAtEnd = this.#accept(result);
-    if (isAtEnd) this.#lastSuccessAt = Math.max(this.#lastSuccessAt, sentAt);
+    if (isAtEnd) this.#noteCurrent(sentAt);
     const pause = pauseMilliseconds();
     if (!isAtEnd) return;
     if (result.records.length > 0 && pause > 0) await this.#pause(pause);
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -8,6 +8,8 @@
 import { join } from "node:path";
 
 const maximumParallelFiles = 4;
+/** Where the tests of the platform's adapter are compiled to. */
+const platformFolder = "dist/platform-tests/platform";
 
 function findTestFiles(folder) {
   return readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
@@ -19,9 +21,10 @@
 
 // The compiler leaves the output of removed sources behind.
 function hasSource(path) {
-  return existsSync(
-    path.replace(/^dist/, "packages").replace(/\.js$/, ".ts"),
-  );
+  const source = path.replace(/\.js$/, ".ts");
+  return path.startsWith(platformFolder)
+    ? existsSync(source.replace(platformFolder, "platform"))
+    : existsSync(source.replace(/^dist/, "packages"));
 }
 
 // Each entry starts with "test: NAME"; the lines after it give command, seed, result and issue.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,4 +6,5 @@
 npx deno fmt --check --quiet
 npx deno lint --quiet
 npx tsc --project tsconfig.json
+npx tsc --project platform/tsconfig.json
 node scripts/run-tests.mjs "$@"
