Repeat writes of unknown outcome under a new key, and serve metrics

A write whose answer was lost was repeated under the same key; the newest record of a key hides the first one, so that a later reader ordered its results differently. Ruled out: two owners at once (the first result of an item stands for every reader).

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -31,6 +31,7 @@
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
   readonly peers: () => PeerReports;
+  readonly countRun: (outcome: string) => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -93,6 +94,10 @@
     this.#executor.stop();
   }
 
+  get runningItems(): number {
+    return this.#executor.runningItems;
+  }
+
   /** Stops reading the partitions; called last. */
   stop(): void {
     for (const partition of this.#partitions.all()) partition.stop();
@@ -178,6 +183,7 @@
       zone: settings.zone,
       now: clock.monotonicNow,
       wallNow: clock.wallNow,
+      countRun: this.#options.countRun,
       logger,
     });
   }
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -19,7 +19,6 @@
 import { CallerListener } from "../gateway/caller-listener.ts";
 import { initialDurationMilliseconds } from "../gateway/constants.ts";
 import { Gateway } from "../gateway/gateway.ts";
-import { silentMetrics } from "../gateway/gateway-metrics.ts";
 import { ServerPools } from "../gateway/server-pools.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
 import { TcpPeerNetwork } from "../protocol/peer-network.ts";
@@ -32,7 +31,9 @@
   memberStream,
   sweepIntervalMilliseconds,
 } from "./constants.ts";
+import type { EntryMetrics } from "./entry-metrics.ts";
 import type { EntrySettings } from "./entry-settings.ts";
+import { addInstanceGauges } from "./instance-gauges.ts";
 import { leaveFleet } from "./leaving.ts";
 import { Membership } from "./membership.ts";
 
@@ -43,6 +44,7 @@
   readonly documentCodec: DocumentCodec;
   readonly jobCodec: JobCodec;
   readonly logger: Logger;
+  readonly metrics: EntryMetrics;
   readonly clock?: Clock;
 }
 
@@ -51,7 +53,7 @@
   readonly #disposables = new DisposableStore();
   readonly #blackboard = new Blackboard({ initialDurationMilliseconds });
   readonly #members = new MemberTable();
-  readonly #pools = new ServerPools();
+  readonly #pools: ServerPools;
   readonly #network: TcpPeerNetwork;
   readonly #documents: Documents;
   readonly #limits: FleetLimits;
@@ -66,6 +68,8 @@
 
   constructor(options: EntryInstanceOptions) {
     this.#options = { clock: systemClock, ...options };
+    const { metrics } = options;
+    this.#pools = new ServerPools(() => metrics.countConnection());
     this.#network = this.#createNetwork();
     this.#store = new RelayedStore({
       direct: options.store,
@@ -93,8 +97,15 @@
       () => this.#sweep(),
       sweepIntervalMilliseconds,
     );
+    addInstanceGauges(this.#options.metrics, {
+      blackboard: this.#blackboard,
+      batch: this.#batch,
+      listener: this.#listener,
+      reports: this.#reports,
+    });
     await this.#listener.listen();
     await this.#listenForReadiness();
+    await this.#listenForMetrics();
     logger.info("the instance has started", {
       instance: settings.instance,
       zone: settings.zone,
@@ -181,6 +192,7 @@
       callerCodec,
       jobCodec,
       peers: () => this.#reports,
+      countRun: (outcome) => this.#options.metrics.countItemRun(outcome),
       clock,
       logger,
     });
@@ -241,7 +253,7 @@
       pools: this.#pools,
       limiter: this.#limits,
       jobs: this.#batch.calls,
-      metrics: silentMetrics,
+      metrics: this.#options.metrics,
       logger,
       zone: settings.zone,
       displaceBatch: (server) => this.#displaceBatch(server),
@@ -319,4 +331,31 @@
       server.closeAllConnections();
     });
   }
+
+  /** The metrics are of use only where the settings name an address for them. */
+  async #listenForMetrics(): Promise<void> {
+    const address = this.#options.settings.metrics;
+    if (!address) return;
+    const { metrics, logger } = this.#options;
+    const server = createServer((message, response) => {
+      message.resume();
+      metrics.render().then(
+        (text) => {
+          response.writeHead(200, { "content-type": "text/plain" });
+          response.end(text);
+        },
+        (error) => {
+          logger.error("the metrics cannot be rendered", {
+            reason: String(error),
+          });
+          response.writeHead(500).end();
+        },
+      );
+    });
+    await listenOn(server, address);
+    this.#disposables.add(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+  }
 }
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -15,6 +15,7 @@
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
   readonly peers: ListenAddress;
+  readonly metrics: ListenAddress | undefined;
   /** The whole fleet starts for the first time, so that no state of before can exist. */
   readonly isFirstStart: boolean;
   readonly store: ListenAddress & { readonly partitions: number };
--- /dev/null
+++ b/packages/entry/instance-gauges.ts
@@ -0,0 +1,69 @@
+/** Gauges of the state of an entry instance. */
+
+import process from "node:process";
+import type { Blackboard } from "../fleet/blackboard.ts";
+import type { PeerReports } from "../fleet/peers/peer-reports.ts";
+import type { CallerListener } from "../gateway/caller-listener.ts";
+import type { BatchWork } from "./batch-work.ts";
+import type { EntryMetrics, GaugeReading } from "./entry-metrics.ts";
+
+export interface GaugeSources {
+  readonly blackboard: Blackboard;
+  readonly batch: BatchWork;
+  readonly listener: CallerListener;
+  readonly reports: PeerReports;
+}
+
+export function addInstanceGauges(
+  metrics: EntryMetrics,
+  { blackboard, batch, listener, reports }: GaugeSources,
+): void {
+  const readings: GaugeReading[] = [
+    {
+      name: "rosemaryrudder_ready",
+      help: "1 if the instance takes new connections.",
+      read: () => blackboard.isReady ? 1 : 0,
+    },
+    {
+      name: "rosemaryrudder_configuration_version",
+      help: "Version of the configuration in force; -1 for none.",
+      read: () => blackboard.configuration?.version ?? -1,
+    },
+    {
+      name: "rosemaryrudder_known_servers",
+      help: "Servers in the list.",
+      read: () => blackboard.upstreams.size,
+    },
+    {
+      name: "rosemaryrudder_active_requests",
+      help: "Requests of callers that are being answered.",
+      read: () => listener.activeRequests,
+    },
+    {
+      name: "rosemaryrudder_running_items",
+      help: "Batch items that run at servers.",
+      read: () => batch.runningItems,
+    },
+    {
+      name: "rosemaryrudder_waiting_items",
+      help: "Batch items that wait for a server.",
+      read: () => batch.report().waitingItems,
+    },
+    {
+      name: "rosemaryrudder_owned_partitions",
+      help: "Partitions of the jobs that this instance owns.",
+      read: () => batch.report().ownedPartitions.length,
+    },
+    {
+      name: "rosemaryrudder_members_heard",
+      help: "Members that are heard, with this instance.",
+      read: () => reports.view().heard,
+    },
+    {
+      name: "rosemaryrudder_resident_memory_bytes",
+      help: "Resident memory of the process.",
+      read: () => process.memoryUsage.rss(),
+    },
+  ];
+  for (const reading of readings) metrics.addGauge(reading);
+}
--- a/packages/gateway/gateway-metrics.ts
+++ b/packages/gateway/gateway-metrics.ts
@@ -5,12 +5,10 @@
 
 export interface GatewayMetrics {
   countRefusal(code: string): void;
-  noteFirstBytes(received: ReceivedRequest, now: number): void;
+  noteFirstBytes(
+    received: ReceivedRequest,
+    workspace: string,
+    now: number,
+  ): void;
   noteOutcome(outcome: OnlineOutcome, now: number): void;
 }
-
-export const silentMetrics: GatewayMetrics = {
-  countRefusal: () => {},
-  noteFirstBytes: () => {},
-  noteOutcome: () => {},
-};
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -203,7 +203,8 @@
         blackboard.requestDurationMilliseconds +=
           (duration - blackboard.requestDurationMilliseconds) * durationWeight;
       },
-      noteFirstBytes: (received) => metrics.noteFirstBytes(received, now()),
+      noteFirstBytes: (received, workspace) =>
+        metrics.noteFirstBytes(received, workspace, now()),
       noteOutcome: (outcome) => {
         metrics.noteOutcome(outcome, now());
         const { received, route } = outcome;
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -47,6 +47,7 @@
   #runs = 0;
   #refusals = 0;
   #isOver = false;
+  #hasWritten = false;
   #head: AnswerHead | undefined;
   #splitter = new EventSplitter();
   #held: Buffer[] = [];
@@ -255,14 +256,21 @@
   }
 
   #write(bytes: Buffer): void {
-    const { response, services } = this.#options;
-    services.noteFirstBytes(this.#options.received);
+    const { response } = this.#options;
+    this.#noteFirstBytes();
     if (response.write(bytes)) return;
     const attempt = this.#attempt;
     attempt?.pause();
     response.onDrain(() => attempt?.resume());
   }
 
+  #noteFirstBytes(): void {
+    if (this.#hasWritten) return;
+    this.#hasWritten = true;
+    const { services, received, workspace } = this.#options;
+    services.noteFirstBytes(received, workspace?.id ?? "");
+  }
+
   /** Keeps the answer until it is whole; a long one is passed on as it arrives. */
   #hold(chunk: Buffer): void {
     this.#held.push(chunk);
@@ -398,10 +406,11 @@
     this.#isOver = true;
     clearTimeout(this.#timer);
     clearInterval(this.#waitTimer);
-    const { services, received, route } = this.#options;
+    const { services, received, route, workspace } = this.#options;
     services.noteOutcome({
       received,
       route,
+      workspace: workspace?.id ?? "",
       outcome,
       server: this.#server,
       runs: this.#runs,
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -19,6 +19,8 @@
 export interface OnlineOutcome {
   readonly received: ReceivedRequest;
   readonly route: RouteRule;
+  /** Empty on routes that are open to all. */
+  readonly workspace: string;
   /** `served`, `caller_left`, `broken_off` or the code of the own answer. */
   readonly outcome: string;
   readonly server: InstanceId | undefined;
@@ -41,6 +43,6 @@
   noteStatement(server: InstanceId, load: number): void;
   noteServerFault(server: InstanceId): void;
   noteServed(server: InstanceId, durationMilliseconds: number): void;
-  noteFirstBytes(received: ReceivedRequest): void;
+  noteFirstBytes(received: ReceivedRequest, workspace: string): void;
   noteOutcome(outcome: OnlineOutcome): void;
 }
--- a/packages/http/constants.ts
+++ b/packages/http/constants.ts
@@ -32,8 +32,3 @@
 
 /** Shorter keys could appear in a body by chance, and refusing it would be wrong. */
 export const minimumSearchedKeyCharacters = 16;
-
-/** Workspaces beyond this share one label, so that the metrics stay bounded. */
-export const maximumWorkspaceLabels = 1_000;
-export const highestLatencyMicroseconds = 600_000_000;
-export const latencyUnitMicroseconds = 100;
--- a/packages/http/metrics/serving-metrics.ts
+++ b/packages/http/metrics/serving-metrics.ts
@@ -2,7 +2,10 @@
 
 import { Counter, Gauge, Registry } from "prom-client";
 import type { WorkspaceId } from "../../common/ids.ts";
-import { LatencyRecorder, type RequestClass } from "./latency-recorder.ts";
+import {
+  LatencyRecorder,
+  type RequestClass,
+} from "../../metrics/latency-recorder.ts";
 
 export class ServingMetrics {
   /** Other packages register their counters and gauges here. */
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -51,6 +51,7 @@
   readonly zone: string;
   readonly now: () => number;
   readonly wallNow: () => number;
+  readonly countRun: (outcome: string) => void;
   readonly logger: Logger;
 }
 
@@ -354,6 +355,7 @@
       now() - work.runStartedAt,
     );
     const partition = partitions.get(work.partition)!;
+    this.#options.countRun(outcome.kind);
     logger.info("a run of an item has ended", {
       job: work.job,
       item: work.itemId,
--- a/packages/jobs/item-bodies.ts
+++ b/packages/jobs/item-bodies.ts
@@ -13,6 +13,7 @@
   type KeyedStore,
   type StreamPartition,
 } from "../store/keyed-store.ts";
+import { gatherBySize, recordOverheadBytes } from "./gather.ts";
 import {
   bodyCacheBytes,
   maximumAppendBytes,
@@ -27,9 +28,6 @@
   readonly logger: Logger;
 }
 
-/** Bytes that a record needs beside its key and value. */
-const recordOverheadBytes = 64;
-
 export class ItemBodies {
   readonly #options: ItemBodiesOptions;
   readonly #cache = new Map<JobId, Buffer[]>();
@@ -47,7 +45,9 @@
     bodies: readonly Buffer[],
   ): Promise<Offset> {
     let first: Offset | undefined;
-    for (const entries of gather(toEntries(job, bodies))) {
+    const records = toEntries(job, bodies);
+    const sizeOf = (entry: KeyedEntry) => entry.value?.length ?? 0;
+    for (const entries of gatherBySize(records, sizeOf)) {
       const offset = await this.#options.store.append(
         this.#target(partition),
         entries,
@@ -168,25 +168,6 @@
   });
 }
 
-/** Splits entries into calls that the store accepts. */
-export function gather(entries: readonly KeyedEntry[]): KeyedEntry[][] {
-  const calls: KeyedEntry[][] = [];
-  let bytes = 0;
-  for (const entry of entries) {
-    const size = entry.key.length + (entry.value?.length ?? 0) +
-      recordOverheadBytes;
-    const last = calls.at(-1);
-    if (!last || bytes + size > maximumAppendBytes) {
-      calls.push([entry]);
-      bytes = size;
-    } else {
-      last.push(entry);
-      bytes += size;
-    }
-  }
-  return calls;
-}
-
 /** Undefined if a part is missing. */
 function assemble(
   record: JobRecord,
--- a/packages/jobs/result-writer.ts
+++ b/packages/jobs/result-writer.ts
@@ -1,17 +1,21 @@
 /**
- * Writes results, failures and progress of items in groups. A write is repeated with the same
- * key until the store has taken it; a repetition that was written twice changes nothing.
+ * Writes results, failures and progress of items in groups until the store has taken them. A
+ * write whose outcome is unknown is repeated under another key: a second record of the same key
+ * would hide the first, and a later reader would find its results at later positions.
  */
 
 import { Buffer } from "node:buffer";
 import type { Logger } from "../common/logging.ts";
-import type { KeyedEntry } from "../store/keyed-store.ts";
+import {
+  type KeyedEntry,
+  StoreUnavailableError,
+} from "../store/keyed-store.ts";
+import { gatherBySize } from "./gather.ts";
 import {
   maximumValueBytes,
   resultGatherMilliseconds,
   writeRetryMilliseconds,
 } from "./constants.ts";
-import { gather } from "./item-bodies.ts";
 import type { JobPartition } from "./job-partition.ts";
 import {
   encodeRecord,
@@ -94,18 +98,17 @@
     this.#isWriting = true;
     const pending = this.#pending;
     this.#pending = emptyPending();
-    const { writer, nextNumber } = this.#options;
-    const entries = split(pending).map((group): KeyedEntry => ({
-      key: groupKey(writer, nextNumber()),
-      value: encodeRecord(group),
-    }));
-    for (const call of gather(entries)) await this.#appendUntilTaken(call);
+    const values = split(pending).map(encodeRecord);
+    for (const call of gatherBySize(values, (value) => value.length)) {
+      await this.#appendUntilTaken(call);
+    }
     this.#isWriting = false;
     if (countOf(this.#pending) > 0) this.#schedule();
   }
 
-  async #appendUntilTaken(entries: readonly KeyedEntry[]): Promise<void> {
+  async #appendUntilTaken(values: readonly Uint8Array[]): Promise<void> {
     const { partition, logger } = this.#options;
+    let entries = this.#withKeys(values);
     for (let attempt = 1;; attempt++) {
       try {
         await partition.append(entries);
@@ -116,12 +119,23 @@
           attempt,
           reason: String(error),
         });
+        const isCertain = error instanceof StoreUnavailableError &&
+          !error.mayHaveTakenEffect;
+        if (!isCertain) entries = this.#withKeys(values);
         const pause = Math.min(attempt, longestBackoff) *
           writeRetryMilliseconds;
         await new Promise((resolve) => setTimeout(resolve, pause));
       }
     }
   }
+
+  #withKeys(values: readonly Uint8Array[]): KeyedEntry[] {
+    const { writer, nextNumber } = this.#options;
+    return values.map((value) => ({
+      key: groupKey(writer, nextNumber()),
+      value,
+    }));
+  }
 }
 
 const flushPollMilliseconds = 10;
--- a/packages/http/metrics/latency-recorder.ts
+++ b/packages/metrics/latency-recorder.ts
@@ -1,21 +1,23 @@
 /** Latency histograms per workspace and class, written as Prometheus summaries. */
 
-import { build, type Histogram } from "hdr-histogram-js";
+// Only the histogram itself is loaded; the library as a whole brings encoders and a binary.
+import histogramModule from "hdr-histogram-js/dist/Int32Histogram.js";
 import {
   highestLatencyMicroseconds,
   latencyUnitMicroseconds,
   maximumWorkspaceLabels,
-} from "../constants.ts";
+} from "./constants.ts";
 
 export type RequestClass = "online" | "batch";
 
 interface LatencySeries {
   readonly workspace: string;
   readonly requestClass: RequestClass;
-  readonly histogram: Histogram;
+  readonly histogram: InstanceType<typeof histogramModule.default>;
   sumSeconds: number;
 }
 
+const significantDigits = 2;
 const quantiles = [0.5, 0.9, 0.95, 0.99, 0.999];
 const otherWorkspaces = "(other)";
 const highestUnits = highestLatencyMicroseconds / latencyUnitMicroseconds;
@@ -74,12 +76,11 @@
       series = {
         workspace: label,
         requestClass,
-        histogram: build({
-          bitBucketSize: 32,
-          lowestDiscernibleValue: 1,
-          highestTrackableValue: highestUnits,
-          numberOfSignificantValueDigits: 2,
-        }),
+        histogram: new histogramModule.default(
+          1,
+          highestUnits,
+          significantDigits,
+        ),
         sumSeconds: 0,
       };
       this.#series.set(key, series);
--- a/packages/store/relayed-store.ts
+++ b/packages/store/relayed-store.ts
@@ -3,8 +3,8 @@
  * kind of call, the regular join of the group, always tries the direct way first and so finds
  * out when it works again; all other calls follow what it found.
  *
- * Appends may be repeated through a peer although the first may have taken effect, because every
- * record has a key of its own and a second copy of it changes nothing.
+ * An append whose outcome is unknown is not repeated here: whether and how to repeat it depends
+ * on what it writes.
  */
 
 import * as z from "zod/mini";
@@ -149,6 +149,7 @@
       return await execute(this.#options.direct, call);
     } catch (error) {
       if (!isUnavailable(error)) throw error;
+      if (call.call === "append" && error.mayHaveTakenEffect) throw error;
       return await this.#relay(call, error);
     }
   }
