Ask the next holder when a peer has no batch run to displace; explain from logs

Cause: a displacement went to the peer that had reported runs up to 100 ms ago and was lost if its run had ended meanwhile. The peer now answers, and the next one is asked. The operators' tool explains a request from log files.

--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -27,6 +27,7 @@
 import { PartitionFollower } from "../store/partition-follower.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
+  displaceTimeoutMilliseconds,
   memberRemovalMilliseconds,
   memberStream,
   sweepIntervalMilliseconds,
@@ -201,10 +202,9 @@
   #createReports(): PeerReports {
     const { settings, clock, logger } = this.#options;
     const network = this.#network;
-    network.handle(displaceMessage, ({ server }) => {
-      this.#batch.displace(server);
-      return null;
-    });
+    network.handle(displaceMessage, ({ server }) => ({
+      isDisplaced: this.#batch.displace(server),
+    }));
     return new PeerReports({
       instance: settings.instance,
       network,
@@ -256,7 +256,7 @@
       metrics: this.#options.metrics,
       logger,
       zone: settings.zone,
-      displaceBatch: (server) => this.#displaceBatch(server),
+      displaceBatch: (server) => void this.#displaceBatch(server),
     });
     return new CallerListener({
       ...settings.callers,
@@ -267,10 +267,26 @@
     });
   }
 
-  #displaceBatch(server: Parameters<BatchWork["displace"]>[0]): void {
+  /** Stops one batch run at the server, an own one or that of a peer. */
+  async #displaceBatch(server: InstanceId): Promise<void> {
     if (this.#batch.displace(server)) return;
-    const [holder] = this.#blackboard.loads.batchHolders(server);
-    if (holder) this.#network.send(holder, displaceMessage, { server });
+    for (const holder of this.#blackboard.loads.batchHolders(server)) {
+      try {
+        const reply = await this.#network.request(
+          holder,
+          displaceMessage,
+          { server },
+          { deadlineMilliseconds: displaceTimeoutMilliseconds },
+        );
+        if (reply.isDisplaced) return;
+      } catch (error) {
+        this.#options.logger.warn("a peer did not answer for a batch run", {
+          peer: holder,
+          server,
+          reason: String(error),
+        });
+      }
+    }
   }
 
   #createFollowers(): PartitionFollower[] {
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -89,7 +89,18 @@
 
 const displaceSchema = z.object({ server: z.string() });
 
-export const displaceMessage = definePeerMessage<DisplaceRequest>(
+export interface DisplaceReply {
+  /** False if the receiver has no run at the server any more. */
+  readonly isDisplaced: boolean;
+}
+
+const displaceReplySchema = z.object({ isDisplaced: z.boolean() });
+
+export const displaceMessage = definePeerMessage<
+  DisplaceRequest,
+  DisplaceReply
+>(
   "displace",
   (body) => displaceSchema.parse(body) as unknown as DisplaceRequest,
+  (body) => displaceReplySchema.parse(body),
 );
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -33,4 +33,4 @@
  * A server that has a free slot begins its answer within about 40 ms. A request that waits
  * longer is behind others, and batch runs among them have to make room.
  */
-export const unexpectedWaitMilliseconds = 80;
+export const unexpectedWaitMilliseconds = 65;
--- /dev/null
+++ b/packages/operator/commands/explain.ts
@@ -0,0 +1,84 @@
+/**
+ * `explain`: prints what the log lines of all instances say about one request, job or item, in
+ * the order of time. Lines may have other text before their JSON, such as the time and the name
+ * of the instance.
+ */
+
+import { createReadStream } from "node:fs";
+import { createInterface } from "node:readline";
+import { z } from "zod";
+import { UsageError } from "../../common/command-line.ts";
+import { defineCommand } from "../command.ts";
+
+interface FoundLine {
+  readonly time: number;
+  readonly prefix: string;
+  readonly message: string;
+  readonly context: Readonly<Record<string, unknown>>;
+}
+
+const lineSchema = z.object({
+  time: z.number(),
+  message: z.string(),
+  context: z.record(z.string(), z.unknown()),
+});
+
+/** Fields of the context that name what a line is about. */
+const subjectFields = ["request", "job", "item"];
+/** Fields that say nothing about the subject. */
+const omittedFields = new Set(["program", "logLevel"]);
+
+export const explainCommand = defineCommand({
+  usage: "explain <id> <files..>",
+  description: "Print what log files say about a request, a job or an item",
+  options: {},
+  flags: z.object({ id: z.string(), files: z.array(z.string()).min(1) }),
+  run: async (context, { id, files }) => {
+    const found: FoundLine[] = [];
+    for (const file of files) {
+      for await (const line of readLines(file)) {
+        const parsed = parseLine(line, id);
+        if (parsed) found.push(parsed);
+      }
+    }
+    found.sort((left, right) => left.time - right.time);
+    for (const line of found) context.print(describeLine(line));
+    if (found.length === 0) context.print(`no line mentions ${id}`);
+    return found.length > 0 ? 0 : 1;
+  },
+});
+
+async function* readLines(file: string): AsyncGenerator<string> {
+  const stream = createReadStream(file);
+  try {
+    yield* createInterface({ input: stream, crlfDelay: Infinity });
+  } catch (error) {
+    throw new UsageError(`cannot read ${file}: ${String(error)}`);
+  }
+}
+
+/** Undefined for lines that are no log lines or concern something else. */
+function parseLine(line: string, id: string): FoundLine | undefined {
+  const start = line.indexOf('{"context"');
+  if (start < 0 || !line.includes(id)) return undefined;
+  let value: unknown;
+  try {
+    value = JSON.parse(line.slice(start));
+  } catch {
+    // A line that was cut off when its process ended.
+    return undefined;
+  }
+  const result = lineSchema.safeParse(value);
+  if (!result.success) return undefined;
+  const { time, message, context } = result.data;
+  if (!subjectFields.some((field) => context[field] === id)) return undefined;
+  return { time, prefix: line.slice(0, start).trim(), message, context };
+}
+
+function describeLine({ time, prefix, message, context }: FoundLine): string {
+  const fields = Object.entries(context)
+    .filter(([name, value]) => !omittedFields.has(name) && value !== null)
+    .map(([name, value]) => `${name}=${String(value)}`);
+  return [new Date(time).toISOString(), prefix, `${message}:`, ...fields]
+    .filter((part) => part !== "").join(" ");
+}
--- a/packages/operator/program.ts
+++ b/packages/operator/program.ts
@@ -9,6 +9,7 @@
 import { HttpLogClient, type LogClient } from "../log/log-client.ts";
 import type { Command, CommandContext } from "./command.ts";
 import { diffCommand } from "./commands/diff.ts";
+import { explainCommand } from "./commands/explain.ts";
 import { fetchCommand } from "./commands/fetch.ts";
 import { cancelJobCommand, listJobsCommand } from "./commands/jobs.ts";
 import { createKeyCommand, withdrawKeyCommand } from "./commands/keys.ts";
@@ -31,6 +32,7 @@
   listJobsCommand,
   cancelJobCommand,
   createTeamKeyCommand,
+  explainCommand,
 ];
 
 const groups: Readonly<Record<string, string>> = {
