--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -2,6 +2,8 @@
 
 /** A server in the same or another zone opens a connection within a few milliseconds. */
 export const serverConnectTimeoutMilliseconds = 400;
+/** A request that has not left by then counts as not run; a little over the connect timeout. */
+export const unsentMilliseconds = 450;
 /** Idle connections are kept as long as servers usually announce. */
 export const serverIdleMilliseconds = 20_000;
 /** A first event that takes this many latency objectives shows a silent server. */
--- /dev/null
+++ b/packages/gateway/server-attempt.test.ts
@@ -0,0 +1,30 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { test } from "node:test";
+import type { ConnectionPool } from "../transport/connection-pool.ts";
+import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
+
+test("a request that gets no connection fails in time and counts as not run", async () => {
+  // A pool that never opens a connection, as towards a machine without power.
+  const pool = { dispatch: () => true } as unknown as ConnectionPool;
+  const failure = await new Promise<AttemptFailure>((resolve) => {
+    new ServerAttempt({
+      pool,
+      method: "POST",
+      target: "/",
+      headers: [],
+      body: Buffer.alloc(0),
+      requestId: "r",
+      decodeHead: () => assert.fail("there is no answer"),
+      silentHeadMilliseconds: 10_000,
+      silentPauseMilliseconds: 10_000,
+    }, {
+      onHead: () => {},
+      onData: () => {},
+      onEnd: () => {},
+      onFailure: resolve,
+    }).start();
+  });
+  assert.equal(failure.verdict, "not_run");
+  assert.equal(failure.isServerFault, true);
+});
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -11,6 +11,7 @@
   ResponseController,
 } from "../transport/connection-pool.ts";
 import type { AnswerHead } from "./caller-request.ts";
+import { unsentMilliseconds } from "./constants.ts";
 
 export interface AttemptFailure {
   readonly verdict: Verdict;
@@ -47,6 +48,7 @@
   readonly #listener: AttemptListener;
   #controller: ResponseController | undefined;
   #silenceTimer: NodeJS.Timeout | undefined;
+  #sendTimer: NodeJS.Timeout | undefined;
   #isOver = false;
   #wasSent = false;
   #isPaused = false;
@@ -63,6 +65,10 @@
   start(): void {
     const { pool, method, target, headers, body } = this.#options;
     this.#watchSilence(this.#options.silentHeadMilliseconds);
+    this.#sendTimer = setTimeout(
+      () => this.#handleUnsent(),
+      unsentMilliseconds,
+    );
     pool.dispatch({
       method: method as "GET",
       path: target,
@@ -72,6 +78,7 @@
       onRequestStart: (controller) => {
         this.#controller = controller;
         if (this.#isOver) return controller.abort(new Error("cancelled"));
+        clearTimeout(this.#sendTimer);
         this.#wasSent = true;
       },
       onResponseStart: (_, status, responseHeaders) =>
@@ -131,6 +138,16 @@
     this.#listener.onHead(head);
   }
 
+  /** No connection could be had in time, so that the request has not left. */
+  #handleUnsent(): void {
+    if (this.#wasSent) return;
+    this.#fail({
+      verdict: "not_run",
+      reason: `no connection within ${unsentMilliseconds} ms`,
+      isServerFault: true,
+    });
+  }
+
   #watchSilence(milliseconds: number): void {
     clearTimeout(this.#silenceTimer);
     if (this.#isPaused) return;
@@ -152,6 +169,7 @@
     if (this.#isOver) return false;
     this.#isOver = true;
     clearTimeout(this.#silenceTimer);
+    clearTimeout(this.#sendTimer);
     return true;
   }
 }
