--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -6,9 +6,10 @@
 
 import type { Buffer } from "node:buffer";
 import type { Verdict } from "../common/verdict.ts";
-import type {
-  ConnectionPool,
-  ResponseController,
+import {
+  type ConnectionPool,
+  isConnectionFailing,
+  type ResponseController,
 } from "../transport/connection-pool.ts";
 import type { AnswerHead } from "./caller-request.ts";
 import { unsentMilliseconds } from "./constants.ts";
@@ -88,9 +89,7 @@
         this.#watchSilence(this.#options.silentPauseMilliseconds);
         this.#listener.onData(chunk);
       },
-      onResponseEnd: () => {
-        if (this.#finish()) this.#listener.onEnd();
-      },
+      onResponseEnd: () => this.#handleEnd(),
       onResponseError: (_, error) =>
         this.#fail({
           verdict: this.#wasSent ? "unknown" : "not_run",
@@ -148,6 +147,17 @@
     });
   }
 
+  #handleEnd(): void {
+    if (isConnectionFailing()) {
+      return this.#fail({
+        verdict: "unknown",
+        reason: "the connection was reset before the end of the answer",
+        isServerFault: true,
+      });
+    }
+    if (this.#finish()) this.#listener.onEnd();
+  }
+
   #watchSilence(milliseconds: number): void {
     clearTimeout(this.#silenceTimer);
     if (this.#isPaused) return;
--- a/packages/transport/connection-pool.ts
+++ b/packages/transport/connection-pool.ts
@@ -6,6 +6,8 @@
 import type { Dispatcher, Pool as UndiciPool } from "undici";
 // @ts-types="undici"
 import PoolClass from "undici/lib/dispatcher/pool.js";
+import type { buildConnector } from "undici";
+import createConnector from "undici/lib/core/connect.js";
 
 export interface ConnectionPoolOptions {
   readonly host: string;
@@ -31,11 +33,11 @@
   const origin = `http://${options.host}:${options.port}`;
   const pool = new PoolClass(origin, {
     pipelining: 1,
-    connect: {
+    connect: watchErrors(createConnector({
       timeout: options.connectTimeoutMilliseconds,
       keepAlive: true,
       keepAliveInitialDelay: tcpKeepAliveMilliseconds,
-    },
+    })),
     keepAliveTimeout: options.idleMilliseconds,
     keepAliveMaxTimeout: options.idleMilliseconds,
     keepAliveTimeoutThreshold: idleSafetyMilliseconds,
@@ -47,3 +49,29 @@
   if (onConnect) pool.on("connect", () => onConnect());
   return pool;
 }
+
+let isFailing = false;
+
+/**
+ * True while the failure of a connection is being reported. The HTTP library ends an answer
+ * without a length as if it were complete when its connection is reset; this tells the two
+ * apart.
+ */
+export function isConnectionFailing(): boolean {
+  return isFailing;
+}
+
+/** Notes the error of a connection before the HTTP library hears of it. */
+function watchErrors(
+  connect: buildConnector.connector,
+): buildConnector.connector {
+  return (options, callback) =>
+    connect(options, (...result) => {
+      const [, socket] = result;
+      socket?.on("error", () => {
+        isFailing = true;
+        queueMicrotask(() => isFailing = false);
+      });
+      callback(...result);
+    });
+}
--- a/packages/transport/undici-internal.d.ts
+++ b/packages/transport/undici-internal.d.ts
@@ -2,3 +2,8 @@
   import { Pool } from "undici";
   export default Pool;
 }
+
+declare module "undici/lib/core/connect.js" {
+  import { buildConnector } from "undici";
+  export default buildConnector;
+}
