Share what stood twice in the platform path, and drop dead branches

An admission could be a promise that no limiter gives; a refusal after a run could not be reached; three look-ups of the configuration were built for each version and never read. The fleet view worked out the hearing limit once for each member; now once.

--- a/packages/entry/leaving.ts
+++ b/packages/entry/leaving.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Logger } from "../common/logging.ts";
+import { delay, systemTimers } from "../common/timers.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { CallerListener } from "../gateway/caller-listener.ts";
 import type { BatchWork } from "./batch-work.ts";
@@ -38,7 +39,7 @@
   await batch.leave();
   while (now() < endsAt) {
     if (now() >= noticedAt && listener.activeRequests === 0) break;
-    await new Promise((resolve) => setTimeout(resolve, leavePollMilliseconds));
+    await delay(systemTimers, leavePollMilliseconds);
   }
   await membership.leave();
   logger.info("the instance has left", {
--- a/packages/entry/membership.ts
+++ b/packages/entry/membership.ts
@@ -5,6 +5,7 @@
 
 import type { Offset, PartitionNumber, StreamName } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import { delay, systemTimers } from "../common/timers.ts";
 import {
   encodeMember,
   type Member,
@@ -107,9 +108,7 @@
         logger.warn("the own record of membership could not be written", {
           reason: String(error),
         });
-        await new Promise((resolve) =>
-          setTimeout(resolve, membershipRetryMilliseconds)
-        );
+        await delay(systemTimers, membershipRetryMilliseconds);
       }
     }
     this.#isWriting = false;
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -72,10 +72,7 @@
 export class ConfigurationIndex {
   readonly configuration: FleetConfiguration;
   readonly #routesByHost = new Map<string, RouteRule[]>();
-  readonly #routesById = new Map<RouteId, RouteRule>();
   readonly #workspacesByKey = new Map<string, WorkspaceRule>();
-  readonly #workspacesById = new Map<WorkspaceId, WorkspaceRule>();
-  readonly #services = new Map<UpstreamName, ServiceRule>();
 
   constructor(configuration: FleetConfiguration) {
     this.configuration = configuration;
@@ -83,18 +80,13 @@
       const routes = this.#routesByHost.get(route.host) ?? [];
       routes.push(route);
       this.#routesByHost.set(route.host, routes);
-      this.#routesById.set(route.id, route);
     }
     for (const routes of this.#routesByHost.values()) {
       routes.sort((left, right) =>
         right.pathPrefix.length - left.pathPrefix.length
       );
     }
-    for (const service of configuration.services) {
-      this.#services.set(service.name, service);
-    }
     for (const workspace of configuration.workspaces ?? []) {
-      this.#workspacesById.set(workspace.id, workspace);
       for (const key of workspace.keys) {
         this.#workspacesByKey.set(key, workspace);
       }
@@ -116,22 +108,10 @@
       ?.find((route) => route.kind === "batch");
   }
 
-  routeById(id: RouteId): RouteRule | undefined {
-    return this.#routesById.get(id);
-  }
-
-  service(name: UpstreamName): ServiceRule | undefined {
-    return this.#services.get(name);
-  }
-
   workspaceOfKey(key: string): WorkspaceRule | undefined {
     return this.#workspacesByKey.get(key);
   }
 
-  workspace(id: WorkspaceId): WorkspaceRule | undefined {
-    return this.#workspacesById.get(id);
-  }
-
   get needsKeys(): boolean {
     return this.configuration.workspaces !== undefined;
   }
--- a/packages/fleet/peers/members.ts
+++ b/packages/fleet/peers/members.ts
@@ -48,6 +48,10 @@
     return this.#members.get(instance);
   }
 
+  get size(): number {
+    return this.#members.size;
+  }
+
   all(): readonly Member[] {
     return [...this.#members.values()];
   }
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -99,12 +99,14 @@
   view(): FleetView {
     const { members, clock, instance } = this.#options;
     const now = clock.monotonicNow();
+    const hearing = this.#hearingMilliseconds();
     let total = 1;
     let heard = 1;
     for (const member of members.all()) {
       if (member.instance === instance) continue;
       total += 1;
-      if (this.#isHeard(member, now)) heard += 1;
+      const lastHeardAt = this.#peers.get(member.instance)?.lastHeardAt;
+      if (lastHeardAt !== undefined && now - lastHeardAt <= hearing) heard += 1;
     }
     return { members: total, heard };
   }
@@ -133,12 +135,6 @@
     });
   }
 
-  #isHeard(member: Member, now: number): boolean {
-    const state = this.#peers.get(member.instance);
-    return state !== undefined &&
-      now - state.lastHeardAt <= this.#hearingMilliseconds();
-  }
-
   /** A peer counts as heard for a few report intervals. */
   #hearingMilliseconds(): number {
     return Math.max(4 * this.#interval(), peerSilenceMilliseconds / 3);
@@ -147,7 +143,7 @@
   #interval(): number {
     return Math.max(
       reportIntervalMilliseconds,
-      this.#options.members.all().length * reportIntervalPerPeerMilliseconds,
+      this.#options.members.size * reportIntervalPerPeerMilliseconds,
     );
   }
 
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -16,7 +16,7 @@
   ReceivedRequest,
 } from "./caller-request.ts";
 import type { CallerResponse, OwnAnswer } from "./caller-response.ts";
-import { chooseServer, type ServerCandidate } from "./choose-server.ts";
+import { chooseServer } from "./choose-server.ts";
 import {
   acceptableWaitShare,
   defaultRetryAfterMilliseconds,
@@ -25,6 +25,7 @@
 import type { GatewayMetrics } from "./gateway-metrics.ts";
 import { OnlineRequest } from "./online-request.ts";
 import type { OnlineServices } from "./online-services.ts";
+import { listCandidates } from "./server-candidates.ts";
 import type { ServerPools } from "./server-pools.ts";
 
 export type LimitVerdict =
@@ -33,7 +34,7 @@
 
 export interface WorkspaceLimiter {
   /** Takes one request of the workspace out of its limit. */
-  admit(workspace: WorkspaceRule): LimitVerdict | Promise<LimitVerdict>;
+  admit(workspace: WorkspaceRule): LimitVerdict;
 }
 
 /** The calls on batch jobs, once route and key have been checked. */
@@ -126,20 +127,16 @@
       return this.#serve(received, route, workspace, response);
     }
     const verdict = this.#options.limiter.admit(workspace);
-    const apply = (decided: LimitVerdict) => {
-      if (response.isOver) return;
-      if (decided.admitted) {
-        return this.#serve(received, route, workspace, response);
-      }
-      this.#refuse(received.request, response, {
-        status: 429,
-        code: "workspace_limit",
-        message: "the workspace is over its rate; the request has not run",
-        retryAfterMilliseconds: decided.retryAfterMilliseconds,
-      });
-    };
-    if (verdict instanceof Promise) void verdict.then(apply);
-    else apply(verdict);
+    if (response.isOver) return;
+    if (verdict.admitted) {
+      return this.#serve(received, route, workspace, response);
+    }
+    this.#refuse(received.request, response, {
+      status: 429,
+      code: "workspace_limit",
+      message: "the workspace is over its rate; the request has not run",
+      retryAfterMilliseconds: verdict.retryAfterMilliseconds,
+    });
   }
 
   #serve(
@@ -174,7 +171,7 @@
   }
 
   #createServices(): OnlineServices {
-    const { blackboard, codec, pools, logger, metrics, displaceBatch } =
+    const { blackboard, codec, pools, logger, metrics, zone, displaceBatch } =
       this.#options;
     const { loads, health, upstreams } = blackboard;
     const now = () => performance.now();
@@ -184,13 +181,16 @@
       now,
       pickService: (route) => pickService(route, Math.random()),
       choose: ({ service, excluded, objectiveMilliseconds, mustSend }) =>
-        chooseServer(this.#candidates(service, excluded), {
-          durationMilliseconds: blackboard.requestDurationMilliseconds,
-          acceptableWaitMilliseconds: mustSend
-            ? Number.POSITIVE_INFINITY
-            : objectiveMilliseconds * acceptableWaitShare,
-          random: Math.random,
-        }),
+        chooseServer(
+          listCandidates(blackboard, { service, zone, now: now(), excluded }),
+          {
+            durationMilliseconds: blackboard.requestDurationMilliseconds,
+            acceptableWaitMilliseconds: mustSend
+              ? Number.POSITIVE_INFINITY
+              : objectiveMilliseconds * acceptableWaitShare,
+            random: Math.random,
+          },
+        ),
       server: (id) => upstreams.get(id),
       poolOf: (server) => pools.poolOf(server),
       displaceBatch,
@@ -221,28 +221,6 @@
       },
     };
   }
-
-  #candidates(
-    service: UpstreamName,
-    excluded: ReadonlySet<string>,
-  ): ServerCandidate[] {
-    const { blackboard, zone } = this.#options;
-    const now = performance.now();
-    const candidates: ServerCandidate[] = [];
-    for (const server of blackboard.upstreams.ready(service)) {
-      if (excluded.has(server.id)) continue;
-      const load = blackboard.loads.estimate(server.id, now);
-      candidates.push({
-        id: server.id,
-        slots: server.slots,
-        online: load.online,
-        batch: load.batch,
-        isSameZone: server.zone === zone,
-        isAvoided: blackboard.health.isAvoided(server.id, now),
-      });
-    }
-    return candidates;
-  }
 }
 
 const notReady: OwnAnswer = {
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -151,10 +151,8 @@
   /** Only a request that may be sent again is taken away from a silent server. */
   #silences() {
     const { route } = this.#options;
-    const mayMove = this.#isRepeatable &&
-      this.#runs + 1 < route.maximumAttempts;
     const unlimited = this.#deadlineAt - this.#options.services.now() + 1_000;
-    if (!mayMove) {
+    if (!this.#isRepeatable || !this.#mayRunAgain()) {
       return {
         silentHeadMilliseconds: unlimited,
         silentPauseMilliseconds: unlimited,
@@ -182,7 +180,6 @@
       services.noteStatement(this.#server!, head.load);
     }
     if (head.isNotRun) {
-      attempt.cancel();
       return this.#handleFailure(attempt, {
         verdict: "not_run",
         reason: `the server refused with status ${head.status}`,
@@ -190,7 +187,6 @@
       });
     }
     if (head.status < 300 && !head.isStamped) {
-      attempt.cancel();
       return this.#handleFailure(attempt, {
         verdict: "unknown",
         reason: "the answer bears no mark of a server",
@@ -198,7 +194,6 @@
       });
     }
     if (head.status >= 500 && this.#isRepeatable && this.#mayRunAgain()) {
-      attempt.cancel();
       return this.#handleFailure(attempt, {
         verdict: "ran",
         reason: `the server failed with status ${head.status}`,
@@ -206,7 +201,6 @@
       });
     }
     if (this.#options.response.hasBegun && head.status !== 200) {
-      attempt.cancel();
       return this.#handleFailure(attempt, {
         verdict: "ran",
         reason: `the server answered a resumed stream with ${head.status}`,
@@ -240,7 +234,6 @@
     for (const event of this.#splitter.push(chunk)) {
       if (!this.#isNext(event)) {
         if (whole.length > 0) this.#writeEvents(whole);
-        attempt.cancel();
         return this.#handleFailure(attempt, {
           verdict: "ran",
           reason: `event ${event.id} does not follow ${this.#lastEventId}`,
@@ -315,6 +308,7 @@
     if (attempt !== this.#attempt || this.#isOver) return;
     const { services, received, route, response } = this.#options;
     const server = this.#server!;
+    attempt.cancel();
     this.#releaseServer();
     if (failure.isServerFault) services.noteServerFault(server);
     this.#excluded.add(server);
@@ -347,7 +341,6 @@
   }
 
   #refuseFull(expectedWaitMilliseconds: number): void {
-    if (this.#runs > 0) return this.#giveUp("all servers are full");
     this.#fail({
       status: 503,
       code: "no_capacity",
--- /dev/null
+++ b/packages/gateway/server-candidates.ts
@@ -0,0 +1,34 @@
+/** Gathers what the blackboard knows of the servers that a request could go to. */
+
+import type { InstanceId, UpstreamName } from "../common/ids.ts";
+import type { Blackboard } from "../fleet/blackboard.ts";
+import type { ServerCandidate } from "./choose-server.ts";
+
+export interface CandidateQuery {
+  readonly service: UpstreamName;
+  /** Zone of this instance. */
+  readonly zone: string;
+  /** Monotonic milliseconds. */
+  readonly now: number;
+  readonly excluded?: ReadonlySet<InstanceId>;
+}
+
+export function listCandidates(
+  { upstreams, loads, health }: Blackboard,
+  { service, zone, now, excluded }: CandidateQuery,
+): ServerCandidate[] {
+  const candidates: ServerCandidate[] = [];
+  for (const server of upstreams.ready(service)) {
+    if (excluded?.has(server.id)) continue;
+    const { online, batch } = loads.estimate(server.id, now);
+    candidates.push({
+      id: server.id,
+      slots: server.slots,
+      online,
+      batch,
+      isSameZone: server.zone === zone,
+      isAvoided: health.isAvoided(server.id, now),
+    });
+  }
+  return candidates;
+}
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -10,10 +10,10 @@
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
-import type { ServerCandidate } from "../gateway/choose-server.ts";
 import { pickService } from "../gateway/gateway.ts";
+import { listCandidates } from "../gateway/server-candidates.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
-import { chooseBatchServer } from "./choose-batch-server.ts";
+import { chooseBatchServer, freeSlots } from "./choose-batch-server.ts";
 import {
   ampleSlackMilliseconds,
   deliveryMilliseconds,
@@ -145,9 +145,11 @@
     if (ready.length === 0) return;
     const time = now();
     ready.sort((left, right) => this.#byUrgency(left, right, time));
+    // Runs begin when their bodies have been read, so that none begins within the loop.
+    if (this.#work.running().length >= maximumRuns) return;
     let allowance = this.#allowance(ready);
     for (const work of ready) {
-      if (allowance <= 0 || this.#work.running().length >= maximumRuns) break;
+      if (allowance <= 0) break;
       try {
         if (this.#startItem(work, now())) allowance -= 1;
       } catch (error) {
@@ -213,8 +215,8 @@
     let room = 0;
     for (const server of blackboard.upstreams.all()) {
       if (server.state !== "ready") continue;
-      const { online, batch } = blackboard.loads.estimate(server.id, time);
-      room += Math.max(0, server.slots - slotsKeptFree - online - batch);
+      const load = blackboard.loads.estimate(server.id, time);
+      room += freeSlots({ slots: server.slots, ...load }, slotsKeptFree);
     }
     const total = ready.length + this.#options.othersWaiting();
     return Math.max(1, Math.ceil(room * ready.length / total));
@@ -231,7 +233,10 @@
       state.record.host,
       item.path,
     );
-    if (!route) return this.#giveUpWithoutRoute(work, state, partition);
+    if (!route) {
+      this.#giveUpWithoutRoute(work, state, partition);
+      return false;
+    }
     const server = this.#chooseServer(work, route, time);
     if (!server) return false;
     work.isStarting = true;
@@ -257,13 +262,12 @@
     work: ItemWork,
     state: JobState,
     partition: JobPartition,
-  ): boolean {
+  ): void {
     if (this.#options.wallNow() < state.record.retainedUntil) {
       work.retryAt = this.#options.now() + itemRetryMaximumMilliseconds;
-      return false;
+      return;
     }
     this.#record(work, partition, "dead_letter", "its route is gone");
-    return false;
   }
 
   #chooseServer(
@@ -274,18 +278,11 @@
     const { blackboard, zone } = this.#options;
     const service = pickService(route, Math.random());
     const keptFree = this.#slotsKeptFreeFor(work, time);
-    const candidates: ServerCandidate[] = [];
-    for (const server of blackboard.upstreams.ready(service)) {
-      const load = blackboard.loads.estimate(server.id, time);
-      candidates.push({
-        id: server.id,
-        slots: server.slots,
-        online: load.online,
-        batch: load.batch,
-        isSameZone: server.zone === zone,
-        isAvoided: blackboard.health.isAvoided(server.id, time),
-      });
-    }
+    const candidates = listCandidates(blackboard, {
+      service,
+      zone,
+      now: time,
+    });
     return chooseBatchServer(candidates, keptFree);
   }
 
@@ -328,7 +325,7 @@
           lastEventId: work.text.lastEventId,
         }),
         body,
-        requestId: state.record.items[work.item]!.id,
+        requestId: work.itemId,
         decodeHead: callerCodec.decodeAnswer,
         silentHeadMilliseconds: itemSilentHeadMilliseconds,
         silentPauseMilliseconds: itemSilentPauseMilliseconds,
--- a/packages/jobs/choose-batch-server.ts
+++ b/packages/jobs/choose-batch-server.ts
@@ -3,16 +3,15 @@
 import type { InstanceId } from "../common/ids.ts";
 import type { ServerCandidate } from "../gateway/choose-server.ts";
 
-/** Slots of the server that a further batch run may use. */
-export function batchRoom(
-  candidate: ServerCandidate,
+/** Slots of the server that further batch runs may use. */
+export function freeSlots(
+  { slots, online, batch }: Pick<
+    ServerCandidate,
+    "slots" | "online" | "batch"
+  >,
   slotsKeptFree: number,
 ): number {
-  if (candidate.isAvoided) return 0;
-  return Math.max(
-    0,
-    candidate.slots - slotsKeptFree - candidate.online - candidate.batch,
-  );
+  return Math.max(0, slots - slotsKeptFree - online - batch);
 }
 
 export function chooseBatchServer(
@@ -22,7 +21,8 @@
   let best: InstanceId | undefined;
   let bestRoom = 0;
   for (const candidate of candidates) {
-    const room = batchRoom(candidate, slotsKeptFree);
+    if (candidate.isAvoided) continue;
+    const room = freeSlots(candidate, slotsKeptFree);
     // Servers of the same zone go first among those with as much room.
     const rank = room > 0
       ? room + (candidate.isSameZone ? sameZoneBonus : 0)
--- a/packages/jobs/job-calls.ts
+++ b/packages/jobs/job-calls.ts
@@ -6,6 +6,7 @@
 import { Buffer } from "node:buffer";
 import type { JobId, RouteId, WorkspaceId } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import { delay, systemTimers } from "../common/timers.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
 import type { JobCall, ReceivedRequest } from "../gateway/caller-request.ts";
 import type { CallerResponse, OwnAnswer } from "../gateway/caller-response.ts";
@@ -158,7 +159,7 @@
           mayHaveTakenEffect: error.mayHaveTakenEffect,
         });
         if (!mayHaveTakenEffect) return storeAway;
-        await pause(writeRetryMilliseconds);
+        await delay(systemTimers, writeRetryMilliseconds);
       }
     }
     return mayHaveTakenEffect ? unknownOutcome : storeAway;
@@ -361,10 +362,6 @@
   });
 }
 
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 function malformed(reason: string): OwnAnswer {
   return { status: 400, code: "malformed_job", message: reason };
 }
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -67,8 +67,8 @@
   }
 
   /** Reads up to the present end unless that has just been done; false if it fails. */
-  async refresh(notOlderThan?: number): Promise<boolean> {
-    const limit = notOlderThan ?? this.#options.now() - freshCopyMilliseconds;
+  async refresh(): Promise<boolean> {
+    const limit = this.#options.now() - freshCopyMilliseconds;
     if (this.#follower.currentAsOf >= limit) return true;
     return await this.#follower.catchUp();
   }
--- a/packages/jobs/result-writer.ts
+++ b/packages/jobs/result-writer.ts
@@ -6,6 +6,7 @@
 
 import { Buffer } from "node:buffer";
 import type { Logger } from "../common/logging.ts";
+import { delay, systemTimers } from "../common/timers.ts";
 import {
   type KeyedEntry,
   StoreUnavailableError,
@@ -79,9 +80,7 @@
     const limit = performance.now() + timeoutMilliseconds;
     void this.#write();
     while (!this.isIdle && performance.now() < limit) {
-      await new Promise((resolve) =>
-        setTimeout(resolve, flushPollMilliseconds)
-      );
+      await delay(systemTimers, flushPollMilliseconds);
     }
   }
 
@@ -124,7 +123,7 @@
         if (!isCertain) entries = this.#withKeys(values);
         const pause = Math.min(attempt, longestBackoff) *
           writeRetryMilliseconds;
-        await new Promise((resolve) => setTimeout(resolve, pause));
+        await delay(systemTimers, pause);
       }
     }
   }
