Close the listener before a leaving instance writes its departure

Cause: a leaving instance waited for its last answer, wrote its departure to the store and then closed all connections. Change: after the notice period the listener stops accepting; the departure is written while the last requests end, and nothing waits past the grace period. Conclusion: the order is listener, last answers, end.

--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -2,6 +2,8 @@
 
 /** The platform asks for readiness once a second and takes an instance out after two misses. */
 export const drainNoticeMilliseconds = 3_200;
+/** How long a connection accepted just before the listener closed may bring its first request. */
+export const acceptedConnectionMilliseconds = 150;
 /** What is left of the grace period when the process ends in any case. */
 export const graceReserveMilliseconds = 700;
 /** How often a leaving instance looks whether its last request has ended. */
--- a/packages/entry/leaving.ts
+++ b/packages/entry/leaving.ts
@@ -1,6 +1,6 @@
 /**
- * Leaves the fleet: the instance reports itself not ready, serves until the platform has stopped
- * sending connections, hands its batch work over and waits for its last answer.
+ * Leaves the fleet: the instance reports itself not ready, hands its batch work over, serves until
+ * the platform has stopped sending connections, closes its listener and waits for its last answer.
  */
 
 import type { Logger } from "../common/logging.ts";
@@ -9,6 +9,7 @@
 import type { CallerListener } from "../gateway/caller-listener.ts";
 import type { BatchWork } from "./batch-work.ts";
 import {
+  acceptedConnectionMilliseconds,
   drainNoticeMilliseconds,
   graceReserveMilliseconds,
   leavePollMilliseconds,
@@ -37,11 +38,24 @@
     activeRequests: listener.activeRequests,
   });
   await batch.leave();
-  while (now() < endsAt) {
-    if (now() >= noticedAt && listener.activeRequests === 0) break;
-    await delay(systemTimers, leavePollMilliseconds);
-  }
-  await membership.leave();
+  const waitUntil = async (condition: () => boolean) => {
+    while (now() < endsAt && !condition()) {
+      await delay(systemTimers, leavePollMilliseconds);
+    }
+  };
+  await waitUntil(() => now() >= noticedAt);
+  listener.stopAccepting();
+  const hasLeft = membership.leave();
+  const closedAt = now();
+  // A connection that was accepted before may still bring its first request.
+  await waitUntil(() =>
+    now() >= closedAt + acceptedConnectionMilliseconds &&
+    listener.activeRequests === 0
+  );
+  await Promise.race([
+    hasLeft,
+    delay(systemTimers, Math.max(0, endsAt - now())),
+  ]);
   logger.info("the instance has left", {
     activeRequests: listener.activeRequests,
     milliseconds: Math.round(now() - startedAt),
--- a/packages/gateway/caller-listener.ts
+++ b/packages/gateway/caller-listener.ts
@@ -68,6 +68,11 @@
     this.#server.headersTimeout = limits.headerTimeoutMilliseconds;
   }
 
+  /** Closes the listening socket and idle connections; requests go on. */
+  stopAccepting(): void {
+    this.#server.close();
+  }
+
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
--- a/packages/store/testing/memory-keyed-store.ts
+++ b/packages/store/testing/memory-keyed-store.ts
@@ -42,6 +42,8 @@
   isDown = false;
   /** Number of appends whose answer is lost after they took effect. */
   answersToLose = 0;
+  /** Time that an append takes. */
+  appendMilliseconds = 0;
   appends = 0;
 
   constructor({ partitions = 4, pageSize = 500 } = {}) {
@@ -144,6 +146,10 @@
     entries: readonly KeyedEntry[],
   ): Promise<Offset> {
     await this.#enter();
+    const { appendMilliseconds } = this.#service;
+    if (appendMilliseconds > 0) {
+      await new Promise((resolve) => setTimeout(resolve, appendMilliseconds));
+    }
     return this.#service.append(target, entries);
   }
 
