Keep the progress of batch items in a stream that only owners read

Cause: the progress of running items was written only by an instance that left in order. Ruled out: progress in the records of results, because every instance reads those, and because their keys are never overwritten; displacement of runs, because a run that goes on elsewhere costs only its prompt (events a second stay near what the servers can do). Change: the owner of a partition writes the progress of its unfinished items every 1.5 s under one key for each item, removes the key with the result, and reads what stands there when it wins a partition, before it starts items. Leaving writes the same records; groups of results hold no progress any more.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -18,9 +18,15 @@
 import type { JobCodec } from "../jobs/job-codec.ts";
 import { JobPartition, JobPartitions } from "../jobs/job-partition.ts";
 import { Ownership } from "../jobs/ownership.ts";
+import { ProgressKeeper } from "../jobs/progress-keeper.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
-import { bodyStream, jobStream, ownerGroup } from "./constants.ts";
+import {
+  bodyStream,
+  jobStream,
+  ownerGroup,
+  progressStream,
+} from "./constants.ts";
 import type { EntrySettings } from "./entry-settings.ts";
 
 export interface BatchWorkOptions {
@@ -42,6 +48,7 @@
   readonly #partitions: JobPartitions;
   readonly #bodies: ItemBodies;
   readonly #ownership: Ownership;
+  readonly #progress: ProgressKeeper;
   readonly #executor: BatchExecutor;
   readonly #writers = new Map<PartitionNumber, ResultWriter>();
   #groupNumber = 0;
@@ -68,6 +75,13 @@
         }),
     );
     this.#ownership = this.#createOwnership();
+    this.#progress = new ProgressKeeper({
+      store,
+      stream: progressStream as StreamName,
+      ownedPartitions: () => this.#ownership.owned(),
+      progressOf: (partition) => this.#executor.progressOf(partition),
+      logger,
+    });
     this.#executor = this.#createExecutor();
     this.calls = new BatchCalls({
       partitions: this.#partitions,
@@ -86,11 +100,13 @@
   start(): void {
     for (const partition of this.#partitions.all()) partition.start();
     this.#ownership.start();
+    this.#progress.start();
     this.#executor.start();
   }
 
   async leave(): Promise<void> {
     await this.#ownership.leave();
+    this.#progress.stop();
     this.#executor.stop();
   }
 
@@ -145,9 +161,15 @@
       stream: jobStream as StreamName,
       clock,
       logger,
-      onLost: (partitions) => this.#executor.release(partitions),
+      onLost: async (partitions) => {
+        await this.#executor.release(partitions);
+        for (const number of partitions) this.#progress.forget(number);
+      },
       onWon: (partitions) => {
-        for (const number of partitions) this.#partitions.get(number)?.poke();
+        for (const number of partitions) {
+          this.#partitions.get(number)?.poke();
+          void this.#progress.load(number);
+        }
       },
       isClaimedByPeer: (partition, generation) =>
         peers().heardReports().some(({ report }) =>
@@ -170,7 +192,10 @@
       partitions: this.#partitions,
       bodies: this.#bodies,
       writerOf: (partition) => this.#writerOf(partition),
-      mayStart: (partition) => this.#ownership.mayStart(partition),
+      progress: this.#progress,
+      mayStart: (partition) =>
+        this.#progress.isLoaded(partition) &&
+        this.#ownership.mayStart(partition),
       isOwned: (partition) => this.#ownership.isOwned(partition),
       othersWaiting: () =>
         peers().heardReports().reduce(
--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -19,6 +19,7 @@
 export const memberStream = "members";
 export const jobStream = "jobs";
 export const bodyStream = "bodies";
+export const progressStream = "progress";
 export const ownerGroup = "owners";
 /** A peer that takes longer to stop a run is passed over; it answers within a few ms. */
 export const displaceTimeoutMilliseconds = 60;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -7,6 +7,7 @@
 import type { Buffer } from "node:buffer";
 import type { InstanceId, JobId, PartitionNumber } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import { delay, systemTimers } from "../common/timers.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
@@ -35,6 +36,7 @@
 import type { JobCodec } from "./job-codec.ts";
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobState } from "./partition-state.ts";
+import type { ItemProgress, ProgressKeeper } from "./progress-keeper.ts";
 import type { ResultWriter } from "./result-writer.ts";
 import { type ItemWork, WorkTable } from "./work-table.ts";
 
@@ -43,6 +45,7 @@
   readonly partitions: JobPartitions;
   readonly bodies: ItemBodies;
   readonly writerOf: (partition: JobPartition) => ResultWriter;
+  readonly progress: ProgressKeeper;
   readonly mayStart: (partition: PartitionNumber) => boolean;
   readonly isOwned: (partition: PartitionNumber) => boolean;
   /** Items that wait at all owners together, without this instance. */
@@ -108,27 +111,34 @@
 
   /** Puts the work on partitions down, and writes how far it got. */
   async release(partitions: readonly PartitionNumber[]): Promise<void> {
-    const writers = new Set<ResultWriter>();
+    const { progress, writerOf } = this.#options;
+    const written: Promise<void>[] = [];
     for (const number of partitions) {
       const partition = this.#options.partitions.get(number);
       if (!partition) continue;
-      const writer = this.#options.writerOf(partition);
-      for (const work of this.#work.ofPartition(number)) {
-        work.run?.cancel();
-        this.#work.delete(work);
-        if (work.isRecorded || work.text.lastEventId === undefined) continue;
-        writer.addProgress({
-          job: work.job,
-          item: work.item,
-          lastEventId: work.text.lastEventId,
-          text: work.text.texts.join("\n"),
-        });
-      }
-      writers.add(writer);
+      const work = this.#work.ofPartition(number);
+      for (const { run } of work) run?.cancel();
+      written.push(
+        writerOf(partition).flush(handOverMilliseconds),
+        progress.write(number),
+      );
+      for (const entry of work) this.#work.delete(entry);
     }
-    await Promise.all(
-      [...writers].map((writer) => writer.flush(handOverMilliseconds)),
-    );
+    await Promise.race([
+      Promise.all(written),
+      delay(systemTimers, handOverMilliseconds),
+    ]);
+  }
+
+  /** How far the unfinished items of a partition have got. */
+  progressOf(partition: PartitionNumber): ItemProgress[] {
+    return this.#work.ofPartition(partition)
+      .filter((work) => !work.isRecorded)
+      .flatMap(({ job, item, text: { lastEventId, texts } }) =>
+        lastEventId === undefined
+          ? []
+          : [{ job, item, lastEventId, text: texts.join("\n") }]
+      );
   }
 
   stop(): void {
@@ -185,7 +195,7 @@
   }
 
   #collectReady(): ItemWork[] {
-    const { partitions, mayStart, now, wallNow } = this.#options;
+    const { partitions, progress, mayStart, now, wallNow } = this.#options;
     const ready: ItemWork[] = [];
     const time = now();
     const wall = wallNow();
@@ -199,6 +209,8 @@
           const work = this.#work.of(partition.number, state, item, id, {
             dueAt: time + state.record.dueAt - wall,
             tokens,
+            progress: () =>
+              progress.get(partition.number, state.record.job, item),
           });
           if (work.run || work.isStarting || work.isRecorded) continue;
           if (work.retryAt <= time) ready.push(work);
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -40,6 +40,11 @@
 export const itemDeadlineMilliseconds = 60_000;
 /** Runs that one instance carries at the same time. */
 export const maximumRuns = 64;
+/** Interval of writing how far the runs have got. */
+export const progressIntervalMilliseconds = 1_500;
+/** Reads of an earlier owner's progress before its items begin anew, and the pause between. */
+export const progressReadAttempts = 4;
+export const progressReadRetryMilliseconds = 250;
 /** How long a leaving instance waits for the store to take the progress of its runs. */
 export const handOverMilliseconds = 1_500;
 /** Weight of a new item in the averages of events and of their duration. */
--- a/packages/jobs/partition-state.ts
+++ b/packages/jobs/partition-state.ts
@@ -9,7 +9,6 @@
 import type {
   BatchRecord,
   GroupRecord,
-  ItemProgress,
   ItemResult,
   JobRecord,
 } from "./records.ts";
@@ -21,7 +20,6 @@
   /** Items that have a result. */
   readonly finished: Set<number>;
   readonly failures: Map<number, number>;
-  readonly progress: Map<number, ItemProgress>;
   isEnded: boolean;
 }
 
@@ -74,7 +72,6 @@
       results: [],
       finished: new Set(),
       failures: new Map(),
-      progress: new Map(),
       isEnded: this.#ended.has(record.job),
     });
     const early = this.#early.splice(0);
@@ -88,7 +85,6 @@
       kind: "group",
       results: group.results.filter((entry) => !this.#jobs.has(entry.job)),
       failures: group.failures.filter((entry) => !this.#jobs.has(entry.job)),
-      progress: group.progress.filter((entry) => !this.#jobs.has(entry.job)),
     };
     if (unknown.results.length + unknown.failures.length > 0) {
       this.#early.push(unknown);
@@ -99,7 +95,6 @@
       state.finished.add(result.item);
       state.results.push(result);
       state.failures.delete(result.item);
-      state.progress.delete(result.item);
       changed.add(result.job);
     }
     for (const { job, item, count } of group.failures) {
@@ -107,13 +102,6 @@
       if (!state || state.finished.has(item)) continue;
       state.failures.set(item, Math.max(count, state.failures.get(item) ?? 0));
     }
-    for (const progress of group.progress) {
-      const state = this.#jobs.get(progress.job);
-      if (!state || state.finished.has(progress.item)) continue;
-      const known = state.progress.get(progress.item);
-      if (known && known.lastEventId >= progress.lastEventId) continue;
-      state.progress.set(progress.item, progress);
-    }
     return [...changed];
   }
 }
--- a/packages/jobs/records.ts
+++ b/packages/jobs/records.ts
@@ -1,6 +1,6 @@
 /**
  * The records of the batch jobs. Each has a key of its own, so that the store keeps all of them:
- * one for the job, one for its end, and one for each group of results, failures and progress.
+ * one for the job, one for its end, and one for each group of results and failures.
  */
 
 import * as z from "zod/mini";
@@ -54,19 +54,10 @@
   readonly count: number;
 }
 
-/** What a run had received when its instance gave it up. */
-export interface ItemProgress {
-  readonly job: JobId;
-  readonly item: number;
-  readonly lastEventId: number;
-  readonly text: string;
-}
-
 export interface GroupRecord {
   readonly kind: "group";
   readonly results: readonly ItemResult[];
   readonly failures: readonly ItemFailures[];
-  readonly progress: readonly ItemProgress[];
 }
 
 export type BatchRecord = JobRecord | EndRecord | GroupRecord;
@@ -102,11 +93,6 @@
       text: z.string(),
     })),
     failures: z.array(z.object({ ...itemReference, count: z.number() })),
-    progress: z.array(z.object({
-      ...itemReference,
-      lastEventId: z.number(),
-      text: z.string(),
-    })),
   }),
 ]);
 
--- a/packages/jobs/result-writer.ts
+++ b/packages/jobs/result-writer.ts
@@ -1,5 +1,5 @@
 /**
- * Writes results, failures and progress of items in groups until the store has taken them. A
+ * Writes results and failures of items in groups until the store has taken them. A
  * write whose outcome is unknown is repeated under another key: a second record of the same key
  * would hide the first, and a later reader would find its results at later positions.
  */
@@ -23,7 +23,6 @@
   groupKey,
   type GroupRecord,
   type ItemFailures,
-  type ItemProgress,
   type ItemResult,
 } from "./records.ts";
 
@@ -38,7 +37,6 @@
 interface Pending {
   results: ItemResult[];
   failures: ItemFailures[];
-  progress: ItemProgress[];
 }
 
 /** Bytes of ids and field names. */
@@ -68,11 +66,6 @@
     this.#schedule();
   }
 
-  addProgress(progress: ItemProgress): void {
-    this.#pending.progress.push(progress);
-    this.#schedule();
-  }
-
   /** Writes what is pending now, and resolves after the time limit in any case. */
   async flush(timeoutMilliseconds: number): Promise<void> {
     clearTimeout(this.#timer);
@@ -142,11 +135,11 @@
 const longestBackoff = 4;
 
 function emptyPending(): Pending {
-  return { results: [], failures: [], progress: [] };
+  return { results: [], failures: [] };
 }
 
-function countOf({ results, failures, progress }: Pending): number {
-  return results.length + failures.length + progress.length;
+function countOf({ results, failures }: Pending): number {
+  return results.length + failures.length;
 }
 
 /** Splits what is pending into records that are small enough for the store. */
@@ -166,9 +159,6 @@
   for (const result of pending.results) {
     add(sizeOfText(result.text), (group) => group.results.push(result));
   }
-  for (const progress of pending.progress) {
-    add(sizeOfText(progress.text), (group) => group.progress.push(progress));
-  }
   for (const failures of pending.failures) {
     add(entryOverheadBytes, (group) => group.failures.push(failures));
   }
--- a/packages/jobs/work-table.ts
+++ b/packages/jobs/work-table.ts
@@ -3,6 +3,7 @@
 import type { JobId, PartitionNumber } from "../common/ids.ts";
 import type { ItemRun, ItemText } from "./item-run.ts";
 import type { JobState } from "./partition-state.ts";
+import type { ItemProgress } from "./progress-keeper.ts";
 
 export interface ItemWork {
   readonly partition: PartitionNumber;
@@ -37,14 +38,18 @@
     state: JobState,
     item: number,
     itemId: string,
-    { dueAt, tokens }: { dueAt: number; tokens: number },
+    { dueAt, tokens, progress }: {
+      dueAt: number;
+      tokens: number;
+      progress: () => ItemProgress | undefined;
+    },
   ): ItemWork {
     const job = state.record.job;
     const items = this.#byJob.get(job) ?? new Map<number, ItemWork>();
     this.#byJob.set(job, items);
     let work = items.get(item);
     if (!work) {
-      const progress = state.progress.get(item);
+      const known = progress();
       work = {
         partition,
         job,
@@ -53,8 +58,8 @@
         dueAt,
         tokens,
         text: {
-          texts: progress ? [progress.text] : [],
-          lastEventId: progress?.lastEventId,
+          texts: known ? [known.text] : [],
+          lastEventId: known?.lastEventId,
         },
         run: undefined,
         isStarting: false,
