Log with each answer the known load of its server and its first bytes

Cause: the line of an answered request did not tell why a late one was late: what was believed of the chosen server, whether batch runs had to make room, and when the first bytes left were missing. Ruled out: a line of its own for the choice, which would double the volume. Change: the choice carries the candidate; "a request has ended" has online, batch, slots, isSameZone, isAvoided, displacesBatch, roomRequests and firstBytes. Before and after: no behaviour changes; tests of the choice compare as strictly.

--- a/packages/gateway/choose-server.test.ts
+++ b/packages/gateway/choose-server.test.ts
@@ -9,6 +9,14 @@
   random: () => 0,
 };
 
+/** What was chosen, with the server's id in place of what is known of it. */
+function choose(candidates: ServerCandidate[]) {
+  const choice = chooseServer(candidates, options);
+  return choice.kind === "send"
+    ? { ...choice, server: choice.server.id as string }
+    : choice;
+}
+
 function candidate(
   id: string,
   values: Partial<ServerCandidate> = {},
@@ -25,11 +33,11 @@
 }
 
 test("the least loaded server is taken, of the same zone at equal load", () => {
-  const choice = chooseServer([
+  const choice = choose([
     candidate("far", { isSameZone: false, online: 2 }),
     candidate("near", { online: 2 }),
     candidate("full", { online: 8 }),
-  ], options);
+  ]);
   assert.deepEqual(choice, {
     kind: "send",
     server: "near",
@@ -38,10 +46,10 @@
 });
 
 test("batch runs make room before an online request waits", () => {
-  const choice = chooseServer([
+  const choice = choose([
     candidate("online", { online: 8 }),
     candidate("mixed", { online: 3, batch: 5 }),
-  ], options);
+  ]);
   assert.deepEqual(choice, {
     kind: "send",
     server: "mixed",
@@ -50,17 +58,17 @@
 });
 
 test("a request is not refused while a server has room", () => {
-  const choice = chooseServer([
+  const choice = choose([
     candidate("a", { online: 20 }),
     candidate("b", { online: 7 }),
-  ], options);
+  ]);
   assert.equal(choice.kind, "send");
 });
 
 test("a short wait is accepted, a long one refused with the time that it would take", () => {
-  const short = chooseServer([candidate("a", { online: 9 })], options);
+  const short = choose([candidate("a", { online: 9 })]);
   assert.equal(short.kind, "send");
-  const long = chooseServer([candidate("a", { online: 12 })], options);
+  const long = choose([candidate("a", { online: 12 })]);
   assert.deepEqual(long, { kind: "full", expectedWaitMilliseconds: 500 });
 });
 
@@ -69,8 +77,8 @@
     candidate("failed", { isAvoided: true }),
     candidate("busy", { online: 7 }),
   ];
-  const choice = chooseServer(both, options);
+  const choice = choose(both);
   assert.equal(choice.kind === "send" && choice.server, "busy");
-  const only = chooseServer([both[0]!], options);
+  const only = choose([both[0]!]);
   assert.equal(only.kind === "send" && only.server, "failed");
 });
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -18,12 +18,14 @@
   | { readonly kind: "none" }
   | {
     readonly kind: "send";
-    readonly server: InstanceId;
+    readonly server: ServerCandidate;
     /** Batch runs at the server have to make room. */
     readonly displacesBatch: boolean;
   }
   | { readonly kind: "full"; readonly expectedWaitMilliseconds: number };
 
+export type SendChoice = Extract<ServerChoice, { kind: "send" }>;
+
 export interface ChoiceOptions {
   /** How long a request occupies a slot on average. */
   readonly durationMilliseconds: number;
@@ -48,7 +50,7 @@
     (candidate) => candidate.online + candidate.batch,
     options,
   );
-  if (free) return { kind: "send", server: free.id, displacesBatch: false };
+  if (free) return { kind: "send", server: free, displacesBatch: false };
   const displaceable = pool.filter((candidate) =>
     candidate.online < candidate.slots && candidate.batch > 0
   );
@@ -57,7 +59,7 @@
     (candidate) => candidate.online,
     options,
   );
-  if (shared) return { kind: "send", server: shared.id, displacesBatch: true };
+  if (shared) return { kind: "send", server: shared, displacesBatch: true };
   const least = pickLowest(pool, (candidate) => candidate.online, options)!;
   const waiting = Math.max(0, least.online + 1 - least.slots);
   const wait = waiting * options.durationMilliseconds / least.slots;
@@ -66,7 +68,7 @@
   }
   return {
     kind: "send",
-    server: least.id,
+    server: least,
     displacesBatch: least.batch > 0,
   };
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -6,7 +6,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
 import type { UpstreamName, WorkspaceId } from "../common/ids.ts";
-import type { Logger } from "../common/logging.ts";
+import type { LogContext, Logger } from "../common/logging.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
 import type {
@@ -16,7 +16,7 @@
   ReceivedRequest,
 } from "./caller-request.ts";
 import type { CallerResponse, OwnAnswer } from "./caller-response.ts";
-import { chooseServer } from "./choose-server.ts";
+import { chooseServer, type SendChoice } from "./choose-server.ts";
 import {
   acceptableWaitShare,
   defaultRetryAfterMilliseconds,
@@ -207,15 +207,19 @@
         metrics.noteFirstBytes(received, workspace, now()),
       noteOutcome: (outcome) => {
         metrics.noteOutcome(outcome, now());
-        const { received, route } = outcome;
+        const { received, route, choice, firstBytesAt } = outcome;
+        const since = (time: number) => Math.round(time - received.receivedAt);
         const context = {
           request: received.request.id ?? null,
           route: route.id,
           outcome: outcome.outcome,
           server: outcome.server ?? null,
+          ...(choice ? describeChoice(choice) : {}),
+          roomRequests: outcome.roomRequests,
           runs: outcome.runs,
           refusals: outcome.refusals,
-          milliseconds: Math.round(now() - received.receivedAt),
+          firstBytes: firstBytesAt === undefined ? null : since(firstBytesAt),
+          milliseconds: since(now()),
         };
         logger.info("a request has ended", context);
       },
@@ -248,6 +252,12 @@
   message: "the key belongs to no workspace",
 };
 
+/** The load of the server as it was known when it was chosen. */
+function describeChoice({ server, displacesBatch }: SendChoice): LogContext {
+  const { online, batch, slots, isSameZone, isAvoided } = server;
+  return { online, batch, slots, isSameZone, isAvoided, displacesBatch };
+}
+
 /** Picks a service of the route by weight; `random` is a number from 0 to 1. */
 export function pickService(route: RouteRule, random: number): UpstreamName {
   const { targets } = route;
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -21,6 +21,7 @@
   unexpectedWaitMilliseconds,
 } from "./constants.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
+import type { SendChoice } from "./choose-server.ts";
 import type { OnlineServices } from "./online-services.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
@@ -42,12 +43,15 @@
   readonly #excluded = new Set<InstanceId>();
   #attempt: ServerAttempt | undefined;
   #server: InstanceId | undefined;
+  #choice: SendChoice | undefined;
+  /** Times that batch runs were asked to make room after the request was sent. */
+  #roomRequests = 0;
   #attemptStartedAt = 0;
   /** Servers on which the request may have run. */
   #runs = 0;
   #refusals = 0;
   #isOver = false;
-  #hasWritten = false;
+  #firstBytesAt: number | undefined;
   #head: AnswerHead | undefined;
   #splitter = new EventSplitter();
   #held: Buffer[] = [];
@@ -103,11 +107,12 @@
     if (choice.kind === "full") {
       return this.#refuseFull(choice.expectedWaitMilliseconds);
     }
-    const server = services.server(choice.server);
+    const server = services.server(choice.server.id);
     if (!server) return this.#giveUp("the server has left");
     if (choice.displacesBatch) services.displaceBatch(server.id);
     const { request, body } = received;
     this.#server = server.id;
+    this.#choice = choice;
     this.#attemptStartedAt = services.now();
     this.#splitter = new EventSplitter();
     this.#head = undefined;
@@ -144,6 +149,7 @@
       if (attempt !== this.#attempt || this.#head) {
         return clearInterval(this.#waitTimer);
       }
+      this.#roomRequests += 1;
       this.#options.services.displaceBatch(server);
     }, unexpectedWaitMilliseconds);
   }
@@ -266,9 +272,9 @@
   }
 
   #noteFirstBytes(): void {
-    if (this.#hasWritten) return;
-    this.#hasWritten = true;
+    if (this.#firstBytesAt !== undefined) return;
     const { services, received, workspace } = this.#options;
+    this.#firstBytesAt = services.now();
     services.noteFirstBytes(received, workspace?.id ?? "");
   }
 
@@ -414,6 +420,9 @@
       workspace: workspace?.id ?? "",
       outcome,
       server: this.#server,
+      choice: this.#choice,
+      roomRequests: this.#roomRequests,
+      firstBytesAt: this.#firstBytesAt,
       runs: this.#runs,
       refusals: this.#refusals,
     });
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -6,7 +6,7 @@
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { ConnectionPool } from "../transport/connection-pool.ts";
 import type { CallerCodec, ReceivedRequest } from "./caller-request.ts";
-import type { ServerChoice } from "./choose-server.ts";
+import type { SendChoice, ServerChoice } from "./choose-server.ts";
 
 export interface ChoiceRequest {
   readonly service: UpstreamName;
@@ -24,6 +24,12 @@
   /** `served`, `caller_left`, `broken_off` or the code of the own answer. */
   readonly outcome: string;
   readonly server: InstanceId | undefined;
+  /** The last choice, with what was known of the server. */
+  readonly choice: SendChoice | undefined;
+  /** Times that batch runs were asked to make room after the request was sent. */
+  readonly roomRequests: number;
+  /** Monotonic milliseconds. */
+  readonly firstBytesAt: number | undefined;
   readonly runs: number;
   readonly refusals: number;
 }
