Take a reset that arrives together with data as a reset

When a reset arrives together with data, the runtime (libuv, on POLLHUP after a partial read) reports an orderly end; the error that the pool watches for never comes. Change: at the end of a connection the pool asks for its peer's address, which a reset connection no longer has.

--- a/packages/transport/connection-pool.ts
+++ b/packages/transport/connection-pool.ts
@@ -33,7 +33,7 @@
   const origin = `http://${options.host}:${options.port}`;
   const pool = new PoolClass(origin, {
     pipelining: 1,
-    connect: watchErrors(createConnector({
+    connect: watchFailures(createConnector({
       timeout: options.connectTimeoutMilliseconds,
       keepAlive: true,
       keepAliveInitialDelay: tcpKeepAliveMilliseconds,
@@ -61,16 +61,23 @@
   return isFailing;
 }
 
-/** Notes the error of a connection before the HTTP library hears of it. */
-function watchErrors(
+/**
+ * Notes the failure of a connection before the HTTP library hears of its end. The runtime reports
+ * a reset that arrives together with data as an orderly end; the socket has no peer any more then.
+ */
+function watchFailures(
   connect: buildConnector.connector,
 ): buildConnector.connector {
+  const note = () => {
+    isFailing = true;
+    queueMicrotask(() => isFailing = false);
+  };
   return (options, callback) =>
     connect(options, (...result) => {
       const [, socket] = result;
-      socket?.on("error", () => {
-        isFailing = true;
-        queueMicrotask(() => isFailing = false);
+      socket?.on("error", note);
+      socket?.on("end", () => {
+        if (socket.remoteAddress === undefined) note();
       });
       callback(...result);
     });
