Choose servers by room, and report changes of load within 50 ms

Change: a server is chosen with a chance by the square of its room, where a slot that a batch run holds counts half; reports go out every 50 ms while the own loads change and every 150 ms otherwise.

--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -4,8 +4,10 @@
 export const peerReportLifetimeMilliseconds = 1_000;
 /** A server's statement of its load is outdated after about half of a request's duration. */
 export const serverReportLifetimeMilliseconds = 250;
-/** Shortest time between two reports to the same peer. */
-export const reportIntervalMilliseconds = 100;
+/** Time between two reports while the own loads change; requests last about 900 ms. */
+export const reportIntervalMilliseconds = 50;
+/** Time between two reports while the own loads stay the same. */
+export const unchangedReportIntervalMilliseconds = 150;
 /** Interval added for each peer, so that the cost of reports does not grow with the square. */
 export const reportIntervalPerPeerMilliseconds = 5;
 /** A peer that was silent this long is taken as unreachable; several report intervals. */
--- /dev/null
+++ b/packages/fleet/peers/peer-reports.test.ts
@@ -0,0 +1,100 @@
+import assert from "node:assert/strict";
+import { mock, test } from "node:test";
+import type {
+  Incarnation,
+  InstanceId,
+  Offset,
+  ZoneId,
+} from "../../common/ids.ts";
+import { silentLogger } from "../../common/logging.ts";
+import { Blackboard } from "../blackboard.ts";
+import type { Documents } from "../documents.ts";
+import type { FleetLimits } from "../limits/fleet-limits.ts";
+import { encodeMember, MemberTable } from "./members.ts";
+import { PeerReports, type ReportNetwork } from "./peer-reports.ts";
+
+const self = "self" as InstanceId;
+const peer = "peer" as InstanceId;
+const server = "server" as InstanceId;
+
+/** An instance with one peer; counts what is sent while the time is driven by hand. */
+function openReports() {
+  mock.timers.enable({ apis: ["setTimeout", "Date"] });
+  const sent: string[] = [];
+  const blackboard = new Blackboard({ initialDurationMilliseconds: 1_000 });
+  const members = new MemberTable();
+  const member = {
+    instance: peer,
+    incarnation: "1" as Incarnation,
+    zone: "z" as ZoneId,
+    host: "127.0.0.1",
+    port: 1,
+  };
+  members.accept(
+    [{ key: peer, value: encodeMember(member), offset: 0 as Offset }],
+    1 as Offset,
+    { isSnapshot: false },
+  );
+  const handlers: ((report: unknown, sender: unknown) => void)[] = [];
+  const network = {
+    handle: (_message: unknown, handler: (typeof handlers)[number]) =>
+      handlers.push(handler),
+    reconnect: () => {},
+    send: (_to: InstanceId, _message: unknown, report: { loads: unknown }) =>
+      sent.push(JSON.stringify(report.loads)),
+  } as unknown as ReportNetwork;
+  const reports = new PeerReports({
+    instance: self,
+    network,
+    members,
+    blackboard,
+    documents: { position: () => 0, sweep: () => {} } as unknown as Documents,
+    limits: () =>
+      ({
+        ownUses: () => [],
+        refresh: () => {},
+        notePeer: () => {},
+      }) as unknown as FleetLimits,
+    jobReport: () => ({
+      ownedPartitions: [],
+      ownerGeneration: 0,
+      waitingItems: 0,
+    }),
+    isStoreFailing: () => false,
+    clock: { wallNow: () => Date.now(), monotonicNow: () => Date.now() },
+    logger: silentLogger,
+  });
+  reports.start();
+  handlers[0]!(
+    {
+      sequence: 1,
+      heard: 0,
+      configurationPosition: 0,
+      serversPosition: 0,
+      loads: [],
+      uses: [],
+    },
+    { instance: peer, incarnation: "1" },
+  );
+  return { blackboard, sent, reports };
+}
+
+test("a change of the loads is reported within 50 ms, and no change rarely", () => {
+  const { blackboard, sent, reports } = openReports();
+  try {
+    mock.timers.tick(900);
+    const quiet = sent.length;
+    assert.ok(quiet >= 2 && quiet <= 7, `${quiet} reports`);
+    blackboard.loads.begin(server, "online");
+    mock.timers.tick(50);
+    blackboard.loads.finish(server, "online");
+    mock.timers.tick(50);
+    assert.deepEqual(sent.slice(quiet), [
+      JSON.stringify([[server, 1, 0]]),
+      "[]",
+    ]);
+  } finally {
+    reports.stop();
+    mock.timers.reset();
+  }
+});
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -15,6 +15,7 @@
   quietPeerIntervalMilliseconds,
   reportIntervalMilliseconds,
   reportIntervalPerPeerMilliseconds,
+  unchangedReportIntervalMilliseconds,
 } from "../constants.ts";
 import type { DocumentKind, Documents } from "../documents.ts";
 import type { FleetLimits } from "../limits/fleet-limits.ts";
@@ -65,6 +66,8 @@
   readonly #peers = new Map<InstanceId, PeerState>();
   /** Starts at the time of day, so that a later incarnation goes on above it. */
   #sequence: number;
+  #reportedLoads = "";
+  #reportedAt = Number.NEGATIVE_INFINITY;
   #timer: NodeJS.Timeout | undefined;
   #isStopped = false;
 
@@ -160,8 +163,13 @@
   #sendAll(isUrgent: boolean): void {
     const { members, instance, clock } = this.#options;
     const now = clock.monotonicNow();
-    this.#sequence += 1;
     const common = this.#buildReport();
+    const loads = JSON.stringify(common.loads);
+    const isUnchanged = loads === this.#reportedLoads &&
+      now - this.#reportedAt < unchangedReportIntervalMilliseconds;
+    if (isUnchanged && !isUrgent) return;
+    this.#reportedLoads = loads;
+    this.#reportedAt = now;
     for (const member of members.all()) {
       if (member.instance === instance) continue;
       this.#sendTo(member, common, now, isUrgent);
@@ -198,6 +206,7 @@
   }
 
   #buildReport(): Omit<PeerReport, "heard"> {
+    this.#sequence += 1;
     const { blackboard, documents, limits, jobReport, isStoreFailing } =
       this.#options;
     return {
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -1,7 +1,12 @@
 /** Chooses the server of an online request from plain figures about its candidates. */
 
 import type { InstanceId } from "../common/ids.ts";
-import { otherZonePenalty, rankJitter } from "./constants.ts";
+import {
+  batchRoomShare,
+  otherZoneWeight,
+  rankJitter,
+  roomExponent,
+} from "./constants.ts";
 
 export interface ServerCandidate {
   readonly id: InstanceId;
@@ -42,51 +47,60 @@
   const usable = candidates.filter((candidate) => !candidate.isAvoided);
   const pool = usable.length > 0 ? usable : candidates;
   if (pool.length === 0) return { kind: "none" };
-  const withRoom = pool.filter((candidate) =>
-    candidate.online + candidate.batch < candidate.slots
-  );
-  const free = pickLowest(
-    withRoom,
-    (candidate) => candidate.online + candidate.batch,
-    options,
-  );
-  if (free) return { kind: "send", server: free, displacesBatch: false };
-  const displaceable = pool.filter((candidate) =>
-    candidate.online < candidate.slots && candidate.batch > 0
-  );
-  const shared = pickLowest(
-    displaceable,
-    (candidate) => candidate.online,
-    options,
-  );
-  if (shared) return { kind: "send", server: shared, displacesBatch: true };
-  const least = pickLowest(pool, (candidate) => candidate.online, options)!;
+  const withRoom = pickByRoom(pool, options);
+  if (withRoom) {
+    const { slots, online, batch } = withRoom;
+    const displacesBatch = online + batch >= slots;
+    return { kind: "send", server: withRoom, displacesBatch };
+  }
+  const least = pickLeastOnline(pool, options);
   const waiting = Math.max(0, least.online + 1 - least.slots);
   const wait = waiting * options.durationMilliseconds / least.slots;
   if (wait > options.acceptableWaitMilliseconds) {
     return { kind: "full", expectedWaitMilliseconds: wait };
   }
-  return {
-    kind: "send",
-    server: least,
-    displacesBatch: least.batch > 0,
-  };
+  return { kind: "send", server: least, displacesBatch: least.batch > 0 };
 }
 
-function pickLowest(
+/**
+ * Picks among the servers with room, each with a chance by its room. All instances share nearly
+ * the same view, a little old; if each took the emptiest server, they would fill it together.
+ * The same would happen to the last servers without batch runs if those with such runs, which
+ * make room within a few milliseconds, were passed over.
+ */
+function pickByRoom(
   candidates: readonly ServerCandidate[],
-  loadOf: (candidate: ServerCandidate) => number,
   { random }: ChoiceOptions,
 ): ServerCandidate | undefined {
-  let best: ServerCandidate | undefined;
-  let bestRank = Number.POSITIVE_INFINITY;
-  for (const candidate of candidates) {
-    const penalty = candidate.isSameZone ? 0 : otherZonePenalty;
-    const rank = loadOf(candidate) + penalty + random() * rankJitter;
-    if (rank < bestRank) {
-      best = candidate;
-      bestRank = rank;
-    }
+  const weights = candidates.map((candidate) =>
+    roomOf(candidate) ** roomExponent *
+    (candidate.isSameZone ? 1 : otherZoneWeight)
+  );
+  let rest = random() * weights.reduce((sum, weight) => sum + weight, 0);
+  let last: ServerCandidate | undefined;
+  for (const [index, candidate] of candidates.entries()) {
+    const weight = weights[index]!;
+    if (weight === 0) continue;
+    last = candidate;
+    rest -= weight;
+    if (rest < 0) break;
   }
-  return best;
+  return last;
+}
+
+function roomOf({ slots, online, batch }: ServerCandidate): number {
+  const room = Math.max(0, slots - online);
+  const free = Math.max(0, room - batch);
+  return free + (room - free) * batchRoomShare;
+}
+
+function pickLeastOnline(
+  candidates: readonly ServerCandidate[],
+  { random }: ChoiceOptions,
+): ServerCandidate {
+  const rankOf = ({ online }: ServerCandidate) =>
+    online + random() * rankJitter;
+  return candidates
+    .map((candidate) => ({ candidate, rank: rankOf(candidate) }))
+    .reduce((best, next) => next.rank < best.rank ? next : best).candidate;
 }
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -23,8 +23,15 @@
 export const heldAnswerBytes = 256 * 1024;
 /** Requests whose deadline is this close are not sent on. */
 export const leastRemainingMilliseconds = 20;
-/** Part of the distance between zones in requests: a server of another zone counts as fuller. */
-export const otherZonePenalty = 0.6;
+/** A server of another zone is chosen this much less often than one of the same zone. */
+export const otherZoneWeight = 0.6;
+/**
+ * Chance of a server by its free slots: a power that prefers emptier servers and still spreads
+ * what several instances send on the same view.
+ */
+export const roomExponent = 2;
+/** A slot that a batch run occupies counts as this part of a free one. */
+export const batchRoomShare = 0.5;
 /** Random part of a server's rank, so that instances with the same view do not all agree. */
 export const rankJitter = 0.5;
 /** Weight of a new duration in the moving average of the duration of requests. */
