Take requests out of a limit when they are sent, and answer overload by who has waited

Of the requests that found all servers full, those that came for the first time were sent as readily as those that had been refused before, so that many were refused twice, and all came back after the same time. Ruled out: the split of a bucket between instances (levels were at or below zero at the refusals, with all peers heard; the new fields of the line show it). Change: a limit is taken at the first send; a bucket starts again with 0.3 of the slack; a request waits at most 0.4 objectives at a full server, one whose caller has come back (told by a shorter deadline than usual on its route) 0.8; Retry-After of a full fleet is spread over the time that the caller can wait; queues of full servers are chosen by length with chance. Refusals log the state of the bucket.

--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -183,6 +183,7 @@
         windowMilliseconds: settings.limitWindowMilliseconds,
         overage: settings.limitOverage,
       },
+      slackRequests: settings.limitSlackRequests,
       view: () => this.#reports.view(),
     });
   }
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -25,6 +25,8 @@
   readonly limitWindowMilliseconds: number;
   /** Share of a window by which the fleet may exceed a limit. */
   readonly limitOverage: number;
+  /** Requests by which the fleet may exceed a window in any case. */
+  readonly limitSlackRequests: number;
   /** How long an ended job stays readable. */
   readonly jobLifetimeMilliseconds: number;
 }
--- a/packages/fleet/limits/constants.ts
+++ b/packages/fleet/limits/constants.ts
@@ -13,5 +13,10 @@
 export const reportLagSeconds = 0.3;
 /** Requests by which the level may be overdrawn; half of what the operators allow in a window. */
 export const toleratedExcess = 10;
+/**
+ * Part of the slack of a window with which a bucket starts again. All copies together spend it
+ * once, since each hears what the others spend.
+ */
+export const restartSlackShare = 0.3;
 /** Part of the allowed overage that is used. */
 export const usedOverageShare = 0.5;
--- a/packages/fleet/limits/fleet-limits.ts
+++ b/packages/fleet/limits/fleet-limits.ts
@@ -1,7 +1,7 @@
 /**
  * Holds each workspace to its rate over the whole fleet, with one shared bucket for each
- * workspace. A process that is not part of the first start of the fleet begins with an empty
- * bucket, since the fleet may have spent the burst just before.
+ * workspace. A process that is not part of the first start of the fleet begins with a few tokens
+ * only, since the fleet may have spent the burst just before.
  */
 
 import type { Clock } from "../../common/clock.ts";
@@ -15,6 +15,7 @@
   type FleetView,
   SharedBucket,
 } from "./shared-bucket.ts";
+import { restartSlackShare } from "./constants.ts";
 import { bucketOfWindow, type LimitWindow } from "./window-limit.ts";
 
 export interface FleetLimitsOptions {
@@ -22,6 +23,8 @@
   readonly clock: Clock;
   readonly isFirstStart: boolean;
   readonly window: LimitWindow;
+  /** Requests by which a window may be exceeded in any case. */
+  readonly slackRequests: number;
   readonly view: () => FleetView;
 }
 
@@ -46,9 +49,11 @@
     const now = clock.monotonicNow();
     const bucket = this.#bucketOf(workspace, now);
     if (bucket.take(now)) return admitted;
+    const current = view();
     return {
       admitted: false,
-      retryAfterMilliseconds: bucket.retryAfterMilliseconds(view()),
+      retryAfterMilliseconds: bucket.retryAfterMilliseconds(current),
+      state: bucket.describe(current),
     };
   }
 
@@ -103,6 +108,7 @@
       bucket = new SharedBucket(this.#limitOf(workspace), {
         now,
         isFull: this.#options.isFirstStart,
+        startLevel: this.#options.slackRequests * restartSlackShare,
       });
       bucket.refresh(now, this.#options.view());
       this.#buckets.set(workspace.id, bucket);
--- a/packages/fleet/limits/shared-bucket.test.ts
+++ b/packages/fleet/limits/shared-bucket.test.ts
@@ -157,6 +157,23 @@
   assert.equal(bucket.take(1_000), true);
 });
 
+test("a fleet that starts again admits the first requests, and together no more than one level", () => {
+  const limit = { ratePerSecond: 10, burst: 50 };
+  const buckets = [0, 1].map(() =>
+    new SharedBucket(limit, { now: 0, isFull: false, startLevel: 6 })
+  );
+  let admitted = 0;
+  for (let now = 0; now < 100; now += 10) {
+    for (const [index, bucket] of buckets.entries()) {
+      const other = buckets[1 - index]!;
+      bucket.notePeer("other" as InstanceId, "one", other.ownUse());
+      bucket.refresh(now, { members: 2, heard: 2 });
+      if (bucket.take(now)) admitted += 1;
+    }
+  }
+  assert.ok(admitted >= 5 && admitted <= 8, `${admitted} admitted`);
+});
+
 test("counts of a peer that started again are not taken for its use", () => {
   const bucket = new SharedBucket({ ratePerSecond: 10, burst: 10 }, {
     now: 0,
--- a/packages/fleet/limits/shared-bucket.ts
+++ b/packages/fleet/limits/shared-bucket.ts
@@ -27,6 +27,15 @@
   readonly demandPerSecond: number;
 }
 
+/** The state of a bucket at an admission. */
+export interface BucketState extends FleetView {
+  readonly level: number;
+  readonly allowance: number;
+  readonly ratePerSecond: number;
+  readonly ownDemandPerSecond: number;
+  readonly fleetDemandPerSecond: number;
+}
+
 /** Which part of the fleet an instance hears. */
 export interface FleetView {
   /** Members with this instance. */
@@ -37,8 +46,9 @@
 
 export interface BucketOptions {
   readonly now: number;
-  /** The bucket starts full; otherwise it starts empty. */
+  /** The bucket starts full; otherwise with `startLevel`. */
   readonly isFull: boolean;
+  readonly startLevel?: number;
   /** Gives a number from 0 to 1. */
   readonly random?: () => number;
 }
@@ -65,11 +75,11 @@
 
   constructor(
     limit: BucketLimit,
-    { now, isFull, random = Math.random }: BucketOptions,
+    { now, isFull, startLevel = 0, random = Math.random }: BucketOptions,
   ) {
     this.#random = random;
     this.#limit = limit;
-    this.#level = isFull ? limit.burst : 0;
+    this.#level = isFull ? limit.burst : Math.min(startLevel, limit.burst);
     this.#updatedAt = now;
     this.#demandAt = now;
   }
@@ -110,6 +120,18 @@
       : level;
   }
 
+  /** What decided the last admission, for the logs. */
+  describe(view: FleetView): BucketState {
+    return {
+      level: this.#level,
+      allowance: this.#allowance,
+      ratePerSecond: this.#limit.ratePerSecond,
+      ownDemandPerSecond: this.#demandPerSecond,
+      fleetDemandPerSecond: this.#totalDemand(),
+      ...view,
+    };
+  }
+
   ownUse(): BucketUse {
     return {
       admitted: this.#admitted,
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -4,7 +4,7 @@
 import {
   batchRoomShare,
   otherZoneWeight,
-  rankJitter,
+  queueExponent,
   roomExponent,
 } from "./constants.ts";
 
@@ -53,13 +53,29 @@
     const displacesBatch = online + batch >= slots;
     return { kind: "send", server: withRoom, displacesBatch };
   }
-  const least = pickLeastOnline(pool, options);
-  const waiting = Math.max(0, least.online + 1 - least.slots);
-  const wait = waiting * options.durationMilliseconds / least.slots;
-  if (wait > options.acceptableWaitMilliseconds) {
-    return { kind: "full", expectedWaitMilliseconds: wait };
+  return chooseFull(pool, options);
+}
+
+/** Among full servers, those with a short queue are taken more often, for the same reason. */
+function chooseFull(
+  pool: readonly ServerCandidate[],
+  { durationMilliseconds, acceptableWaitMilliseconds, random }: ChoiceOptions,
+): ServerChoice {
+  const waitOf = ({ online, slots }: ServerCandidate) =>
+    (online + 1 - slots) * durationMilliseconds / slots;
+  const least = Math.min(...pool.map(waitOf));
+  if (least > acceptableWaitMilliseconds) {
+    return { kind: "full", expectedWaitMilliseconds: least };
   }
-  return { kind: "send", server: least, displacesBatch: least.batch > 0 };
+  const server = pickByWeight(
+    pool,
+    (candidate) =>
+      waitOf(candidate) > acceptableWaitMilliseconds
+        ? 0
+        : (candidate.online + 1 - candidate.slots) ** -queueExponent,
+    random,
+  )!;
+  return { kind: "send", server, displacesBatch: server.batch > 0 };
 }
 
 /**
@@ -72,10 +88,21 @@
   candidates: readonly ServerCandidate[],
   { random }: ChoiceOptions,
 ): ServerCandidate | undefined {
-  const weights = candidates.map((candidate) =>
-    roomOf(candidate) ** roomExponent *
-    (candidate.isSameZone ? 1 : otherZoneWeight)
+  return pickByWeight(
+    candidates,
+    (candidate) =>
+      roomOf(candidate) ** roomExponent *
+      (candidate.isSameZone ? 1 : otherZoneWeight),
+    random,
   );
+}
+
+function pickByWeight(
+  candidates: readonly ServerCandidate[],
+  weightOf: (candidate: ServerCandidate) => number,
+  random: () => number,
+): ServerCandidate | undefined {
+  const weights = candidates.map(weightOf);
   let rest = random() * weights.reduce((sum, weight) => sum + weight, 0);
   let last: ServerCandidate | undefined;
   for (const [index, candidate] of candidates.entries()) {
@@ -93,14 +120,3 @@
   const free = Math.max(0, room - batch);
   return free + (room - free) * batchRoomShare;
 }
-
-function pickLeastOnline(
-  candidates: readonly ServerCandidate[],
-  { random }: ChoiceOptions,
-): ServerCandidate {
-  const rankOf = ({ online }: ServerCandidate) =>
-    online + random() * rankJitter;
-  return candidates
-    .map((candidate) => ({ candidate, rank: rankOf(candidate) }))
-    .reduce((best, next) => next.rank < best.rank ? next : best).candidate;
-}
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -15,8 +15,19 @@
 /** A server that failed is avoided for this long; each further failure doubles it. */
 export const avoidMilliseconds = 500;
 export const avoidMaximumMilliseconds = 4_000;
-/** Share of the latency objective that a request may be expected to wait at servers. */
-export const acceptableWaitShare = 0.75;
+/**
+ * Latency objectives that a request may be expected to wait at a server. What is known of the
+ * servers is a little old, so that real waits are longer.
+ */
+export const acceptableWaitShares = {
+  in_time: 0.4,
+  late: 0.8,
+  any: Number.POSITIVE_INFINITY,
+} as const;
+/** A caller with less than this share of its usual deadline left has tried before. */
+export const shortenedDeadlineShare = 0.95;
+/** Longest Retry-After of a refusal for a full fleet, as a share of the caller's time. */
+export const retryAfterDeadlineShare = 0.3;
 /** Retry-After of a refusal, if no better time is known. */
 export const defaultRetryAfterMilliseconds = 400;
 /** A successful answer of a repeatable call is held back up to this size, to allow a retry. */
@@ -32,8 +43,8 @@
 export const roomExponent = 2;
 /** A slot that a batch run occupies counts as this part of a free one. */
 export const batchRoomShare = 0.5;
-/** Random part of a server's rank, so that instances with the same view do not all agree. */
-export const rankJitter = 0.5;
+/** Chance of a full server by the length of its queue: a power, like `roomExponent`. */
+export const queueExponent = 2;
 /** Weight of a new duration in the moving average of the duration of requests. */
 export const durationWeight = 0.05;
 /** Duration of a request that is assumed before any has been seen. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -9,6 +9,8 @@
 import type { LogContext, Logger } from "../common/logging.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
+import type { BucketState } from "../fleet/limits/shared-bucket.ts";
+import { CallerDeadlines } from "./caller-deadlines.ts";
 import type {
   CallerCodec,
   CallerRequest,
@@ -18,7 +20,7 @@
 import type { CallerResponse, OwnAnswer } from "./caller-response.ts";
 import { chooseServer, type SendChoice } from "./choose-server.ts";
 import {
-  acceptableWaitShare,
+  acceptableWaitShares,
   defaultRetryAfterMilliseconds,
   durationWeight,
 } from "./constants.ts";
@@ -30,7 +32,12 @@
 
 export type LimitVerdict =
   | { readonly admitted: true }
-  | { readonly admitted: false; readonly retryAfterMilliseconds: number };
+  | {
+    readonly admitted: false;
+    readonly retryAfterMilliseconds: number;
+    /** What decided, for the logs. */
+    readonly state: BucketState;
+  };
 
 export interface WorkspaceLimiter {
   /** Takes one request of the workspace out of its limit. */
@@ -68,6 +75,7 @@
 export class Gateway {
   readonly #options: GatewayOptions;
   readonly #services: OnlineServices;
+  readonly #callerDeadlines = new CallerDeadlines();
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -114,29 +122,7 @@
     if (route.kind === "batch") {
       return this.#options.jobs.submit(received, route, workspace, response);
     }
-    this.#admit(received, route, workspace, response);
-  }
-
-  #admit(
-    received: ReceivedRequest,
-    route: RouteRule,
-    workspace: WorkspaceRule | undefined,
-    response: CallerResponse,
-  ): void {
-    if (!workspace || workspace.ratePerSecond <= 0) {
-      return this.#serve(received, route, workspace, response);
-    }
-    const verdict = this.#options.limiter.admit(workspace);
-    if (response.isOver) return;
-    if (verdict.admitted) {
-      return this.#serve(received, route, workspace, response);
-    }
-    this.#refuse(received.request, response, {
-      status: 429,
-      code: "workspace_limit",
-      message: "the workspace is over its rate; the request has not run",
-      retryAfterMilliseconds: verdict.retryAfterMilliseconds,
-    });
+    this.#serve(received, route, workspace, response);
   }
 
   #serve(
@@ -145,19 +131,52 @@
     workspace: WorkspaceRule | undefined,
     response: CallerResponse,
   ): void {
+    const isLimited = workspace !== undefined && workspace.ratePerSecond > 0;
     new OnlineRequest({
       received,
       route,
       workspace,
       response,
       services: this.#services,
+      admit: () =>
+        !isLimited || this.#admit(received.request, workspace, response),
+      hasComeBack: this.#callerDeadlines.isShortened(
+        route.id,
+        received.request.deadlineMilliseconds,
+      ),
     }).start();
   }
 
+  #admit(
+    request: CallerRequest,
+    workspace: WorkspaceRule,
+    response: CallerResponse,
+  ): boolean {
+    const verdict = this.#options.limiter.admit(workspace);
+    if (verdict.admitted) return true;
+    const { state } = verdict;
+    this.#refuse(request, response, {
+      status: 429,
+      code: "workspace_limit",
+      message: "the workspace is over its rate; the request has not run",
+      retryAfterMilliseconds: verdict.retryAfterMilliseconds,
+    }, {
+      workspace: workspace.id,
+      level: rounded(state.level),
+      allowance: rounded(state.allowance),
+      ratePerSecond: rounded(state.ratePerSecond),
+      ownDemand: rounded(state.ownDemandPerSecond),
+      fleetDemand: rounded(state.fleetDemandPerSecond),
+      membersHeard: `${state.heard} of ${state.members}`,
+    });
+    return false;
+  }
+
   #refuse(
     request: CallerRequest,
     response: CallerResponse,
     answer: OwnAnswer,
+    inputs: LogContext = {},
   ): void {
     const { logger, metrics, blackboard } = this.#options;
     metrics.countRefusal(answer.code);
@@ -166,6 +185,8 @@
       code: answer.code,
       path: request.path,
       configuration: blackboard.configuration?.version ?? null,
+      retryAfter: Math.round(answer.retryAfterMilliseconds ?? 0),
+      ...inputs,
     });
     response.fail(answer);
   }
@@ -175,20 +196,21 @@
       this.#options;
     const { loads, health, upstreams } = blackboard;
     const now = () => performance.now();
+    const random = Math.random;
     return {
       codec,
       logger,
       now,
-      pickService: (route) => pickService(route, Math.random()),
-      choose: ({ service, excluded, objectiveMilliseconds, mustSend }) =>
+      random,
+      pickService: (route) => pickService(route, random()),
+      choose: ({ service, excluded, objectiveMilliseconds, willingness }) =>
         chooseServer(
           listCandidates(blackboard, { service, zone, now: now(), excluded }),
           {
             durationMilliseconds: blackboard.requestDurationMilliseconds,
-            acceptableWaitMilliseconds: mustSend
-              ? Number.POSITIVE_INFINITY
-              : objectiveMilliseconds * acceptableWaitShare,
-            random: Math.random,
+            acceptableWaitMilliseconds: objectiveMilliseconds *
+              acceptableWaitShares[willingness],
+            random,
           },
         ),
       server: (id) => upstreams.get(id),
@@ -212,6 +234,7 @@
         const context = {
           request: received.request.id ?? null,
           route: route.id,
+          workspace: outcome.workspace,
           outcome: outcome.outcome,
           server: outcome.server ?? null,
           ...(choice ? describeChoice(choice) : {}),
@@ -252,6 +275,11 @@
   message: "the key belongs to no workspace",
 };
 
+/** Keeps log lines short. */
+function rounded(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
 /** The load of the server as it was known when it was chosen. */
 function describeChoice({ server, displacesBatch }: SendChoice): LogContext {
   const { online, batch, slots, isSameZone, isAvoided } = server;
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -14,6 +14,7 @@
   defaultRetryAfterMilliseconds,
   heldAnswerBytes,
   leastRemainingMilliseconds,
+  retryAfterDeadlineShare,
   silentHeadMinimumMilliseconds,
   silentHeadObjectives,
   silentPauseMinimumMilliseconds,
@@ -31,6 +32,10 @@
   readonly workspace: WorkspaceRule | undefined;
   readonly response: CallerResponse;
   readonly services: OnlineServices;
+  /** Takes the request out of the workspace's limit, or answers it with a refusal. */
+  readonly admit: () => boolean;
+  /** The caller has come back after a refusal or a failure. */
+  readonly hasComeBack: boolean;
 }
 
 /** How the answer of a server reaches the caller. */
@@ -50,6 +55,7 @@
   /** Servers on which the request may have run. */
   #runs = 0;
   #refusals = 0;
+  #isAdmitted = false;
   #isOver = false;
   #firstBytesAt: number | undefined;
   #head: AnswerHead | undefined;
@@ -101,7 +107,11 @@
       service: this.#service,
       excluded: this.#excluded,
       objectiveMilliseconds: route.latencyObjectiveMilliseconds,
-      mustSend: this.#runs > 0,
+      willingness: this.#runs > 0
+        ? "any"
+        : this.#options.hasComeBack
+        ? "late"
+        : "in_time",
     });
     if (choice.kind === "none") return this.#giveUp("no server is available");
     if (choice.kind === "full") {
@@ -109,6 +119,9 @@
     }
     const server = services.server(choice.server.id);
     if (!server) return this.#giveUp("the server has left");
+    // A request that no server has room for takes nothing out of the limit.
+    this.#isAdmitted ||= this.#options.admit();
+    if (!this.#isAdmitted) return this.#end();
     if (choice.displacesBatch) services.displaceBatch(server.id);
     const { request, body } = received;
     this.#server = server.id;
@@ -351,13 +364,22 @@
       status: 503,
       code: "no_capacity",
       message: "all servers are full; the request has not run",
-      retryAfterMilliseconds: Math.max(
-        defaultRetryAfterMilliseconds,
-        expectedWaitMilliseconds,
-      ),
+      retryAfterMilliseconds: this.#retryAfterFull(expectedWaitMilliseconds),
     });
   }
 
+  /** Spreads the refused requests over the time that their callers can wait. */
+  #retryAfterFull(expectedWaitMilliseconds: number): number {
+    const { services } = this.#options;
+    const earliest = Math.max(
+      defaultRetryAfterMilliseconds,
+      expectedWaitMilliseconds,
+    );
+    const latest = (this.#deadlineAt - services.now()) *
+      retryAfterDeadlineShare;
+    return earliest + Math.max(0, latest - earliest) * services.random();
+  }
+
   #giveUp(reason: string): void {
     if (this.#runs > 0) {
       return this.#fail({
@@ -408,11 +430,15 @@
     this.#options.services.noteEnd(this.#server!);
   }
 
-  #finish(outcome: string): void {
-    if (this.#isOver) return;
+  #end(): void {
     this.#isOver = true;
     clearTimeout(this.#timer);
     clearInterval(this.#waitTimer);
+  }
+
+  #finish(outcome: string): void {
+    if (this.#isOver) return;
+    this.#end();
     const { services, received, route, workspace } = this.#options;
     services.noteOutcome({
       received,
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -8,12 +8,17 @@
 import type { CallerCodec, ReceivedRequest } from "./caller-request.ts";
 import type { SendChoice, ServerChoice } from "./choose-server.ts";
 
+/**
+ * How long a request may wait at a server: so that it is served in time, somewhat longer since
+ * its caller would otherwise be refused again, or in any case since it has run before.
+ */
+export type WaitWillingness = "in_time" | "late" | "any";
+
 export interface ChoiceRequest {
   readonly service: UpstreamName;
   readonly excluded: ReadonlySet<InstanceId>;
   readonly objectiveMilliseconds: number;
-  /** The request has run already, so that it is not refused for a full fleet. */
-  readonly mustSend: boolean;
+  readonly willingness: WaitWillingness;
 }
 
 export interface OnlineOutcome {
@@ -38,6 +43,8 @@
   readonly codec: CallerCodec;
   readonly logger: Logger;
   now(): number;
+  /** A number from 0 to 1. */
+  random(): number;
   pickService(route: RouteRule): UpstreamName;
   choose(request: ChoiceRequest): ServerChoice;
   server(id: InstanceId): UpstreamServer | undefined;
