Judge servers by the share of their requests that failed lately

Ruled out: longer avoidance alone, which would leave too few servers when many fail a part of their requests. Change: each server has a moving share of failed requests that fades within seconds; it lowers the server's chance, relative to the others, so that no service is ever emptied. A status of 500 and above counts as a failure on every route.

--- a/packages/fleet/documents.ts
+++ b/packages/fleet/documents.ts
@@ -142,7 +142,7 @@
     this.#departing.delete(id);
     blackboard.upstreams.set(server);
     if (known?.startedAtMilliseconds !== server.startedAtMilliseconds) {
-      blackboard.health.noteSuccess(id);
+      blackboard.health.forget(id);
     }
     if (known?.state !== server.state) {
       logger.info("a server changed its state", {
--- a/packages/gateway/choose-server.test.ts
+++ b/packages/gateway/choose-server.test.ts
@@ -29,6 +29,7 @@
     batch: 0,
     isSameZone: true,
     isAvoided: false,
+    failureShare: 0,
     ...values,
   };
 }
@@ -69,6 +70,14 @@
   assert.ok(counts.get("server-0")! < 400);
 });
 
+test("a server that fails part of its requests is taken less, unless all do", () => {
+  const grey = { failureShare: 0.4 };
+  const some = countChoices([candidate("grey", grey), candidate("sound")]);
+  assert.ok(some.get("grey")! < 200 && some.get("grey")! > 50);
+  const all = countChoices([candidate("one", grey), candidate("two", grey)]);
+  assert.ok(all.get("one")! > 400 && all.get("two")! > 400);
+});
+
 test("the last server without batch runs does not take all requests", () => {
   const loads = [{ online: 5 }, ...Array(5).fill({ online: 4, batch: 4 })];
   const counts = countChoices(
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -6,6 +6,7 @@
   otherZoneWeight,
   queueExponent,
   roomExponent,
+  trustExponent,
 } from "./constants.ts";
 
 export interface ServerCandidate {
@@ -17,6 +18,8 @@
   readonly isSameZone: boolean;
   /** It failed lately; it is used only if all others did too. */
   readonly isAvoided: boolean;
+  /** Share of its requests that failed lately. */
+  readonly failureShare: number;
 }
 
 export type ServerChoice =
@@ -72,7 +75,8 @@
     (candidate) =>
       waitOf(candidate) > acceptableWaitMilliseconds
         ? 0
-        : (candidate.online + 1 - candidate.slots) ** -queueExponent,
+        : (candidate.online + 1 - candidate.slots) ** -queueExponent *
+          trustOf(candidate),
     random,
   )!;
   return { kind: "send", server, displacesBatch: server.batch > 0 };
@@ -91,7 +95,7 @@
   return pickByWeight(
     candidates,
     (candidate) =>
-      roomOf(candidate) ** roomExponent *
+      roomOf(candidate) ** roomExponent * trustOf(candidate) *
       (candidate.isSameZone ? 1 : otherZoneWeight),
     random,
   );
@@ -115,6 +119,10 @@
   return last;
 }
 
+function trustOf({ failureShare }: ServerCandidate): number {
+  return (1 - failureShare) ** trustExponent;
+}
+
 function roomOf({ slots, online, batch }: ServerCandidate): number {
   const room = Math.max(0, slots - online);
   const free = Math.max(0, room - batch);
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -15,6 +15,14 @@
 /** A server that failed is avoided for this long; each further failure doubles it. */
 export const avoidMilliseconds = 500;
 export const avoidMaximumMilliseconds = 4_000;
+/** Weight of one outcome in the share of a server's failed requests. */
+export const failureWeight = 0.25;
+/** Time in which that share fades to a third while no requests are sent. */
+export const failureShareLifetimeMilliseconds = 6_000;
+/** Below this share a server counts as sound. */
+export const trustedFailureShare = 0.05;
+/** Chance of a server by the share of its requests that succeed: a power. */
+export const trustExponent = 4;
 /**
  * Latency objectives that a request may be expected to wait at a server. What is known of the
  * servers is a little old, so that real waits are longer.
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -221,7 +221,7 @@
       noteStatement: (server, load) => loads.noteStatement(server, load, now()),
       noteServerFault: (server) => health.noteFailure(server, now()),
       noteServed: (server, duration) => {
-        health.noteSuccess(server);
+        health.noteSuccess(server, now());
         blackboard.requestDurationMilliseconds +=
           (duration - blackboard.requestDurationMilliseconds) * durationWeight;
       },
@@ -283,7 +283,16 @@
 /** The load of the server as it was known when it was chosen. */
 function describeChoice({ server, displacesBatch }: SendChoice): LogContext {
   const { online, batch, slots, isSameZone, isAvoided } = server;
-  return { online, batch, slots, isSameZone, isAvoided, displacesBatch };
+  const failureShare = rounded(server.failureShare);
+  return {
+    online,
+    batch,
+    slots,
+    isSameZone,
+    isAvoided,
+    failureShare,
+    displacesBatch,
+  };
 }
 
 /** Picks a service of the route by weight; `random` is a number from 0 to 1. */
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -319,6 +319,10 @@
     this.#begin(this.#head!);
     response.end();
     this.#releaseServer();
+    if (this.#head!.status >= 500) {
+      services.noteServerFault(this.#server!);
+      return this.#finish("server_error");
+    }
     services.noteServed(this.#server!, services.now() - this.#attemptStartedAt);
     this.#finish("served");
   }
--- a/packages/gateway/server-candidates.ts
+++ b/packages/gateway/server-candidates.ts
@@ -28,6 +28,7 @@
       batch,
       isSameZone: server.zone === zone,
       isAvoided: health.isAvoided(server.id, now),
+      failureShare: health.failureShare(server.id, now),
     });
   }
   return candidates;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -384,7 +384,7 @@
     });
     switch (outcome.kind) {
       case "completed":
-        blackboard.health.noteSuccess(server);
+        blackboard.health.noteSuccess(server, now());
         this.#estimate.noteCompleted(work.tokens, events);
         return this.#record(work, partition, "completed", "");
       case "impossible":
