Move requests from a server that does not begin to one with room

Ruled out: a shorter limit of silence in any case, which would take queued requests away from servers while all are full. Change: after 0.55 objectives a repeatable request moves if another trusted server has a free slot; without a connection it moves after 200 ms, and has not run. Batch items take the share of failures of a server into account too, since online requests leave the bad servers empty for them.

--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -119,7 +119,8 @@
   return last;
 }
 
-function trustOf({ failureShare }: ServerCandidate): number {
+/** From 0 to 1: how much less often a server is chosen for its failures. */
+export function trustOf({ failureShare }: ServerCandidate): number {
   return (1 - failureShare) ** trustExponent;
 }
 
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -2,8 +2,13 @@
 
 /** A server in the same or another zone opens a connection within a few milliseconds. */
 export const serverConnectTimeoutMilliseconds = 400;
-/** A request that has not left by then counts as not run; a little over the connect timeout. */
-export const unsentMilliseconds = 450;
+/** A request without a connection by then goes to another server; it has not run. */
+export const unsentMilliseconds = 200;
+/**
+ * A request that may be repeated leaves a server that has not begun after this part of the
+ * latency objective, if another server has room to answer within the rest.
+ */
+export const moveAfterObjectives = 0.55;
 /** Idle connections are kept as long as servers usually announce. */
 export const serverIdleMilliseconds = 20_000;
 /** A first event that takes this many latency objectives shows a silent server. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -213,6 +213,10 @@
             random,
           },
         ),
+      hasRoom: (id) => {
+        const { online, batch } = loads.estimate(id, now());
+        return online + batch < (upstreams.get(id)?.slots ?? 0);
+      },
       server: (id) => upstreams.get(id),
       poolOf: (server) => pools.poolOf(server),
       displaceBatch,
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -14,6 +14,7 @@
   defaultRetryAfterMilliseconds,
   heldAnswerBytes,
   leastRemainingMilliseconds,
+  moveAfterObjectives,
   retryAfterDeadlineShare,
   silentHeadMinimumMilliseconds,
   silentHeadObjectives,
@@ -22,7 +23,7 @@
   unexpectedWaitMilliseconds,
 } from "./constants.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
-import type { SendChoice } from "./choose-server.ts";
+import type { SendChoice, ServerChoice } from "./choose-server.ts";
 import type { OnlineServices } from "./online-services.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
@@ -103,16 +104,7 @@
     if (this.#runs >= route.maximumAttempts) {
       return this.#giveUp("no further server may be tried");
     }
-    const choice = services.choose({
-      service: this.#service,
-      excluded: this.#excluded,
-      objectiveMilliseconds: route.latencyObjectiveMilliseconds,
-      willingness: this.#runs > 0
-        ? "any"
-        : this.#options.hasComeBack
-        ? "late"
-        : "in_time",
-    });
+    const choice = this.#choose(this.#excluded);
     if (choice.kind === "none") return this.#giveUp("no server is available");
     if (choice.kind === "full") {
       return this.#refuseFull(choice.expectedWaitMilliseconds);
@@ -155,18 +147,45 @@
     attempt.start();
   }
 
-  /** Asks for room again while the server has not begun with the request. */
+  #choose(excluded: ReadonlySet<InstanceId>): ServerChoice {
+    const { services, route, hasComeBack } = this.#options;
+    return services.choose({
+      service: this.#service,
+      excluded,
+      objectiveMilliseconds: route.latencyObjectiveMilliseconds,
+      willingness: this.#runs > 0 ? "any" : hasComeBack ? "late" : "in_time",
+    });
+  }
+
+  /** While the server has not begun, asks for room at it again, or moves to a server with room. */
   #watchWait(attempt: ServerAttempt, server: InstanceId): void {
+    const { services, route } = this.#options;
+    const moveAt = this.#attemptStartedAt +
+      route.latencyObjectiveMilliseconds * moveAfterObjectives;
     clearInterval(this.#waitTimer);
     this.#waitTimer = setInterval(() => {
       if (attempt !== this.#attempt || this.#head) {
         return clearInterval(this.#waitTimer);
       }
+      if (services.now() >= moveAt && this.#canMove(server)) {
+        return this.#handleFailure(attempt, {
+          verdict: "unknown",
+          reason: "the server has not begun and another has room",
+          isServerFault: services.hasRoom(server),
+        });
+      }
       this.#roomRequests += 1;
-      this.#options.services.displaceBatch(server);
+      services.displaceBatch(server);
     }, unexpectedWaitMilliseconds);
   }
 
+  #canMove(server: InstanceId): boolean {
+    if (!this.#isRepeatable || !this.#mayRunAgain()) return false;
+    const other = this.#choose(new Set([...this.#excluded, server]));
+    return other.kind === "send" && !other.server.isAvoided &&
+      this.#options.services.hasRoom(other.server.id);
+  }
+
   /** Only a request that may be sent again is taken away from a silent server. */
   #silences() {
     const { route } = this.#options;
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -47,6 +47,8 @@
   random(): number;
   pickService(route: RouteRule): UpstreamName;
   choose(request: ChoiceRequest): ServerChoice;
+  /** The server has a free slot, as far as is known. */
+  hasRoom(server: InstanceId): boolean;
   server(id: InstanceId): UpstreamServer | undefined;
   poolOf(server: UpstreamServer): ConnectionPool;
   /** Asks the holders of batch runs at the server to stop one of them. */
--- a/packages/jobs/choose-batch-server.ts
+++ b/packages/jobs/choose-batch-server.ts
@@ -1,7 +1,7 @@
 /** Chooses a server for an item from what online requests leave free. */
 
 import type { InstanceId } from "../common/ids.ts";
-import type { ServerCandidate } from "../gateway/choose-server.ts";
+import { type ServerCandidate, trustOf } from "../gateway/choose-server.ts";
 
 /** Slots of the server that further batch runs may use. */
 export function freeSlots(
@@ -25,7 +25,7 @@
     const room = freeSlots(candidate, slotsKeptFree);
     // Servers of the same zone go first among those with as much room.
     const rank = room > 0
-      ? room + (candidate.isSameZone ? sameZoneBonus : 0)
+      ? (room + (candidate.isSameZone ? sameZoneBonus : 0)) * trustOf(candidate)
       : 0;
     if (rank > bestRoom) {
       best = candidate.id;
