Build both loggers, both local listeners and both ways of reading once

Cause: the last reading found the logger tree and its ranks written twice, the readiness and metrics listeners of the entry instance opened alike twice, and a second copy of the direct-or-relayed call in reads. Ruled out: folding the bounded logger into the plain one, which the older programs use. Change: `buildLogger` with hooks, one `#listenOn`, and one `#run` that passes the signal. Conclusion: clean-up only.

--- a/packages/common/bounded-logger.ts
+++ b/packages/common/bounded-logger.ts
@@ -5,16 +5,17 @@
  * waiting, lines are dropped and counted.
  */
 
-import "./enable-roarr.ts";
 import { Buffer } from "node:buffer";
 import { write, writeSync } from "node:fs";
-import { ROARR, Roarr } from "roarr";
-import type { LogContext, Logger, LogLevel } from "./logging.ts";
+import {
+  buildLogger,
+  type LineWriter,
+  type Logger,
+  type LoggerOptions,
+  type WriteLevel,
+} from "./logging.ts";
 
-export interface BoundedLoggerOptions {
-  readonly program: string;
-  readonly context?: LogContext;
-  readonly level?: LogLevel;
+export interface BoundedLoggerOptions extends LoggerOptions {
   readonly sink?: LineSink;
   readonly now?: () => number;
 }
@@ -37,16 +38,6 @@
 const leftOutReportMilliseconds = 5_000;
 const millisecondsPerSecond = 1_000;
 
-type WriteLevel = "debug" | "info" | "warn" | "error";
-
-const levelRank: Record<LogLevel, number> = {
-  debug: 20,
-  info: 30,
-  warn: 40,
-  error: 50,
-  silent: 99,
-};
-
 interface KindBudget {
   tokens: number;
   updatedAt: number;
@@ -55,18 +46,12 @@
 
 export function createBoundedLogger(
   {
-    program,
-    context = {},
-    level = "info",
     sink = createStandardOutputSink(),
     now = () => performance.now(),
+    ...options
   }: BoundedLoggerOptions,
 ): Logger {
   let droppedLines = 0;
-  ROARR.write = (line: string) => {
-    if (!sink.write(line)) droppedLines += 1;
-  };
-  const minimum = levelRank[level];
   const budgets = new Map<string, KindBudget>();
   let reportedAt = now();
 
@@ -89,7 +74,7 @@
     return true;
   };
 
-  const reportLeftOut = (write: (line: LogContext, text: string) => void) => {
+  const reportLeftOut = (write: LineWriter) => {
     if (now() - reportedAt < leftOutReportMilliseconds) return;
     reportedAt = now();
     for (const [kind, budget] of budgets) {
@@ -105,24 +90,13 @@
     droppedLines = 0;
   };
 
-  const build = (inherited: LogContext): Logger => {
-    const roarr = Roarr.child({ program, ...inherited });
-    const writer = (name: WriteLevel) => {
-      return (message: string, extra: LogContext = {}) => {
-        if (levelRank[name] < minimum) return;
-        if (admit(name, message)) roarr[name](extra, message);
-        reportLeftOut((line, text) => roarr.warn(line, text));
-      };
-    };
-    return {
-      debug: writer("debug"),
-      info: writer("info"),
-      warn: writer("warn"),
-      error: writer("error"),
-      child: (extra) => build({ ...inherited, ...extra }),
-    };
-  };
-  return build(context);
+  return buildLogger(options, {
+    write: (line) => {
+      if (!sink.write(line)) droppedLines += 1;
+    },
+    admit,
+    afterLine: reportLeftOut,
+  });
 }
 
 const standardOutput = 1;
--- a/packages/common/logging.ts
+++ b/packages/common/logging.ts
@@ -36,31 +36,51 @@
   context?: LogContext;
 }
 
-export function createLogger(
+export type WriteLevel = Exclude<LogLevel, "silent">;
+export type LineWriter = (context: LogContext, message: string) => void;
+
+export interface LoggerHooks {
+  /** Takes the finished line. */
+  readonly write: (line: string) => void;
+  /** Decides whether a line of sufficient level is written. */
+  readonly admit?: (level: WriteLevel, message: string) => boolean;
+  /** Called after each line, written or not, with a way to add one. */
+  readonly afterLine?: (warn: LineWriter) => void;
+}
+
+/** Builds a logger and its children around the library; the hooks say where lines go. */
+export function buildLogger(
   { program, level = "info", context = {} }: LoggerOptions,
+  { write, admit = () => true, afterLine = () => {} }: LoggerHooks,
 ): Logger {
-  ROARR.write = (line: string) => {
-    process.stderr.write(line + "\n");
-  };
+  ROARR.write = write;
   const minimum = levelRank[level];
   const build = (inherited: LogContext): Logger => {
     const roarr = Roarr.child({ program, ...inherited });
-    const write = (name: "debug" | "info" | "warn" | "error") => {
+    const writer = (name: WriteLevel) => {
       return (message: string, extra: LogContext = {}) => {
-        if (levelRank[name] >= minimum) roarr[name](extra, message);
+        if (levelRank[name] < minimum) return;
+        if (admit(name, message)) roarr[name](extra, message);
+        afterLine((line, text) => roarr.warn(line, text));
       };
     };
     return {
-      debug: write("debug"),
-      info: write("info"),
-      warn: write("warn"),
-      error: write("error"),
+      debug: writer("debug"),
+      info: writer("info"),
+      warn: writer("warn"),
+      error: writer("error"),
       child: (extra) => build({ ...inherited, ...extra }),
     };
   };
   return build(context);
 }
 
+export function createLogger(options: LoggerOptions): Logger {
+  return buildLogger(options, {
+    write: (line) => process.stderr.write(line + "\n"),
+  });
+}
+
 const ignore = () => {};
 
 /** A logger that writes nothing, for tests and library use. */
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -3,7 +3,7 @@
  * around one blackboard. Everything that depends on a platform comes in through ports.
  */
 
-import { createServer } from "node:http";
+import { createServer, type ServerResponse } from "node:http";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { DisposableStore } from "../common/disposable-store.ts";
 import type { Incarnation, InstanceId, StreamName } from "../common/ids.ts";
@@ -33,7 +33,7 @@
   sweepIntervalMilliseconds,
 } from "./constants.ts";
 import type { EntryMetrics } from "./entry-metrics.ts";
-import type { EntrySettings } from "./entry-settings.ts";
+import type { EntrySettings, ListenAddress } from "./entry-settings.ts";
 import { addInstanceGauges } from "./instance-gauges.ts";
 import { leaveFleet } from "./leaving.ts";
 import { Membership } from "./membership.ts";
@@ -340,26 +340,18 @@
   }
 
   async #listenForReadiness(): Promise<void> {
-    const server = createServer((message, response) => {
-      message.resume();
+    await this.#listenOn(this.#options.settings.readiness, (response) => {
       const isReady = this.#blackboard.isReady && this.#membership.isLoaded;
       response.writeHead(isReady ? 200 : 503);
       response.end();
     });
-    await listenOn(server, this.#options.settings.readiness);
-    this.#disposables.add(() => {
-      server.close();
-      server.closeAllConnections();
-    });
   }
 
   /** The metrics are of use only where the settings name an address for them. */
   async #listenForMetrics(): Promise<void> {
-    const address = this.#options.settings.metrics;
-    if (!address) return;
-    const { metrics, logger } = this.#options;
-    const server = createServer((message, response) => {
-      message.resume();
+    const { metrics, settings, logger } = this.#options;
+    if (!settings.metrics) return;
+    await this.#listenOn(settings.metrics, (response) => {
       metrics.render().then(
         (text) => {
           response.writeHead(200, { "content-type": "text/plain" });
@@ -373,6 +365,17 @@
         },
       );
     });
+  }
+
+  /** Answers every request at the address until the instance ends. */
+  async #listenOn(
+    address: ListenAddress,
+    answer: (response: ServerResponse) => void,
+  ): Promise<void> {
+    const server = createServer((message, response) => {
+      message.resume();
+      answer(response);
+    });
     await listenOn(server, address);
     this.#disposables.add(() => {
       server.close();
--- a/packages/store/relayed-store.ts
+++ b/packages/store/relayed-store.ts
@@ -101,19 +101,12 @@
     return this.#run({ call: "append", target, entries }) as Promise<Offset>;
   }
 
-  async read(
+  read(
     target: StreamPartition,
     { signal, ...options }: ReadOptions,
   ): Promise<ReadResult> {
-    if (!this.#isDirectFailing) {
-      try {
-        return await this.#options.direct.read(target, { ...options, signal });
-      } catch (error) {
-        if (signal?.aborted || !isUnavailable(error)) throw error;
-        return await this.#relay({ call: "read", target, options }, error);
-      }
-    }
-    return await this.#run({ call: "read", target, options }) as ReadResult;
+    const call: RelayCall = { call: "read", target, options };
+    return this.#run(call, signal) as Promise<ReadResult>;
   }
 
   newest(target: StreamPartition, afterKey?: string): Promise<NewestPage> {
@@ -141,14 +134,14 @@
     await this.#run({ call: "leave", group, member });
   }
 
-  async #run(call: RelayCall): Promise<unknown> {
+  async #run(call: RelayCall, signal?: AbortSignal): Promise<unknown> {
     if (this.#isDirectFailing && this.#options.helpers().length > 0) {
       return await this.#relay(call, undefined);
     }
     try {
-      return await execute(this.#options.direct, call);
+      return await execute(this.#options.direct, call, signal);
     } catch (error) {
-      if (!isUnavailable(error)) throw error;
+      if (signal?.aborted || !isUnavailable(error)) throw error;
       if (call.call === "append" && error.mayHaveTakenEffect) throw error;
       return await this.#relay(call, error);
     }
@@ -230,12 +223,16 @@
   return error instanceof StoreUnavailableError;
 }
 
-async function execute(store: KeyedStore, call: RelayCall): Promise<unknown> {
+async function execute(
+  store: KeyedStore,
+  call: RelayCall,
+  signal?: AbortSignal,
+): Promise<unknown> {
   switch (call.call) {
     case "append":
       return await store.append(call.target, call.entries.map(plainEntry));
     case "read":
-      return await store.read(call.target, call.options);
+      return await store.read(call.target, { ...call.options, signal });
     case "newest":
       return await store.newest(call.target, call.afterKey ?? undefined);
     case "join":
