Tell peers of servers that fail many requests

Ruled out: taking a peer's word like an own outcome, since a server may fail only for the callers of one zone; and telling of single failures, which would spread every reset. Change: a report names servers with a share of failures of 0.3 or more; peers count it with 0.7 of its weight, never pass it on, and let it fade.

--- a/packages/fleet/peers/peer-reports.test.ts
+++ b/packages/fleet/peers/peer-reports.test.ts
@@ -72,6 +72,7 @@
       configurationPosition: 0,
       serversPosition: 0,
       loads: [],
+      faults: [],
       uses: [],
     },
     { instance: peer, incarnation: "1" },
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -217,6 +217,8 @@
       loads: blackboard.loads.ownReports().map((load) =>
         [load.server, load.online, load.batch] as const
       ),
+      faults: blackboard.health.faults(this.#options.clock.monotonicNow())
+        .map(({ server, share }) => [server, round(share)] as const),
       uses: limits().ownUses()
         .filter((use) => use.admitted > 0 || use.demandPerSecond > 0)
         .map((use) =>
@@ -251,6 +253,9 @@
       })),
       now,
     );
+    for (const [server, share] of report.faults) {
+      blackboard.health.notePeer(server, share, now);
+    }
     limits().notePeer(
       sender.instance,
       sender.incarnation,
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -1,6 +1,6 @@
 /**
- * What an instance tells its peers several times a second: the load it puts on servers, its use
- * of the limits, how far its documents go, and which partitions of the jobs it owns.
+ * What an instance tells its peers several times a second: the load it puts on servers, which
+ * of them fail, its use of the limits, how far its documents go, and which partitions of the jobs it owns.
  */
 
 import * as z from "zod/mini";
@@ -23,6 +23,8 @@
   readonly isStoreFailing: boolean;
   /** Server, online requests, batch runs. */
   readonly loads: readonly (readonly [InstanceId, number, number])[];
+  /** Servers that failed many requests of this instance lately, with the share. */
+  readonly faults: readonly (readonly [InstanceId, number])[];
   /** Workspace, admitted requests, demand per second. */
   readonly uses: readonly (readonly [WorkspaceId, number, number])[];
   readonly ownedPartitions: readonly PartitionNumber[];
@@ -38,6 +40,7 @@
   serversPosition: z.number(),
   isStoreFailing: z.boolean(),
   loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  faults: z._default(z.array(z.tuple([z.string(), z.number()])), []),
   uses: z.array(z.tuple([z.string(), z.number(), z.number()])),
   ownedPartitions: z.array(z.number()),
   ownerGeneration: z.number(),
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -26,6 +26,10 @@
 export const failureShareLifetimeMilliseconds = 6_000;
 /** Below this share a server counts as sound. */
 export const trustedFailureShare = 0.05;
+/** Share of failures from which peers are told; one failure alone stays below. */
+export const reportedFailureShare = 0.3;
+/** Weight of what a peer tells of a server against own outcomes. */
+export const peerFailureWeight = 0.7;
 /** Chance of a server by the share of its requests that succeed: a power. */
 export const trustExponent = 4;
 /**
