Use one piece for free slots, pages of newest records and own answers

Cause: read again as a whole, the change held copies. Free slots of a server were worked out in four places (the choice of a server twice, the gateway's `hasRoom`, the batch choice); three loops walked the pages of newest records; `sendJson` repeated `sendBytes`; a report was built in full every 50 ms before it was known whether it is sent; a request that looks for another server estimated again the load that its candidate already carries. Ruled out: sharing the sets of connection headers with packages/routing, since they differ in what they drop, and removing the decoded but unused services and priorities here, since their checks of the document would go or have to stay without a use.

--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -163,13 +163,16 @@
   #sendAll(isUrgent: boolean): void {
     const { members, instance, clock } = this.#options;
     const now = clock.monotonicNow();
-    const common = this.#buildReport();
-    const loads = JSON.stringify(common.loads);
-    const isUnchanged = loads === this.#reportedLoads &&
+    const loads = this.#options.blackboard.loads.ownReports().map((load) =>
+      [load.server, load.online, load.batch] as const
+    );
+    const text = JSON.stringify(loads);
+    const isUnchanged = text === this.#reportedLoads &&
       now - this.#reportedAt < unchangedReportIntervalMilliseconds;
     if (isUnchanged && !isUrgent) return;
-    this.#reportedLoads = loads;
+    this.#reportedLoads = text;
     this.#reportedAt = now;
+    const common = this.#buildReport(loads, now);
     for (const member of members.all()) {
       if (member.instance === instance) continue;
       this.#sendTo(member, common, now, isUrgent);
@@ -205,7 +208,10 @@
     });
   }
 
-  #buildReport(): Omit<PeerReport, "heard"> {
+  #buildReport(
+    loads: PeerReport["loads"],
+    now: number,
+  ): Omit<PeerReport, "heard"> {
     this.#sequence += 1;
     const { blackboard, documents, limits, jobReport, isStoreFailing } =
       this.#options;
@@ -214,10 +220,8 @@
       configurationPosition: documents.position("configuration"),
       serversPosition: documents.position("servers"),
       isStoreFailing: isStoreFailing(),
-      loads: blackboard.loads.ownReports().map((load) =>
-        [load.server, load.online, load.batch] as const
-      ),
-      faults: blackboard.health.faults(this.#options.clock.monotonicNow())
+      loads,
+      faults: blackboard.health.faults(now)
         .map(({ server, share }) => [server, round(share)] as const),
       uses: limits().ownUses()
         .filter((use) => use.admitted > 0 || use.demandPerSecond > 0)
--- a/packages/gateway/caller-response.ts
+++ b/packages/gateway/caller-response.ts
@@ -3,7 +3,7 @@
  * closing its connection, so that it never looks complete.
  */
 
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
 
 /** An answer of the system itself. */
@@ -74,14 +74,8 @@
   }
 
   sendJson(status: number, value: unknown): void {
-    if (this.isOver) return;
-    const text = JSON.stringify(value);
-    this.#addConnectionHeader();
-    this.#response.writeHead(status, {
-      "content-type": "application/json",
-      "content-length": new TextEncoder().encode(text).length,
-    });
-    this.#response.end(text);
+    const bytes = Buffer.from(JSON.stringify(value));
+    this.sendBytes(status, "application/json", bytes);
   }
 
   /** Sends an answer of the system, or breaks off an answer that was begun. */
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -52,8 +52,7 @@
   if (pool.length === 0) return { kind: "none" };
   const withRoom = pickByRoom(pool, options);
   if (withRoom) {
-    const { slots, online, batch } = withRoom;
-    const displacesBatch = online + batch >= slots;
+    const displacesBatch = freeSlots(withRoom) === 0;
     return { kind: "send", server: withRoom, displacesBatch };
   }
   return chooseFull(pool, options);
@@ -124,8 +123,19 @@
   return (1 - failureShare) ** trustExponent;
 }
 
-function roomOf({ slots, online, batch }: ServerCandidate): number {
-  const room = Math.max(0, slots - online);
-  const free = Math.max(0, room - batch);
+/** Slots of the server that nobody uses, beyond those that are to be kept free. */
+export function freeSlots(
+  { slots, online, batch }: Pick<
+    ServerCandidate,
+    "slots" | "online" | "batch"
+  >,
+  slotsKeptFree = 0,
+): number {
+  return Math.max(0, slots - slotsKeptFree - online - batch);
+}
+
+function roomOf(candidate: ServerCandidate): number {
+  const room = Math.max(0, candidate.slots - candidate.online);
+  const free = freeSlots(candidate);
   return free + (room - free) * batchRoomShare;
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -18,7 +18,7 @@
   ReceivedRequest,
 } from "./caller-request.ts";
 import type { CallerResponse, OwnAnswer } from "./caller-response.ts";
-import { chooseServer, type SendChoice } from "./choose-server.ts";
+import { chooseServer, freeSlots, type SendChoice } from "./choose-server.ts";
 import {
   acceptableWaitShares,
   defaultRetryAfterMilliseconds,
@@ -214,8 +214,8 @@
           },
         ),
       hasRoom: (id) => {
-        const { online, batch } = loads.estimate(id, now());
-        return online + batch < (upstreams.get(id)?.slots ?? 0);
+        const slots = upstreams.get(id)?.slots ?? 0;
+        return freeSlots({ slots, ...loads.estimate(id, now()) }) > 0;
       },
       server: (id) => upstreams.get(id),
       poolOf: (server) => pools.poolOf(server),
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -23,7 +23,11 @@
   unexpectedWaitMilliseconds,
 } from "./constants.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
-import type { SendChoice, ServerChoice } from "./choose-server.ts";
+import {
+  freeSlots,
+  type SendChoice,
+  type ServerChoice,
+} from "./choose-server.ts";
 import type { OnlineServices } from "./online-services.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
@@ -183,7 +187,7 @@
     if (!this.#isRepeatable || !this.#mayRunAgain()) return false;
     const other = this.#choose(new Set([...this.#excluded, server]));
     return other.kind === "send" && !other.server.isAvoided &&
-      this.#options.services.hasRoom(other.server.id);
+      freeSlots(other.server) > 0;
   }
 
   /** Only a request that may be sent again is taken away from a silent server. */
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -12,9 +12,10 @@
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { pickService } from "../gateway/gateway.ts";
+import { freeSlots } from "../gateway/choose-server.ts";
 import { listCandidates } from "../gateway/server-candidates.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
-import { chooseBatchServer, freeSlots } from "./choose-batch-server.ts";
+import { chooseBatchServer } from "./choose-batch-server.ts";
 import {
   ampleSlackMilliseconds,
   deliveryMilliseconds,
--- a/packages/jobs/choose-batch-server.ts
+++ b/packages/jobs/choose-batch-server.ts
@@ -1,18 +1,11 @@
 /** Chooses a server for an item from what online requests leave free. */
 
 import type { InstanceId } from "../common/ids.ts";
-import { type ServerCandidate, trustOf } from "../gateway/choose-server.ts";
-
-/** Slots of the server that further batch runs may use. */
-export function freeSlots(
-  { slots, online, batch }: Pick<
-    ServerCandidate,
-    "slots" | "online" | "batch"
-  >,
-  slotsKeptFree: number,
-): number {
-  return Math.max(0, slots - slotsKeptFree - online - batch);
-}
+import {
+  freeSlots,
+  type ServerCandidate,
+  trustOf,
+} from "../gateway/choose-server.ts";
 
 export function chooseBatchServer(
   candidates: readonly ServerCandidate[],
--- a/packages/jobs/item-bodies.ts
+++ b/packages/jobs/item-bodies.ts
@@ -13,6 +13,7 @@
   type KeyedStore,
   type StreamPartition,
 } from "../store/keyed-store.ts";
+import { newestPages } from "../store/newest-pages.ts";
 import { gatherBySize, recordOverheadBytes } from "./gather.ts";
 import {
   bodyCacheBytes,
@@ -129,15 +130,14 @@
   ): Promise<KeyedRecord[]> {
     const prefix = keyBeforeBodies(record.job);
     const records: KeyedRecord[] = [];
-    let after: string | undefined = prefix;
-    for (;;) {
-      const page = await this.#options.store.newest(target, after);
+    const pages = newestPages(this.#options.store, target, prefix);
+    for await (const page of pages) {
       for (const found of page.records) {
         if (found.key.startsWith(prefix)) records.push(found);
       }
-      after = page.records.at(-1)?.key;
-      if (!page.hasMore || !after?.startsWith(prefix)) return records;
+      if (!page.records.at(-1)?.key.startsWith(prefix)) break;
     }
+    return records;
   }
 
   #target(partition: JobPartition): StreamPartition {
--- a/packages/jobs/progress-keeper.ts
+++ b/packages/jobs/progress-keeper.ts
@@ -10,6 +10,7 @@
 import { delay, systemTimers } from "../common/timers.ts";
 import { decodeValue, encodeValue } from "../protocol/frames.ts";
 import type { KeyedEntry, KeyedStore } from "../store/keyed-store.ts";
+import { newestPages } from "../store/newest-pages.ts";
 import {
   maximumValueBytes,
   progressIntervalMilliseconds,
@@ -175,18 +176,14 @@
     { read, written }: PartitionProgress,
   ): Promise<void> {
     const { store, stream } = this.#options;
-    let after: string | undefined;
-    for (;;) {
-      const page = await store.newest({ stream, partition }, after);
+    for await (const page of newestPages(store, { stream, partition })) {
       for (const { key, value } of page.records) {
-        after = key;
         if (value === undefined) continue;
         const entry = this.#decode(partition, key, value);
         if (!entry) continue;
         read.set(key, entry);
         written.set(key, entry.lastEventId);
       }
-      if (!page.hasMore) return;
     }
   }
 
--- /dev/null
+++ b/packages/store/newest-pages.ts
@@ -0,0 +1,17 @@
+/** Reads the newest records of a partition page by page, in the order of their keys. */
+
+import type { KeyedStore, NewestPage, StreamPartition } from "./keyed-store.ts";
+
+export async function* newestPages(
+  store: KeyedStore,
+  target: StreamPartition,
+  afterKey?: string,
+): AsyncGenerator<NewestPage> {
+  let after = afterKey;
+  for (;;) {
+    const page = await store.newest(target, after);
+    yield page;
+    after = page.records.at(-1)?.key;
+    if (!page.hasMore || after === undefined) return;
+  }
+}
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -19,6 +19,7 @@
   type ReadResult,
   type StreamPartition,
 } from "./keyed-store.ts";
+import { newestPages } from "./newest-pages.ts";
 
 export interface PartitionFollowerOptions {
   store: KeyedStore;
@@ -148,16 +149,12 @@
     const sentAt = clock.monotonicNow();
     const records: KeyedRecord[] = [];
     let end: Offset | undefined;
-    let after: string | undefined;
-    for (;;) {
-      const page = await store.newest(target, after);
+    for await (const page of newestPages(store, target)) {
       end ??= page.end;
       for (const record of page.records) records.push(record);
-      after = page.records.at(-1)?.key;
-      if (!page.hasMore || after === undefined) break;
     }
     // Pages are no snapshot: what was written after the first page is read again in order.
-    const limit = end;
+    const limit = end!;
     const settled = records
       .filter((record) => record.offset < limit)
       .sort((left, right) => left.offset - right.offset);
--- a/packages/transport/connection-pool.ts
+++ b/packages/transport/connection-pool.ts
@@ -20,7 +20,6 @@
 }
 
 export type ConnectionPool = UndiciPool;
-export type ResponseHandler = Dispatcher.DispatchHandler;
 export type ResponseController = Dispatcher.DispatchController;
 
 /** A connection is not reused this close to the end that its server announced. */
