Hold jobs to the waiting tokens of a route, and end answers that never end

Cause: the limit of waiting tokens on a batch route was not decoded, so far more was accepted than could be done. Bytes within one event restarted the idle timeout, and the text of an event or an item could grow without bound. Ruled out: a shared count in the reports (may lag while a burst arrives); headers, trailers, chunk extensions and reason phrases without end, which the parser or the head timeout already bounded. Before: the tests of an event without end and of a byte now and then failed with 504 after 4 s; 15 jobs at three instances were all accepted where 5 fit. Conclusion: one instance for each workspace and route reserves tokens before a job is written; progress means whole events.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -17,12 +17,14 @@
 import type { ServerPools } from "../gateway/server-pools.ts";
 import { BatchExecutor } from "../jobs/batch-executor.ts";
 import { ItemBodies } from "../jobs/item-bodies.ts";
+import { JobAdmission } from "../jobs/job-admission.ts";
 import { JobCallHandler } from "../jobs/job-call-handler.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
 import { JobPartition, JobPartitions } from "../jobs/job-partition.ts";
 import { PartitionOwnership } from "../jobs/partition-ownership.ts";
 import { ProgressStore } from "../jobs/progress-store.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
+import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 import {
   bodyStream,
@@ -36,6 +38,7 @@
   readonly settings: EntrySettings;
   readonly store: KeyedStore;
   readonly blackboard: Blackboard;
+  readonly network: PeerNetwork;
   readonly pools: ServerPools;
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
@@ -90,6 +93,19 @@
     this.calls = new JobCallHandler({
       partitions: this.#partitions,
       bodies: this.#bodies,
+      admission: new JobAdmission({
+        instance: settings.instance,
+        network: options.network,
+        partitions: this.#partitions,
+        candidates: () => [
+          settings.instance,
+          ...options.peerReports().recentReports().map(({ instance }) =>
+            instance
+          ),
+        ],
+        now: clock.monotonicNow,
+        logger,
+      }),
       codec: options.jobCodec,
       now: clock.monotonicNow,
       wallNow: clock.wallNow,
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -199,6 +199,7 @@
       settings,
       store: this.#store,
       blackboard: this.#blackboard,
+      network: this.#network,
       pools: this.#pools,
       callerCodec,
       jobCodec,
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -36,6 +36,11 @@
   readonly dueMilliseconds: number;
   /** For batch routes: time from acceptance until an item may be given up. */
   readonly retentionMilliseconds: number;
+  /**
+   * For batch routes: largest number of tokens of a workspace's accepted items that may wait for
+   * their results at the same time; 0 for no limit.
+   */
+  readonly maximumWaitingTokens: number;
 }
 
 export interface ServiceRule {
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -7,6 +7,8 @@
 export const serverConnectTimeoutMilliseconds = 400;
 /** An attempt that has no connection after this time has not run and goes to another server. */
 export const connectionWaitMilliseconds = 200;
+/** Interim answers (1xx) after which a server counts as failing; a sound one sends one or two. */
+export const maximumInterimAnswers = 8;
 /**
  * A retryable request moves to another server if its server has not begun to answer after this
  * share of the latency objective and the other one has a free slot, so that it can answer within
--- a/packages/gateway/event-splitter.ts
+++ b/packages/gateway/event-splitter.ts
@@ -5,6 +5,9 @@
 
 import { Buffer } from "node:buffer";
 
+/** Longest event of a sound stream; an event holds the text of a few tokens. */
+export const maximumEventBytes = 64 * 1024;
+
 export interface StreamEvent {
   /** The event, including the empty line that ends it. */
   readonly bytes: Buffer;
@@ -17,12 +20,19 @@
 
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0);
+  /** Up to here, no end of an event was found in the pending bytes. */
+  #searchedBytes = 0;
 
   /** Number of bytes received of an event whose end has not arrived. */
   get pendingBytes(): number {
     return this.#pending.length;
   }
 
+  /** True if the present event is longer than any sound one, so that it may never end. */
+  get isOversized(): boolean {
+    return this.#pending.length > maximumEventBytes;
+  }
+
   /** Adds received bytes and returns the events that they complete. */
   push(chunk: Buffer): StreamEvent[] {
     this.#pending = this.#pending.length === 0
@@ -31,18 +41,21 @@
     const events: StreamEvent[] = [];
     let start = 0;
     for (;;) {
-      const end = endOfEvent(this.#pending, start);
+      // The line break before the empty line may be among the bytes searched before.
+      const searchStart = Math.max(start, this.#searchedBytes - 2);
+      const end = endOfEvent(this.#pending, searchStart);
       if (end < 0) break;
       const bytes = this.#pending.subarray(start, end);
       events.push({ bytes, id: idOf(bytes) });
       start = end;
     }
     this.#pending = this.#pending.subarray(start);
+    this.#searchedBytes = this.#pending.length;
     return events;
   }
 }
 
-/** Position after the empty line that ends the event, or -1 if it has not arrived. */
+/** Position after the first empty line from `start` on, or -1 if it has not arrived. */
 function endOfEvent(bytes: Buffer, start: number): number {
   for (
     let at = bytes.indexOf(lineFeed, start);
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -280,24 +280,39 @@
     if (!response.hasBegun) response.begin(head.status, head.forwardedHeaders);
   }
 
-  #handleData(attempt: ServerAttempt, chunk: Buffer): void {
-    if (attempt !== this.#attempt || this.#isOver) return;
-    if (this.#mode === "direct") return this.#write(chunk);
-    if (this.#mode === "held") return this.#hold(chunk);
+  /** Returns true if the answer has progressed, which for a stream takes a whole event. */
+  #handleData(attempt: ServerAttempt, chunk: Buffer): boolean {
+    if (attempt !== this.#attempt || this.#isOver) return false;
+    if (this.#mode === "events") return this.#handleEventData(attempt, chunk);
+    if (this.#mode === "held") this.#hold(chunk);
+    else this.#write(chunk);
+    return true;
+  }
+
+  #handleEventData(attempt: ServerAttempt, chunk: Buffer): boolean {
     const wholeEvents: Buffer[] = [];
     for (const event of this.#splitter.push(chunk)) {
       if (!this.#isNextEvent(event)) {
         if (wholeEvents.length > 0) this.#writeEvents(wholeEvents);
-        return this.#handleFailure(attempt, {
+        this.#handleFailure(attempt, {
           verdict: "ran",
           reason: `event ${event.id} does not follow ${this.#lastEventId}`,
           isServerFault: true,
         });
+        return false;
       }
       if (event.id !== undefined) this.#lastEventId = event.id;
       wholeEvents.push(event.bytes);
     }
     if (wholeEvents.length > 0) this.#writeEvents(wholeEvents);
+    if (this.#splitter.isOversized) {
+      this.#handleFailure(attempt, {
+        verdict: "ran",
+        reason: "an event of the stream does not end",
+        isServerFault: true,
+      });
+    }
+    return wholeEvents.length > 0;
   }
 
   #isNextEvent(event: StreamEvent): boolean {
--- a/packages/gateway/server-attempt.test.ts
+++ b/packages/gateway/server-attempt.test.ts
@@ -20,7 +20,7 @@
       bodyIdleTimeoutMilliseconds: 10_000,
     }, {
       onHead: () => {},
-      onData: () => {},
+      onData: () => true,
       onEnd: () => {},
       onFailure: resolve,
     }).start();
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -12,7 +12,10 @@
   type ResponseController,
 } from "../transport/connection-pool.ts";
 import type { AnswerHead } from "./caller-request.ts";
-import { connectionWaitMilliseconds } from "./constants.ts";
+import {
+  connectionWaitMilliseconds,
+  maximumInterimAnswers,
+} from "./constants.ts";
 
 export interface AttemptFailure {
   readonly verdict: Verdict;
@@ -23,7 +26,11 @@
 
 export interface AttemptListener {
   onHead(head: AnswerHead): void;
-  onData(chunk: Buffer): void;
+  /**
+   * Returns true if the answer has progressed. Bytes without progress do not restart the idle
+   * timeout, so that a stalled answer is not kept alive by a byte now and then.
+   */
+  onData(chunk: Buffer): boolean;
   onEnd(): void;
   onFailure(failure: AttemptFailure): void;
 }
@@ -55,6 +62,7 @@
   #isOver = false;
   #wasSent = false;
   #isPaused = false;
+  #interimAnswers = 0;
 
   constructor(options: AttemptOptions, listener: AttemptListener) {
     this.#options = options;
@@ -89,8 +97,8 @@
         this.#handleHead(status, responseHeaders),
       onResponseData: (_, chunk) => {
         if (this.#isOver) return;
+        if (!this.#listener.onData(chunk)) return;
         this.#restartIdleTimer(this.#options.bodyIdleTimeoutMilliseconds);
-        this.#listener.onData(chunk);
       },
       onResponseEnd: () => this.#handleEnd(),
       onResponseError: (_, error) =>
@@ -125,7 +133,8 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (this.#isOver || status < 200) return;
+    if (this.#isOver) return;
+    if (status < 200) return this.#countInterimAnswer();
     const head = this.#options.decodeHead(status, headers);
     if (
       head.requestId !== undefined &&
@@ -141,6 +150,17 @@
     this.#listener.onHead(head);
   }
 
+  /** Fails if the server sends interim answers (1xx) without end. */
+  #countInterimAnswer(): void {
+    this.#interimAnswers += 1;
+    if (this.#interimAnswers <= maximumInterimAnswers) return;
+    this.#fail({
+      verdict: "unknown",
+      reason: `more than ${maximumInterimAnswers} interim answers`,
+      isServerFault: true,
+    });
+  }
+
   /** No connection became available in time, so the request was not sent. */
   #handleConnectionTimeout(): void {
     if (this.#wasSent) return;
@@ -164,7 +184,7 @@
 
   #restartIdleTimer(milliseconds: number): void {
     clearTimeout(this.#idleTimer);
-    if (this.#isPaused) return;
+    if (this.#isPaused || this.#isOver) return;
     this.#idleTimer = setTimeout(() =>
       this.#fail({
         verdict: this.#wasSent ? "unknown" : "not_run",
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -66,3 +66,15 @@
  * and read by another instance.
  */
 export const resultDeliveryMilliseconds = 500;
+/**
+ * How long tokens stay reserved for an admitted job that has not been read back from the store;
+ * longer than a submission may take, including the retries of its write.
+ */
+export const tokenReservationMilliseconds = 6_000;
+/** Time over which the rate is measured at which the waiting tokens of a workspace are worked off. */
+export const drainRateWindowMilliseconds = 5_000;
+/** Bounds of the Retry-After of a job that exceeds the limit of waiting tokens. */
+export const minimumTokenRetryAfterMilliseconds = 400;
+export const maximumTokenRetryAfterMilliseconds = 10_000;
+/** Longest wait for the instance that admits the jobs of a workspace; then the next one is asked. */
+export const admissionTimeoutMilliseconds = 120;
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -12,6 +12,7 @@
   type AttemptOptions,
   ServerAttempt,
 } from "../gateway/server-attempt.ts";
+import { maximumValueBytes } from "./constants.ts";
 
 /** What all runs of an item have received so far. */
 export interface PartialOutput {
@@ -52,6 +53,8 @@
   readonly #attempt: ServerAttempt;
   readonly #splitter = new EventSplitter();
   #status = 0;
+  /** Characters of text that this run has received; a longer text than the store takes is unsound. */
+  #receivedCharacters = 0;
   #isOver = false;
 
   constructor(options: ItemRunOptions) {
@@ -89,22 +92,41 @@
     this.#interrupt(`the server answered with status ${head.status}`, true);
   }
 
-  #handleData(chunk: Buffer): void {
-    if (this.#isOver || this.#status !== statusOk) return;
+  /** Returns true if the chunk completes an event. */
+  #handleData(chunk: Buffer): boolean {
+    if (this.#isOver || this.#status !== statusOk) return false;
     const { output } = this.#options;
-    for (const event of this.#splitter.push(chunk)) {
+    const events = this.#splitter.push(chunk);
+    for (const event of events) {
       // The ids of an item's events are consecutive, also from one run to the next.
       const expected = (output.lastEventId ?? event.id ?? 0) +
         (output.lastEventId === undefined ? 0 : 1);
       if (event.id !== expected) {
-        return this.#interrupt(
+        this.#interrupt(
           `received event ${event.id} instead of event ${expected}`,
           true,
         );
+        return false;
       }
       output.lastEventId = event.id;
-      output.eventData.push(dataOf(event));
+      const data = dataOf(event);
+      output.eventData.push(data);
+      this.#receivedCharacters += data.length;
     }
+    if (this.#splitter.isOversized) {
+      this.#interrupt("an event of the stream does not end", true);
+    } else if (this.#receivedCharacters > maximumValueBytes) {
+      this.#discardOutput();
+      this.#interrupt("the text of the item does not end", true);
+    }
+    return events.length > 0;
+  }
+
+  /** Forgets what was received, since it cannot be the output of the item. */
+  #discardOutput(): void {
+    const { output } = this.#options;
+    output.eventData.length = 0;
+    output.lastEventId = undefined;
   }
 
   #handleEnd(): void {
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -24,14 +24,17 @@
   writeRetryMilliseconds,
 } from "./constants.ts";
 import type { ItemBodies } from "./item-bodies.ts";
+import type { JobAdmission } from "./job-admission.ts";
 import type { JobCodec, SubmittedItem } from "./job-codec.ts";
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobState } from "./partition-state.ts";
 import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
+import type { TokenDecision, TokenDemand } from "./waiting-tokens.ts";
 
 export interface JobCallHandlerOptions {
   readonly partitions: JobPartitions;
   readonly bodies: ItemBodies;
+  readonly admission: Pick<JobAdmission, "reserve" | "release">;
   readonly codec: JobCodec;
   readonly now: () => number;
   readonly wallNow: () => number;
@@ -134,6 +137,21 @@
     const timeLimitMilliseconds = (received.request.deadlineMilliseconds ??
       defaultSubmitDeadlineMilliseconds) * submitDeadlineShare;
     const deadline = received.receivedAt + timeLimitMilliseconds;
+    const demand: TokenDemand = {
+      job,
+      workspace,
+      route: route.id,
+      tokens: items.reduce((sum, { tokens }) => sum + tokens, 0),
+      maximumTokens: route.maximumWaitingTokens,
+    };
+    const decision = await this.#options.admission.reserve(demand);
+    if (!decision.isAdmitted) {
+      // An earlier attempt of the caller may have written the job, which then runs.
+      if (!await partition.catchUp()) return storeUnavailable;
+      const known = partition.job(job);
+      if (known) return this.#answerAccepted(known, workspace, response);
+      return this.#refuseForWaitingTokens(demand, decision);
+    }
     let mayHaveTakenEffect = false;
     while (now() < deadline) {
       const known = partition.job(job);
@@ -163,13 +181,39 @@
           reason: error.message,
           mayHaveTakenEffect: error.mayHaveTakenEffect,
         });
-        if (!mayHaveTakenEffect) return storeUnavailable;
+        if (!mayHaveTakenEffect) {
+          this.#options.admission.release(demand);
+          return storeUnavailable;
+        }
         await delay(systemTimers, writeRetryMilliseconds);
       }
     }
     return mayHaveTakenEffect ? outcomeUnknown : storeUnavailable;
   }
 
+  #refuseForWaitingTokens(
+    { job, workspace, route, tokens, maximumTokens }: TokenDemand,
+    decision: Extract<TokenDecision, { isAdmitted: false }>,
+  ): ErrorAnswer {
+    const { waitingTokens, retryAfterMilliseconds } = decision;
+    this.#options.logger.info("a job exceeds the limit of waiting tokens", {
+      job,
+      workspace: workspace ?? null,
+      route,
+      tokens,
+      waitingTokens,
+      maximumTokens,
+      retryAfter: Math.round(retryAfterMilliseconds),
+    });
+    return {
+      status: 429,
+      code: "waiting_tokens",
+      message:
+        "too many tokens of the workspace wait on this route; no part of the job runs",
+      retryAfterMilliseconds,
+    };
+  }
+
   #answerAccepted(
     state: JobState,
     workspace: WorkspaceId | undefined,
--- a/packages/jobs/partition-state.ts
+++ b/packages/jobs/partition-state.ts
@@ -21,6 +21,10 @@
   readonly finished: Set<number>;
   /** Failure counts of unfinished items, by the index of the item. */
   readonly failures: Map<number, number>;
+  /** Tokens of all items. */
+  readonly totalTokens: number;
+  /** Tokens of the items that have a result. */
+  finishedTokens: number;
   /** The caller has ended the job. */
   isEnded: boolean;
 }
@@ -74,6 +78,8 @@
       results: [],
       finished: new Set(),
       failures: new Map(),
+      totalTokens: record.items.reduce((sum, { tokens }) => sum + tokens, 0),
+      finishedTokens: 0,
       isEnded: this.#endedJobs.has(record.job),
     });
     const pending = this.#pendingGroups.splice(0);
@@ -95,6 +101,7 @@
       const state = this.#jobs.get(result.job);
       if (!state || state.finished.has(result.item)) continue;
       state.finished.add(result.item);
+      state.finishedTokens += state.record.items[result.item]?.tokens ?? 0;
       state.results.push(result);
       state.failures.delete(result.item);
       changed.add(result.job);
