--- /dev/null
+++ b/packages/coordination/coordinator-client.ts
@@ -0,0 +1,220 @@
+/**
+ * A dependent's side of the coordination: asks the nearest coordinator that replies, and reports
+ * the loads of this instance to it. A coordinator that does not reply is suspected for a while;
+ * nothing waits for it longer than one timeout.
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { PeerUnavailableError } from "../common/errors.ts";
+import type { InstanceId, Offset } from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import type { PeerMessage } from "../protocol/peer-message.ts";
+import type { PeerNetwork } from "../protocol/peer-network.ts";
+import {
+  failingReportIntervalMilliseconds,
+  idleReportIntervalMilliseconds,
+  loadReportDelayMilliseconds,
+  maximumAskedCoordinators,
+  reportTimeoutMilliseconds,
+  suspicionMilliseconds,
+} from "./constants.ts";
+import { type DependentReport, dependentReportMessage } from "./messages.ts";
+
+/** What the instance reports, apart from the questions that are settled. */
+export type DependentState = Omit<DependentReport, "settledQuestion">;
+
+export interface CoordinatorClientOptions {
+  readonly network: PeerNetwork;
+  /** All coordinators but this instance, the preferred one first. */
+  readonly coordinators: () => readonly InstanceId[];
+  readonly state: () => DependentState;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export interface AskOptions {
+  readonly deadlineMilliseconds: number;
+  readonly maximumAsked?: number;
+}
+
+interface CoordinatorState {
+  suspectedUntil: number;
+  isStoreFailing: boolean;
+}
+
+export class CoordinatorClient {
+  readonly #options: CoordinatorClientOptions;
+  readonly #states = new Map<InstanceId, CoordinatorState>();
+  readonly #openQuestions = new Set<number>();
+  #lastQuestion = 0;
+  #reportTimer: NodeJS.Timeout | undefined;
+  #reportAt = Number.POSITIVE_INFINITY;
+  /** Receives the reports at present; told when another one takes over. */
+  #coordinator: InstanceId | undefined;
+  #isRunning = false;
+
+  constructor(options: CoordinatorClientOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#isRunning = true;
+    this.#scheduleReport(0);
+  }
+
+  stop(): void {
+    if (!this.#isRunning) return;
+    this.#isRunning = false;
+    clearTimeout(this.#reportTimer);
+    this.#reportAt = Number.POSITIVE_INFINITY;
+    this.#withdrawReport(this.#coordinator);
+    this.#coordinator = undefined;
+  }
+
+  /** Coordinators that have not failed to reply recently; all of them if none is left. */
+  candidates(): InstanceId[] {
+    const { coordinators, clock } = this.#options;
+    const now = clock.monotonicNow();
+    const all = coordinators();
+    const trusted = all.filter((coordinator) =>
+      (this.#states.get(coordinator)?.suspectedUntil ?? 0) <= now
+    );
+    return trusted.length > 0 ? trusted : [...all];
+  }
+
+  /** Coordinators that can reach the store, as far as is known. */
+  storeRelays(): InstanceId[] {
+    return this.candidates().filter((coordinator) =>
+      !this.#states.get(coordinator)?.isStoreFailing
+    );
+  }
+
+  /**
+   * Asks coordinators in turn until one replies; undefined if none does. `build` receives the
+   * number of the question, which counts as settled once this call has returned.
+   */
+  async ask<Request, Reply, Result>(
+    message: PeerMessage<Request, Reply>,
+    build: (question: number) => Request,
+    accept: (reply: Reply) => Result,
+    { deadlineMilliseconds, maximumAsked = maximumAskedCoordinators }:
+      AskOptions,
+  ): Promise<Result | undefined> {
+    const question = ++this.#lastQuestion;
+    this.#openQuestions.add(question);
+    try {
+      for (const coordinator of this.candidates().slice(0, maximumAsked)) {
+        const reply = await this.#request(
+          coordinator,
+          message,
+          build(question),
+          deadlineMilliseconds,
+        );
+        if (reply !== undefined) return accept(reply);
+      }
+      return undefined;
+    } finally {
+      this.#openQuestions.delete(question);
+    }
+  }
+
+  /** Sends a message to the preferred coordinator, which may be lost. */
+  tell<Request>(message: PeerMessage<Request, null>, body: Request): void {
+    const [coordinator] = this.candidates();
+    if (coordinator === undefined) return;
+    this.#options.network.send(coordinator, message, body);
+  }
+
+  /** Called when the loads of this instance have changed. */
+  handleLoadChange(): void {
+    if (this.#isRunning) this.#scheduleReport(loadReportDelayMilliseconds);
+  }
+
+  async #request<Request, Reply>(
+    coordinator: InstanceId,
+    message: PeerMessage<Request, Reply>,
+    body: Request,
+    deadlineMilliseconds: number,
+  ): Promise<Reply | undefined> {
+    const { network, clock, logger } = this.#options;
+    try {
+      return await network.request(coordinator, message, body, {
+        deadlineMilliseconds,
+      });
+    } catch (error) {
+      if (error instanceof PeerUnavailableError) {
+        this.#stateOf(coordinator).suspectedUntil = clock.monotonicNow() +
+          suspicionMilliseconds;
+      }
+      logger.warn("a coordinator did not answer", {
+        coordinator,
+        message: message.type,
+        reason: String(error),
+      });
+      return undefined;
+    }
+  }
+
+  #scheduleReport(milliseconds: number): void {
+    const at = this.#options.clock.monotonicNow() + milliseconds;
+    if (at >= this.#reportAt) return;
+    clearTimeout(this.#reportTimer);
+    this.#reportAt = at;
+    this.#reportTimer = setTimeout(() => this.#report(), milliseconds);
+  }
+
+  #report(): void {
+    if (!this.#isRunning) return;
+    this.#reportAt = Number.POSITIVE_INFINITY;
+    const state = this.#options.state();
+    this.#scheduleReport(
+      state.isStoreFailing
+        ? failingReportIntervalMilliseconds
+        : idleReportIntervalMilliseconds,
+    );
+    const [coordinator] = this.candidates();
+    if (coordinator === undefined) return;
+    if (this.#coordinator !== coordinator) {
+      this.#withdrawReport(this.#coordinator);
+      this.#coordinator = coordinator;
+    }
+    const report = { ...state, settledQuestion: this.#settledQuestion() };
+    void this.#request(
+      coordinator,
+      dependentReportMessage,
+      report,
+      reportTimeoutMilliseconds,
+    ).then((reply) => {
+      if (reply === undefined) return this.#scheduleReport(0);
+      this.#stateOf(coordinator).isStoreFailing = reply.isStoreFailing;
+    });
+  }
+
+  /** Tells a former coordinator that it counts nothing for this instance any longer. */
+  #withdrawReport(coordinator: InstanceId | undefined): void {
+    if (coordinator === undefined) return;
+    this.#options.network.send(coordinator, dependentReportMessage, {
+      settledQuestion: this.#settledQuestion(),
+      loads: [],
+      faults: [],
+      configurationPosition: Number.MAX_SAFE_INTEGER as Offset,
+      serversPosition: Number.MAX_SAFE_INTEGER as Offset,
+      isStoreFailing: false,
+    });
+  }
+
+  #settledQuestion(): number {
+    return this.#openQuestions.size === 0
+      ? this.#lastQuestion
+      : Math.min(...this.#openQuestions) - 1;
+  }
+
+  #stateOf(coordinator: InstanceId): CoordinatorState {
+    let state = this.#states.get(coordinator);
+    if (!state) {
+      state = { suspectedUntil: 0, isStoreFailing: false };
+      this.#states.set(coordinator, state);
+    }
+    return state;
+  }
+}
--- /dev/null
+++ b/packages/coordination/coordinator-service.ts
@@ -0,0 +1,141 @@
+/**
+ * A coordinator's side of the coordination: decides for its dependents from the coordinator's view
+ * of the fleet, counts their requests, and passes on the documents that they lack. A dependent may
+ * know of a coordinator before that instance has taken the role; it is then told to ask another.
+ */
+
+import type { Clock } from "../common/clock.ts";
+import { RosemaryrudderError } from "../common/errors.ts";
+import type { InstanceId, Offset } from "../common/ids.ts";
+import type { Blackboard } from "../fleet/blackboard.ts";
+import type { WorkspaceRule } from "../fleet/configuration.ts";
+import type { LocalPlacer } from "../gateway/placement.ts";
+import type { PeerNetwork, PeerSender } from "../protocol/peer-network.ts";
+import { Dependents } from "./dependents.ts";
+import {
+  type DependentReport,
+  dependentReportMessage,
+  makeRoomMessage,
+  pingMessage,
+  placementMessage,
+  type PlacementQuestion,
+  roomMessage,
+} from "./messages.ts";
+
+export interface CoordinatorServiceOptions {
+  readonly network: PeerNetwork;
+  readonly blackboard: Blackboard;
+  readonly placer: LocalPlacer;
+  /** Whether this instance is a coordinator and knows enough of the fleet to decide for others. */
+  readonly canDecide: () => boolean;
+  readonly isStoreFailing: () => boolean;
+  /** Sends a dependent the document records after the positions that it states. */
+  readonly pushDocuments: (
+    dependent: InstanceId,
+    positions: {
+      readonly configurationPosition: Offset;
+      readonly serversPosition: Offset;
+      readonly isStoreFailing: boolean;
+    },
+  ) => void;
+  readonly clock: Clock;
+}
+
+export class CoordinatorService {
+  readonly #options: CoordinatorServiceOptions;
+  readonly #dependents: Dependents;
+
+  constructor(options: CoordinatorServiceOptions) {
+    this.#options = options;
+    const { network, blackboard, placer, clock } = options;
+    const { loads } = blackboard;
+    this.#dependents = new Dependents({
+      addRequest: (server) => loads.addRequest(server, "online"),
+      removeRequest: (server) => loads.removeRequest(server, "online"),
+    });
+    network.handle(
+      placementMessage,
+      (question, sender) => this.#place(question, sender, clock.monotonicNow()),
+    );
+    network.handle(
+      roomMessage,
+      ({ avoided, zone, excluded, ...rest }) => {
+        this.#checkCanDecide();
+        return placer.checkRoom(
+          { ...rest, excluded: new Set(excluded) },
+          { zone, avoided: new Set(avoided) },
+        );
+      },
+    );
+    network.handle(makeRoomMessage, ({ server }) => {
+      placer.makeRoom(server);
+      return null;
+    });
+    network.handle(
+      dependentReportMessage,
+      (report, sender) => this.#receiveReport(report, sender),
+    );
+    network.handle(pingMessage, () => null);
+  }
+
+  /** Number of dependents that are attached to this instance. */
+  get dependents(): number {
+    return this.#dependents.size;
+  }
+
+  hasDependent(instance: InstanceId): boolean {
+    return this.#dependents.has(instance);
+  }
+
+  /** Discards the counts of dependents that have fallen silent. */
+  expire(): void {
+    this.#dependents.expire(this.#options.clock.monotonicNow());
+  }
+
+  #place(
+    { limitedWorkspace, excluded, avoided, zone, question, ...choice }:
+      PlacementQuestion,
+    sender: PeerSender,
+    now: number,
+  ) {
+    this.#checkCanDecide();
+    const placement = this.#options.placer.decide({
+      ...choice,
+      excluded: new Set(excluded),
+      limitedWorkspace: limitedWorkspace && this.#findRule(limitedWorkspace),
+    }, { zone, avoided: new Set(avoided) });
+    if (placement.kind === "send") {
+      this.#dependents.grant(sender, question, placement.server.id, now);
+    }
+    return placement;
+  }
+
+  #checkCanDecide(): void {
+    if (this.#options.canDecide()) return;
+    throw new RosemaryrudderError(
+      "not_a_coordinator",
+      "this instance does not decide for others",
+    );
+  }
+
+  /** The rule in force at this instance, or the dependent's if this instance has none. */
+  #findRule(
+    workspace: NonNullable<PlacementQuestion["limitedWorkspace"]>,
+  ): WorkspaceRule | undefined {
+    const rule = this.#options.blackboard.configuration
+      ?.workspace(workspace.id) ??
+      { ...workspace, keys: [], priority: undefined };
+    return rule.ratePerSecond > 0 ? rule : undefined;
+  }
+
+  #receiveReport(report: DependentReport, sender: PeerSender) {
+    const { blackboard, clock, isStoreFailing, pushDocuments } = this.#options;
+    const now = clock.monotonicNow();
+    this.#dependents.update(sender, report, now);
+    for (const [server, share] of report.faults) {
+      blackboard.health.recordPeerFailureShare(server, share, now);
+    }
+    pushDocuments(sender.instance, report);
+    return { isStoreFailing: isStoreFailing() };
+  }
+}
--- /dev/null
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -0,0 +1,125 @@
+/**
+ * Calls on batch jobs at a dependent, which holds no jobs: they are forwarded to a coordinator,
+ * whose answer is passed on unchanged. A call that a coordinator did not answer goes to another
+ * one, since all of them may be repeated: a job is known by the id that its caller gave it.
+ */
+
+import { Buffer } from "node:buffer";
+import type { WorkspaceId } from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import type { RouteRule } from "../fleet/configuration.ts";
+import type { JobCall, ReceivedRequest } from "../gateway/caller-request.ts";
+import type { ErrorAnswer } from "../gateway/caller-response.ts";
+import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
+import type { JobCalls } from "../gateway/gateway.ts";
+import type { JobResponse } from "../jobs/job-response.ts";
+import { jobCallTimeoutMilliseconds } from "./constants.ts";
+import type { CoordinatorClient } from "./coordinator-client.ts";
+import {
+  type ForwardedJobCall,
+  type ForwardedJobReply,
+  jobCallMessage,
+} from "./messages.ts";
+
+export interface ForwardedJobCallsOptions {
+  readonly client: CoordinatorClient;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
+  readonly logger: Logger;
+}
+
+export class ForwardedJobCalls implements JobCalls {
+  readonly #options: ForwardedJobCallsOptions;
+
+  constructor(options: ForwardedJobCallsOptions) {
+    this.#options = options;
+  }
+
+  submit(
+    received: ReceivedRequest,
+    route: RouteRule,
+    workspace: WorkspaceId | undefined,
+    response: JobResponse,
+  ): void {
+    void this.#forward(undefined, received, route, workspace, response);
+  }
+
+  handle(
+    call: JobCall,
+    received: ReceivedRequest,
+    route: RouteRule,
+    workspace: WorkspaceId | undefined,
+    response: JobResponse,
+  ): void {
+    if (call.kind === "malformed") {
+      return response.fail({
+        status: 400,
+        code: "malformed_job",
+        message: call.reason,
+      });
+    }
+    void this.#forward(call, received, route, workspace, response);
+  }
+
+  async #forward(
+    call: ForwardedJobCall["call"],
+    { request, body, receivedAt }: ReceivedRequest,
+    route: RouteRule,
+    workspace: WorkspaceId | undefined,
+    response: JobResponse,
+  ): Promise<void> {
+    const { client, now, logger } = this.#options;
+    const waitMilliseconds = call?.kind === "results"
+      ? call.waitMilliseconds
+      : 0;
+    const { deadlineMilliseconds } = request;
+    const reply = await client.ask(
+      jobCallMessage,
+      () => ({
+        call,
+        requestId: request.id,
+        path: request.path,
+        host: request.host,
+        routeId: route.id,
+        workspace,
+        remainingMilliseconds: deadlineMilliseconds === undefined
+          ? undefined
+          : deadlineMilliseconds - (now() - receivedAt),
+        body,
+      }),
+      (answer) => answer,
+      { deadlineMilliseconds: jobCallTimeoutMilliseconds + waitMilliseconds },
+    );
+    if (reply) return sendReply(reply, response);
+    logger.warn("no coordinator answered a call on a job", {
+      request: request.id ?? null,
+      path: request.path,
+    });
+    response.fail(call === undefined ? outcomeUnknown : noCoordinator);
+  }
+}
+
+/** Passes the answer of a coordinator on to the caller. */
+function sendReply(
+  { status, contentType, body, retryAfterMilliseconds }: ForwardedJobReply,
+  response: JobResponse,
+): void {
+  const bytes = Buffer.from(body);
+  if (retryAfterMilliseconds === undefined) {
+    return response.sendBytes(status, contentType, bytes);
+  }
+  response.sendBytes(status, contentType, bytes, { retryAfterMilliseconds });
+}
+
+const noCoordinator: ErrorAnswer = {
+  status: 503,
+  code: "no_coordinator",
+  message: "no coordinator answers; nothing was done",
+  retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+};
+
+const outcomeUnknown: ErrorAnswer = {
+  status: 504,
+  code: "outcome_unknown",
+  message: "no coordinator answered; the job may have been accepted",
+};
--- /dev/null
+++ b/packages/coordination/job-call-service.ts
@@ -0,0 +1,118 @@
+/** Answers, at a coordinator, the calls on batch jobs that dependents forward. */
+
+import { Buffer } from "node:buffer";
+import type { RequestId } from "../common/ids.ts";
+import type { Blackboard } from "../fleet/blackboard.ts";
+import type { CallerRequest } from "../gateway/caller-request.ts";
+import {
+  encodeErrorBody,
+  type ErrorAnswer,
+} from "../gateway/caller-response.ts";
+import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
+import type { JobCalls } from "../gateway/gateway.ts";
+import type { JobResponse } from "../jobs/job-response.ts";
+import type { PeerNetwork } from "../protocol/peer-network.ts";
+import {
+  type ForwardedJobCall,
+  type ForwardedJobReply,
+  jobCallMessage,
+} from "./messages.ts";
+
+export interface JobCallServiceOptions {
+  readonly network: PeerNetwork;
+  readonly blackboard: Blackboard;
+  /** Undefined while this instance holds no jobs. */
+  readonly calls: () => JobCalls | undefined;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
+}
+
+export function serveJobCalls(options: JobCallServiceOptions): void {
+  options.network.handle(jobCallMessage, (call) => answer(call, options));
+}
+
+function answer(
+  forwarded: ForwardedJobCall,
+  { blackboard, calls, now }: JobCallServiceOptions,
+): Promise<ForwardedJobReply> {
+  return new Promise((resolve) => {
+    const response = new CollectedResponse(resolve);
+    const handler = calls();
+    const route = blackboard.configuration?.configuration.routes
+      .find(({ id }) => id === forwarded.routeId);
+    if (!handler || !route) return response.fail(notReady);
+    const received = {
+      request: toRequest(forwarded),
+      body: Buffer.from(forwarded.body),
+      receivedAt: now(),
+    };
+    const { call, workspace } = forwarded;
+    if (call) handler.handle(call, received, route, workspace, response);
+    else handler.submit(received, route, workspace, response);
+  });
+}
+
+function toRequest(
+  { requestId, path, host, remainingMilliseconds }: ForwardedJobCall,
+): CallerRequest {
+  return {
+    id: requestId as RequestId | undefined,
+    method: "POST",
+    host,
+    target: path,
+    path,
+    apiKey: undefined,
+    deadlineMilliseconds: remainingMilliseconds,
+    lastEventId: undefined,
+    forwardedHeaders: [],
+  };
+}
+
+/** Collects an answer, to be sent back to the instance that forwarded the call. */
+class CollectedResponse implements JobResponse {
+  readonly #resolve: (reply: ForwardedJobReply) => void;
+  #isOver = false;
+
+  constructor(resolve: (reply: ForwardedJobReply) => void) {
+    this.#resolve = resolve;
+  }
+
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
+  sendBytes(
+    status: number,
+    contentType: string,
+    body: Buffer,
+    { retryAfterMilliseconds }: { retryAfterMilliseconds?: number } = {},
+  ): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    this.#resolve({ status, contentType, body, retryAfterMilliseconds });
+  }
+
+  sendJson(status: number, value: unknown): void {
+    this.sendBytes(
+      status,
+      "application/json",
+      Buffer.from(JSON.stringify(value)),
+    );
+  }
+
+  fail(error: ErrorAnswer): void {
+    this.sendBytes(
+      error.status,
+      "application/json",
+      encodeErrorBody(error),
+      error,
+    );
+  }
+}
+
+const notReady: ErrorAnswer = {
+  status: 503,
+  code: "not_ready",
+  message: "the coordinator holds no jobs yet; nothing was done",
+  retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+};
--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -18,9 +18,28 @@
 export const membershipRetryMilliseconds = 300;
 /** The owner of partition 0 removes a member from which no report has come for this long. */
 export const memberSilenceTimeoutMilliseconds = 20_000;
+/**
+ * A new coordinator decides for others once it hears most other coordinators, and after this time in
+ * any case, since they may all be unreachable.
+ */
+export const coordinatorWarmUpMilliseconds = 500;
+/** Interval at which entries of lost servers and the counts of silent dependents are dropped. */
+export const expiryIntervalMilliseconds = 500;
 /** Interval at which silent members and expired jobs are removed. */
 export const sweepIntervalMilliseconds = 2_000;
 
+/**
+ * The role of a coordinator follows the member list after it has not changed for this long, and
+ * after the maximum in any case.
+ */
+export const roleSettleMilliseconds = 400;
+export const roleSettleMaximumMilliseconds = 2_000;
+/**
+ * Pause between two reads of the member list, so that the many records at the start of a fleet are
+ * read together.
+ */
+export const memberReadPauseMilliseconds = 200;
+
 /** Names of the streams in the store; a store adapter may add a prefix. */
 export const memberStream = "members";
 export const jobStream = "jobs";
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -13,8 +13,21 @@
 import { Blackboard } from "../fleet/blackboard.ts";
 import { type DocumentCodec, Documents } from "../fleet/documents.ts";
 import { FleetLimits } from "../fleet/limits/fleet-limits.ts";
-import { MemberTable } from "../fleet/peers/members.ts";
-import { PeerReports } from "../fleet/peers/peer-reports.ts";
+import type { FleetView } from "../fleet/limits/shared-bucket.ts";
+import { CoordinatorClient } from "../coordination/coordinator-client.ts";
+import { CoordinatorService } from "../coordination/coordinator-service.ts";
+import { ForwardedJobCalls } from "../coordination/forwarded-job-calls.ts";
+import { serveJobCalls } from "../coordination/job-call-service.ts";
+import { RemotePlacer } from "../coordination/remote-placer.ts";
+import {
+  chooseCoordinators,
+  rankCoordinators,
+} from "../fleet/peers/coordinators.ts";
+import { DocumentPush } from "../fleet/peers/document-push.ts";
+import { type Member, MemberTable } from "../fleet/peers/members.ts";
+import { type JobCalls } from "../gateway/gateway.ts";
+import { LocalPlacer, type Placer } from "../gateway/placement.ts";
+import { type JobReport, PeerReports } from "../fleet/peers/peer-reports.ts";
 import { displaceMessage } from "../fleet/peers/report.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { CallerListener } from "../gateway/caller-listener.ts";
@@ -28,7 +41,9 @@
 import { PartitionFollower } from "../store/partition-follower.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
+  coordinatorWarmUpMilliseconds,
   displaceTimeoutMilliseconds,
+  expiryIntervalMilliseconds,
   memberSilenceTimeoutMilliseconds,
   memberStream,
   sweepIntervalMilliseconds,
@@ -37,7 +52,9 @@
 import type { EntrySettings, ListenAddress } from "./entry-settings.ts";
 import { addInstanceGauges } from "./instance-gauges.ts";
 import { leaveFleet } from "./leaving.ts";
+import { CoordinationRole } from "./coordination-role.ts";
 import { Membership } from "./membership.ts";
+import { SilentDependents } from "./silent-dependents.ts";
 
 export interface EntryInstanceOptions {
   readonly settings: EntrySettings;
@@ -58,15 +75,30 @@
   readonly #pools: ServerPools;
   readonly #network: TcpPeerNetwork;
   readonly #documents: Documents;
-  readonly #limits: FleetLimits;
+  readonly #documentPush: DocumentPush;
   readonly #reports: PeerReports;
   readonly #membership: Membership;
-  readonly #batch: BatchWork;
+  readonly #role: CoordinationRole;
+  readonly #client: CoordinatorClient;
+  readonly #coordinator: CoordinatorService;
+  readonly #localPlacer: LocalPlacer;
+  readonly #remotePlacer: RemotePlacer;
+  readonly #forwardedCalls: ForwardedJobCalls;
+  readonly #silentDependents: SilentDependents;
   readonly #listener: CallerListener;
   readonly #followers: PartitionFollower[];
   readonly #store: RelayedStore;
   /** When the configuration or the server list last could not be read; monotonic milliseconds. */
   #storeLastFailedAt = Number.NEGATIVE_INFINITY;
+  #limits: FleetLimits;
+  /** Undefined while this instance is no coordinator. */
+  #batch: BatchWork | undefined;
+  #coordinators: readonly Member[] = [];
+  /** The other coordinators in the order in which this instance asks them. */
+  #rankedCoordinators: readonly InstanceId[] = [];
+  #hasBeenCoordinator = false;
+  /** When this instance last became a coordinator; monotonic milliseconds. */
+  #coordinatorSince = Number.POSITIVE_INFINITY;
   #leavePromise: Promise<void> | undefined;
 
   constructor(options: EntryInstanceOptions) {
@@ -81,28 +113,66 @@
       logger: options.logger,
     });
     this.#documents = this.#createDocuments();
-    this.#limits = this.#createLimits();
-    this.#batch = this.#createBatchWork();
+    this.#documentPush = new DocumentPush({
+      network: this.#network,
+      documents: this.#documents,
+      logger: options.logger,
+    });
     this.#reports = this.#createReports();
+    this.#role = new CoordinationRole({
+      isChosen: () =>
+        this.#coordinators.some(({ instance }) =>
+          instance === options.settings.instance
+        ),
+      onChange: (isCoordinator) => this.#applyRole(isCoordinator),
+      now: this.#options.clock.monotonicNow,
+    });
+    this.#limits = this.#createLimits({ startsFull: false });
     this.#membership = this.#createMembership();
+    this.#localPlacer = this.#createLocalPlacer();
+    this.#client = this.#createClient();
+    this.#remotePlacer = new RemotePlacer({
+      client: this.#client,
+      fallback: this.#localPlacer,
+      blackboard: this.#blackboard,
+      zone: options.settings.zone,
+      now: this.#options.clock.monotonicNow,
+    });
+    this.#forwardedCalls = new ForwardedJobCalls({
+      client: this.#client,
+      now: this.#options.clock.monotonicNow,
+      logger: options.logger,
+    });
+    this.#coordinator = this.#createCoordinator();
+    this.#silentDependents = this.#createSilentDependents();
     this.#listener = this.#createListener();
     this.#followers = this.#createFollowers();
   }
 
+  /** True while this instance coordinates others, or may do so. */
+  get isCoordinator(): boolean {
+    return this.#role.isCoordinator;
+  }
+
   async start(): Promise<void> {
     const { settings, logger } = this.#options;
     await this.#network.listen();
     this.#membership.start();
     for (const follower of this.#followers) follower.start();
-    this.#batch.start();
-    this.#reports.start();
+    this.#client.start();
     this.#disposables.addInterval(
       () => this.#sweep(),
       sweepIntervalMilliseconds,
     );
+    this.#disposables.addInterval(() => {
+      this.#documents.sweep();
+      this.#coordinator.expire();
+      if (!this.#role.isCoordinator) this.#limits.refresh();
+    }, expiryIntervalMilliseconds);
     addInstanceGauges(this.#options.metrics, {
       blackboard: this.#blackboard,
-      batch: this.#batch,
+      batch: () => this.#batch,
+      coordinator: this.#coordinator,
       listener: this.#listener,
       reports: this.#reports,
     });
@@ -121,6 +191,7 @@
    * grace period. Resolves when the process may exit.
    */
   leave(): Promise<void> {
+    this.#role.stop();
     this.#leavePromise ??= leaveFleet({
       blackboard: this.#blackboard,
       listener: this.#listener,
@@ -131,8 +202,9 @@
       logger: this.#options.logger,
     }).finally(async () => {
       this.#reports.stop();
+      this.#client.stop();
       for (const follower of this.#followers) follower.stop();
-      this.#batch.stop();
+      this.#batch?.stop();
       this.#listener.close();
       await this.#pools.destroy();
       await this.#network.close();
@@ -178,21 +250,153 @@
     });
   }
 
-  #createLimits(): FleetLimits {
+  /** Takes or gives up the role of a coordinator. */
+  #applyRole(isCoordinator: boolean): void {
+    const { logger, settings } = this.#options;
+    logger.info(
+      isCoordinator
+        ? "the instance is now a coordinator"
+        : "the instance is no longer a coordinator",
+      {
+        members: this.#members.size,
+        coordinators: this.#coordinators.length,
+      },
+    );
+    const startsFull = settings.isFirstStart && isCoordinator &&
+      !this.#hasBeenCoordinator;
+    this.#limits = this.#createLimits({ startsFull });
+    if (isCoordinator) {
+      this.#hasBeenCoordinator = true;
+      this.#coordinatorSince = this.#options.clock.monotonicNow();
+      this.#client.stop();
+      this.#batch = this.#createBatchWork();
+      this.#batch.start();
+      this.#reports.start();
+      return;
+    }
+    const batch = this.#batch;
+    this.#batch = undefined;
+    this.#client.start();
+    this.#reports.stop();
+    batch?.leave().then(
+      () => batch.stop(),
+      (error) =>
+        logger.error("the batch work could not be handed over", {
+          reason: String(error),
+        }),
+    );
+  }
+
+  /** How much of the fleet this instance hears; a dependent decides for itself alone. */
+  #fleetView(): FleetView {
+    return this.#role.isCoordinator
+      ? this.#reports.view()
+      : { members: Math.max(1, this.#members.size), heard: 1 };
+  }
+
+  #createLimits({ startsFull }: { startsFull: boolean }): FleetLimits {
     const { settings, clock } = this.#options;
     return new FleetLimits({
       blackboard: this.#blackboard,
       clock,
-      isFirstStart: settings.isFirstStart,
+      isFirstStart: startsFull,
       window: {
         windowMilliseconds: settings.limitWindowMilliseconds,
         overage: settings.limitOverage,
       },
-      slackRequests: settings.limitSlackRequests,
-      view: () => this.#reports.view(),
+      // The slack is one for the whole fleet, so that dependents may not spend it one by one.
+      slackRequests: this.#role.isCoordinator ? settings.limitSlackRequests : 0,
+      view: () => this.#fleetView(),
     });
   }
 
+  #createLocalPlacer(): LocalPlacer {
+    return new LocalPlacer({
+      blackboard: this.#blackboard,
+      limiter: () => {
+        if (!this.#role.isCoordinator) this.#limits.refresh();
+        return this.#limits;
+      },
+      zone: this.#options.settings.zone,
+      displaceBatch: (server) => void this.#displaceBatch(server),
+      now: this.#options.clock.monotonicNow,
+    });
+  }
+
+  #createClient(): CoordinatorClient {
+    const { clock, logger } = this.#options;
+    const { loads, health } = this.#blackboard;
+    return new CoordinatorClient({
+      network: this.#network,
+      coordinators: () => this.#rankedCoordinators,
+      state: () => ({
+        loads: loads.ownLoads().map(({ server, online }) =>
+          [server, online] as const
+        ),
+        faults: health.reportedFailureShares(clock.monotonicNow())
+          .map(({ server, share }) => [server, share] as const),
+        configurationPosition: this.#documents.position("configuration"),
+        serversPosition: this.#documents.position("servers"),
+        isStoreFailing: this.#isStoreFailing(),
+      }),
+      clock,
+      logger,
+    });
+  }
+
+  #createCoordinator(): CoordinatorService {
+    const { clock } = this.#options;
+    serveJobCalls({
+      network: this.#network,
+      blackboard: this.#blackboard,
+      calls: () => this.#batch?.calls,
+      now: clock.monotonicNow,
+    });
+    return new CoordinatorService({
+      network: this.#network,
+      blackboard: this.#blackboard,
+      placer: this.#localPlacer,
+      canDecide: () => this.#canDecide(),
+      isStoreFailing: () => this.#isStoreFailing(),
+      pushDocuments: (dependent, positions) =>
+        this.#documentPush.push(dependent, positions, clock.monotonicNow()),
+      clock,
+    });
+  }
+
+  /** A new coordinator first hears the others, or finds that they are silent. */
+  #canDecide(): boolean {
+    if (!this.#role.isCoordinator) return false;
+    const { heard, members } = this.#reports.view();
+    const elapsed = this.#options.clock.monotonicNow() - this.#coordinatorSince;
+    return heard * 2 > members || elapsed > coordinatorWarmUpMilliseconds;
+  }
+
+  #createSilentDependents(): SilentDependents {
+    const { settings, clock, logger } = this.#options;
+    return new SilentDependents({
+      network: this.#network,
+      watched: () => {
+        const chosen = new Set(
+          this.#coordinators.map(({ instance }) => instance),
+        );
+        return this.#members.all().filter((member) =>
+          !chosen.has(member.instance) &&
+          rankCoordinators(member, this.#coordinators)[0] === settings.instance
+        );
+      },
+      isAttached: (instance) => this.#coordinator.hasDependent(instance),
+      remove: (member) => void this.#membership.remove(member),
+      now: clock.monotonicNow,
+      logger,
+    });
+  }
+
+  #isStoreFailing(): boolean {
+    return this.#store.isDirectFailing ||
+      this.#followers.some((follower) => follower.isFailing);
+  }
+
   #createBatchWork(): BatchWork {
     const { settings, callerCodec, jobCodec, logger, clock } = this.#options;
     return new BatchWork({
@@ -214,19 +418,20 @@
     const { settings, clock, logger } = this.#options;
     const network = this.#network;
     network.handle(displaceMessage, ({ server }) => ({
-      isDisplaced: this.#batch.displace(server),
+      isDisplaced: this.#batch?.displace(server) ?? false,
     }));
     return new PeerReports({
-      instance: settings.instance,
       network,
-      members: this.#members,
+      peers: () =>
+        this.#coordinators.filter((member) =>
+          member.instance !== settings.instance
+        ),
       blackboard: this.#blackboard,
       documents: this.#documents,
+      documentPush: this.#documentPush,
       limits: () => this.#limits,
-      jobReport: () => this.#batch.report(),
-      isStoreFailing: () =>
-        this.#store.isDirectFailing ||
-        this.#followers.some((follower) => follower.isFailing),
+      jobReport: () => this.#batch?.report() ?? noJobs,
+      isStoreFailing: () => this.#isStoreFailing(),
       clock,
       logger,
     });
@@ -241,33 +446,54 @@
         instance: settings.instance,
         incarnation: settings.incarnation,
         zone: settings.zone,
+        capacity: settings.capacity,
         ...settings.peers,
       },
       members: this.#members,
-      onChange: () => {
-        const others = this.#members.all().filter((member) =>
-          member.instance !== settings.instance
-        );
-        this.#network.setPeers(
-          new Map(others.map((member) => [member.instance, member])),
-        );
-      },
+      onChange: ({ isSettled }) => this.#applyMembers(isSettled),
       logger,
     });
   }
 
+  #applyMembers(isSettled: boolean): void {
+    const { settings } = this.#options;
+    const others = this.#members.all().filter((member) =>
+      member.instance !== settings.instance
+    );
+    this.#network.setPeers(
+      new Map(others.map((member) => [member.instance, member])),
+    );
+    this.#coordinators = chooseCoordinators(
+      this.#members.all(),
+      settings.maximumCoordinators,
+    );
+    this.#rankedCoordinators = rankCoordinators(
+      settings,
+      this.#coordinators.filter((member) =>
+        member.instance !== settings.instance
+      ),
+    );
+    this.#role.handleChange({ isSettled });
+  }
+
   #createListener(): CallerListener {
     const { settings, callerCodec, logger } = this.#options;
     const gateway = new Gateway({
       blackboard: this.#blackboard,
       codec: callerCodec,
       pools: this.#pools,
-      limiter: this.#limits,
-      jobs: this.#batch.calls,
+      placer: {
+        place: (request) => this.#placer.place(request),
+        releaseSlot: (server) => this.#placer.releaseSlot(server),
+        findRoom: (request) => this.#placer.findRoom(request),
+        makeRoom: (server) => this.#placer.makeRoom(server),
+      },
+      jobs: {
+        submit: (...call) => this.#jobCalls.submit(...call),
+        handle: (...call) => this.#jobCalls.handle(...call),
+      },
       metrics: this.#options.metrics,
       logger,
-      zone: settings.zone,
-      displaceBatch: (server) => void this.#displaceBatch(server),
     });
     return new CallerListener({
       ...settings.callers,
@@ -278,9 +504,17 @@
     });
   }
 
+  get #placer(): Placer {
+    return this.#role.isCoordinator ? this.#localPlacer : this.#remotePlacer;
+  }
+
+  get #jobCalls(): JobCalls {
+    return this.#batch?.calls ?? this.#forwardedCalls;
+  }
+
   /** Displaces one batch run at the server, preferably one of this instance, else of a peer. */
   async #displaceBatch(server: InstanceId): Promise<void> {
-    if (this.#batch.displace(server)) return;
+    if (this.#batch?.displace(server)) return;
     for (const peer of this.#blackboard.loads.peersWithBatchRuns(server)) {
       try {
         const reply = await this.#network.request(
@@ -324,6 +558,7 @@
 
   /** Peers that can reach the store, those in the same zone first. */
   #relayPeers(): InstanceId[] {
+    if (!this.#role.isCoordinator) return this.#client.storeRelays();
     const { zone } = this.#options.settings;
     const isSameZone = (instance: InstanceId) =>
       this.#members.get(instance)?.zone === zone;
@@ -336,20 +571,21 @@
   }
 
   /**
-   * Removes expired jobs. The owner of partition 0 also removes silent members from the member
-   * list, unless its own reads of the store are failing.
+   * Removes expired jobs and silent members. The owner of partition 0 removes silent coordinators,
+   * and each coordinator its silent dependents, unless its own reads of the store are failing.
    */
   #sweep(): void {
-    const { settings, logger } = this.#options;
+    const { logger } = this.#options;
+    if (!this.#batch) return;
     this.#batch.removeExpiredJobs();
-    if (!this.#batch.ownsFirstPartition) return;
     if (this.#followers.some((follower) => follower.isFailing)) return;
+    this.#silentDependents.sweep();
+    if (!this.#batch.ownsFirstPartition) return;
     const silentMembers = this.#reports.silentMembers(
       memberSilenceTimeoutMilliseconds,
     );
     for (const member of silentMembers) {
-      if (member.instance === settings.instance) continue;
-      logger.info("a silent member is removed from the member list", {
+      logger.info("a silent coordinator is removed from the member list", {
         member: member.instance,
       });
       void this.#membership.remove(member);
@@ -358,7 +594,8 @@
 
   async #listenForReadiness(): Promise<void> {
     await this.#listenOn(this.#options.settings.readiness, (response) => {
-      const isReady = this.#blackboard.isReady && this.#membership.isLoaded;
+      const isReady = this.#blackboard.isReady && this.#membership.isLoaded &&
+        this.#role.isDecided;
       response.writeHead(isReady ? 200 : 503);
       response.end();
     });
@@ -400,3 +637,9 @@
     });
   }
 }
+
+const noJobs: JobReport = {
+  ownedPartitions: [],
+  ownerGeneration: 0,
+  waitingItems: 0,
+};
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -12,6 +12,8 @@
   /** Differs at each start of the process. */
   readonly incarnation: Incarnation;
   readonly zone: ZoneId;
+  /** Capacity of the machine relative to others; 1 for a usual one. */
+  readonly capacity: number;
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
   readonly peers: ListenAddress;
@@ -19,6 +21,8 @@
   /** True if the whole fleet starts for the first time, so that no earlier state can exist. */
   readonly isFirstStart: boolean;
   readonly store: ListenAddress & { readonly partitions: number };
+  /** Largest number of instances that coordinate the others. */
+  readonly maximumCoordinators?: number;
   /** Time between the request to stop and the forced termination of the process. */
   readonly graceMilliseconds: number;
   /** Length of the sliding window over which the limits of workspaces are evaluated. */
--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -2,6 +2,7 @@
 
 import process from "node:process";
 import type { Blackboard } from "../fleet/blackboard.ts";
+import type { CoordinatorService } from "../coordination/coordinator-service.ts";
 import type { PeerReports } from "../fleet/peers/peer-reports.ts";
 import type { CallerListener } from "../gateway/caller-listener.ts";
 import type { BatchWork } from "./batch-work.ts";
@@ -9,14 +10,16 @@
 
 export interface GaugeSources {
   readonly blackboard: Blackboard;
-  readonly batch: BatchWork;
+  /** Undefined while this instance is no coordinator. */
+  readonly batch: () => BatchWork | undefined;
+  readonly coordinator: CoordinatorService;
   readonly listener: CallerListener;
   readonly reports: PeerReports;
 }
 
 export function addInstanceGauges(
   metrics: EntryMetrics,
-  { blackboard, batch, listener, reports }: GaugeSources,
+  { blackboard, batch, coordinator, listener, reports }: GaugeSources,
 ): void {
   const gauges: GaugeDefinition[] = [
     {
@@ -42,21 +45,31 @@
     {
       name: "rosemaryrudder_running_items",
       help: "Batch items that run at servers.",
-      read: () => batch.runningItems,
+      read: () => batch()?.runningItems ?? 0,
     },
     {
       name: "rosemaryrudder_waiting_items",
       help: "Batch items that wait for a server.",
-      read: () => batch.report().waitingItems,
+      read: () => batch()?.report().waitingItems ?? 0,
     },
     {
       name: "rosemaryrudder_owned_partitions",
       help: "Partitions of the job stream that this instance owns.",
-      read: () => batch.report().ownedPartitions.length,
+      read: () => batch()?.report().ownedPartitions.length ?? 0,
+    },
+    {
+      name: "rosemaryrudder_coordinator",
+      help: "1 if this instance is a coordinator.",
+      read: () => batch() ? 1 : 0,
+    },
+    {
+      name: "rosemaryrudder_dependents",
+      help: "Instances that this coordinator decides for.",
+      read: () => coordinator.dependents,
     },
     {
       name: "rosemaryrudder_members_heard",
-      help: "Members heard from recently, including this instance.",
+      help: "Coordinators heard from recently, including this instance.",
       read: () => reports.view().heard,
     },
     {
--- a/packages/entry/leaving.ts
+++ b/packages/entry/leaving.ts
@@ -20,7 +20,8 @@
 export interface LeavingOptions {
   readonly blackboard: Blackboard;
   readonly listener: CallerListener;
-  readonly batch: BatchWork;
+  /** Undefined if this instance is no coordinator. */
+  readonly batch: BatchWork | undefined;
   readonly membership: Membership;
   readonly graceMilliseconds: number;
   readonly now: () => number;
@@ -38,7 +39,7 @@
   logger.info("the instance is leaving", {
     activeRequests: listener.activeRequests,
   });
-  await batch.leave();
+  await batch?.leave();
   const waitUntil = async (condition: () => boolean) => {
     while (now() < deadline && !condition()) {
       await delay(systemTimers, leavePollMilliseconds);
--- a/packages/entry/membership.ts
+++ b/packages/entry/membership.ts
@@ -18,14 +18,21 @@
   StreamPartition,
 } from "../store/keyed-store.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
-import { membershipRetryMilliseconds } from "./constants.ts";
+import {
+  memberReadPauseMilliseconds,
+  membershipRetryMilliseconds,
+} from "./constants.ts";
 
 export interface MembershipOptions {
   readonly store: KeyedStore;
   readonly stream: StreamName;
   readonly self: Member;
   readonly members: MemberTable;
-  readonly onChange: () => void;
+  /**
+   * Called after a change. `isSettled`: the list was read for the first time and includes an
+   * earlier start of this instance, so that the fleet has been running.
+   */
+  readonly onChange: (change: { readonly isSettled: boolean }) => void;
   readonly logger: Logger;
 }
 
@@ -48,6 +55,7 @@
       logger: options.logger,
       onRecords: (records, position, isSnapshot) =>
         this.#applyRecords(records, position, isSnapshot),
+      pauseMilliseconds: () => memberReadPauseMilliseconds,
     });
   }
 
@@ -88,7 +96,13 @@
     isSnapshot: boolean,
   ): void {
     const { members, self, onChange } = this.#options;
-    if (members.applyRecords(records, position, { isSnapshot })) onChange();
+    const isFirst = this.#follower.position === undefined;
+    if (members.applyRecords(records, position, { isSnapshot })) {
+      const own = members.get(self.instance);
+      const hasEarlierStart = own !== undefined &&
+        own.incarnation !== self.incarnation;
+      onChange({ isSettled: isFirst && hasEarlierStart });
+    }
     if (members.get(self.instance)?.incarnation !== self.incarnation) {
       void this.#register();
     }
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -82,6 +82,7 @@
   readonly configuration: FleetConfiguration;
   readonly #routesByHost = new Map<string, RouteRule[]>();
   readonly #workspacesByKey = new Map<string, WorkspaceRule>();
+  readonly #workspaces = new Map<WorkspaceId, WorkspaceRule>();
 
   constructor(configuration: FleetConfiguration) {
     this.configuration = configuration;
@@ -96,6 +97,7 @@
       );
     }
     for (const workspace of configuration.workspaces ?? []) {
+      this.#workspaces.set(workspace.id, workspace);
       for (const key of workspace.keys) {
         this.#workspacesByKey.set(key, workspace);
       }
@@ -118,6 +120,10 @@
       ?.find((route) => route.kind === "batch");
   }
 
+  workspace(id: WorkspaceId): WorkspaceRule | undefined {
+    return this.#workspaces.get(id);
+  }
+
   workspaceOfKey(key: string): WorkspaceRule | undefined {
     return this.#workspacesByKey.get(key);
   }
--- a/packages/fleet/limits/fleet-limits.ts
+++ b/packages/fleet/limits/fleet-limits.ts
@@ -6,7 +6,10 @@
 
 import type { Clock } from "../../common/clock.ts";
 import type { InstanceId, WorkspaceId } from "../../common/ids.ts";
-import type { LimitDecision, WorkspaceLimiter } from "../../gateway/gateway.ts";
+import type {
+  LimitDecision,
+  WorkspaceLimiter,
+} from "../../gateway/placement.ts";
 import type { Blackboard } from "../blackboard.ts";
 import type { WorkspaceRule } from "../configuration.ts";
 import {
--- a/packages/fleet/limits/shared-bucket.test.ts
+++ b/packages/fleet/limits/shared-bucket.test.ts
@@ -180,9 +180,21 @@
     startsFull: true,
   });
   const peer = "p" as InstanceId;
-  bucket.recordPeerUsage(peer, "one", { admitted: 500, demandPerSecond: 1 });
-  bucket.recordPeerUsage(peer, "two", { admitted: 3, demandPerSecond: 1 });
-  bucket.recordPeerUsage(peer, "two", { admitted: 5, demandPerSecond: 1 });
+  bucket.recordPeerUsage(peer, "one", {
+    admitted: 500,
+    demandPerSecond: 1,
+    level: 0,
+  });
+  bucket.recordPeerUsage(peer, "two", {
+    admitted: 3,
+    demandPerSecond: 1,
+    level: 0,
+  });
+  bucket.recordPeerUsage(peer, "two", {
+    admitted: 5,
+    demandPerSecond: 1,
+    level: 0,
+  });
   assert.equal(bucket.level, 8);
 });
 
@@ -200,3 +212,18 @@
     `${fleet.refused} of ${fleet.admittedAt.length} refused`,
   );
 });
+
+test("a copy that starts later takes the level that its peers know", () => {
+  const limit = { ratePerSecond: 10, burst: 50 };
+  const known = new SharedBucket(limit, { now: 0, startsFull: true });
+  const late = new SharedBucket(limit, { now: 0, startsFull: false });
+  const peer = "p" as InstanceId;
+  known.refresh(0, { members: 2, heard: 2 });
+  for (let request = 0; request < 20; request++) known.take(0);
+  late.recordPeerUsage(peer, "one", known.ownUsage());
+  assert.equal(late.level, 30);
+  // Later reports only deduct what the peer has admitted since.
+  known.take(0);
+  late.recordPeerUsage(peer, "one", known.ownUsage());
+  assert.equal(late.level, 29);
+});
--- a/packages/fleet/limits/shared-bucket.ts
+++ b/packages/fleet/limits/shared-bucket.ts
@@ -28,6 +28,8 @@
   readonly admitted: number;
   /** Requests per second, admitted or refused. */
   readonly demandPerSecond: number;
+  /** Tokens left for the whole fleet, by this instance's copy of the bucket. */
+  readonly level: number;
 }
 
 /** The inputs of an admission decision, for the logs. */
@@ -71,6 +73,8 @@
   readonly #random: () => number;
   #limit: BucketLimit;
   #level: number;
+  /** False until the level of the fleet is known to a copy that did not start full. */
+  #hasLevel: boolean;
   #refilledAt: number;
   #admitted = 0;
   /** Exponential moving average of the requests per second. */
@@ -87,6 +91,7 @@
   ) {
     this.#random = random;
     this.#limit = limit;
+    this.#hasLevel = startsFull;
     this.#level = startsFull
       ? limit.burst
       : Math.min(initialLevel, limit.burst);
@@ -146,18 +151,24 @@
     return {
       admitted: this.#admitted,
       demandPerSecond: this.#demandPerSecond,
+      level: this.#level,
     };
   }
 
   /**
    * Deducts what a peer has admitted since its previous report. The first report of an
-   * incarnation only sets the baseline.
+   * incarnation only sets the baseline. A copy that did not start full takes its level from the
+   * first peer that reports one.
    */
   recordPeerUsage(
     peer: InstanceId,
     incarnation: string,
     usage: BucketUsage,
   ): void {
+    if (!this.#hasLevel) {
+      this.#hasLevel = true;
+      this.#level = Math.min(usage.level, this.#limit.burst);
+    }
     const known = this.#peers.get(peer);
     if (known?.incarnation !== incarnation) {
       this.#peers.set(peer, { incarnation, ...usage });
--- a/packages/fleet/peers/members.ts
+++ b/packages/fleet/peers/members.ts
@@ -14,6 +14,8 @@
   readonly instance: InstanceId;
   readonly incarnation: string;
   readonly zone: string;
+  /** How much of the fleet's work the machine can bear, relative to others; 1 for a usual one. */
+  readonly capacity: number;
 }
 
 const memberSchema = z.object({
@@ -21,11 +23,13 @@
   host: z.string(),
   port: z.int(),
   zone: z.string(),
+  // Instances of an earlier version do not state their capacity.
+  capacity: z._default(z.number(), 1),
 });
 
 export function encodeMember(member: Member): Uint8Array {
-  const { incarnation, host, port, zone } = member;
-  return encodeValue({ incarnation, host, port, zone });
+  const { incarnation, host, port, zone, capacity } = member;
+  return encodeValue({ incarnation, host, port, zone, capacity });
 }
 
 export class MemberTable {
--- a/packages/fleet/peers/peer-reports.test.ts
+++ b/packages/fleet/peers/peer-reports.test.ts
@@ -1,19 +1,14 @@
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
-import type {
-  Incarnation,
-  InstanceId,
-  Offset,
-  ZoneId,
-} from "../../common/ids.ts";
+import type { Incarnation, InstanceId, ZoneId } from "../../common/ids.ts";
 import { silentLogger } from "../../common/logging.ts";
 import { Blackboard } from "../blackboard.ts";
 import type { Documents } from "../documents.ts";
 import type { FleetLimits } from "../limits/fleet-limits.ts";
-import { encodeMember, MemberTable } from "./members.ts";
+import type { DocumentPush } from "./document-push.ts";
+import type { Member } from "./members.ts";
 import { PeerReports, type ReportNetwork } from "./peer-reports.ts";
 
-const self = "self" as InstanceId;
 const peer = "peer" as InstanceId;
 const server = "server" as InstanceId;
 
@@ -22,19 +17,14 @@
   mock.timers.enable({ apis: ["setTimeout", "Date"] });
   const sent: string[] = [];
   const blackboard = new Blackboard({ initialDurationMilliseconds: 1_000 });
-  const members = new MemberTable();
-  const member = {
+  const member: Member = {
     instance: peer,
     incarnation: "1" as Incarnation,
     zone: "z" as ZoneId,
     host: "127.0.0.1",
     port: 1,
+    capacity: 1,
   };
-  members.applyRecords(
-    [{ key: peer, value: encodeMember(member), offset: 0 as Offset }],
-    1 as Offset,
-    { isSnapshot: false },
-  );
   const handlers: ((report: unknown, sender: unknown) => void)[] = [];
   const network = {
     handle: (_message: unknown, handler: (typeof handlers)[number]) =>
@@ -44,10 +34,10 @@
       sent.push(JSON.stringify(report.loads)),
   } as unknown as ReportNetwork;
   const reports = new PeerReports({
-    instance: self,
     network,
-    members,
+    peers: () => [member],
     blackboard,
+    documentPush: { push: () => {} } as unknown as DocumentPush,
     documents: { position: () => 0, sweep: () => {} } as unknown as Documents,
     limits: () =>
       ({
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -1,6 +1,6 @@
 /**
- * Exchanges reports with all peers and passes on what they contain: loads, usage of limits, owners
- * of partitions and positions of documents. Replaces the connection to a peer that stops
+ * Exchanges reports between the coordinators and passes on what they contain: loads, usage of
+ * limits, owners of partitions and positions of documents. Replaces the connection to a peer that stops
  * acknowledging reports, since the peer may no longer hear from this instance although this
  * instance still hears from the peer.
  */
@@ -11,18 +11,18 @@
 import type { PeerNetwork, PeerSender } from "../../protocol/peer-network.ts";
 import type { Blackboard } from "../blackboard.ts";
 import {
-  documentPushIntervalMilliseconds,
   peerSilenceTimeoutMilliseconds,
   reportIntervalMilliseconds,
   reportIntervalPerMemberMilliseconds,
   silentPeerReportIntervalMilliseconds,
   unchangedReportIntervalMilliseconds,
 } from "../constants.ts";
-import type { DocumentKind, Documents } from "../documents.ts";
+import type { Documents } from "../documents.ts";
 import type { FleetLimits } from "../limits/fleet-limits.ts";
 import type { FleetView } from "../limits/shared-bucket.ts";
-import type { Member, MemberTable } from "./members.ts";
-import { documentMessage, type PeerReport, reportMessage } from "./report.ts";
+import type { DocumentPush } from "./document-push.ts";
+import type { Member } from "./members.ts";
+import { type PeerReport, reportMessage } from "./report.ts";
 
 /** The peer network, with a way to replace a connection on which reports no longer arrive. */
 export interface ReportNetwork extends PeerNetwork {
@@ -37,11 +37,12 @@
 }
 
 export interface PeerReportsOptions {
-  readonly instance: InstanceId;
   readonly network: ReportNetwork;
-  readonly members: MemberTable;
+  /** The other coordinators. */
+  readonly peers: () => readonly Member[];
   readonly blackboard: Blackboard;
   readonly documents: Documents;
+  readonly documentPush: DocumentPush;
   readonly limits: () => FleetLimits;
   readonly jobReport: () => JobReport;
   readonly isStoreFailing: () => boolean;
@@ -60,7 +61,6 @@
   /** When the acknowledged sequence last rose or the connection was last replaced. */
   acknowledgedAt: number;
   lastSentAt: number;
-  lastPushAt: number;
   report: PeerReport | undefined;
 }
 
@@ -73,7 +73,7 @@
   #lastReportedLoads = "";
   #lastReportedAt = Number.NEGATIVE_INFINITY;
   #timer: NodeJS.Timeout | undefined;
-  #isStopped = false;
+  #isStopped = true;
 
   constructor(options: PeerReportsOptions) {
     this.#options = options;
@@ -83,15 +83,10 @@
       this.#receive(report, sender);
       return null;
     });
-    network.handle(documentMessage, ({ kind, position, records }) => {
-      options.documents.applyRecords(kind, records, position, {
-        isSnapshot: false,
-      });
-      return null;
-    });
   }
 
   start(): void {
+    this.#isStopped = false;
     this.#tick();
   }
 
@@ -102,18 +97,18 @@
 
   /** Reports immediately, so that peers learn of a change without waiting for the interval. */
   announce(): void {
+    if (this.#isStopped) return;
     this.#sendAll(true);
   }
 
-  /** Counts the members and those heard from recently. */
+  /** Counts the coordinators and those heard from recently, including this instance. */
   view(): FleetView {
-    const { members, clock, instance } = this.#options;
+    const { peers, clock } = this.#options;
     const now = clock.monotonicNow();
     const timeout = this.#heardTimeoutMilliseconds();
     let total = 1;
     let heard = 1;
-    for (const member of members.all()) {
-      if (member.instance === instance) continue;
+    for (const member of peers()) {
       total += 1;
       const lastHeardAt = this.#peers.get(member.instance)?.lastHeardAt;
       if (lastHeardAt !== undefined && now - lastHeardAt <= timeout) heard += 1;
@@ -138,10 +133,9 @@
    * time counts from this instance's first report to it.
    */
   silentMembers(milliseconds: number): Member[] {
-    const { members, clock, instance } = this.#options;
+    const { peers, clock } = this.#options;
     const now = clock.monotonicNow();
-    return members.all().filter((member) => {
-      if (member.instance === instance) return false;
+    return peers().filter((member) => {
       const state = this.#peers.get(member.instance);
       const since = Math.max(state?.lastHeardAt ?? 0, state?.knownSince ?? now);
       return now - since > milliseconds;
@@ -159,7 +153,7 @@
   #reportInterval(): number {
     return Math.max(
       reportIntervalMilliseconds,
-      this.#options.members.size * reportIntervalPerMemberMilliseconds,
+      (this.#options.peers().length + 1) * reportIntervalPerMemberMilliseconds,
     );
   }
 
@@ -175,10 +169,10 @@
 
   /**
    * Reports to all peers if the own loads have changed, the last report is too old or the report
-   * is urgent. Then forgets the peers that are no longer members.
+   * is urgent. Then forgets the peers that are no longer coordinators.
    */
   #sendAll(isUrgent: boolean): void {
-    const { members, instance, clock } = this.#options;
+    const { peers, clock } = this.#options;
     const now = clock.monotonicNow();
     const loads = this.#options.blackboard.loads.ownLoads().map((load) =>
       [load.server, load.online, load.batch] as const
@@ -190,12 +184,13 @@
     this.#lastReportedLoads = encodedLoads;
     this.#lastReportedAt = now;
     const sharedFields = this.#buildReport(loads, now);
-    for (const member of members.all()) {
-      if (member.instance === instance) continue;
+    const current = peers();
+    for (const member of current) {
       this.#sendTo(member, sharedFields, now, isUrgent);
     }
+    const known = new Set(current.map(({ instance }) => instance));
     for (const peer of this.#peers.keys()) {
-      if (members.get(peer)) continue;
+      if (known.has(peer)) continue;
       this.#peers.delete(peer);
       this.#options.limits().forgetPeer(peer);
     }
@@ -250,6 +245,7 @@
             usage.workspace,
             usage.admitted,
             roundToHundredths(usage.demandPerSecond),
+            roundToHundredths(usage.level),
           ] as const
         ),
       ...jobReport(),
@@ -257,7 +253,7 @@
   }
 
   #receive(report: PeerReport, sender: PeerSender): void {
-    const { blackboard, clock, limits } = this.#options;
+    const { blackboard, clock, limits, documentPush } = this.#options;
     const now = clock.monotonicNow();
     const state = this.#stateOf(sender.instance, now);
     if (state.incarnation !== sender.incarnation) {
@@ -287,54 +283,14 @@
     limits().recordPeerUsages(
       sender.instance,
       sender.incarnation,
-      report.uses.map(([workspace, admitted, demandPerSecond]) => ({
+      report.uses.map(([workspace, admitted, demandPerSecond, level]) => ({
         workspace,
         admitted,
         demandPerSecond,
+        level,
       })),
     );
-    this.#pushDocuments(sender.instance, state, report, now);
-  }
-
-  /** Sends a peer the records that it lacks and may be unable to read from the store. */
-  #pushDocuments(
-    peer: InstanceId,
-    state: PeerState,
-    report: PeerReport,
-    now: number,
-  ): void {
-    if (now - state.lastPushAt < documentPushIntervalMilliseconds) return;
-    this.#pushRecords(
-      peer,
-      state,
-      "configuration",
-      report.configurationPosition,
-      now,
-    );
-    if (report.isStoreFailing) {
-      this.#pushRecords(peer, state, "servers", report.serversPosition, now);
-    }
-  }
-
-  #pushRecords(
-    peer: InstanceId,
-    state: PeerState,
-    kind: DocumentKind,
-    peerPosition: number,
-    now: number,
-  ): void {
-    const { documents, network, logger } = this.#options;
-    const position = documents.position(kind);
-    if (peerPosition >= position) return;
-    const records = documents.recordsSince(kind, peerPosition);
-    state.lastPushAt = now;
-    logger.debug("sending document records to a peer that lacks them", {
-      peer,
-      kind,
-      from: peerPosition,
-      to: position,
-    });
-    network.send(peer, documentMessage, { kind, position, records });
+    documentPush.push(sender.instance, report, now);
   }
 
   #stateOf(peer: InstanceId, now: number): PeerState {
@@ -348,7 +304,6 @@
         acknowledgedSequence: 0,
         acknowledgedAt: now,
         lastSentAt: Number.NEGATIVE_INFINITY,
-        lastPushAt: Number.NEGATIVE_INFINITY,
         report: undefined,
       };
       this.#peers.set(peer, state);
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -28,8 +28,11 @@
   readonly loads: readonly (readonly [InstanceId, number, number])[];
   /** Servers that recently failed many requests of the sender, with the share that failed. */
   readonly faults: readonly (readonly [InstanceId, number])[];
-  /** Workspace, number of admitted requests, demand in requests per second. */
-  readonly uses: readonly (readonly [WorkspaceId, number, number])[];
+  /**
+   * Workspace, number of admitted requests, demand in requests per second, level of the bucket in
+   * requests.
+   */
+  readonly uses: readonly (readonly [WorkspaceId, number, number, number])[];
   readonly ownedPartitions: readonly PartitionNumber[];
   /** Generation of the group of owners that assigned the partitions. */
   readonly ownerGeneration: number;
@@ -45,7 +48,9 @@
   isStoreFailing: z.boolean(),
   loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
   faults: z._default(z.array(z.tuple([z.string(), z.number()])), []),
-  uses: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  uses: z.array(
+    z.tuple([z.string(), z.number(), z.number(), z.number()]),
+  ),
   ownedPartitions: z.array(z.number()),
   ownerGeneration: z.number(),
   waitingItems: z.number(),
--- a/packages/gateway/caller-response.ts
+++ b/packages/gateway/caller-response.ts
@@ -15,6 +15,10 @@
   readonly retryAfterMilliseconds?: number;
 }
 
+export function encodeErrorBody({ code, message }: ErrorAnswer): Buffer {
+  return Buffer.from(JSON.stringify({ error: { code, message } }));
+}
+
 export interface CallerResponseOptions {
   readonly response: ServerResponse;
   /** True during graceful shutdown: the connection is closed after this answer. */
@@ -66,9 +70,18 @@
     this.#response.end();
   }
 
-  sendBytes(status: number, contentType: string, bytes: Buffer): void {
+  sendBytes(
+    status: number,
+    contentType: string,
+    bytes: Buffer,
+    { retryAfterMilliseconds }: { retryAfterMilliseconds?: number } = {},
+  ): void {
     if (this.isOver) return;
     this.#addConnectionHeader();
+    if (retryAfterMilliseconds !== undefined) {
+      const seconds = retryAfterMilliseconds / 1_000;
+      this.#response.setHeader("retry-after", seconds.toFixed(2));
+    }
     this.#response.writeHead(status, {
       "content-type": contentType,
       "content-length": bytes.length,
@@ -85,13 +98,12 @@
   fail(answer: ErrorAnswer): void {
     if (this.isOver) return;
     if (this.hasBegun) return this.abort();
-    if (answer.retryAfterMilliseconds !== undefined) {
-      const seconds = answer.retryAfterMilliseconds / 1_000;
-      this.#response.setHeader("retry-after", seconds.toFixed(2));
-    }
-    this.sendJson(answer.status, {
-      error: { code: answer.code, message: answer.message },
-    });
+    this.sendBytes(
+      answer.status,
+      "application/json",
+      encodeErrorBody(answer),
+      answer,
+    );
   }
 
   abort(): void {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -1,6 +1,5 @@
 /**
- * Admits the requests of callers: finds the route, checks the API key and the rate limit of the
- * workspace, and passes the request to the online path or to the batch jobs. A request that is
+ * Admits the requests of callers: finds the route, checks the API key, and passes the request to the online path or to the batch jobs. A request that is
  * refused here has not run.
  */
 
@@ -10,7 +9,6 @@
 import type { LogContext, Logger } from "../common/logging.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
-import type { BucketState } from "../fleet/limits/shared-bucket.ts";
 import { CallerDeadlines } from "./caller-deadlines.ts";
 import type {
   CallerCodec,
@@ -19,45 +17,33 @@
   ReceivedRequest,
 } from "./caller-request.ts";
 import type { CallerResponse, ErrorAnswer } from "./caller-response.ts";
-import { chooseServer, freeSlots, type SendChoice } from "./choose-server.ts";
+import type { JobResponse } from "../jobs/job-response.ts";
+import type { SendChoice } from "./choose-server.ts";
 import {
-  acceptableWaitShares,
   defaultRetryAfterMilliseconds,
   durationSmoothingFactor,
 } from "./constants.ts";
 import type { GatewayMetrics } from "./gateway-metrics.ts";
 import { OnlineRequest } from "./online-request.ts";
 import type { OnlineServices } from "./online-services.ts";
-import { listCandidates } from "./server-candidates.ts";
+import type { Placement, Placer } from "./placement.ts";
 import type { ServerPools } from "./server-pools.ts";
 
-export type LimitDecision =
-  | { readonly admitted: true }
-  | {
-    readonly admitted: false;
-    readonly retryAfterMilliseconds: number;
-    /** The state of the token bucket at the decision, for the logs. */
-    readonly state: BucketState;
-  };
-
-export interface WorkspaceLimiter {
-  /** Counts one request against the rate limit of the workspace, if the limit allows it. */
-  admit(workspace: WorkspaceRule): LimitDecision;
-}
-
 /** Handles the calls on batch jobs after route and API key have been checked. */
 export interface JobCalls {
   submit(
     received: ReceivedRequest,
     route: RouteRule,
-    workspace: WorkspaceRule | undefined,
-    response: CallerResponse,
+    workspace: WorkspaceId | undefined,
+    response: JobResponse,
   ): void;
+  /** `route` is the batch route of the host that the call names. */
   handle(
     call: JobCall,
     received: ReceivedRequest,
+    route: RouteRule,
     workspace: WorkspaceId | undefined,
-    response: CallerResponse,
+    response: JobResponse,
   ): void;
 }
 
@@ -65,13 +51,10 @@
   readonly blackboard: Blackboard;
   readonly codec: CallerCodec;
   readonly pools: ServerPools;
-  readonly limiter: WorkspaceLimiter;
+  readonly placer: Placer;
   readonly jobs: JobCalls;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
-  /** Availability zone of this instance. */
-  readonly zone: string;
-  readonly displaceBatch: OnlineServices["displaceBatch"];
 }
 
 export class Gateway {
@@ -119,6 +102,7 @@
       return this.#options.jobs.handle(
         jobCall,
         received,
+        route,
         workspace?.id,
         response,
       );
@@ -127,7 +111,12 @@
       return this.#refuse(request, response, missingId);
     }
     if (route.kind === "batch") {
-      return this.#options.jobs.submit(received, route, workspace, response);
+      return this.#options.jobs.submit(
+        received,
+        route,
+        workspace?.id,
+        response,
+      );
     }
     this.#serve(received, route, workspace, response);
   }
@@ -145,8 +134,9 @@
       workspace,
       response,
       services: this.#services,
-      admit: () =>
-        !isLimited || this.#admit(received.request, workspace, response),
+      limitedWorkspace: isLimited ? workspace : undefined,
+      refuseForLimit: (placement) =>
+        this.#refuseForLimit(received.request, workspace, placement, response),
       isLikelyRetry: this.#callerDeadlines.isLikelyRetry(
         route.id,
         received.request.deadlineMilliseconds,
@@ -154,22 +144,20 @@
     }).start();
   }
 
-  #admit(
+  #refuseForLimit(
     request: CallerRequest,
-    workspace: WorkspaceRule,
+    workspace: WorkspaceRule | undefined,
+    { state, retryAfterMilliseconds }: Extract<Placement, { kind: "limited" }>,
     response: CallerResponse,
-  ): boolean {
-    const decision = this.#options.limiter.admit(workspace);
-    if (decision.admitted) return true;
-    const { state } = decision;
+  ): void {
     this.#refuse(request, response, {
       status: 429,
       code: "workspace_limit",
       message:
         "the workspace has exceeded its request rate; the request has not run",
-      retryAfterMilliseconds: decision.retryAfterMilliseconds,
+      retryAfterMilliseconds,
     }, {
-      workspace: workspace.id,
+      workspace: workspace?.id ?? null,
       level: roundToTenth(state.level),
       allowance: roundToTenth(state.allowance),
       ratePerSecond: roundToTenth(state.ratePerSecond),
@@ -177,7 +165,6 @@
       fleetDemand: roundToTenth(state.fleetDemandPerSecond),
       membersHeard: `${state.heard} of ${state.members}`,
     });
-    return false;
   }
 
   #refuse(
@@ -200,8 +187,7 @@
   }
 
   #createServices(): OnlineServices {
-    const { blackboard, codec, pools, logger, metrics, zone, displaceBatch } =
-      this.#options;
+    const { blackboard, codec, pools, logger, metrics, placer } = this.#options;
     const { loads, health, upstreams } = blackboard;
     const now = () => performance.now();
     const random = Math.random;
@@ -210,26 +196,10 @@
       logger,
       now,
       random,
+      placer,
       chooseService: (route) => chooseService(route, random()),
-      choose: ({ service, excluded, objectiveMilliseconds, waitTolerance }) =>
-        chooseServer(
-          listCandidates(blackboard, { service, zone, now: now(), excluded }),
-          {
-            durationMilliseconds: blackboard.requestDurationMilliseconds,
-            acceptableWaitMilliseconds: objectiveMilliseconds *
-              acceptableWaitShares[waitTolerance],
-            random,
-          },
-        ),
-      hasFreeSlot: (id) => {
-        const slots = upstreams.get(id)?.slots ?? 0;
-        return freeSlots({ slots, ...loads.estimate(id, now()) }) > 0;
-      },
       findServer: (id) => upstreams.get(id),
       poolOf: (server) => pools.poolOf(server),
-      displaceBatch,
-      recordAttemptStart: (server) => loads.addRequest(server, "online"),
-      recordAttemptEnd: (server) => loads.removeRequest(server, "online"),
       recordReportedLoad: (server, load) =>
         loads.setSelfReportedLoad(server, load, now()),
       recordFailure: (server) => health.addFailure(server, now()),
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -22,12 +22,9 @@
   retryAfterDeadlineShare,
 } from "./constants.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
-import {
-  freeSlots,
-  type SendChoice,
-  type ServerChoice,
-} from "./choose-server.ts";
-import type { OnlineServices } from "./online-services.ts";
+import type { SendChoice } from "./choose-server.ts";
+import type { ChoiceRequest, OnlineServices } from "./online-services.ts";
+import type { Placement } from "./placement.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
 export interface OnlineRequestOptions {
@@ -36,8 +33,12 @@
   readonly workspace: WorkspaceRule | undefined;
   readonly response: CallerResponse;
   readonly services: OnlineServices;
-  /** Counts the request against the workspace's limit, or refuses it and returns false. */
-  readonly admit: () => boolean;
+  /** The workspace against whose limit the request counts; undefined if there is no limit. */
+  readonly limitedWorkspace: WorkspaceRule | undefined;
+  /** Answers a request that exceeds the limit of its workspace. */
+  readonly refuseForLimit: (
+    placement: Extract<Placement, { kind: "limited" }>,
+  ) => void;
   /** The caller has likely sent this request before and was refused or got a failure. */
   readonly isLikelyRetry: boolean;
 }
@@ -105,37 +106,70 @@
   }
 
   #tryNextServer(): void {
-    const { services, route, workspace, received } = this.#options;
+    const { services, route } = this.#options;
     if (this.#isOver) return;
     const remaining = this.#deadline - services.now();
     if (remaining < minimumRemainingMilliseconds) return this.#handleDeadline();
     if (this.#possibleRuns >= route.maximumAttempts) {
       return this.#giveUp("the route allows no further attempt");
     }
-    const choice = this.#choose(this.#excluded);
-    if (choice.kind === "none") return this.#giveUp("no server is available");
-    if (choice.kind === "full") {
-      return this.#refuseForCapacity(choice.expectedWaitMilliseconds);
+    services.placer.place({
+      ...this.#choiceRequest(),
+      limitedWorkspace: this.#isAdmitted
+        ? undefined
+        : this.#options.limitedWorkspace,
+    }).then(
+      (placement) => this.#handlePlacement(placement),
+      (error) => this.#giveUp(`the request cannot be placed: ${error}`),
+    );
+  }
+
+  #handlePlacement(placement: Placement): void {
+    const { placer } = this.#options.services;
+    if (this.#isOver) {
+      if (placement.kind === "send") placer.releaseSlot(placement.server.id);
+      return;
     }
+    switch (placement.kind) {
+      case "none":
+        return this.#giveUp("no server is available");
+      case "full":
+        return this.#refuseForCapacity(placement.expectedWaitMilliseconds);
+      case "limited":
+        this.#close();
+        return this.#options.refuseForLimit(placement);
+      case "send":
+        this.#isAdmitted = true;
+        return this.#send(placement);
+    }
+  }
+
+  #send(choice: SendChoice): void {
+    const { services, workspace, received } = this.#options;
     const server = services.findServer(choice.server.id);
-    if (!server) return this.#giveUp("the chosen server is no longer listed");
-    // A request that no server can take does not count against the workspace's limit.
-    this.#isAdmitted ||= this.#options.admit();
-    if (!this.#isAdmitted) return this.#close();
-    if (choice.displacesBatch) services.displaceBatch(server.id);
+    if (!server) {
+      // The server has left since it was chosen, so the request has not been sent to it.
+      services.placer.releaseSlot(choice.server.id);
+      this.#excluded.add(choice.server.id);
+      this.#refusals += 1;
+      if (this.#hasTooManyRefusals()) {
+        return this.#giveUp("the chosen servers are no longer listed");
+      }
+      return this.#tryNextServer();
+    }
+    const remaining = this.#deadline - services.now();
     const { request, body } = received;
     this.#server = server.id;
     this.#choice = choice;
     this.#attemptStart = services.now();
     this.#splitter = new EventSplitter();
     this.#head = undefined;
-    services.recordAttemptStart(server.id);
     const attempt = new ServerAttempt({
       pool: services.poolOf(server),
       method: request.method,
       target: request.target,
       headers: services.codec.encodeServerHeaders(request, body.length, {
-        remainingMilliseconds: Math.floor(remaining),
+        remainingMilliseconds: Math.max(1, Math.floor(remaining)),
         server: server.id,
         workspace: workspace?.id,
         lastEventId: this.#lastEventId,
@@ -155,18 +189,18 @@
     attempt.start();
   }
 
-  #choose(excluded: ReadonlySet<InstanceId>): ServerChoice {
-    const { services, route, isLikelyRetry } = this.#options;
-    return services.choose({
+  #choiceRequest(): ChoiceRequest {
+    const { route, isLikelyRetry } = this.#options;
+    return {
       service: this.#service,
-      excluded,
+      excluded: this.#excluded,
       objectiveMilliseconds: route.latencyObjectiveMilliseconds,
       waitTolerance: this.#possibleRuns > 0
         ? "any"
         : isLikelyRetry
         ? "late"
         : "in_time",
-    });
+    };
   }
 
   /** Until the answer begins, regularly requests batch displacement or reroutes to a free slot. */
@@ -175,29 +209,35 @@
     const rerouteAt = this.#attemptStart +
       route.latencyObjectiveMilliseconds * rerouteAfterObjectives;
     clearInterval(this.#queueCheckTimer);
+    let isChecking = false;
     this.#queueCheckTimer = setInterval(() => {
       if (attempt !== this.#attempt || this.#head) {
         return clearInterval(this.#queueCheckTimer);
       }
-      if (services.now() >= rerouteAt && this.#canReroute(server)) {
-        return this.#handleFailure(attempt, {
-          verdict: "unknown",
-          reason:
-            "the server has not begun to answer and another has a free slot",
-          // A server with a free slot should have begun; a full one is only busy.
-          isServerFault: services.hasFreeSlot(server),
-        });
+      const mayMove = this.#isRetryable && this.#hasAttemptsLeft();
+      if (mayMove && services.now() >= rerouteAt && !isChecking) {
+        isChecking = true;
+        this.#rerouteIfRoom(attempt, server).finally(() => isChecking = false);
       }
       this.#displacementRequests += 1;
-      services.displaceBatch(server);
+      services.placer.makeRoom(server);
     }, queueCheckIntervalMilliseconds);
   }
 
-  #canReroute(server: InstanceId): boolean {
-    if (!this.#isRetryable || !this.#hasAttemptsLeft()) return false;
-    const other = this.#choose(new Set([...this.#excluded, server]));
-    return other.kind === "send" && !other.server.isAvoided &&
-      freeSlots(other.server) > 0;
+  /** Moves the request to another server if that one has a free slot. */
+  async #rerouteIfRoom(
+    attempt: ServerAttempt,
+    server: InstanceId,
+  ): Promise<void> {
+    const { hasRoomElsewhere, isServerIdle } = await this.#options.services
+      .placer.findRoom({ ...this.#choiceRequest(), server });
+    if (attempt !== this.#attempt || this.#head || !hasRoomElsewhere) return;
+    this.#handleFailure(attempt, {
+      verdict: "unknown",
+      reason: "the server has not begun to answer and another has a free slot",
+      // A server with a free slot should have begun; a full one is only busy.
+      isServerFault: isServerIdle,
+    });
   }
 
   /** Timeouts of a silent server; past the deadline, to never expire, if no retry is allowed. */
@@ -379,7 +419,7 @@
 
   #handleFailure(attempt: ServerAttempt, failure: AttemptFailure): void {
     if (attempt !== this.#attempt || this.#isOver) return;
-    const { services, received, route, response } = this.#options;
+    const { services, received, response } = this.#options;
     const server = this.#server!;
     attempt.cancel();
     this.#releaseAttempt();
@@ -407,12 +447,17 @@
       response.abort();
       return this.#finish("broken_off");
     }
-    if (this.#refusals > route.maximumAttempts + additionalRefusals) {
+    if (this.#hasTooManyRefusals()) {
       return this.#giveUp("too many servers refused");
     }
     this.#tryNextServer();
   }
 
+  #hasTooManyRefusals(): boolean {
+    const { maximumAttempts } = this.#options.route;
+    return this.#refusals > maximumAttempts + additionalRefusals;
+  }
+
   #refuseForCapacity(waitMilliseconds: number): void {
     this.#fail({
       status: 503,
@@ -478,7 +523,7 @@
   #releaseAttempt(): void {
     if (!this.#attempt) return;
     this.#attempt = undefined;
-    this.#options.services.recordAttemptEnd(this.#server!);
+    this.#options.services.placer.releaseSlot(this.#server!);
   }
 
   #close(): void {
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -6,7 +6,8 @@
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { ConnectionPool } from "../transport/connection-pool.ts";
 import type { CallerCodec, ReceivedRequest } from "./caller-request.ts";
-import type { SendChoice, ServerChoice } from "./choose-server.ts";
+import type { SendChoice } from "./choose-server.ts";
+import type { Placer } from "./placement.ts";
 
 /**
  * How long a request may wait at a server. `in_time`: so short that it meets the latency
@@ -52,17 +53,10 @@
   now(): number;
   /** A number from 0 (inclusive) to 1 (exclusive). */
   random(): number;
+  readonly placer: Placer;
   chooseService(route: RouteRule): UpstreamName;
-  choose(request: ChoiceRequest): ServerChoice;
-  /** True if the server has a free slot, according to the estimated load. */
-  hasFreeSlot(server: InstanceId): boolean;
   findServer(id: InstanceId): UpstreamServer | undefined;
   poolOf(server: UpstreamServer): ConnectionPool;
-  /** Asks the instances that have batch runs at the server to stop one of them. */
-  displaceBatch(server: InstanceId): void;
-  /** Counts an attempt in the load of the server until `recordAttemptEnd`. */
-  recordAttemptStart(server: InstanceId): void;
-  recordAttemptEnd(server: InstanceId): void;
   /** `load` counts the requests that run or wait at the server, as its answer states. */
   recordReportedLoad(server: InstanceId, load: number): void;
   /** Counts a failure against the health of the server. */
--- /dev/null
+++ b/packages/gateway/placement.ts
@@ -0,0 +1,158 @@
+/**
+ * Where an online request goes: the interface of the placement, with an implementation that
+ * decides from this instance's own view of the fleet.
+ */
+
+import type { InstanceId } from "../common/ids.ts";
+import type { Blackboard } from "../fleet/blackboard.ts";
+import type { WorkspaceRule } from "../fleet/configuration.ts";
+import type { BucketState } from "../fleet/limits/shared-bucket.ts";
+import { chooseServer, freeSlots, type ServerChoice } from "./choose-server.ts";
+import { acceptableWaitShares } from "./constants.ts";
+import type { ChoiceRequest } from "./online-services.ts";
+import { listCandidates } from "./server-candidates.ts";
+
+export type LimitDecision =
+  | { readonly admitted: true }
+  | {
+    readonly admitted: false;
+    readonly retryAfterMilliseconds: number;
+    /** The state of the token bucket at the decision, for the logs. */
+    readonly state: BucketState;
+  };
+
+export interface WorkspaceLimiter {
+  /** Counts one request against the rate limit of the workspace, if the limit allows it. */
+  admit(workspace: WorkspaceRule): LimitDecision;
+}
+
+export interface PlacementRequest extends ChoiceRequest {
+  /** The workspace against whose limit the request still has to be counted, if any. */
+  readonly limitedWorkspace: WorkspaceRule | undefined;
+}
+
+/** A request that finds no room is not counted against the limit of its workspace. */
+export type Placement =
+  | ServerChoice
+  | { readonly kind: "limited" }
+    & Omit<
+      Extract<LimitDecision, { admitted: false }>,
+      "admitted"
+    >;
+
+/** Asks whether a request that waits at a server would begin sooner at another one. */
+export interface RoomRequest extends ChoiceRequest {
+  readonly server: InstanceId;
+}
+
+export interface RoomReply {
+  /** Another trusted server has a free slot. */
+  readonly hasRoomElsewhere: boolean;
+  /** The server itself has a free slot, so that it should have begun. */
+  readonly isServerIdle: boolean;
+}
+
+export interface Placer {
+  /** Chooses a server and counts the request in its load, until `releaseSlot` is called. */
+  place(request: PlacementRequest): Promise<Placement>;
+  releaseSlot(server: InstanceId): void;
+  findRoom(request: RoomRequest): Promise<RoomReply>;
+  /** Has one batch run at the server stopped, since an online request needs its slot. */
+  makeRoom(server: InstanceId): void;
+}
+
+/** The instance for which a decision is made, as far as the decision depends on it. */
+export interface PlacementOrigin {
+  readonly zone: string;
+  /** Servers that recently failed requests of this instance. */
+  readonly avoided?: ReadonlySet<InstanceId>;
+}
+
+export interface LocalPlacerOptions {
+  readonly blackboard: Blackboard;
+  readonly limiter: () => WorkspaceLimiter;
+  readonly zone: string;
+  readonly displaceBatch: (server: InstanceId) => void;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
+  readonly random?: () => number;
+}
+
+export class LocalPlacer implements Placer {
+  readonly #options: Required<LocalPlacerOptions>;
+
+  constructor(options: LocalPlacerOptions) {
+    this.#options = { random: Math.random, ...options };
+  }
+
+  place(request: PlacementRequest): Promise<Placement> {
+    const placement = this.decide(request, { zone: this.#options.zone });
+    if (placement.kind === "send") {
+      this.#options.blackboard.loads.addRequest(placement.server.id, "online");
+    }
+    return Promise.resolve(placement);
+  }
+
+  releaseSlot(server: InstanceId): void {
+    this.#options.blackboard.loads.removeRequest(server, "online");
+  }
+
+  findRoom(request: RoomRequest): Promise<RoomReply> {
+    const { zone } = this.#options;
+    return Promise.resolve(this.checkRoom(request, { zone }));
+  }
+
+  makeRoom(server: InstanceId): void {
+    this.#options.displaceBatch(server);
+  }
+
+  /** Decides on a request without counting it in the load of the server. */
+  decide(request: PlacementRequest, origin: PlacementOrigin): Placement {
+    const choice = this.#choose(request, origin);
+    if (choice.kind !== "send") return choice;
+    const { limitedWorkspace } = request;
+    if (limitedWorkspace) {
+      const decision = this.#options.limiter().admit(limitedWorkspace);
+      if (!decision.admitted) {
+        const { retryAfterMilliseconds, state } = decision;
+        return { kind: "limited", retryAfterMilliseconds, state };
+      }
+    }
+    if (choice.displacesBatch) this.#options.displaceBatch(choice.server.id);
+    return choice;
+  }
+
+  checkRoom(request: RoomRequest, origin: PlacementOrigin): RoomReply {
+    const { blackboard, now } = this.#options;
+    const { server } = request;
+    const excluded = new Set([...request.excluded, server]);
+    const other = this.#choose({ ...request, excluded }, origin);
+    const slots = blackboard.upstreams.get(server)?.slots ?? 0;
+    const load = blackboard.loads.estimate(server, now());
+    return {
+      hasRoomElsewhere: other.kind === "send" && !other.server.isAvoided &&
+        freeSlots(other.server) > 0,
+      isServerIdle: freeSlots({ slots, ...load }) > 0,
+    };
+  }
+
+  #choose(
+    { service, excluded, objectiveMilliseconds, waitTolerance }: ChoiceRequest,
+    { zone, avoided }: PlacementOrigin,
+  ): ServerChoice {
+    const { blackboard, now, random } = this.#options;
+    const candidates = listCandidates(blackboard, {
+      service,
+      zone,
+      now: now(),
+      excluded,
+      avoided,
+    });
+    return chooseServer(candidates, {
+      durationMilliseconds: blackboard.requestDurationMilliseconds,
+      acceptableWaitMilliseconds: objectiveMilliseconds *
+        acceptableWaitShares[waitTolerance],
+      random,
+    });
+  }
+}
--- a/packages/gateway/server-candidates.ts
+++ b/packages/gateway/server-candidates.ts
@@ -11,12 +11,14 @@
   /** Monotonic milliseconds. */
   readonly now: number;
   /** Servers to leave out. */
-  readonly excluded?: ReadonlySet<InstanceId>;
+  readonly excluded?: ReadonlySet<InstanceId> | undefined;
+  /** Servers to avoid besides those that failed requests of this instance. */
+  readonly avoided?: ReadonlySet<InstanceId> | undefined;
 }
 
 export function listCandidates(
   { upstreams, loads, health }: Blackboard,
-  { service, zone, now, excluded }: CandidateQuery,
+  { service, zone, now, excluded, avoided }: CandidateQuery,
 ): ServerCandidate[] {
   const candidates: ServerCandidate[] = [];
   for (const server of upstreams.readyServers(service)) {
@@ -28,7 +30,8 @@
       online,
       batch,
       isSameZone: server.zone === zone,
-      isAvoided: health.isAvoided(server.id, now),
+      isAvoided: health.isAvoided(server.id, now) ||
+        avoided?.has(server.id) === true,
       failureShare: health.failureShare(server.id, now),
     });
   }
--- a/packages/gateway/server-health.ts
+++ b/packages/gateway/server-health.ts
@@ -43,6 +43,10 @@
     return record !== undefined && now < record.avoidedUntil;
   }
 
+  avoidedServers(now: number): InstanceId[] {
+    return [...this.#records.keys()].filter((id) => this.isAvoided(id, now));
+  }
+
   /** Share of the server's recent requests that failed; it decays while none are sent. */
   failureShare(server: InstanceId, now: number): number {
     const record = this.#records.get(server);
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -8,12 +8,9 @@
 import type { JobId, RouteId, WorkspaceId } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import { delay, systemTimers } from "../common/timers.ts";
-import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
+import type { RouteRule } from "../fleet/configuration.ts";
 import type { JobCall, ReceivedRequest } from "../gateway/caller-request.ts";
-import type {
-  CallerResponse,
-  ErrorAnswer,
-} from "../gateway/caller-response.ts";
+import type { ErrorAnswer } from "../gateway/caller-response.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
 import { StoreUnavailableError } from "../store/keyed-store.ts";
@@ -27,6 +24,7 @@
 import type { JobAdmission } from "./job-admission.ts";
 import type { JobCodec, SubmittedItem } from "./job-codec.ts";
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
+import type { JobResponse } from "./job-response.ts";
 import type { JobState } from "./partition-state.ts";
 import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
 import type { TokenDecision, TokenDemand } from "./waiting-tokens.ts";
@@ -51,11 +49,11 @@
   submit(
     received: ReceivedRequest,
     route: RouteRule,
-    workspace: WorkspaceRule | undefined,
-    response: CallerResponse,
+    workspace: WorkspaceId | undefined,
+    response: JobResponse,
   ): void {
     this.#reportOutcome(
-      this.#submit(received, route, workspace?.id, response),
+      this.#submit(received, route, workspace, response),
       received,
       response,
     );
@@ -64,8 +62,9 @@
   handle(
     call: JobCall,
     received: ReceivedRequest,
+    _route: RouteRule,
     workspace: WorkspaceId | undefined,
-    response: CallerResponse,
+    response: JobResponse,
   ): void {
     this.#reportOutcome(
       this.#dispatch(call, received, workspace, response),
@@ -78,7 +77,7 @@
   #reportOutcome(
     outcome: Promise<ErrorAnswer | undefined>,
     { request }: ReceivedRequest,
-    response: CallerResponse,
+    response: JobResponse,
   ): void {
     outcome.then(
       (answer) => {
@@ -109,7 +108,7 @@
     call: JobCall,
     received: ReceivedRequest,
     workspace: WorkspaceId | undefined,
-    response: CallerResponse,
+    response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
     switch (call.kind) {
       case "malformed":
@@ -127,7 +126,7 @@
     received: ReceivedRequest,
     route: RouteRule,
     workspace: WorkspaceId | undefined,
-    response: CallerResponse,
+    response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
     const { partitions, codec, now, logger } = this.#options;
     const job = received.request.id as unknown as JobId;
@@ -217,7 +216,7 @@
   #answerAccepted(
     state: JobState,
     workspace: WorkspaceId | undefined,
-    response: CallerResponse,
+    response: JobResponse,
   ): ErrorAnswer | undefined {
     if (state.record.workspace !== workspace) return unknownJob;
     response.sendJson(202, {
@@ -280,7 +279,7 @@
     call: Extract<JobCall, { kind: "results" }>,
     received: ReceivedRequest,
     workspace: WorkspaceId | undefined,
-    response: CallerResponse,
+    response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
     const { partitions, codec, now } = this.#options;
     const found = await this.#findJob(call.job, workspace);
@@ -312,7 +311,7 @@
   async #sendBody(
     call: Extract<JobCall, { kind: "body" }>,
     workspace: WorkspaceId | undefined,
-    response: CallerResponse,
+    response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
     const { partitions, bodies, logger } = this.#options;
     const found = await this.#findJob(call.job, workspace);
@@ -340,7 +339,7 @@
   async #endJob(
     job: JobId,
     workspace: WorkspaceId | undefined,
-    response: CallerResponse,
+    response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
     const { partitions, logger } = this.#options;
     const found = await this.#findJob(job, workspace);
