Let dependents and members wait longer for records of the store

Cause: three long polls of 1.2 s at each instance were most store calls of a large site. Ruled out: relays for documents in each zone (another mechanism; coordinators already send a dependent what its report lacks, every 0.5 s).

--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -6,9 +6,10 @@
 
 import type { Clock } from "../common/clock.ts";
 import { RosemaryrudderError } from "../common/errors.ts";
-import type { InstanceId, Offset } from "../common/ids.ts";
+import type { InstanceId } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { WorkspaceRule } from "../fleet/configuration.ts";
+import type { DocumentPush } from "../fleet/peers/document-push.ts";
 import type { LocalPlacer } from "../gateway/placement.ts";
 import type { PeerNetwork, PeerSender } from "../protocol/peer-network.ts";
 import { Dependents } from "./dependents.ts";
@@ -29,15 +30,7 @@
   /** Whether this instance is a coordinator and knows enough of the fleet to decide for others. */
   readonly canDecide: () => boolean;
   readonly isStoreFailing: () => boolean;
-  /** Sends a dependent the document records after the positions that it states. */
-  readonly pushDocuments: (
-    dependent: InstanceId,
-    positions: {
-      readonly configurationPosition: Offset;
-      readonly serversPosition: Offset;
-      readonly isStoreFailing: boolean;
-    },
-  ) => void;
+  readonly documentPush: DocumentPush;
   readonly clock: Clock;
 }
 
@@ -129,13 +122,16 @@
   }
 
   #receiveReport(report: DependentReport, sender: PeerSender) {
-    const { blackboard, clock, isStoreFailing, pushDocuments } = this.#options;
+    const { blackboard, clock, isStoreFailing, documentPush } = this.#options;
     const now = clock.monotonicNow();
     this.#dependents.update(sender, report, now);
     for (const [server, share] of report.faults) {
       blackboard.health.recordPeerFailureShare(server, share, now);
     }
-    pushDocuments(sender.instance, report);
+    documentPush.push(sender.instance, {
+      configuration: report.configurationPosition,
+      servers: report.serversPosition,
+    }, now);
     return { isStoreFailing: isStoreFailing() };
   }
 }
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -37,6 +37,10 @@
 import type { JobCodec } from "../jobs/job-codec.ts";
 import { TcpPeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
+import {
+  followWaitMilliseconds,
+  relaxedFollowWaitMilliseconds,
+} from "../store/constants.ts";
 import { RelayedStore } from "../store/relayed-store.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
 import { BatchWork } from "./batch-work.ts";
@@ -358,8 +362,7 @@
       placer: this.#localPlacer,
       canDecide: () => this.#canDecide(),
       isStoreFailing: () => this.#isStoreFailing(),
-      pushDocuments: (dependent, positions) =>
-        this.#documentPush.push(dependent, positions, clock.monotonicNow()),
+      documentPush: this.#documentPush,
       clock,
     });
   }
@@ -550,6 +553,11 @@
         logger,
         onRecords: (records, position, isSnapshot) =>
           this.#documents.applyRecords(kind, records, position, { isSnapshot }),
+        // Dependents also receive the documents from their coordinator.
+        waitMilliseconds: () =>
+          this.#role.isCoordinator
+            ? followWaitMilliseconds
+            : relaxedFollowWaitMilliseconds,
         onFailure: () =>
           this.#storeLastFailedAt = this.#options.clock.monotonicNow(),
       })
--- a/packages/entry/membership.ts
+++ b/packages/entry/membership.ts
@@ -17,6 +17,7 @@
   KeyedStore,
   StreamPartition,
 } from "../store/keyed-store.ts";
+import { relaxedFollowWaitMilliseconds } from "../store/constants.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
 import {
   memberReadPauseMilliseconds,
@@ -56,6 +57,7 @@
       onRecords: (records, position, isSnapshot) =>
         this.#applyRecords(records, position, isSnapshot),
       pauseMilliseconds: () => memberReadPauseMilliseconds,
+      waitMilliseconds: () => relaxedFollowWaitMilliseconds,
     });
   }
 
--- a/packages/fleet/peers/document-push.ts
+++ b/packages/fleet/peers/document-push.ts
@@ -7,12 +7,10 @@
 import type { DocumentKind, Documents } from "../documents.ts";
 import { documentMessage } from "./report.ts";
 
-/** The positions up to which a peer has the documents. */
-export interface DocumentPositions {
-  readonly configurationPosition: Offset;
-  readonly serversPosition: Offset;
-  readonly isStoreFailing: boolean;
-}
+/** The positions up to which a peer has the documents that may be sent to it. */
+export type DocumentPositions = Partial<Record<DocumentKind, Offset>>;
+
+const documentKinds: readonly DocumentKind[] = ["configuration", "servers"];
 
 export interface DocumentPushOptions {
   readonly network: PeerNetwork;
@@ -38,14 +36,9 @@
   push(peer: InstanceId, positions: DocumentPositions, now: number): void {
     const lastPush = this.#lastPushes.get(peer) ?? Number.NEGATIVE_INFINITY;
     if (now - lastPush < documentPushIntervalMilliseconds) return;
-    this.#pushRecords(
-      peer,
-      "configuration",
-      positions.configurationPosition,
-      now,
-    );
-    if (positions.isStoreFailing) {
-      this.#pushRecords(peer, "servers", positions.serversPosition, now);
+    for (const kind of documentKinds) {
+      const position = positions[kind];
+      if (position !== undefined) this.#pushRecords(peer, kind, position, now);
     }
   }
 
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -290,7 +290,10 @@
         level,
       })),
     );
-    documentPush.push(sender.instance, report, now);
+    documentPush.push(sender.instance, {
+      configuration: report.configurationPosition,
+      ...(report.isStoreFailing ? { servers: report.serversPosition } : {}),
+    }, now);
   }
 
   #stateOf(peer: InstanceId, now: number): PeerState {
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -12,6 +12,10 @@
   KeyedStore,
   StreamPartition,
 } from "../store/keyed-store.ts";
+import {
+  followWaitMilliseconds,
+  relaxedFollowWaitMilliseconds,
+} from "../store/constants.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
 import {
   maximumCopyAgeMilliseconds,
@@ -47,6 +51,10 @@
       onRecords: (records) => this.#apply(records),
       pauseMilliseconds: () =>
         options.isOwned() ? 0 : nonOwnerReadPauseMilliseconds,
+      waitMilliseconds: () =>
+        options.isOwned()
+          ? followWaitMilliseconds
+          : relaxedFollowWaitMilliseconds,
     });
   }
 
--- a/packages/store/constants.ts
+++ b/packages/store/constants.ts
@@ -5,6 +5,11 @@
  * goes unnoticed, which must stay below the 2 s in which a document change must be in force.
  */
 export const followWaitMilliseconds = 1_200;
+/**
+ * The same for partitions whose changes also arrive another way or are not urgent. The longer wait
+ * keeps the calls of a large fleet within the rates of the store.
+ */
+export const relaxedFollowWaitMilliseconds = 6_000;
 /** Pause after a failed read, which limits the number of calls during an outage of the store. */
 export const followRetryMilliseconds = 250;
 /** Minimum interval of reads that return no records, in case the store does not wait for any. */
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -35,6 +35,8 @@
   ) => void;
   /** Pause between two reads, so that records accumulate; 0 to read again at once. */
   pauseMilliseconds?: () => number;
+  /** How long a read waits for a new record. */
+  waitMilliseconds?: () => number;
   /** Called after each failed read. */
   onFailure?: () => void;
   logger: Logger;
@@ -53,6 +55,7 @@
   constructor(options: PartitionFollowerOptions) {
     this.#options = {
       pauseMilliseconds: () => 0,
+      waitMilliseconds: () => followWaitMilliseconds,
       onFailure: () => {},
       clock: systemClock,
       ...options,
@@ -174,11 +177,12 @@
   }
 
   async #readNext(from: Offset): Promise<void> {
-    const { store, target, clock, pauseMilliseconds } = this.#options;
+    const { store, target, clock, pauseMilliseconds, waitMilliseconds } =
+      this.#options;
     const sentAt = clock.monotonicNow();
     const result = await store.read(target, {
       from,
-      waitMilliseconds: followWaitMilliseconds,
+      waitMilliseconds: waitMilliseconds(),
       signal: this.#abortController.signal,
     });
     const isAtEnd = this.#deliver(result);
