Survive malformed messages and errors that nothing caught

Cause: a server entry with a port above 65535 was taken, and the exception of its pool left the request unanswered as an unhandled rejection, which would have ended the process. A new coordinator answered with an empty bucket for one report interval. The coordination of an entry instance has a module of its own; behaviour of small fleets is unchanged.

--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -186,10 +186,16 @@
 }
 
 const jobCallSchema = z.object({
-  call: z.nullish(z.looseObject({
-    kind: z.enum(["results", "body", "end"]),
-    job: z.string(),
-  })),
+  call: z.nullish(z.discriminatedUnion("kind", [
+    z.object({
+      kind: z.literal("results"),
+      job: z.string(),
+      after: z.int().check(z.nonnegative()),
+      waitMilliseconds: z.number(),
+    }),
+    z.object({ kind: z.literal("body"), job: z.string(), item: z.string() }),
+    z.object({ kind: z.literal("end"), job: z.string() }),
+  ])),
   requestId: z.nullish(z.string()),
   path: z.string(),
   host: z.string(),
--- a/packages/entry/coordination-role.ts
+++ b/packages/entry/coordination-role.ts
@@ -12,7 +12,11 @@
 export interface CoordinationRoleOptions {
   /** Whether the member list chooses this instance. */
   readonly isChosen: () => boolean;
-  readonly onChange: (isCoordinator: boolean) => void;
+  /** `isFirstDecision`: the instance takes the role at its start. */
+  readonly onChange: (
+    isCoordinator: boolean,
+    change: { readonly isFirstDecision: boolean },
+  ) => void;
   /** Monotonic milliseconds. */
   readonly now: () => number;
 }
@@ -70,9 +74,10 @@
   #follow(): void {
     const isChosen = this.#options.isChosen();
     this.#differsSince = undefined;
+    const isFirstDecision = !this.#isDecided;
     this.#isDecided = true;
     if (isChosen === this.#isCoordinator) return;
     this.#isCoordinator = isChosen;
-    this.#options.onChange(isChosen);
+    this.#options.onChange(isChosen, { isFirstDecision });
   }
 }
--- /dev/null
+++ b/packages/entry/coordination.ts
@@ -0,0 +1,453 @@
+/**
+ * The coordination of the fleet as this instance takes part in it: as a coordinator, which exchanges
+ * reports with the others, owns batch jobs and decides for its dependents, or as a dependent, which
+ * asks a coordinator. The member list decides which of the two.
+ */
+
+import type { Clock } from "../common/clock.ts";
+import type { InstanceId } from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import { CoordinatorClient } from "../coordination/coordinator-client.ts";
+import { CoordinatorService } from "../coordination/coordinator-service.ts";
+import { ForwardedJobCalls } from "../coordination/forwarded-job-calls.ts";
+import { serveJobCalls } from "../coordination/job-call-service.ts";
+import { RemotePlacer } from "../coordination/remote-placer.ts";
+import type { Blackboard } from "../fleet/blackboard.ts";
+import type { Documents } from "../fleet/documents.ts";
+import { FleetLimits } from "../fleet/limits/fleet-limits.ts";
+import type { FleetView } from "../fleet/limits/shared-bucket.ts";
+import {
+  chooseCoordinators,
+  rankCoordinators,
+} from "../fleet/peers/coordinators.ts";
+import { DocumentPush } from "../fleet/peers/document-push.ts";
+import type { Member, MemberTable } from "../fleet/peers/members.ts";
+import {
+  type JobReport,
+  PeerReports,
+  type ReportNetwork,
+} from "../fleet/peers/peer-reports.ts";
+import { displaceMessage } from "../fleet/peers/report.ts";
+import type { CallerCodec } from "../gateway/caller-request.ts";
+import type { JobCalls } from "../gateway/gateway.ts";
+import { LocalPlacer, type Placer } from "../gateway/placement.ts";
+import type { ServerPools } from "../gateway/server-pools.ts";
+import type { JobCodec } from "../jobs/job-codec.ts";
+import type { KeyedStore } from "../store/keyed-store.ts";
+import { BatchWork } from "./batch-work.ts";
+import {
+  coordinatorWarmUpMilliseconds,
+  displaceTimeoutMilliseconds,
+  memberSilenceTimeoutMilliseconds,
+} from "./constants.ts";
+import { CoordinationRole } from "./coordination-role.ts";
+import type { EntrySettings } from "./entry-settings.ts";
+import { SilentDependents } from "./silent-dependents.ts";
+
+export interface CoordinationOptions {
+  readonly settings: EntrySettings;
+  readonly blackboard: Blackboard;
+  readonly network: ReportNetwork;
+  readonly members: MemberTable;
+  readonly documents: Documents;
+  readonly store: KeyedStore;
+  readonly pools: ServerPools;
+  readonly callerCodec: CallerCodec;
+  readonly jobCodec: JobCodec;
+  /** Whether this instance cannot read the store at present. */
+  readonly isStoreFailing: () => boolean;
+  readonly removeMember: (member: Member) => void;
+  /** Called at the end of each item run. */
+  readonly countRun: (outcome: string) => void;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+export class Coordination {
+  /** Places requests as the present role of this instance does. */
+  readonly placer: Placer;
+  /** Answers calls on batch jobs as the present role of this instance does. */
+  readonly jobCalls: JobCalls;
+  readonly #options: CoordinationOptions;
+  readonly #documentPush: DocumentPush;
+  readonly #reports: PeerReports;
+  readonly #role: CoordinationRole;
+  readonly #client: CoordinatorClient;
+  readonly #service: CoordinatorService;
+  readonly #localPlacer: LocalPlacer;
+  readonly #remotePlacer: RemotePlacer;
+  readonly #silentDependents: SilentDependents;
+  #limits: FleetLimits;
+  #batch: BatchWork | undefined;
+  #coordinators: readonly Member[] = [];
+  /** The other coordinators in the order in which this instance asks them. */
+  #rankedCoordinators: readonly InstanceId[] = [];
+  /** When this instance last became a coordinator; monotonic milliseconds. */
+  #coordinatorSince = Number.POSITIVE_INFINITY;
+
+  constructor(options: CoordinationOptions) {
+    this.#options = options;
+    const { network, documents, logger, settings, blackboard, clock } = options;
+    this.#documentPush = new DocumentPush({ network, documents, logger });
+    this.#reports = this.#createReports();
+    this.#role = new CoordinationRole({
+      isChosen: () =>
+        this.#coordinators.some(({ instance }) =>
+          instance === settings.instance
+        ),
+      onChange: (isCoordinator, { isFirstDecision }) =>
+        this.#applyRole(isCoordinator, isFirstDecision),
+      now: clock.monotonicNow,
+    });
+    this.#limits = this.#createLimits({ startsFull: false });
+    this.#localPlacer = this.#createLocalPlacer();
+    this.#client = this.#createClient();
+    this.#remotePlacer = new RemotePlacer({
+      client: this.#client,
+      fallback: this.#localPlacer,
+      blackboard,
+      zone: settings.zone,
+      now: clock.monotonicNow,
+    });
+    this.#service = this.#createService();
+    this.#silentDependents = this.#createSilentDependents();
+    this.placer = this.#createPlacer();
+    this.jobCalls = this.#createJobCalls();
+  }
+
+  /** True while this instance coordinates others, or may do so. */
+  get isCoordinator(): boolean {
+    return this.#role.isCoordinator;
+  }
+
+  /** True once this instance knows its role after its start. */
+  get isDecided(): boolean {
+    return this.#role.isDecided;
+  }
+
+  /** The batch work of a coordinator; undefined at a dependent. */
+  get batch(): BatchWork | undefined {
+    return this.#batch;
+  }
+
+  /** Number of instances that this coordinator decides for. */
+  get dependents(): number {
+    return this.#service.dependents;
+  }
+
+  /** The coordinators that this instance hears; see `FleetView`. */
+  view(): FleetView {
+    return this.#role.isCoordinator
+      ? this.#reports.view()
+      : { members: Math.max(1, this.#options.members.size), heard: 1 };
+  }
+
+  start(): void {
+    this.#client.start();
+  }
+
+  /** Keeps the present role until the end of this instance, which is leaving. */
+  keepRole(): void {
+    this.#role.stop();
+  }
+
+  stop(): void {
+    this.#reports.stop();
+    this.#client.stop();
+    this.#batch?.stop();
+  }
+
+  /** Tells the other coordinators of a new configuration without waiting for the interval. */
+  announceConfiguration(): void {
+    this.#reports.announce();
+  }
+
+  /** Drops the counts of silent dependents, and refreshes the limits of a dependent. */
+  expire(): void {
+    this.#service.expire();
+    if (!this.#role.isCoordinator) this.#limits.refresh();
+  }
+
+  /** Applies a change of the member list; see `CoordinationRole.handleChange`. */
+  applyMembers({ isSettled }: { readonly isSettled: boolean }): void {
+    const { settings, members } = this.#options;
+    this.#coordinators = chooseCoordinators(
+      members.all(),
+      settings.maximumCoordinators,
+    );
+    this.#rankedCoordinators = rankCoordinators(settings, this.#others());
+    this.#role.handleChange({ isSettled });
+  }
+
+  /** The other coordinators. */
+  #others(): Member[] {
+    const { instance } = this.#options.settings;
+    return this.#coordinators.filter((member) => member.instance !== instance);
+  }
+
+  /** Peers that can reach the store, those in the same zone first. */
+  relayPeers(): InstanceId[] {
+    if (!this.#role.isCoordinator) return this.#client.storeRelays();
+    const { zone } = this.#options.settings;
+    const isSameZone = (instance: InstanceId) =>
+      this.#options.members.get(instance)?.zone === zone;
+    return this.#reports.recentReports()
+      .filter(({ report }) => !report.isStoreFailing)
+      .map(({ instance }) => instance)
+      .sort((left, right) =>
+        Number(isSameZone(right)) - Number(isSameZone(left))
+      );
+  }
+
+  /**
+   * Removes expired jobs and silent members. The owner of partition 0 removes silent coordinators,
+   * and each coordinator its silent dependents, unless this instance cannot read the store.
+   */
+  sweep({ isStoreFailing }: { readonly isStoreFailing: boolean }): void {
+    const { logger, removeMember } = this.#options;
+    if (!this.#batch) return;
+    this.#batch.removeExpiredJobs();
+    if (isStoreFailing) return;
+    this.#silentDependents.sweep();
+    if (!this.#batch.ownsFirstPartition) return;
+    const silentMembers = this.#reports.silentMembers(
+      memberSilenceTimeoutMilliseconds,
+    );
+    for (const member of silentMembers) {
+      logger.info("a silent coordinator is removed from the member list", {
+        member: member.instance,
+      });
+      removeMember(member);
+    }
+  }
+
+  /** Takes or gives up the role of a coordinator. */
+  #applyRole(isCoordinator: boolean, isFirstDecision: boolean): void {
+    const { logger, settings } = this.#options;
+    logger.info(
+      isCoordinator
+        ? "the instance is now a coordinator"
+        : "the instance is no longer a coordinator",
+      {
+        members: this.#options.members.size,
+        coordinators: this.#coordinators.length,
+      },
+    );
+    // A dependent that becomes a coordinator later joins a fleet that may have spent the burst.
+    const startsFull = settings.isFirstStart && isFirstDecision;
+    this.#limits = this.#createLimits({ startsFull });
+    if (isCoordinator) {
+      this.#coordinatorSince = this.#options.clock.monotonicNow();
+      this.#client.stop();
+      this.#batch = this.#createBatchWork();
+      this.#batch.start();
+      this.#reports.start();
+      return;
+    }
+    const batch = this.#batch;
+    this.#batch = undefined;
+    this.#client.start();
+    this.#reports.stop();
+    batch?.leave().then(
+      () => batch.stop(),
+      (error) =>
+        logger.error("the batch work could not be handed over", {
+          reason: String(error),
+        }),
+    );
+  }
+
+  #createLimits({ startsFull }: { startsFull: boolean }): FleetLimits {
+    const { settings, clock } = this.#options;
+    return new FleetLimits({
+      blackboard: this.#options.blackboard,
+      clock,
+      isFirstStart: startsFull,
+      window: {
+        windowMilliseconds: settings.limitWindowMilliseconds,
+        overage: settings.limitOverage,
+      },
+      // The slack is one for the whole fleet, so that dependents may not spend it one by one.
+      slackRequests: this.#role.isCoordinator ? settings.limitSlackRequests : 0,
+      view: () => this.view(),
+    });
+  }
+
+  #createLocalPlacer(): LocalPlacer {
+    return new LocalPlacer({
+      blackboard: this.#options.blackboard,
+      limiter: () => {
+        if (!this.#role.isCoordinator) this.#limits.refresh();
+        return this.#limits;
+      },
+      zone: this.#options.settings.zone,
+      displaceBatch: (server) => void this.#displaceBatch(server),
+      now: this.#options.clock.monotonicNow,
+    });
+  }
+
+  #createClient(): CoordinatorClient {
+    const { clock, logger } = this.#options;
+    const { loads, health } = this.#options.blackboard;
+    return new CoordinatorClient({
+      network: this.#options.network,
+      coordinators: () => this.#rankedCoordinators,
+      state: () => ({
+        loads: loads.ownLoads().map(({ server, online }) =>
+          [server, online] as const
+        ),
+        faults: health.reportedFailureShares(clock.monotonicNow())
+          .map(({ server, share }) => [server, share] as const),
+        configurationPosition: this.#options.documents.position(
+          "configuration",
+        ),
+        serversPosition: this.#options.documents.position("servers"),
+        isStoreFailing: this.#options.isStoreFailing(),
+      }),
+      clock,
+      logger,
+    });
+  }
+
+  #createService(): CoordinatorService {
+    const { clock } = this.#options;
+    serveJobCalls({
+      network: this.#options.network,
+      blackboard: this.#options.blackboard,
+      calls: () => this.#batch?.calls,
+      now: clock.monotonicNow,
+    });
+    return new CoordinatorService({
+      network: this.#options.network,
+      blackboard: this.#options.blackboard,
+      placer: this.#localPlacer,
+      canDecide: () => this.#canDecide(),
+      isStoreFailing: () => this.#options.isStoreFailing(),
+      documentPush: this.#documentPush,
+      clock,
+    });
+  }
+
+  /** A new coordinator first hears the others, or finds that they are silent. */
+  #canDecide(): boolean {
+    if (!this.#role.isCoordinator) return false;
+    const { heard, members } = this.#reports.view();
+    const elapsed = this.#options.clock.monotonicNow() - this.#coordinatorSince;
+    return heard * 2 > members || elapsed > coordinatorWarmUpMilliseconds;
+  }
+
+  #createSilentDependents(): SilentDependents {
+    const { settings, clock, logger } = this.#options;
+    return new SilentDependents({
+      network: this.#options.network,
+      watched: () => {
+        const chosen = new Set(
+          this.#coordinators.map(({ instance }) => instance),
+        );
+        return this.#options.members.all().filter((member) =>
+          !chosen.has(member.instance) &&
+          rankCoordinators(member, this.#coordinators)[0] === settings.instance
+        );
+      },
+      isAttached: (instance) => this.#service.hasDependent(instance),
+      remove: this.#options.removeMember,
+      now: clock.monotonicNow,
+      logger,
+    });
+  }
+
+  #createBatchWork(): BatchWork {
+    const { settings, callerCodec, jobCodec, logger, clock } = this.#options;
+    return new BatchWork({
+      settings,
+      store: this.#options.store,
+      blackboard: this.#options.blackboard,
+      network: this.#options.network,
+      pools: this.#options.pools,
+      callerCodec,
+      jobCodec,
+      peerReports: () => this.#reports,
+      countRun: (outcome) => this.#options.countRun(outcome),
+      clock,
+      logger,
+    });
+  }
+
+  #createReports(): PeerReports {
+    const { clock, logger } = this.#options;
+    const network = this.#options.network;
+    network.handle(displaceMessage, ({ server }) => ({
+      isDisplaced: this.#batch?.displace(server) ?? false,
+    }));
+    return new PeerReports({
+      network,
+      peers: () => this.#others(),
+      blackboard: this.#options.blackboard,
+      documents: this.#options.documents,
+      documentPush: this.#documentPush,
+      limits: () => this.#limits,
+      jobReport: () => this.#batch?.report() ?? noJobs,
+      isStoreFailing: () => this.#options.isStoreFailing(),
+      clock,
+      logger,
+    });
+  }
+
+  /** Displaces one batch run at the server, preferably one of this instance, else of a peer. */
+  async #displaceBatch(server: InstanceId): Promise<void> {
+    if (this.#batch?.displace(server)) return;
+    for (
+      const peer of this.#options.blackboard.loads.peersWithBatchRuns(server)
+    ) {
+      try {
+        const reply = await this.#options.network.request(
+          peer,
+          displaceMessage,
+          { server },
+          { deadlineMilliseconds: displaceTimeoutMilliseconds },
+        );
+        if (reply.isDisplaced) return;
+      } catch (error) {
+        this.#options.logger.warn(
+          "a peer did not respond to a displacement request",
+          {
+            peer,
+            server,
+            reason: String(error),
+          },
+        );
+      }
+    }
+  }
+
+  #createPlacer(): Placer {
+    const current = () =>
+      this.#role.isCoordinator ? this.#localPlacer : this.#remotePlacer;
+    return {
+      place: (request) => current().place(request),
+      releaseSlot: (server) => current().releaseSlot(server),
+      findRoom: (request) => current().findRoom(request),
+      makeRoom: (server) => current().makeRoom(server),
+    };
+  }
+
+  #createJobCalls(): JobCalls {
+    const { clock, logger } = this.#options;
+    const forwarded = new ForwardedJobCalls({
+      client: this.#client,
+      now: clock.monotonicNow,
+      logger,
+    });
+    const current = () => this.#batch?.calls ?? forwarded;
+    return {
+      submit: (...call) => current().submit(...call),
+      handle: (...call) => current().handle(...call),
+    };
+  }
+}
+
+const noJobs: JobReport = {
+  ownedPartitions: [],
+  ownerGeneration: 0,
+  waitingItems: 0,
+};
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -7,28 +7,12 @@
 import { createServer, type ServerResponse } from "node:http";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { DisposableStore } from "../common/disposable-store.ts";
-import type { Incarnation, InstanceId, StreamName } from "../common/ids.ts";
+import type { Incarnation, StreamName } from "../common/ids.ts";
 import { listenOn } from "../common/listen.ts";
 import type { Logger } from "../common/logging.ts";
 import { Blackboard } from "../fleet/blackboard.ts";
 import { type DocumentCodec, Documents } from "../fleet/documents.ts";
-import { FleetLimits } from "../fleet/limits/fleet-limits.ts";
-import type { FleetView } from "../fleet/limits/shared-bucket.ts";
-import { CoordinatorClient } from "../coordination/coordinator-client.ts";
-import { CoordinatorService } from "../coordination/coordinator-service.ts";
-import { ForwardedJobCalls } from "../coordination/forwarded-job-calls.ts";
-import { serveJobCalls } from "../coordination/job-call-service.ts";
-import { RemotePlacer } from "../coordination/remote-placer.ts";
-import {
-  chooseCoordinators,
-  rankCoordinators,
-} from "../fleet/peers/coordinators.ts";
-import { DocumentPush } from "../fleet/peers/document-push.ts";
-import { type Member, MemberTable } from "../fleet/peers/members.ts";
-import { type JobCalls } from "../gateway/gateway.ts";
-import { LocalPlacer, type Placer } from "../gateway/placement.ts";
-import { type JobReport, PeerReports } from "../fleet/peers/peer-reports.ts";
-import { displaceMessage } from "../fleet/peers/report.ts";
+import { MemberTable } from "../fleet/peers/members.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { CallerListener } from "../gateway/caller-listener.ts";
 import { initialDurationMilliseconds } from "../gateway/constants.ts";
@@ -43,22 +27,17 @@
 } from "../store/constants.ts";
 import { RelayedStore } from "../store/relayed-store.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
-import { BatchWork } from "./batch-work.ts";
 import {
-  coordinatorWarmUpMilliseconds,
-  displaceTimeoutMilliseconds,
   expiryIntervalMilliseconds,
-  memberSilenceTimeoutMilliseconds,
   memberStream,
   sweepIntervalMilliseconds,
 } from "./constants.ts";
+import { Coordination } from "./coordination.ts";
 import type { EntryMetrics } from "./entry-metrics.ts";
 import type { EntrySettings, ListenAddress } from "./entry-settings.ts";
 import { addInstanceGauges } from "./instance-gauges.ts";
 import { leaveFleet } from "./leaving.ts";
-import { CoordinationRole } from "./coordination-role.ts";
 import { Membership } from "./membership.ts";
-import { SilentDependents } from "./silent-dependents.ts";
 
 export interface EntryInstanceOptions {
   readonly settings: EntrySettings;
@@ -79,30 +58,13 @@
   readonly #pools: ServerPools;
   readonly #network: TcpPeerNetwork;
   readonly #documents: Documents;
-  readonly #documentPush: DocumentPush;
-  readonly #reports: PeerReports;
+  readonly #coordination: Coordination;
   readonly #membership: Membership;
-  readonly #role: CoordinationRole;
-  readonly #client: CoordinatorClient;
-  readonly #coordinator: CoordinatorService;
-  readonly #localPlacer: LocalPlacer;
-  readonly #remotePlacer: RemotePlacer;
-  readonly #forwardedCalls: ForwardedJobCalls;
-  readonly #silentDependents: SilentDependents;
   readonly #listener: CallerListener;
   readonly #followers: PartitionFollower[];
   readonly #store: RelayedStore;
   /** When the configuration or the server list last could not be read; monotonic milliseconds. */
   #storeLastFailedAt = Number.NEGATIVE_INFINITY;
-  #limits: FleetLimits;
-  /** Undefined while this instance is no coordinator. */
-  #batch: BatchWork | undefined;
-  #coordinators: readonly Member[] = [];
-  /** The other coordinators in the order in which this instance asks them. */
-  #rankedCoordinators: readonly InstanceId[] = [];
-  #hasBeenCoordinator = false;
-  /** When this instance last became a coordinator; monotonic milliseconds. */
-  #coordinatorSince = Number.POSITIVE_INFINITY;
   #leavePromise: Promise<void> | undefined;
 
   constructor(options: EntryInstanceOptions) {
@@ -113,49 +75,19 @@
     this.#store = new RelayedStore({
       direct: options.store,
       network: this.#network,
-      relayPeers: () => this.#relayPeers(),
+      relayPeers: () => this.#coordination.relayPeers(),
       logger: options.logger,
     });
     this.#documents = this.#createDocuments();
-    this.#documentPush = new DocumentPush({
-      network: this.#network,
-      documents: this.#documents,
-      logger: options.logger,
-    });
-    this.#reports = this.#createReports();
-    this.#role = new CoordinationRole({
-      isChosen: () =>
-        this.#coordinators.some(({ instance }) =>
-          instance === options.settings.instance
-        ),
-      onChange: (isCoordinator) => this.#applyRole(isCoordinator),
-      now: this.#options.clock.monotonicNow,
-    });
-    this.#limits = this.#createLimits({ startsFull: false });
+    this.#coordination = this.#createCoordination();
     this.#membership = this.#createMembership();
-    this.#localPlacer = this.#createLocalPlacer();
-    this.#client = this.#createClient();
-    this.#remotePlacer = new RemotePlacer({
-      client: this.#client,
-      fallback: this.#localPlacer,
-      blackboard: this.#blackboard,
-      zone: options.settings.zone,
-      now: this.#options.clock.monotonicNow,
-    });
-    this.#forwardedCalls = new ForwardedJobCalls({
-      client: this.#client,
-      now: this.#options.clock.monotonicNow,
-      logger: options.logger,
-    });
-    this.#coordinator = this.#createCoordinator();
-    this.#silentDependents = this.#createSilentDependents();
     this.#listener = this.#createListener();
     this.#followers = this.#createFollowers();
   }
 
   /** True while this instance coordinates others, or may do so. */
   get isCoordinator(): boolean {
-    return this.#role.isCoordinator;
+    return this.#coordination.isCoordinator;
   }
 
   async start(): Promise<void> {
@@ -163,22 +95,24 @@
     await this.#network.listen();
     this.#membership.start();
     for (const follower of this.#followers) follower.start();
-    this.#client.start();
+    this.#coordination.start();
     this.#disposables.addInterval(
-      () => this.#sweep(),
+      () =>
+        this.#coordination.sweep({
+          isStoreFailing: this.#followers.some((follower) =>
+            follower.isFailing
+          ),
+        }),
       sweepIntervalMilliseconds,
     );
     this.#disposables.addInterval(() => {
       this.#documents.sweep();
-      this.#coordinator.expire();
-      if (!this.#role.isCoordinator) this.#limits.refresh();
+      this.#coordination.expire();
     }, expiryIntervalMilliseconds);
     addInstanceGauges(this.#options.metrics, {
       blackboard: this.#blackboard,
-      batch: () => this.#batch,
-      coordinator: this.#coordinator,
+      coordination: this.#coordination,
       listener: this.#listener,
-      reports: this.#reports,
     });
     await this.#listener.listen();
     await this.#listenForReadiness();
@@ -195,20 +129,18 @@
    * grace period. Resolves when the process may exit.
    */
   leave(): Promise<void> {
-    this.#role.stop();
+    this.#coordination.keepRole();
     this.#leavePromise ??= leaveFleet({
       blackboard: this.#blackboard,
       listener: this.#listener,
-      batch: this.#batch,
+      batch: this.#coordination.batch,
       membership: this.#membership,
       graceMilliseconds: this.#options.settings.graceMilliseconds,
       now: this.#options.clock.monotonicNow,
       logger: this.#options.logger,
     }).finally(async () => {
-      this.#reports.stop();
-      this.#client.stop();
+      this.#coordination.stop();
       for (const follower of this.#followers) follower.stop();
-      this.#batch?.stop();
       this.#listener.close();
       await this.#pools.destroy();
       await this.#network.close();
@@ -244,7 +176,7 @@
       onChange: (kind) => {
         if (kind === "configuration") {
           this.#listener.applyLimits();
-          this.#reports.announce();
+          this.#coordination.announceConfiguration();
         } else {
           const { upstreams, health } = this.#blackboard;
           this.#pools.retain((id) => upstreams.get(id) !== undefined);
@@ -254,187 +186,24 @@
     });
   }
 
-  /** Takes or gives up the role of a coordinator. */
-  #applyRole(isCoordinator: boolean): void {
-    const { logger, settings } = this.#options;
-    logger.info(
-      isCoordinator
-        ? "the instance is now a coordinator"
-        : "the instance is no longer a coordinator",
-      {
-        members: this.#members.size,
-        coordinators: this.#coordinators.length,
-      },
-    );
-    const startsFull = settings.isFirstStart && isCoordinator &&
-      !this.#hasBeenCoordinator;
-    this.#limits = this.#createLimits({ startsFull });
-    if (isCoordinator) {
-      this.#hasBeenCoordinator = true;
-      this.#coordinatorSince = this.#options.clock.monotonicNow();
-      this.#client.stop();
-      this.#batch = this.#createBatchWork();
-      this.#batch.start();
-      this.#reports.start();
-      return;
-    }
-    const batch = this.#batch;
-    this.#batch = undefined;
-    this.#client.start();
-    this.#reports.stop();
-    batch?.leave().then(
-      () => batch.stop(),
-      (error) =>
-        logger.error("the batch work could not be handed over", {
-          reason: String(error),
-        }),
-    );
-  }
-
-  /** How much of the fleet this instance hears; a dependent decides for itself alone. */
-  #fleetView(): FleetView {
-    return this.#role.isCoordinator
-      ? this.#reports.view()
-      : { members: Math.max(1, this.#members.size), heard: 1 };
-  }
-
-  #createLimits({ startsFull }: { startsFull: boolean }): FleetLimits {
-    const { settings, clock } = this.#options;
-    return new FleetLimits({
-      blackboard: this.#blackboard,
-      clock,
-      isFirstStart: startsFull,
-      window: {
-        windowMilliseconds: settings.limitWindowMilliseconds,
-        overage: settings.limitOverage,
-      },
-      // The slack is one for the whole fleet, so that dependents may not spend it one by one.
-      slackRequests: this.#role.isCoordinator ? settings.limitSlackRequests : 0,
-      view: () => this.#fleetView(),
-    });
-  }
-
-  #createLocalPlacer(): LocalPlacer {
-    return new LocalPlacer({
-      blackboard: this.#blackboard,
-      limiter: () => {
-        if (!this.#role.isCoordinator) this.#limits.refresh();
-        return this.#limits;
-      },
-      zone: this.#options.settings.zone,
-      displaceBatch: (server) => void this.#displaceBatch(server),
-      now: this.#options.clock.monotonicNow,
-    });
-  }
-
-  #createClient(): CoordinatorClient {
-    const { clock, logger } = this.#options;
-    const { loads, health } = this.#blackboard;
-    return new CoordinatorClient({
-      network: this.#network,
-      coordinators: () => this.#rankedCoordinators,
-      state: () => ({
-        loads: loads.ownLoads().map(({ server, online }) =>
-          [server, online] as const
-        ),
-        faults: health.reportedFailureShares(clock.monotonicNow())
-          .map(({ server, share }) => [server, share] as const),
-        configurationPosition: this.#documents.position("configuration"),
-        serversPosition: this.#documents.position("servers"),
-        isStoreFailing: this.#isStoreFailing(),
-      }),
-      clock,
-      logger,
-    });
-  }
-
-  #createCoordinator(): CoordinatorService {
-    const { clock } = this.#options;
-    serveJobCalls({
-      network: this.#network,
-      blackboard: this.#blackboard,
-      calls: () => this.#batch?.calls,
-      now: clock.monotonicNow,
-    });
-    return new CoordinatorService({
-      network: this.#network,
-      blackboard: this.#blackboard,
-      placer: this.#localPlacer,
-      canDecide: () => this.#canDecide(),
-      isStoreFailing: () => this.#isStoreFailing(),
-      documentPush: this.#documentPush,
-      clock,
-    });
-  }
-
-  /** A new coordinator first hears the others, or finds that they are silent. */
-  #canDecide(): boolean {
-    if (!this.#role.isCoordinator) return false;
-    const { heard, members } = this.#reports.view();
-    const elapsed = this.#options.clock.monotonicNow() - this.#coordinatorSince;
-    return heard * 2 > members || elapsed > coordinatorWarmUpMilliseconds;
-  }
-
-  #createSilentDependents(): SilentDependents {
-    const { settings, clock, logger } = this.#options;
-    return new SilentDependents({
-      network: this.#network,
-      watched: () => {
-        const chosen = new Set(
-          this.#coordinators.map(({ instance }) => instance),
-        );
-        return this.#members.all().filter((member) =>
-          !chosen.has(member.instance) &&
-          rankCoordinators(member, this.#coordinators)[0] === settings.instance
-        );
-      },
-      isAttached: (instance) => this.#coordinator.hasDependent(instance),
-      remove: (member) => void this.#membership.remove(member),
-      now: clock.monotonicNow,
-      logger,
-    });
-  }
-
-  #isStoreFailing(): boolean {
-    return this.#store.isDirectFailing ||
-      this.#followers.some((follower) => follower.isFailing);
-  }
-
-  #createBatchWork(): BatchWork {
-    const { settings, callerCodec, jobCodec, logger, clock } = this.#options;
-    return new BatchWork({
+  #createCoordination(): Coordination {
+    const { settings, callerCodec, jobCodec, metrics, clock, logger } =
+      this.#options;
+    return new Coordination({
       settings,
-      store: this.#store,
       blackboard: this.#blackboard,
       network: this.#network,
+      members: this.#members,
+      documents: this.#documents,
+      store: this.#store,
       pools: this.#pools,
       callerCodec,
       jobCodec,
-      peerReports: () => this.#reports,
-      countRun: (outcome) => this.#options.metrics.countItemRun(outcome),
-      clock,
-      logger,
-    });
-  }
-
-  #createReports(): PeerReports {
-    const { settings, clock, logger } = this.#options;
-    const network = this.#network;
-    network.handle(displaceMessage, ({ server }) => ({
-      isDisplaced: this.#batch?.displace(server) ?? false,
-    }));
-    return new PeerReports({
-      network,
-      peers: () =>
-        this.#coordinators.filter((member) =>
-          member.instance !== settings.instance
-        ),
-      blackboard: this.#blackboard,
-      documents: this.#documents,
-      documentPush: this.#documentPush,
-      limits: () => this.#limits,
-      jobReport: () => this.#batch?.report() ?? noJobs,
-      isStoreFailing: () => this.#isStoreFailing(),
+      isStoreFailing: () =>
+        this.#store.isDirectFailing ||
+        this.#followers.some((follower) => follower.isFailing),
+      removeMember: (member) => void this.#membership.remove(member),
+      countRun: (outcome) => metrics.countItemRun(outcome),
       clock,
       logger,
     });
@@ -453,48 +222,27 @@
         ...settings.peers,
       },
       members: this.#members,
-      onChange: ({ isSettled }) => this.#applyMembers(isSettled),
+      onChange: (change) => {
+        const others = this.#members.all().filter((member) =>
+          member.instance !== settings.instance
+        );
+        this.#network.setPeers(
+          new Map(others.map((member) => [member.instance, member])),
+        );
+        this.#coordination.applyMembers(change);
+      },
       logger,
     });
   }
 
-  #applyMembers(isSettled: boolean): void {
-    const { settings } = this.#options;
-    const others = this.#members.all().filter((member) =>
-      member.instance !== settings.instance
-    );
-    this.#network.setPeers(
-      new Map(others.map((member) => [member.instance, member])),
-    );
-    this.#coordinators = chooseCoordinators(
-      this.#members.all(),
-      settings.maximumCoordinators,
-    );
-    this.#rankedCoordinators = rankCoordinators(
-      settings,
-      this.#coordinators.filter((member) =>
-        member.instance !== settings.instance
-      ),
-    );
-    this.#role.handleChange({ isSettled });
-  }
-
   #createListener(): CallerListener {
     const { settings, callerCodec, logger } = this.#options;
     const gateway = new Gateway({
       blackboard: this.#blackboard,
       codec: callerCodec,
       pools: this.#pools,
-      placer: {
-        place: (request) => this.#placer.place(request),
-        releaseSlot: (server) => this.#placer.releaseSlot(server),
-        findRoom: (request) => this.#placer.findRoom(request),
-        makeRoom: (server) => this.#placer.makeRoom(server),
-      },
-      jobs: {
-        submit: (...call) => this.#jobCalls.submit(...call),
-        handle: (...call) => this.#jobCalls.handle(...call),
-      },
+      placer: this.#coordination.placer,
+      jobs: this.#coordination.jobCalls,
       metrics: this.#options.metrics,
       logger,
     });
@@ -507,39 +255,6 @@
     });
   }
 
-  get #placer(): Placer {
-    return this.#role.isCoordinator ? this.#localPlacer : this.#remotePlacer;
-  }
-
-  get #jobCalls(): JobCalls {
-    return this.#batch?.calls ?? this.#forwardedCalls;
-  }
-
-  /** Displaces one batch run at the server, preferably one of this instance, else of a peer. */
-  async #displaceBatch(server: InstanceId): Promise<void> {
-    if (this.#batch?.displace(server)) return;
-    for (const peer of this.#blackboard.loads.peersWithBatchRuns(server)) {
-      try {
-        const reply = await this.#network.request(
-          peer,
-          displaceMessage,
-          { server },
-          { deadlineMilliseconds: displaceTimeoutMilliseconds },
-        );
-        if (reply.isDisplaced) return;
-      } catch (error) {
-        this.#options.logger.warn(
-          "a peer did not respond to a displacement request",
-          {
-            peer,
-            server,
-            reason: String(error),
-          },
-        );
-      }
-    }
-  }
-
   #createFollowers(): PartitionFollower[] {
     const { documentCodec, logger } = this.#options;
     const sources = [
@@ -555,7 +270,7 @@
           this.#documents.applyRecords(kind, records, position, { isSnapshot }),
         // Dependents also receive the documents from their coordinator.
         waitMilliseconds: () =>
-          this.#role.isCoordinator
+          this.#coordination.isCoordinator
             ? followWaitMilliseconds
             : relaxedFollowWaitMilliseconds,
         onFailure: () =>
@@ -564,46 +279,10 @@
     );
   }
 
-  /** Peers that can reach the store, those in the same zone first. */
-  #relayPeers(): InstanceId[] {
-    if (!this.#role.isCoordinator) return this.#client.storeRelays();
-    const { zone } = this.#options.settings;
-    const isSameZone = (instance: InstanceId) =>
-      this.#members.get(instance)?.zone === zone;
-    return this.#reports.recentReports()
-      .filter(({ report }) => !report.isStoreFailing)
-      .map(({ instance }) => instance)
-      .sort((left, right) =>
-        Number(isSameZone(right)) - Number(isSameZone(left))
-      );
-  }
-
-  /**
-   * Removes expired jobs and silent members. The owner of partition 0 removes silent coordinators,
-   * and each coordinator its silent dependents, unless its own reads of the store are failing.
-   */
-  #sweep(): void {
-    const { logger } = this.#options;
-    if (!this.#batch) return;
-    this.#batch.removeExpiredJobs();
-    if (this.#followers.some((follower) => follower.isFailing)) return;
-    this.#silentDependents.sweep();
-    if (!this.#batch.ownsFirstPartition) return;
-    const silentMembers = this.#reports.silentMembers(
-      memberSilenceTimeoutMilliseconds,
-    );
-    for (const member of silentMembers) {
-      logger.info("a silent coordinator is removed from the member list", {
-        member: member.instance,
-      });
-      void this.#membership.remove(member);
-    }
-  }
-
   async #listenForReadiness(): Promise<void> {
     await this.#listenOn(this.#options.settings.readiness, (response) => {
       const isReady = this.#blackboard.isReady && this.#membership.isLoaded &&
-        this.#role.isDecided;
+        this.#coordination.isDecided;
       response.writeHead(isReady ? 200 : 503);
       response.end();
     });
@@ -645,9 +324,3 @@
     });
   }
 }
-
-const noJobs: JobReport = {
-  ownedPartitions: [],
-  ownerGeneration: 0,
-  waitingItems: 0,
-};
--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -2,24 +2,19 @@
 
 import process from "node:process";
 import type { Blackboard } from "../fleet/blackboard.ts";
-import type { CoordinatorService } from "../coordination/coordinator-service.ts";
-import type { PeerReports } from "../fleet/peers/peer-reports.ts";
 import type { CallerListener } from "../gateway/caller-listener.ts";
-import type { BatchWork } from "./batch-work.ts";
+import type { Coordination } from "./coordination.ts";
 import type { EntryMetrics, GaugeDefinition } from "./entry-metrics.ts";
 
 export interface GaugeSources {
   readonly blackboard: Blackboard;
-  /** Undefined while this instance is no coordinator. */
-  readonly batch: () => BatchWork | undefined;
-  readonly coordinator: CoordinatorService;
+  readonly coordination: Coordination;
   readonly listener: CallerListener;
-  readonly reports: PeerReports;
 }
 
 export function addInstanceGauges(
   metrics: EntryMetrics,
-  { blackboard, batch, coordinator, listener, reports }: GaugeSources,
+  { blackboard, coordination, listener }: GaugeSources,
 ): void {
   const gauges: GaugeDefinition[] = [
     {
@@ -45,32 +40,32 @@
     {
       name: "rosemaryrudder_running_items",
       help: "Batch items that run at servers.",
-      read: () => batch()?.runningItems ?? 0,
+      read: () => coordination.batch?.runningItems ?? 0,
     },
     {
       name: "rosemaryrudder_waiting_items",
       help: "Batch items that wait for a server.",
-      read: () => batch()?.report().waitingItems ?? 0,
+      read: () => coordination.batch?.report().waitingItems ?? 0,
     },
     {
       name: "rosemaryrudder_owned_partitions",
       help: "Partitions of the job stream that this instance owns.",
-      read: () => batch()?.report().ownedPartitions.length ?? 0,
+      read: () => coordination.batch?.report().ownedPartitions.length ?? 0,
     },
     {
       name: "rosemaryrudder_coordinator",
       help: "1 if this instance is a coordinator.",
-      read: () => batch() ? 1 : 0,
+      read: () => coordination.isCoordinator ? 1 : 0,
     },
     {
       name: "rosemaryrudder_dependents",
       help: "Instances that this coordinator decides for.",
-      read: () => coordinator.dependents,
+      read: () => coordination.dependents,
     },
     {
       name: "rosemaryrudder_members_heard",
       help: "Coordinators heard from recently, including this instance.",
-      read: () => reports.view().heard,
+      read: () => coordination.view().heard,
     },
     {
       name: "rosemaryrudder_resident_memory_bytes",
--- a/packages/fleet/limits/fleet-limits.ts
+++ b/packages/fleet/limits/fleet-limits.ts
@@ -93,12 +93,12 @@
     incarnation: string,
     usages: readonly WorkspaceUsage[],
   ): void {
+    const { clock, view } = this.#options;
     for (const usage of usages) {
-      this.#buckets.get(usage.workspace)?.recordPeerUsage(
-        peer,
-        incarnation,
-        usage,
-      );
+      const bucket = this.#buckets.get(usage.workspace);
+      const takesLevel = bucket?.recordPeerUsage(peer, incarnation, usage);
+      // The level may be spent at once, not only after the next report interval.
+      if (takesLevel) bucket?.refresh(clock.monotonicNow(), view());
     }
   }
 
--- a/packages/fleet/limits/shared-bucket.ts
+++ b/packages/fleet/limits/shared-bucket.ts
@@ -158,26 +158,29 @@
   /**
    * Deducts what a peer has admitted since its previous report. The first report of an
    * incarnation only sets the baseline. A copy that did not start full takes its level from the
-   * first peer that reports one.
+   * first peer that reports one, and returns true then.
    */
   recordPeerUsage(
     peer: InstanceId,
     incarnation: string,
     usage: BucketUsage,
-  ): void {
-    if (!this.#hasLevel) {
+  ): boolean {
+    const takesLevel = !this.#hasLevel;
+    if (takesLevel) {
       this.#hasLevel = true;
       this.#level = Math.min(usage.level, this.#limit.burst);
     }
     const known = this.#peers.get(peer);
     if (known?.incarnation !== incarnation) {
-      this.#peers.set(peer, { incarnation, ...usage });
-      return;
+      const { admitted, demandPerSecond } = usage;
+      this.#peers.set(peer, { incarnation, admitted, demandPerSecond });
+      return takesLevel;
     }
     const spent = Math.max(0, usage.admitted - known.admitted);
     known.admitted = Math.max(known.admitted, usage.admitted);
     known.demandPerSecond = usage.demandPerSecond;
     this.#level -= spent;
+    return takesLevel;
   }
 
   forgetPeer(peer: InstanceId): void {
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -118,10 +118,21 @@
       limitedWorkspace: this.#isAdmitted
         ? undefined
         : this.#options.limitedWorkspace,
-    }).then(
-      (placement) => this.#handlePlacement(placement),
-      (error) => this.#giveUp(`the request cannot be placed: ${error}`),
-    );
+    }).then((placement) => this.#handlePlacement(placement))
+      .catch((error) => this.#handleError(error));
+  }
+
+  /** Answers a request that failed by an error of this instance. */
+  #handleError(error: unknown): void {
+    if (this.#isOver) return;
+    const { services, received } = this.#options;
+    services.logger.error("a request could not be sent", {
+      request: received.request.id ?? null,
+      server: this.#server ?? null,
+      reason: String(error),
+    });
+    if (this.#attempt?.wasSent) this.#possibleRuns += 1;
+    this.#giveUp("the request could not be sent");
   }
 
   #handlePlacement(placement: Placement): void {
