--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -7,24 +7,21 @@
 import { Buffer } from "node:buffer";
 import type { InstanceId, UpstreamName } from "../common/ids.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
+import { attemptTimeouts, failureOfHead } from "./attempt-rules.ts";
 import type { AnswerHead, ReceivedRequest } from "./caller-request.ts";
 import type { CallerResponse, ErrorAnswer } from "./caller-response.ts";
 import {
-  bodyIdleTimeoutObjectives,
   defaultRetryAfterMilliseconds,
-  headTimeoutObjectives,
-  maximumHeldAnswerBytes,
-  minimumBodyIdleTimeoutMilliseconds,
-  minimumHeadTimeoutMilliseconds,
   minimumRemainingMilliseconds,
   queueCheckIntervalMilliseconds,
   rerouteAfterObjectives,
-  retryAfterDeadlineShare,
 } from "./constants.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
+import { HeldAnswer } from "./held-answer.ts";
 import type { SendChoice } from "./choose-server.ts";
 import type { ChoiceRequest, OnlineServices } from "./online-services.ts";
 import type { Placement } from "./placement.ts";
+import { chooseRetryAfter } from "./retry-after.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
 export interface OnlineRequestOptions {
@@ -69,8 +66,7 @@
   #firstBytesAt: number | undefined;
   #head: AnswerHead | undefined;
   #splitter = new EventSplitter();
-  #heldChunks: Buffer[] = [];
-  #heldBytes = 0;
+  readonly #held = new HeldAnswer();
   #lastEventId: number | undefined;
   #mode: RelayMode = "direct";
   #deadlineTimer: NodeJS.Timeout | undefined;
@@ -188,7 +184,11 @@
       body,
       requestId: request.id ?? "",
       decodeHead: services.codec.decodeAnswerHead,
-      ...this.#timeouts(),
+      ...attemptTimeouts({
+        route: this.#options.route,
+        remainingMilliseconds: remaining,
+        mayMove: this.#mayMove,
+      }),
     }, {
       onHead: (head) => this.#handleHead(attempt, head),
       onData: (chunk) => this.#handleData(attempt, chunk),
@@ -225,8 +225,7 @@
       if (attempt !== this.#attempt || this.#head) {
         return clearInterval(this.#queueCheckTimer);
       }
-      const mayMove = this.#isRetryable && this.#hasAttemptsLeft();
-      if (mayMove && services.now() >= rerouteAt && !isChecking) {
+      if (this.#mayMove && services.now() >= rerouteAt && !isChecking) {
         isChecking = true;
         this.#rerouteIfRoom(attempt, server).finally(() => isChecking = false);
       }
@@ -251,69 +250,19 @@
     });
   }
 
-  /** Timeouts of a silent server; past the deadline, to never expire, if no retry is allowed. */
-  #timeouts() {
-    const { route } = this.#options;
-    const noTimeout = this.#deadline - this.#options.services.now() + 1_000;
-    if (!this.#isRetryable || !this.#hasAttemptsLeft()) {
-      return {
-        headTimeoutMilliseconds: noTimeout,
-        bodyIdleTimeoutMilliseconds: noTimeout,
-      };
-    }
-    const isStream = route.kind === "streaming";
-    return {
-      headTimeoutMilliseconds: Math.max(
-        minimumHeadTimeoutMilliseconds,
-        headTimeoutObjectives * route.latencyObjectiveMilliseconds,
-      ),
-      bodyIdleTimeoutMilliseconds: isStream
-        ? Math.max(
-          minimumBodyIdleTimeoutMilliseconds,
-          bodyIdleTimeoutObjectives * route.pauseObjectiveMilliseconds,
-        )
-        : noTimeout,
-    };
-  }
-
   #handleHead(attempt: ServerAttempt, head: AnswerHead): void {
     if (attempt !== this.#attempt || this.#isOver) return;
     const { services, route } = this.#options;
     if (head.load !== undefined) {
       services.recordReportedLoad(this.#server!, head.load);
     }
-    if (head.hasNotRun) {
-      return this.#handleFailure(attempt, {
-        verdict: "not_run",
-        reason: `the server refused with status ${head.status}`,
-        isServerFault: false,
-      });
-    }
-    if (head.status < 300 && !head.hasStamp) {
-      return this.#handleFailure(attempt, {
-        verdict: "unknown",
-        reason: "the answer has no server stamp",
-        isServerFault: true,
-      });
-    }
-    if (head.status >= 500 && this.#isRetryable && this.#hasAttemptsLeft()) {
-      return this.#handleFailure(attempt, {
-        verdict: "ran",
-        reason: `the server failed with status ${head.status}`,
-        isServerFault: true,
-      });
-    }
-    if (this.#options.response.hasBegun && head.status !== 200) {
-      return this.#handleFailure(attempt, {
-        verdict: "ran",
-        reason:
-          `the server answered a resumed stream with status ${head.status}`,
-        isServerFault: false,
-      });
-    }
+    const failure = failureOfHead(head, {
+      mayMove: this.#mayMove,
+      hasBegun: this.#options.response.hasBegun,
+    });
+    if (failure) return this.#handleFailure(attempt, failure);
     this.#head = head;
-    this.#heldChunks = [];
-    this.#heldBytes = 0;
+    this.#held.release();
     this.#mode = "direct";
     if (head.status === 200 && this.#isRetryable) {
       this.#mode = route.kind === "streaming" ? "events" : "held";
@@ -321,9 +270,10 @@
     if (this.#mode === "direct") this.#begin(head);
   }
 
-  /** True if the route allows a further attempt after the current one. */
-  #hasAttemptsLeft(): boolean {
-    return this.#possibleRuns + 1 < this.#options.route.maximumAttempts;
+  /** True if the request may go to another server although it may have run at the present one. */
+  get #mayMove(): boolean {
+    return this.#isRetryable &&
+      this.#possibleRuns + 1 < this.#options.route.maximumAttempts;
   }
 
   #begin(head: AnswerHead): void {
@@ -335,8 +285,8 @@
   #handleData(attempt: ServerAttempt, chunk: Buffer): boolean {
     if (attempt !== this.#attempt || this.#isOver) return false;
     if (this.#mode === "events") return this.#handleEventData(attempt, chunk);
-    if (this.#mode === "held") this.#hold(chunk);
-    else this.#write(chunk);
+    if (this.#mode !== "held") this.#write(chunk);
+    else if (this.#held.add(chunk)) this.#releaseHeld();
     return true;
   }
 
@@ -392,18 +342,10 @@
     services.recordFirstBytes(received, workspace?.id ?? "");
   }
 
-  /** Holds the answer back until it is complete; a larger one is passed on as it arrives. */
-  #hold(chunk: Buffer): void {
-    this.#heldChunks.push(chunk);
-    this.#heldBytes += chunk.length;
-    if (this.#heldBytes > maximumHeldAnswerBytes) this.#releaseHeld();
-  }
-
   #releaseHeld(): void {
     this.#begin(this.#head!);
     this.#mode = "direct";
-    for (const chunk of this.#heldChunks) this.#write(chunk);
-    this.#heldChunks = [];
+    for (const chunk of this.#held.release()) this.#write(chunk);
   }
 
   #handleEnd(attempt: ServerAttempt): void {
@@ -470,22 +412,19 @@
   }
 
   #refuseForCapacity(waitMilliseconds: number): void {
+    const { services } = this.#options;
     this.#fail({
       status: 503,
       code: "no_capacity",
       message: "all servers are full; the request has not run",
-      retryAfterMilliseconds: this.#chooseRetryAfter(waitMilliseconds),
+      retryAfterMilliseconds: chooseRetryAfter({
+        expectedWaitMilliseconds: waitMilliseconds,
+        remainingMilliseconds: this.#deadline - services.now(),
+        random: services.random,
+      }),
     });
   }
 
-  /** Retry-After in ms; random, to spread the retries over the time that callers can wait. */
-  #chooseRetryAfter(waitMilliseconds: number): number {
-    const { services } = this.#options;
-    const earliest = Math.max(defaultRetryAfterMilliseconds, waitMilliseconds);
-    const latest = (this.#deadline - services.now()) * retryAfterDeadlineShare;
-    return earliest + Math.max(0, latest - earliest) * services.random();
-  }
-
   #giveUp(reason: string): void {
     if (this.#possibleRuns > 0) {
       return this.#fail({
