Use fewer coordinators in large fleets

Ruled out: longer intervals between reports, which would make the loads older. Conclusion: 8 coordinators from 48 machines on, 16 up to 16, in steps of one between.

--- a/packages/fleet/peers/coordinators.ts
+++ b/packages/fleet/peers/coordinators.ts
@@ -9,11 +9,22 @@
 import type { InstanceId } from "../../common/ids.ts";
 import type { Member } from "./members.ts";
 
+/** Fleets up to this size consist of coordinators only. */
+export const maximumCoordinators = 16;
 /**
- * Largest number of coordinators. Up to this size, reports between all of them every 50 ms cost a
- * few per cent of a core.
+ * Number of coordinators of large fleets. The reports between them are most of what a large fleet
+ * costs at rest, and grow with the square of this number.
  */
-export const maximumCoordinators = 16;
+export const coordinatorsOfLargeFleet = 8;
+/** Above the maximum, there is one coordinator less for each of so many further members. */
+const membersPerCoordinatorLess = 4;
+
+/** Falls with the size in small steps, so that a member that comes or goes changes few roles. */
+export function coordinatorCount(members: number): number {
+  const further = Math.max(0, members - maximumCoordinators);
+  const fewer = Math.ceil(further / membersPerCoordinatorLess);
+  return Math.max(coordinatorsOfLargeFleet, maximumCoordinators - fewer);
+}
 
 /**
  * Chooses up to `count` members, evenly over the availability zones and in each zone those with
@@ -22,7 +33,7 @@
  */
 export function chooseCoordinators(
   members: readonly Member[],
-  count = maximumCoordinators,
+  count = coordinatorCount(members.length),
 ): Member[] {
   if (members.length <= count) return [...members];
   const zones = new Map<string, Member[]>();
