--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -19,6 +19,8 @@
  * grow with the square of the number of members.
  */
 export const reportIntervalPerMemberMilliseconds = 5;
+/** Interval at which a report carries the usage of all limits, and not only those that changed. */
+export const fullUsageIntervalMilliseconds = 1_000;
 /** A peer not heard from for this long counts as unreachable; several report intervals. */
 export const peerSilenceTimeoutMilliseconds = 1_500;
 /**
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -23,6 +23,7 @@
 import type { DocumentPush } from "./document-push.ts";
 import type { Member } from "./members.ts";
 import { type PeerReport, reportMessage } from "./report.ts";
+import { UsageSelection } from "./usage-selection.ts";
 
 /** The peer network, with a way to replace a connection on which reports no longer arrive. */
 export interface ReportNetwork extends PeerNetwork {
@@ -72,6 +73,7 @@
   /** The loads of the last report as JSON, compared to detect a change. */
   #lastReportedLoads = "";
   #lastReportedAt = Number.NEGATIVE_INFINITY;
+  readonly #usageSelection = new UsageSelection();
   #timer: NodeJS.Timeout | undefined;
   #isStopped = true;
 
@@ -238,8 +240,7 @@
         .map(({ server, share }) =>
           [server, roundToHundredths(share)] as const
         ),
-      uses: limits().ownUsages()
-        .filter((usage) => usage.admitted > 0 || usage.demandPerSecond > 0)
+      uses: this.#usageSelection.select(limits().ownUsages(), now)
         .map((usage) =>
           [
             usage.workspace,
@@ -261,9 +262,16 @@
       state.lastSequence = 0;
     }
     if (report.sequence <= state.lastSequence) return;
+    // A peer that has just started, or has been silent, lacks the usage of all limits.
+    const isNew = state.lastSequence === 0 ||
+      now - state.lastHeardAt > peerSilenceTimeoutMilliseconds;
     state.lastSequence = report.sequence;
     state.lastHeardAt = now;
     state.report = report;
+    if (isNew) {
+      this.#usageSelection.reset();
+      this.announce();
+    }
     if (report.heard > state.acknowledgedSequence) {
       state.acknowledgedSequence = report.heard;
       state.acknowledgedAt = now;
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -6,7 +6,7 @@
 import process from "node:process";
 import { run } from "node:test";
 import { spec } from "node:test/reporters";
-import { join } from "node:path";
+import { isAbsolute, join, relative } from "node:path";
 
 const maximumParallelFiles = 4;
 /** Output folder of the compiled tests of the platform's adapter. */
@@ -37,6 +37,13 @@
     .map((line) => line.slice("test: ".length).trim());
 }
 
+// The name of a test; a file that fails as a whole is named by its path in the repository.
+function nameOf(event) {
+  return isAbsolute(event.name)
+    ? relative(process.cwd(), event.name)
+    : event.name;
+}
+
 const filters = process.argv.slice(2);
 const files = findTestFiles("dist").filter((file) =>
   filters.length === 0 || filters.some((filter) => file.includes(filter))
@@ -55,7 +62,8 @@
   const failureKind = event.details?.error?.failureType;
   if (isSuite || failureKind === "subtestsFailed") return;
   counts.failed += 1;
-  if (!knownFailures.includes(event.name)) unexpectedFailures.push(event.name);
+  const name = nameOf(event);
+  if (!knownFailures.includes(name)) unexpectedFailures.push(name);
 });
 stream.on("test:pass", (event) => {
   if (event.details?.type !== "suite") counts.passed += 1;
