Repeat a report that no coordinator took after a pause

Cause: a dependent sent its report again at once when no coordinator took it, which spun while all were away, as after a loss of all instances. A slow call on a job made its coordinator suspect, so that under a slow store all of them were. Ruled out: the reconnect delay of the peer connections, which refuses at once within 100 ms and does not pace its callers.

--- a/packages/coordination/constants.ts
+++ b/packages/coordination/constants.ts
@@ -20,6 +20,8 @@
 export const failingReportIntervalMilliseconds = 300;
 /** Timeout of a report; a coordinator that does not reply in time is suspected. */
 export const reportTimeoutMilliseconds = 400;
+/** Pause before a report that its coordinator did not take is sent to the next one. */
+export const reportRetryMilliseconds = 100;
 /** A coordinator discards what it counts for a dependent that has not reported for this long. */
 export const dependentLifetimeMilliseconds = 1_500;
 /** Timeout of a forwarded call on a batch job, beyond the time that the call itself waits. */
--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -15,6 +15,7 @@
   idleReportIntervalMilliseconds,
   loadReportDelayMilliseconds,
   maximumAskedCoordinators,
+  reportRetryMilliseconds,
   reportTimeoutMilliseconds,
   suspicionMilliseconds,
 } from "./constants.ts";
@@ -35,6 +36,8 @@
 export interface AskOptions {
   readonly deadlineMilliseconds: number;
   readonly maximumAsked?: number;
+  /** The reply may depend on the store, so that its absence says nothing of the coordinator. */
+  readonly mayBeSlow?: boolean;
 }
 
 interface CoordinatorState {
@@ -97,8 +100,11 @@
     message: PeerMessage<Request, Reply>,
     build: (question: number) => Request,
     accept: (reply: Reply) => Result,
-    { deadlineMilliseconds, maximumAsked = maximumAskedCoordinators }:
-      AskOptions,
+    {
+      deadlineMilliseconds,
+      maximumAsked = maximumAskedCoordinators,
+      mayBeSlow = false,
+    }: AskOptions,
   ): Promise<Result | undefined> {
     const question = ++this.#lastQuestion;
     this.#openQuestions.add(question);
@@ -108,7 +114,7 @@
           coordinator,
           message,
           build(question),
-          deadlineMilliseconds,
+          { deadlineMilliseconds, mayBeSlow },
         );
         if (reply !== undefined) return accept(reply);
       }
@@ -134,7 +140,7 @@
     coordinator: InstanceId,
     message: PeerMessage<Request, Reply>,
     body: Request,
-    deadlineMilliseconds: number,
+    { deadlineMilliseconds, mayBeSlow = false }: AskOptions,
   ): Promise<Reply | undefined> {
     const { network, clock, logger } = this.#options;
     try {
@@ -142,7 +148,7 @@
         deadlineMilliseconds,
       });
     } catch (error) {
-      if (error instanceof PeerUnavailableError) {
+      if (error instanceof PeerUnavailableError && !mayBeSlow) {
         this.#stateOf(coordinator).suspectedUntil = clock.monotonicNow() +
           suspicionMilliseconds;
       }
@@ -183,9 +189,11 @@
       coordinator,
       dependentReportMessage,
       report,
-      reportTimeoutMilliseconds,
+      { deadlineMilliseconds: reportTimeoutMilliseconds },
     ).then((reply) => {
-      if (reply === undefined) return this.#scheduleReport(0);
+      if (reply === undefined) {
+        return this.#scheduleReport(reportRetryMilliseconds);
+      }
       this.#stateOf(coordinator).isStoreFailing = reply.isStoreFailing;
     });
   }
--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -88,7 +88,10 @@
         body,
       }),
       (answer) => answer,
-      { deadlineMilliseconds: jobCallTimeoutMilliseconds + waitMilliseconds },
+      {
+        deadlineMilliseconds: jobCallTimeoutMilliseconds + waitMilliseconds,
+        mayBeSlow: true,
+      },
     );
     if (reply) return sendReply(reply, response);
     logger.warn("no coordinator answered a call on a job", {
