--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -13,7 +13,6 @@
 import {
   defaultRetryAfterMilliseconds,
   minimumRemainingMilliseconds,
-  queueCheckIntervalMilliseconds,
   rerouteAfterObjectives,
 } from "./constants.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
@@ -21,6 +20,7 @@
 import type { SendChoice } from "./choose-server.ts";
 import type { ChoiceRequest, OnlineServices } from "./online-services.ts";
 import type { Placement } from "./placement.ts";
+import { QueueWatch } from "./queue-watch.ts";
 import { chooseRetryAfter } from "./retry-after.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
@@ -70,7 +70,7 @@
   #lastEventId: number | undefined;
   #mode: RelayMode = "direct";
   #deadlineTimer: NodeJS.Timeout | undefined;
-  #queueCheckTimer: NodeJS.Timeout | undefined;
+  #queueWatch: QueueWatch | undefined;
 
   constructor(options: OnlineRequestOptions) {
     this.#options = options;
@@ -196,7 +196,7 @@
       onFailure: (failure) => this.#handleFailure(attempt, failure),
     });
     this.#attempt = attempt;
-    this.#startQueueCheck(attempt, server.id);
+    this.#watchQueue(attempt, server.id);
     attempt.start();
   }
 
@@ -214,40 +214,27 @@
     };
   }
 
-  /** Until the answer begins, regularly requests batch displacement or reroutes to a free slot. */
-  #startQueueCheck(attempt: ServerAttempt, server: InstanceId): void {
+  #watchQueue(attempt: ServerAttempt, server: InstanceId): void {
     const { services, route } = this.#options;
-    const rerouteAt = this.#attemptStart +
-      route.latencyObjectiveMilliseconds * rerouteAfterObjectives;
-    clearInterval(this.#queueCheckTimer);
-    let isChecking = false;
-    this.#queueCheckTimer = setInterval(() => {
-      if (attempt !== this.#attempt || this.#head) {
-        return clearInterval(this.#queueCheckTimer);
-      }
-      if (this.#mayMove && services.now() >= rerouteAt && !isChecking) {
-        isChecking = true;
-        this.#rerouteIfRoom(attempt, server).finally(() => isChecking = false);
-      }
-      this.#displacementRequests += 1;
-      services.placer.makeRoom(server);
-    }, queueCheckIntervalMilliseconds);
-  }
-
-  /** Moves the request to another server if that one has a free slot. */
-  async #rerouteIfRoom(
-    attempt: ServerAttempt,
-    server: InstanceId,
-  ): Promise<void> {
-    const { hasRoomElsewhere, isServerIdle } = await this.#options.services
-      .placer.findRoom({ ...this.#choiceRequest(), server });
-    if (attempt !== this.#attempt || this.#head || !hasRoomElsewhere) return;
-    this.#handleFailure(attempt, {
-      verdict: "unknown",
-      reason: "the server has not begun to answer and another has a free slot",
-      // A server with a free slot should have begun; a full one is only busy.
-      isServerFault: isServerIdle,
+    this.#queueWatch = new QueueWatch({
+      placer: services.placer,
+      server,
+      moveAt: this.#attemptStart +
+        route.latencyObjectiveMilliseconds * rerouteAfterObjectives,
+      now: services.now,
+      roomRequest: () =>
+        this.#mayMove ? { ...this.#choiceRequest(), server } : undefined,
+      onRoomRequested: () => this.#displacementRequests += 1,
+      onRoomElsewhere: ({ isServerIdle }) =>
+        this.#handleFailure(attempt, {
+          verdict: "unknown",
+          reason:
+            "the server has not begun to answer and another has a free slot",
+          // A server with a free slot should have begun; a full one is only busy.
+          isServerFault: isServerIdle,
+        }),
     });
+    this.#queueWatch.start();
   }
 
   #handleHead(attempt: ServerAttempt, head: AnswerHead): void {
@@ -261,6 +248,7 @@
       hasBegun: this.#options.response.hasBegun,
     });
     if (failure) return this.#handleFailure(attempt, failure);
+    this.#queueWatch?.stop();
     this.#head = head;
     this.#held.release();
     this.#mode = "direct";
@@ -472,6 +460,7 @@
 
   #releaseAttempt(): void {
     if (!this.#attempt) return;
+    this.#queueWatch?.stop();
     this.#attempt = undefined;
     this.#options.services.placer.releaseSlot(this.#server!);
   }
@@ -479,7 +468,7 @@
   #close(): void {
     this.#isOver = true;
     clearTimeout(this.#deadlineTimer);
-    clearInterval(this.#queueCheckTimer);
+    this.#queueWatch?.stop();
   }
 
   #finish(outcome: string): void {
