Check that the cancelled job of a known red test was created

Cause: the entry in KNOWN-RED.txt said that the test does not check the answer to the creation of its batch, so that its one failure left no trace of the cause. Ruled out: nothing; the failure was not seen again. Before and after: the test passes; it is stricter by two checks. Conclusion: the next failure will name the refusal.

--- a/packages/integration/answers.test.ts
+++ b/packages/integration/answers.test.ts
@@ -95,7 +95,9 @@
   const client = testFleet.client(3, workspace);
   const contents = Array.from({ length: 400 }, (_, index) => `lot ${index}`);
   const file = await client.uploadFile(testFleet.batchInput(contents));
+  assert.equal(file.status, 200, JSON.stringify(file.body));
   const batch = await client.createBatch(file.body.id);
+  assert.equal(batch.status, 200, JSON.stringify(batch.body));
   await waitUntil("items run", async () => {
     const { body } = await client.getBatch(batch.body.id);
     return body.request_counts.completed > 10;
