Start items with a margin for the run time, so that slots end as items in time

Cause: an item counted as in time if the average run time still fitted before its due time, so that about half of those started last under an overload came too late. Ruled out: newest items first (unfair to those that arrived earlier, and no better for items of one length).

--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -39,6 +39,7 @@
 import type { JobState } from "./partition-state.ts";
 import type { ItemProgress, ProgressStore } from "./progress-store.ts";
 import type { ResultWriter } from "./result-writer.ts";
+import { compareUrgency, type Urgency } from "./urgency.ts";
 import { type ItemWork, WorkTable } from "./work-table.ts";
 
 export interface BatchExecutorOptions {
@@ -178,28 +179,20 @@
     }
   }
 
-  /**
-   * Sorts items that can still be completed in time first, by due time. Items that will be late
-   * in any case follow, by remaining time, shortest first.
-   */
-  #compareUrgency(left: ItemWork, right: ItemWork, time: number): number {
-    const leftRemaining = this.#remainingMilliseconds(left);
-    const rightRemaining = this.#remainingMilliseconds(right);
-    const isLeftLate = time + leftRemaining > left.dueAt;
-    const isRightLate = time + rightRemaining > right.dueAt;
-    if (isLeftLate !== isRightLate) return isLeftLate ? 1 : -1;
-    return isLeftLate
-      ? leftRemaining - rightRemaining
-      : left.dueAt - right.dueAt;
+  #compareUrgency(left: ItemWork, right: ItemWork, now: number): number {
+    return compareUrgency(this.#urgencyOf(left), this.#urgencyOf(right), {
+      now,
+    });
   }
 
-  /** Estimated time until the result can be read; 0 while there is no estimate. */
-  #remainingMilliseconds(work: ItemWork): number {
-    const remaining = this.#estimator.remainingMilliseconds(
-      work.tokens,
-      work.output.lastEventId ?? 0,
-    );
-    return remaining === undefined ? 0 : remaining + resultDeliveryMilliseconds;
+  #urgencyOf(work: ItemWork): Urgency {
+    return {
+      dueAt: work.dueAt,
+      remainingMilliseconds: this.#estimator.remainingMilliseconds(
+        work.tokens,
+        work.output.lastEventId ?? 0,
+      ) ?? 0,
+    };
   }
 
   #collectReadyItems(): ItemWork[] {
@@ -321,7 +314,9 @@
   }
 
   #slotsKeptFreeFor(work: ItemWork, time: number): number {
-    const slack = work.dueAt - time - this.#remainingMilliseconds(work);
+    const { remainingMilliseconds } = this.#urgencyOf(work);
+    const slack = work.dueAt - time - remainingMilliseconds -
+      resultDeliveryMilliseconds;
     if (slack > ampleSlackMilliseconds) return slotsKeptFreeWithAmpleSlack;
     const isUrgent = slack > 0 && slack < urgentSlackMilliseconds;
     return isUrgent ? 0 : slotsKeptFree;
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -78,3 +78,5 @@
 export const maximumTokenRetryAfterMilliseconds = 10_000;
 /** Longest wait for the instance that admits the jobs of a workspace; then the next one is asked. */
 export const admissionTimeoutMilliseconds = 120;
+/** Factor on the average run time within which nearly all runs of items end. */
+export const runTimeMargin = 1.3;
