Number only the questions that may be granted a slot

Cause: a call on a job that waits for a result was an open question for a second and more, so that slots granted meanwhile stayed pending and were counted twice, by the report and by the grant. Ruled out: the lost replies that pending grants are for; their test is unchanged. Before: the new test saw 0 of 2 placed requests settled while a call waited. After: both are. What it means at size is not measured yet: half of the dependents of the large site may have such a call open at any time. Conclusion: job calls carry no number.

--- a/packages/coordination/coordinator-client.test.ts
+++ b/packages/coordination/coordinator-client.test.ts
@@ -14,14 +14,31 @@
   () => null,
   String,
 );
+const slowQuestion = definePeerMessage<null, string>(
+  "slow-question",
+  () => null,
+  String,
+);
 const [first, second, third] = ["a", "b", "c"] as InstanceId[];
 
 /** A network on which the given instances do not reply; `asked` lists who was asked what. */
-function createClient(silent: readonly (InstanceId | undefined)[]) {
+function createClient(
+  silent: readonly (InstanceId | undefined)[],
+  { hangs = () => false }: { hangs?: (type: string) => boolean } = {},
+) {
   const asked: string[] = [];
+  const settled: number[] = [];
   const network = {
-    request: (instance: InstanceId, { type }: { type: string }) => {
+    request: (
+      instance: InstanceId,
+      { type }: { type: string },
+      body: { settledQuestion: number },
+    ) => {
       asked.push(`${type} ${instance}`);
+      if (type !== question.type && type !== slowQuestion.type) {
+        settled.push(body.settledQuestion);
+      }
+      if (hangs(type)) return new Promise(() => {});
       return silent.includes(instance)
         ? Promise.reject(new PeerUnavailableError("no connection"))
         : Promise.resolve(
@@ -49,7 +66,7 @@
       deadlineMilliseconds: 10,
       mayBeSlow,
     });
-  return { client, asked, ask, state };
+  return { client, asked, settled, ask, state };
 }
 
 test("a coordinator that does not reply is passed over for a while", async () => {
@@ -84,3 +101,19 @@
   client.stop();
   assert.ok(asked.length >= 2 && asked.length <= 8, `${asked.length} reports`);
 });
+
+test("a call on a job that waits for a result does not keep the placed requests unsettled", async () => {
+  const { client, settled, ask } = createClient([], {
+    hangs: (type) => type === slowQuestion.type,
+  });
+  void client.ask(slowQuestion, () => null, (reply) => reply, {
+    deadlineMilliseconds: 10_000,
+    mayBeSlow: true,
+  });
+  await ask();
+  await ask();
+  client.start();
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  client.stop();
+  assert.equal(settled.at(-1), 2);
+});
--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -94,7 +94,8 @@
 
   /**
    * Asks coordinators in turn until one replies; undefined if none does. `build` receives the
-   * number of the question, which counts as settled once this call has returned.
+   * number of the question, which counts as settled once this call has returned; a call that may be
+   * slow has none.
    */
   async ask<Request, Reply, Result>(
     message: PeerMessage<Request, Reply>,
@@ -106,8 +107,10 @@
       mayBeSlow = false,
     }: AskOptions,
   ): Promise<Result | undefined> {
-    const question = ++this.#lastQuestion;
-    this.#openQuestions.add(question);
+    // Only questions that may be granted a slot are numbered: a call on a job, which may wait long,
+    // would keep the slots of later questions counted twice.
+    const question = mayBeSlow ? unnumberedQuestion : ++this.#lastQuestion;
+    if (!mayBeSlow) this.#openQuestions.add(question);
     try {
       for (const coordinator of this.candidates().slice(0, maximumAsked)) {
         const reply = await this.#request(
@@ -226,3 +229,5 @@
     return state;
   }
 }
+
+const unnumberedQuestion = 0;
