--- a/packages/coordination/coordinator-client.test.ts
+++ b/packages/coordination/coordinator-client.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import { systemClock } from "../common/clock.ts";
 import { PeerUnavailableError } from "../common/errors.ts";
 import type { InstanceId, Offset } from "../common/ids.ts";
@@ -94,10 +94,16 @@
   assert.ok(asked.length <= 4);
 });
 
-test("reports that nobody takes are repeated at an interval", async () => {
-  const { client, asked } = createClient([first, second, third]);
+test("reports that nobody takes are repeated at an interval", async (context) => {
+  mock.timers.enable({ apis: ["setTimeout"] });
+  context.after(() => mock.timers.reset());
+  const { client, asked, state } = createClient([first, second, third]);
   client.start();
-  await new Promise((resolve) => setTimeout(resolve, 350));
+  for (let elapsed = 0; elapsed < 350; elapsed += 10) {
+    state.now += 10;
+    mock.timers.tick(10);
+    for (let turn = 0; turn < 10; turn++) await Promise.resolve();
+  }
   client.stop();
   assert.ok(asked.length >= 2 && asked.length <= 8, `${asked.length} reports`);
 });
