Answer a submission with an unknown outcome after a silent coordinator

Cause: a dependent whose first coordinator did not reply passed on the refusal of the second one, although the first may still write the job: a refusal that says that no part runs would have been untrue. Ruled out: refusals of the first coordinator, which are passed on. Before: the new test saw 429 after a silent coordinator. After: 504 in both cases; 202 of the second one is passed on.

--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -95,12 +95,12 @@
   /**
    * Asks coordinators in turn until one replies; undefined if none does. `build` receives the
    * number of the question, which counts as settled once this call has returned; a call that may be
-   * slow has none.
+   * slow has none. `accept` also receives how many coordinators were asked before without a reply.
    */
   async ask<Request, Reply, Result>(
     message: PeerMessage<Request, Reply>,
     build: (question: number) => Request,
-    accept: (reply: Reply) => Result,
+    accept: (reply: Reply, silentCoordinators: number) => Result,
     {
       deadlineMilliseconds,
       maximumAsked = maximumAskedCoordinators,
@@ -112,14 +112,15 @@
     const question = mayBeSlow ? unnumberedQuestion : ++this.#lastQuestion;
     if (!mayBeSlow) this.#openQuestions.add(question);
     try {
-      for (const coordinator of this.candidates().slice(0, maximumAsked)) {
+      const asked = this.candidates().slice(0, maximumAsked);
+      for (const [silentCoordinators, coordinator] of asked.entries()) {
         const reply = await this.#request(
           coordinator,
           message,
           build(question),
           { deadlineMilliseconds, mayBeSlow },
         );
-        if (reply !== undefined) return accept(reply);
+        if (reply !== undefined) return accept(reply, silentCoordinators);
       }
       return undefined;
     } finally {
--- /dev/null
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -0,0 +1,98 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { test } from "node:test";
+import { systemClock } from "../common/clock.ts";
+import { PeerUnavailableError } from "../common/errors.ts";
+import type { InstanceId, Offset, RequestId } from "../common/ids.ts";
+import { silentLogger } from "../common/logging.ts";
+import type { RouteRule } from "../fleet/configuration.ts";
+import type { JobResponse } from "../jobs/job-response.ts";
+import type { PeerNetwork } from "../protocol/peer-network.ts";
+import { CoordinatorClient } from "./coordinator-client.ts";
+import { ForwardedJobCalls } from "./forwarded-job-calls.ts";
+import type { ForwardedJobReply } from "./messages.ts";
+
+type Outcome = ForwardedJobReply | "silent";
+
+function reply(status: number): ForwardedJobReply {
+  return {
+    status,
+    contentType: "application/json",
+    body: Buffer.from("{}"),
+    retryAfterMilliseconds: undefined,
+  };
+}
+
+/** Submits a job at a dependent whose coordinators answer in turn as given; returns the status. */
+async function submit(outcomes: readonly Outcome[]): Promise<number> {
+  const remaining = [...outcomes];
+  const network = {
+    request: () => {
+      const outcome = remaining.shift();
+      return outcome === undefined || outcome === "silent"
+        ? Promise.reject(new PeerUnavailableError("no reply"))
+        : Promise.resolve(outcome);
+    },
+  } as unknown as PeerNetwork;
+  const client = new CoordinatorClient({
+    network,
+    coordinators: () => ["a", "b"] as InstanceId[],
+    state: () => ({
+      loads: [],
+      faults: [],
+      configurationPosition: 0 as Offset,
+      serversPosition: 0 as Offset,
+      isStoreFailing: false,
+    }),
+    clock: systemClock,
+    logger: silentLogger,
+  });
+  const calls = new ForwardedJobCalls({
+    client,
+    now: systemClock.monotonicNow,
+    logger: silentLogger,
+  });
+  return await new Promise((resolve) => {
+    const response = {
+      sendBytes: (status: number) => resolve(status),
+      fail: ({ status }: { status: number }) => resolve(status),
+    } as unknown as JobResponse;
+    calls.submit(
+      {
+        request: {
+          id: "job" as RequestId,
+          method: "POST",
+          host: "h",
+          target: "/",
+          path: "/",
+          apiKey: undefined,
+          deadlineMilliseconds: 4_000,
+          lastEventId: undefined,
+          forwardedHeaders: [],
+        },
+        body: Buffer.alloc(0),
+        receivedAt: systemClock.monotonicNow(),
+      },
+      { id: "r" } as unknown as RouteRule,
+      undefined,
+      response,
+    );
+  });
+}
+
+test("a coordinator's answer to a submission is passed on", async () => {
+  for (const status of [202, 429, 503]) {
+    assert.equal(await submit([reply(status)]), status);
+  }
+});
+
+test("a submission that a silent coordinator may have accepted is accepted by the next one", async () => {
+  assert.equal(await submit(["silent", reply(202)]), 202);
+});
+
+test("after a silent coordinator no refusal promises that the job does not run", async () => {
+  for (const status of [429, 503]) {
+    assert.equal(await submit(["silent", reply(status)]), 504);
+  }
+  assert.equal(await submit(["silent", "silent"]), 504);
+});
--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -87,7 +87,11 @@
           : deadlineMilliseconds - (now() - receivedAt),
         body,
       }),
-      (answer) => answer,
+      (answer, silentCoordinators) =>
+        // A silent coordinator may still write the job, so that a refusal would promise too much.
+        call === undefined && silentCoordinators > 0 && isRefusal(answer)
+          ? undefined
+          : answer,
       {
         deadlineMilliseconds: jobCallTimeoutMilliseconds + waitMilliseconds,
         mayBeSlow: true,
@@ -102,6 +106,11 @@
   }
 }
 
+/** Whether the answer promises that the job does not run. */
+function isRefusal({ status }: ForwardedJobReply): boolean {
+  return status === 429 || status === 503;
+}
+
 /** Passes the answer of a coordinator on to the caller. */
 function sendReply(
   { status, contentType, body, retryAfterMilliseconds }: ForwardedJobReply,
