Decide on the tokens of a job only with all jobs read

Cause: an instance that had just become a coordinator counted only the jobs that it had read, and could admit more than the limit. Ruled out: reservations of the earlier deciding instance, which are lost with it; they cover a few hundred milliseconds, and the operators allow a tenth above the limit. After: the partitions are read first; if they cannot be, submissions get 503.

--- a/packages/jobs/job-admission.ts
+++ b/packages/jobs/job-admission.ts
@@ -11,6 +11,7 @@
 import type { Logger } from "../common/logging.ts";
 import { definePeerMessage } from "../protocol/peer-message.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
+import { StoreUnavailableError } from "../store/keyed-store.ts";
 import { admissionTimeoutMilliseconds } from "./constants.ts";
 import type { JobPartitions } from "./job-partition.ts";
 import {
@@ -84,7 +85,10 @@
     });
   }
 
-  /** Returns the decision of the responsible instance; the tokens of an admitted job are reserved. */
+  /**
+   * Returns the decision of the responsible instance; the tokens of an admitted job are reserved.
+   * Throws StoreUnavailableError if no instance knows all jobs.
+   */
   async reserve(demand: TokenDemand): Promise<TokenDecision> {
     if (demand.maximumTokens === 0) return { isAdmitted: true };
     const { instance, network, logger } = this.#options;
@@ -104,7 +108,7 @@
         });
       }
     }
-    return this.#decide(demand);
+    return await this.#decide(demand);
   }
 
   /** Withdraws the reservation of a job that was not written. */
@@ -125,7 +129,14 @@
     );
   }
 
-  #decide(demand: TokenDemand): TokenDecision {
+  async #decide(demand: TokenDemand): Promise<TokenDecision> {
+    // Jobs that have not been read yet would not be counted.
+    for (const partition of this.#options.partitions.all()) {
+      if (partition.isLoaded || await partition.catchUp()) continue;
+      throw new StoreUnavailableError("the jobs cannot be read", {
+        mayHaveTakenEffect: false,
+      });
+    }
     return this.#tokens.reserve(
       demand,
       this.#sumRecorded(demand),
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -143,7 +143,8 @@
       tokens: items.reduce((sum, { tokens }) => sum + tokens, 0),
       maximumTokens: route.maximumWaitingTokens,
     };
-    const decision = await this.#options.admission.reserve(demand);
+    const decision = await this.#reserveTokens(demand);
+    if (!decision) return storeUnavailable;
     if (!decision.isAdmitted) {
       // An earlier attempt of the caller may have written the job, which then runs.
       if (!await partition.catchUp()) return storeUnavailable;
@@ -190,6 +191,22 @@
     return mayHaveTakenEffect ? outcomeUnknown : storeUnavailable;
   }
 
+  /** Returns undefined if it cannot be decided whether the job fits. */
+  async #reserveTokens(
+    demand: TokenDemand,
+  ): Promise<TokenDecision | undefined> {
+    try {
+      return await this.#options.admission.reserve(demand);
+    } catch (error) {
+      if (!(error instanceof StoreUnavailableError)) throw error;
+      this.#options.logger.warn("the admission of a job cannot be decided", {
+        job: demand.job,
+        reason: error.message,
+      });
+      return undefined;
+    }
+  }
+
   #refuseForWaitingTokens(
     { job, workspace, route, tokens, maximumTokens }: TokenDemand,
     decision: Extract<TokenDecision, { isAdmitted: false }>,
