Derive the other coordinators once for each member list

The other coordinators were filtered anew for each report, interval and view; a malformed job call was answered by a copy of an answer that the job calls already have; one module was imported in two statements. Ruled out: merging the two kinds of 503 and 504 answers of job calls, whose texts differ. Before and after: behaviour as it was; formatter, linter, type checks and 66 tests of coordination, entry, reports, jobs and the adapter pass. Conclusion: no test changed.

--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -12,6 +12,7 @@
 import type { ErrorAnswer } from "../gateway/caller-response.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
+import { malformedJob } from "../jobs/job-call-handler.ts";
 import type { JobResponse } from "../jobs/job-response.ts";
 import { jobCallTimeoutMilliseconds } from "./constants.ts";
 import type { CoordinatorClient } from "./coordinator-client.ts";
@@ -52,11 +53,7 @@
     response: JobResponse,
   ): void {
     if (call.kind === "malformed") {
-      return response.fail({
-        status: 400,
-        code: "malformed_job",
-        message: call.reason,
-      });
+      return response.fail(malformedJob(call.reason));
     }
     void this.#forward(call, received, route, workspace, response);
   }
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -4,11 +4,15 @@
  */
 
 import * as z from "zod/mini";
-import type { InstanceId, Offset, WorkspaceId } from "../common/ids.ts";
+import type {
+  InstanceId,
+  Offset,
+  UpstreamName,
+  WorkspaceId,
+} from "../common/ids.ts";
 import type { JobCall } from "../gateway/caller-request.ts";
 import type { WaitTolerance } from "../gateway/online-services.ts";
 import type { Placement, RoomReply } from "../gateway/placement.ts";
-import type { UpstreamName } from "../common/ids.ts";
 import { definePeerMessage } from "../protocol/peer-message.ts";
 
 /** What a decision depends on; sets are sent as lists. */
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -80,6 +80,7 @@
   #limits: FleetLimits;
   #batch: BatchWork | undefined;
   #coordinators: readonly Member[] = [];
+  #otherCoordinators: readonly Member[] = [];
   /** The other coordinators in the order in which this instance asks them. */
   #rankedCoordinators: readonly InstanceId[] = [];
   /** When this instance last became a coordinator; monotonic milliseconds. */
@@ -175,16 +176,16 @@
       members.all(),
       settings.maximumCoordinators,
     );
-    this.#rankedCoordinators = rankCoordinators(settings, this.#others());
+    this.#otherCoordinators = this.#coordinators.filter((member) =>
+      member.instance !== settings.instance
+    );
+    this.#rankedCoordinators = rankCoordinators(
+      settings,
+      this.#otherCoordinators,
+    );
     this.#role.handleChange({ isSettled });
   }
 
-  /** The other coordinators. */
-  #others(): Member[] {
-    const { instance } = this.#options.settings;
-    return this.#coordinators.filter((member) => member.instance !== instance);
-  }
-
   /** Peers that can reach the store, those in the same zone first. */
   relayPeers(): InstanceId[] {
     if (!this.#role.isCoordinator) return this.#client.storeRelays();
@@ -381,7 +382,7 @@
     }));
     return new PeerReports({
       network,
-      peers: () => this.#others(),
+      peers: () => this.#otherCoordinators,
       blackboard: this.#options.blackboard,
       documents: this.#options.documents,
       documentPush: this.#documentPush,
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -431,7 +431,7 @@
   });
 }
 
-function malformedJob(reason: string): ErrorAnswer {
+export function malformedJob(reason: string): ErrorAnswer {
   return { status: 400, code: "malformed_job", message: reason };
 }
 
