Drop a server that leaves after a single failed read in time

A server whose entry disappears within 2.3 s of any failed read was kept for 2.3 s, on some instances for 2.8 s; a server that leaves without notice serves for 2.0 s after the removal of its entry. Before: the new test failed, the server was still chosen 1.9 s after its removal. After: a failure shorter than 1 s, in which entries do not expire, gives 1.4 s; an outage 2.3 s. Conclusion: the grace now depends on how long the reads failed.

--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -11,7 +11,11 @@
 import { listenOn } from "../common/listen.ts";
 import type { Logger } from "../common/logging.ts";
 import { Blackboard } from "../fleet/blackboard.ts";
-import { type DocumentCodec, Documents } from "../fleet/documents.ts";
+import {
+  type DocumentCodec,
+  Documents,
+  type StoreFailure,
+} from "../fleet/documents.ts";
 import { MemberTable } from "../fleet/peers/members.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { CallerListener } from "../gateway/caller-listener.ts";
@@ -63,8 +67,8 @@
   readonly #listener: CallerListener;
   readonly #followers: PartitionFollower[];
   readonly #store: RelayedStore;
-  /** When the configuration or the server list last could not be read; monotonic milliseconds. */
-  #storeLastFailedAt = Number.NEGATIVE_INFINITY;
+  /** The last failure to read the configuration or the server list. */
+  #lastStoreFailure: StoreFailure | undefined;
   #leavePromise: Promise<void> | undefined;
 
   constructor(options: EntryInstanceOptions) {
@@ -172,7 +176,7 @@
       codec: documentCodec,
       logger,
       clock,
-      lastStoreFailureAt: () => this.#storeLastFailedAt,
+      lastStoreFailure: () => this.#lastStoreFailure,
       onChange: (kind) => {
         if (kind === "configuration") {
           this.#listener.applyLimits();
@@ -273,8 +277,10 @@
           this.#coordination.isCoordinator
             ? followWaitMilliseconds
             : relaxedFollowWaitMilliseconds,
-        onFailure: () =>
-          this.#storeLastFailedAt = this.#options.clock.monotonicNow(),
+        onFailure: (beganAt) => {
+          const lastAt = this.#options.clock.monotonicNow();
+          this.#lastStoreFailure = { beganAt, lastAt };
+        },
       })
     );
   }
--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -24,10 +24,17 @@
 /** A peer not heard from for this long counts as unreachable; several report intervals. */
 export const peerSilenceTimeoutMilliseconds = 1_500;
 /**
- * How long a server is kept when its entry disappears within this time of a store failure. A
+ * How long a server is kept when its entry disappears within this time of a store outage. A
  * live server writes its entry again within two seconds of the end of an outage.
  */
 export const serverEntryGraceMilliseconds = 2_300;
+/**
+ * How long it is kept after a shorter failure, in which hardly an entry expires. A server that
+ * leaves serves for two seconds after the removal of its entry.
+ */
+export const briefFailureGraceMilliseconds = 1_400;
+/** A store failure of at least this length is an outage; entries expire after several seconds. */
+export const minimumOutageMilliseconds = 1_000;
 /** Lease of a partition in the group of owners; the store allows no less than one second. */
 export const ownerLeaseMilliseconds = 2_500;
 /** Interval at which an owner joins the group again; several attempts fit into one lease. */
--- a/packages/fleet/documents.test.ts
+++ b/packages/fleet/documents.test.ts
@@ -12,7 +12,7 @@
 import { silentLogger } from "../common/logging.ts";
 import type { KeyedRecord } from "../store/keyed-store.ts";
 import { Blackboard } from "./blackboard.ts";
-import { Documents } from "./documents.ts";
+import { Documents, type StoreFailure } from "./documents.ts";
 import type { UpstreamServer } from "./upstreams.ts";
 
 const source = {
@@ -35,12 +35,12 @@
 function createFixture() {
   const blackboard = new Blackboard({ initialDurationMilliseconds: 700 });
   let now = 100_000;
-  let storeFailedAt = Number.NEGATIVE_INFINITY;
+  let storeFailure: StoreFailure | undefined;
   const documents = new Documents({
     blackboard,
     logger: silentLogger,
     clock: { monotonicNow: () => now, wallNow: () => now },
-    lastStoreFailureAt: () => storeFailedAt,
+    lastStoreFailure: () => storeFailure,
     onChange: () => {},
     codec: {
       configurationSource: source,
@@ -88,7 +88,11 @@
       now += milliseconds;
       documents.sweep();
     },
-    failStore: () => storeFailedAt = now,
+    failStore: ({ forMilliseconds = 0 } = {}) => {
+      const beganAt = now;
+      now += forMilliseconds;
+      storeFailure = { beganAt, lastAt: now };
+    },
     readyIds: () =>
       blackboard.upstreams.readyServers("s" as UpstreamName).map(({ id }) => id)
         .join(),
@@ -123,7 +127,7 @@
 test("a server whose entry disappears in a store outage is kept for the grace period", () => {
   const fixture = createFixture();
   fixture.applyRecords("servers", [server("a", 0), server("b", 1)]);
-  fixture.failStore();
+  fixture.failStore({ forMilliseconds: 2_000 });
   fixture.advance(500);
   fixture.applyRecords("servers", [
     record("a", undefined, 2),
@@ -135,6 +139,17 @@
   assert.equal(fixture.readyIds(), "b");
 });
 
+// A server whose entry was removed may stop serving after two seconds.
+test("a server that leaves after a single failed read is not used two seconds later", () => {
+  const fixture = createFixture();
+  fixture.applyRecords("servers", [server("a", 0), server("b", 1)]);
+  fixture.failStore();
+  fixture.advance(100);
+  fixture.applyRecords("servers", [record("a", undefined, 2)]);
+  fixture.advance(1_900);
+  assert.equal(fixture.readyIds(), "b");
+});
+
 test("an entry that cannot be decoded removes its server and affects no other", () => {
   const { applyRecords, readyIds } = createFixture();
   applyRecords("servers", [server("a", 0), server("b", 1)]);
--- a/packages/fleet/documents.ts
+++ b/packages/fleet/documents.ts
@@ -13,7 +13,11 @@
   ConfigurationIndex,
   type FleetConfiguration,
 } from "./configuration.ts";
-import { serverEntryGraceMilliseconds } from "./constants.ts";
+import {
+  briefFailureGraceMilliseconds,
+  minimumOutageMilliseconds,
+  serverEntryGraceMilliseconds,
+} from "./constants.ts";
 import { KeyedTable } from "./keyed-table.ts";
 import type { UpstreamServer } from "./upstreams.ts";
 
@@ -27,6 +31,13 @@
   decodeServer(record: KeyedRecord): UpstreamServer;
 }
 
+/** A time without a successful read, in monotonic milliseconds. */
+export interface StoreFailure {
+  readonly beganAt: number;
+  /** Time of the last failed read. */
+  readonly lastAt: number;
+}
+
 export type DocumentKind = "configuration" | "servers";
 
 export interface DocumentsOptions {
@@ -35,14 +46,24 @@
   readonly logger: Logger;
   readonly clock: Clock;
   /**
-   * When the store last failed for this instance, in monotonic milliseconds. An entry that
-   * disappears shortly afterwards may be written again.
+   * The last failure of the store for this instance, if any. An entry that disappears shortly
+   * afterwards may be written again.
    */
-  readonly lastStoreFailureAt: () => number;
+  readonly lastStoreFailure: () => StoreFailure | undefined;
   /** Called after a table has changed. */
   readonly onChange: (kind: DocumentKind) => void;
 }
 
+/** How long a server whose entry has disappeared is still used, in milliseconds. */
+function removalGrace(failure: StoreFailure | undefined, now: number): number {
+  if (!failure || now - failure.lastAt >= serverEntryGraceMilliseconds) {
+    return 0;
+  }
+  return failure.lastAt - failure.beganAt >= minimumOutageMilliseconds
+    ? serverEntryGraceMilliseconds
+    : briefFailureGraceMilliseconds;
+}
+
 export class Documents {
   readonly #options: DocumentsOptions;
   readonly #tables: Record<DocumentKind, KeyedTable> = {
@@ -125,11 +146,10 @@
     const id = record.key as InstanceId;
     if (record.value === undefined) {
       if (!blackboard.upstreams.get(id)) return;
-      const storeFailedAt = this.#options.lastStoreFailureAt();
       const now = clock.monotonicNow();
-      if (now - storeFailedAt < serverEntryGraceMilliseconds) {
-        this.#pendingRemovals.set(id, now + serverEntryGraceMilliseconds);
-      } else this.#remove(id, "its entry was removed");
+      const grace = removalGrace(this.#options.lastStoreFailure(), now);
+      if (grace > 0) this.#pendingRemovals.set(id, now + grace);
+      else this.#remove(id, "its entry was removed");
       return;
     }
     let server: UpstreamServer;
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -37,8 +37,8 @@
   pauseMilliseconds?: () => number;
   /** How long a read waits for a new record. */
   waitMilliseconds?: () => number;
-  /** Called after each failed read. */
-  onFailure?: () => void;
+  /** Called after each failed read, with the time at which the first of the series was noticed. */
+  onFailure?: (failingSince: number) => void;
   logger: Logger;
   clock?: Clock;
 }
@@ -48,7 +48,8 @@
   #nextOffset: Offset | undefined;
   #completeUntil = Number.NEGATIVE_INFINITY;
   #isStopped = false;
-  #isFailing = false;
+  /** When the first of the failed reads since the last successful one was noticed. */
+  #failingSince: number | undefined;
   #abortController = new AbortController();
   #endPause: (() => void) | undefined;
 
@@ -77,7 +78,7 @@
 
   /** True from a failed read until the next successful one. */
   get isFailing(): boolean {
-    return this.#isFailing;
+    return this.#failingSince !== undefined;
   }
 
   start(): void {
@@ -208,8 +209,8 @@
   }
 
   #reportRecovery(): void {
-    if (!this.#isFailing) return;
-    this.#isFailing = false;
+    if (!this.isFailing) return;
+    this.#failingSince = undefined;
     this.#options.logger.info("reading a partition works again", {
       stream: this.#options.target.stream,
       partition: this.#options.target.partition,
@@ -217,9 +218,11 @@
   }
 
   #reportFailure(error: unknown): void {
-    this.#options.onFailure();
-    if (this.#isFailing) return;
-    this.#isFailing = true;
+    const { clock, onFailure } = this.#options;
+    const wasFailing = this.isFailing;
+    this.#failingSince ??= clock.monotonicNow();
+    onFailure(this.#failingSince);
+    if (wasFailing) return;
     this.#options.logger.warn("a partition cannot be read", {
       stream: this.#options.target.stream,
       partition: this.#options.target.partition,
