--- a/packages/integration/limits.test.ts
+++ b/packages/integration/limits.test.ts
@@ -137,7 +137,9 @@
   await assertWithinLimit(testFleet);
   assert.equal(result.refusalsWithoutRetryAfter, 0);
   // A limiter that refuses everything would also stay within the limit.
-  assert.ok(result.admitted >= 0.9 * ratePerSecond * 6, `${result.admitted}`);
+  if (result.admitted < 0.9 * ratePerSecond * 6) {
+    assert.fail(`${result.admitted} admitted\n${await testFleet.describe()}`);
+  }
 });
 
 test("a single loaded instance can use the whole rate", async () => {
@@ -148,7 +150,9 @@
     instanceOf: () => 0,
   });
   await assertWithinLimit(testFleet);
-  assert.equal(result.refused, 0, `${JSON.stringify(result)}`);
+  if (result.refused !== 0) {
+    assert.fail(`${JSON.stringify(result)}\n${await testFleet.describe()}`);
+  }
   assert.equal(result.other, 0);
 });
 
--- a/packages/integration/test-fleet.ts
+++ b/packages/integration/test-fleet.ts
@@ -3,6 +3,8 @@
  * clients for the caller interface and access to the request journals of the upstreams.
  */
 
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { stringify } from "yaml";
 import {
@@ -43,6 +45,10 @@
 }
 
 const conditionTimeoutMilliseconds = 30_000;
+/** Log levels from warnings upwards. */
+const warningPattern = /"logLevel":[4-6]0/;
+/** Warnings of each instance in the description of a fleet. */
+const maximumDescribedWarnings = 10;
 
 /** Polls until the check returns neither false nor undefined; a check that throws is retried. */
 export async function waitUntil<Value>(
@@ -169,6 +175,28 @@
     return await response.json() as InstanceStatus;
   }
 
+  /**
+   * Describes the fleet for the message of a failed check: the status of each running instance
+   * and the last warnings in its log.
+   */
+  async describe(): Promise<string> {
+    const lines = this.runningInstances.map(async (instance) => {
+      const status = await this.status(instance).catch(String);
+      const log = readFileSync(
+        join(this.fleet.directory, `${instance.id}.log`),
+        "utf8",
+      );
+      const warnings = log.split("\n").filter((line) =>
+        warningPattern.test(line)
+      );
+      return [
+        `${instance.id} ${JSON.stringify(status)}`,
+        ...warnings.slice(-maximumDescribedWarnings),
+      ].join("\n");
+    });
+    return (await Promise.all(lines)).join("\n");
+  }
+
   /** Creates a client that calls one instance through the fault proxy with a workspace's key. */
   client(instanceIndex: number, workspace: string): CallerClient {
     return new CallerClient({
