Count the tokens of a workspace from the start of the process

Before: level 0 at the first request after the return; the new played load (70 % of the rate, first second after the return) was refused in part. After: the tokens of the time since the process started are there, once also if the instance changes its role, and replaced by the level of any peer that ran on. The played load is served whole.

--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -4,6 +4,7 @@
  * asks a coordinator. The member list decides which of the two.
  */
 
+import process from "node:process";
 import type { Clock } from "../common/clock.ts";
 import type { InstanceId } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
@@ -14,7 +15,10 @@
 import { RemotePlacer } from "../coordination/remote-placer.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { Documents } from "../fleet/documents.ts";
-import { FleetLimits } from "../fleet/limits/fleet-limits.ts";
+import {
+  FleetLimits,
+  type FleetLimitsOptions,
+} from "../fleet/limits/fleet-limits.ts";
 import type { FleetView } from "../fleet/limits/shared-bucket.ts";
 import {
   chooseCoordinators,
@@ -63,6 +67,13 @@
   readonly logger: Logger;
 }
 
+/** What is known of the tokens that are left when this instance begins to apply limits. */
+type LimitsStart =
+  & { readonly startsFull: boolean }
+  & Pick<FleetLimitsOptions, "refillsFrom" | "predecessor">;
+
+const millisecondsPerSecond = 1_000;
+
 export class Coordination {
   /** Places requests as the present role of this instance does. */
   readonly placer: Placer;
@@ -100,7 +111,10 @@
         this.#applyRole(isCoordinator, isFirstDecision),
       now: clock.monotonicNow,
     });
-    this.#limits = this.#createLimits({ startsFull: false });
+    this.#limits = this.#createLimits({
+      startsFull: false,
+      refillsFrom: this.#processStartedAt(),
+    });
     this.#localPlacer = this.#createLocalPlacer();
     this.#client = this.#createClient();
     this.#remotePlacer = new RemotePlacer({
@@ -236,7 +250,16 @@
     );
     // A dependent that becomes a coordinator later joins a fleet that may have spent the burst.
     const startsFull = settings.isFirstStart && isFirstDecision;
-    this.#limits = this.#createLimits({ startsFull });
+    this.#limits = isFirstDecision
+      ? this.#createLimits({
+        startsFull,
+        refillsFrom: this.#processStartedAt(),
+        predecessor: this.#limits,
+      })
+      : this.#createLimits({
+        startsFull,
+        refillsFrom: this.#options.clock.monotonicNow(),
+      });
     if (isCoordinator) {
       this.#coordinatorSince = this.#options.clock.monotonicNow();
       this.#client.stop();
@@ -258,9 +281,16 @@
     );
   }
 
-  #createLimits({ startsFull }: { startsFull: boolean }): FleetLimits {
+  /** Monotonic milliseconds. */
+  #processStartedAt(): number {
+    return this.#options.clock.monotonicNow() -
+      process.uptime() * millisecondsPerSecond;
+  }
+
+  #createLimits({ startsFull, ...start }: LimitsStart): FleetLimits {
     const { settings, clock } = this.#options;
     return new FleetLimits({
+      ...start,
       blackboard: this.#options.blackboard,
       clock,
       isFirstStart: startsFull,
--- a/packages/fleet/limits/fleet-limits.ts
+++ b/packages/fleet/limits/fleet-limits.ts
@@ -1,7 +1,8 @@
 /**
  * Limits each workspace to its rate across the whole fleet, with one shared bucket per
- * workspace. A process that is not part of the first start of the fleet begins with only a few
- * tokens, since the fleet may have just spent the burst.
+ * workspace. A process that is not part of the first start of the fleet begins with a few tokens
+ * and those for the time since it started, since the fleet may have just spent the burst. If
+ * others have admitted requests in the meantime, their reports replace the level.
  */
 
 import type { Clock } from "../../common/clock.ts";
@@ -26,6 +27,10 @@
   readonly clock: Clock;
   /** This process is part of the first start of the fleet. */
   readonly isFirstStart: boolean;
+  /** From this time on, tokens are due that are not known to be spent; monotonic milliseconds. */
+  readonly refillsFrom: number;
+  /** The limits that this instance applied since then, whose levels are taken over. */
+  readonly predecessor?: FleetLimits;
   readonly window: LimitWindow;
   /** Requests by which a window may exceed its limit in addition to the overage. */
   readonly slackRequests: number;
@@ -37,6 +42,7 @@
   readonly workspace: WorkspaceId;
 }
 
+const millisecondsPerSecond = 1_000;
 const admittedDecision: LimitDecision = { admitted: true };
 
 export class FleetLimits implements WorkspaceLimiter {
@@ -106,6 +112,11 @@
     for (const bucket of this.#buckets.values()) bucket.forgetPeer(peer);
   }
 
+  /** Tokens left for the workspace; undefined if none of its requests was counted here. */
+  levelOf(workspace: WorkspaceId): number | undefined {
+    return this.#buckets.get(workspace)?.level;
+  }
+
   #limitOf(workspace: WorkspaceRule): BucketLimit {
     return bucketLimitForWindow(workspace, this.#options.window);
   }
@@ -113,10 +124,15 @@
   #bucketOf(workspace: WorkspaceRule, now: number): SharedBucket {
     let bucket = this.#buckets.get(workspace.id);
     if (!bucket) {
-      bucket = new SharedBucket(this.#limitOf(workspace), {
+      const { isFirstStart, refillsFrom, slackRequests, predecessor } =
+        this.#options;
+      const limit = this.#limitOf(workspace);
+      const knownLevel = predecessor?.levelOf(workspace.id) ??
+        (now - refillsFrom) / millisecondsPerSecond * limit.ratePerSecond;
+      bucket = new SharedBucket(limit, {
         now,
-        startsFull: this.#options.isFirstStart,
-        initialLevel: this.#options.slackRequests * restartSlackShare,
+        startsFull: isFirstStart,
+        initialLevel: slackRequests * restartSlackShare + knownLevel,
       });
       bucket.refresh(now, this.#options.view());
       this.#buckets.set(workspace.id, bucket);
