--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -15,9 +15,8 @@
 import { freeSlots } from "../gateway/choose-server.ts";
 import { listCandidates } from "../gateway/server-candidates.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
-import { chooseBatchServer } from "./choose-batch-server.ts";
+import { chooseBatchServer, slotsKeptFreeFor } from "./choose-batch-server.ts";
 import {
-  ampleSlackMilliseconds,
   executorIntervalMilliseconds,
   handoverTimeoutMilliseconds,
   itemDeadlineMilliseconds,
@@ -28,8 +27,6 @@
   maximumConcurrentRuns,
   resultDeliveryMilliseconds,
   slotsKeptFree,
-  slotsKeptFreeWithAmpleSlack,
-  urgentSlackMilliseconds,
 } from "./constants.ts";
 import type { ItemBodies } from "./item-bodies.ts";
 import { RunEstimator } from "./run-estimate.ts";
@@ -304,22 +301,15 @@
   ): InstanceId | undefined {
     const { blackboard, zone } = this.#options;
     const service = chooseService(route, Math.random());
-    const slotsToKeepFree = this.#slotsKeptFreeFor(work, time);
+    const { remainingMilliseconds } = this.#urgencyOf(work);
+    const slack = work.dueAt - time - remainingMilliseconds -
+      resultDeliveryMilliseconds;
     const candidates = listCandidates(blackboard, {
       service,
       zone,
       now: time,
     });
-    return chooseBatchServer(candidates, slotsToKeepFree);
-  }
-
-  #slotsKeptFreeFor(work: ItemWork, time: number): number {
-    const { remainingMilliseconds } = this.#urgencyOf(work);
-    const slack = work.dueAt - time - remainingMilliseconds -
-      resultDeliveryMilliseconds;
-    if (slack > ampleSlackMilliseconds) return slotsKeptFreeWithAmpleSlack;
-    const isUrgent = slack > 0 && slack < urgentSlackMilliseconds;
-    return isUrgent ? 0 : slotsKeptFree;
+    return chooseBatchServer(candidates, slotsKeptFreeFor(slack));
   }
 
   #send(
--- a/packages/jobs/choose-batch-server.ts
+++ b/packages/jobs/choose-batch-server.ts
@@ -1,4 +1,8 @@
-/** Chooses a server for a batch item among those with slots that online requests leave free. */
+/**
+ * Chooses a server for a batch item among those with slots that online requests leave free. Answers
+ * the load of more items than the free slots can run: few slots are kept free for online requests,
+ * which take a free slot before they displace a run.
+ */
 
 import type { InstanceId } from "../common/ids.ts";
 import {
@@ -6,6 +10,17 @@
   healthWeight,
   type ServerCandidate,
 } from "../gateway/choose-server.ts";
+import { slotsKeptFree, urgentSlackMilliseconds } from "./constants.ts";
+
+/**
+ * Slots of each server that the item leaves free for the next online requests: none when it has to
+ * start now to be in time. The slack is the time left until it is due beyond what it still needs.
+ */
+export function slotsKeptFreeFor(slackMilliseconds: number): number {
+  const isUrgent = slackMilliseconds > 0 &&
+    slackMilliseconds < urgentSlackMilliseconds;
+  return isUrgent ? 0 : slotsKeptFree;
+}
 
 export function chooseBatchServer(
   candidates: readonly ServerCandidate[],
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -25,14 +25,9 @@
 export const writeRetryMilliseconds = 150;
 /** Interval at which waiting items are matched with free servers. */
 export const executorIntervalMilliseconds = 50;
-/**
- * Slots of each server that batch runs leave free for the next online requests. The number
- * depends on the slack of the item, which is the time left until it is due beyond what it still
- * needs: more slots stay free while the slack is ample, and none when it is urgent.
- */
+/** Slots of each server that batch runs leave free for the next online requests. */
 export const slotsKeptFree = 1;
-export const slotsKeptFreeWithAmpleSlack = 2;
-export const ampleSlackMilliseconds = 6_000;
+/** An item with less slack than this is urgent and may take the last free slot. */
 export const urgentSlackMilliseconds = 2_500;
 /**
  * Pause before an item is sent again after a server refused, interrupted or failed it, or after
