Play two instances that both own all batch jobs for a while

Cause: of the warnings from similar systems, both sides of a hand-over acting had no test of its own on the platform. Before: not tested.

--- a/packages/store/testing/memory-keyed-store.ts
+++ b/packages/store/testing/memory-keyed-store.ts
@@ -37,6 +37,8 @@
   readonly #groups = new Map<string, Group>();
   readonly #partitions: number;
   readonly pageSize: number;
+  /** Every member of a group is assigned all partitions, as around a hand-over gone wrong. */
+  assignsAllToEach = false;
   /** Callers whose calls fail. */
   readonly refusedCallers = new Set<string>();
   isDown = false;
@@ -115,6 +117,15 @@
       state.members.add(member);
       state.generation += 1;
     }
+    if (this.assignsAllToEach) {
+      return {
+        generation: state.generation,
+        partitions: Array.from(
+          { length: this.#partitions },
+          (_, partition) => partition as PartitionNumber,
+        ),
+      };
+    }
     const members = [...state.members].sort();
     const partitions: PartitionNumber[] = [];
     for (let partition = 0; partition < this.#partitions; partition++) {
