Hold requests until an instance that has just started can decide on them

The callers had used up their retry. Before: 503 at once without documents; 429 at once without a deciding coordinator. After: held for 1.5 s from the start at most, and 0.7 s while coordinators reply that they do not decide yet; an instance that reaches none refuses at once, as before.

--- a/packages/coordination/constants.ts
+++ b/packages/coordination/constants.ts
@@ -7,6 +7,13 @@
 export const decisionTimeoutMilliseconds = 80;
 /** Coordinators that are asked before a dependent decides by its own view. */
 export const maximumAskedCoordinators = 2;
+/**
+ * Longest time for which a request waits while coordinators reply that they do not decide yet. A
+ * coordinator that has just started decides after half a second at the latest.
+ */
+export const undecidedWaitMilliseconds = 700;
+/** Pause before a coordinator that does not decide yet is asked again. */
+export const undecidedRetryMilliseconds = 60;
 /** A coordinator that did not reply is not asked for this time, unless no other one is left. */
 export const suspicionMilliseconds = 1_000;
 /**
--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -8,6 +8,7 @@
 import { PeerUnavailableError } from "../common/errors.ts";
 import type { InstanceId, Offset } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import { PeerHandlerError } from "../protocol/peer-connection.ts";
 import type { PeerMessage } from "../protocol/peer-message.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import {
@@ -19,7 +20,11 @@
   reportTimeoutMilliseconds,
   suspicionMilliseconds,
 } from "./constants.ts";
-import { type DependentReport, dependentReportMessage } from "./messages.ts";
+import {
+  type DependentReport,
+  dependentReportMessage,
+  undecidedCode,
+} from "./messages.ts";
 
 /** What the instance reports, apart from the questions that are settled. */
 export type DependentState = Omit<DependentReport, "settledQuestion">;
@@ -50,6 +55,8 @@
   readonly #states = new Map<InstanceId, CoordinatorState>();
   readonly #openQuestions = new Set<number>();
   #lastQuestion = 0;
+  /** When a coordinator last replied that it does not decide; monotonic milliseconds. */
+  #lastUndecidedAt = Number.NEGATIVE_INFINITY;
   #reportTimer: NodeJS.Timeout | undefined;
   #reportAt = Number.POSITIVE_INFINITY;
   /** Receives the reports at present; told when another one takes over. */
@@ -85,6 +92,11 @@
     return trusted.length > 0 ? trusted : [...all];
   }
 
+  /** Whether a coordinator was reached since the given time that does not decide for others yet. */
+  isUndecidedSince(time: number): boolean {
+    return this.#lastUndecidedAt >= time;
+  }
+
   /** Coordinators that can reach the store, as far as is known. */
   storeRelays(): InstanceId[] {
     return this.candidates().filter((coordinator) =>
@@ -156,6 +168,9 @@
         this.#stateOf(coordinator).suspectedUntil = clock.monotonicNow() +
           suspicionMilliseconds;
       }
+      if (error instanceof PeerHandlerError && error.code === undecidedCode) {
+        this.#lastUndecidedAt = clock.monotonicNow();
+      }
       logger.warn("a coordinator did not answer", {
         coordinator,
         message: message.type,
--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -21,6 +21,7 @@
   placementMessage,
   type PlacementQuestion,
   roomMessage,
+  undecidedCode,
 } from "./messages.ts";
 
 export interface CoordinatorServiceOptions {
@@ -106,7 +107,7 @@
   #checkCanDecide(): void {
     if (this.#options.canDecide()) return;
     throw new RosemaryrudderError(
-      "not_a_coordinator",
+      undecidedCode,
       "this instance does not decide for others",
     );
   }
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -33,6 +33,9 @@
   readonly burst: number;
 }
 
+/** Error code of an instance that does not decide for others, or not yet. */
+export const undecidedCode = "not_a_coordinator";
+
 export interface PlacementQuestion extends WireChoice {
   /** Number of the question; a later report says up to which number questions are settled. */
   readonly question: number;
--- a/packages/coordination/remote-placer.ts
+++ b/packages/coordination/remote-placer.ts
@@ -1,9 +1,12 @@
 /**
  * Places online requests of a dependent: asks a coordinator, and decides by this instance's own
- * view if none replies in time.
+ * view if none replies in time. An instance that hears no other may spend hardly a token of a
+ * limit; right after the loss of all instances, a limited request therefore waits until the
+ * coordinators, which are there but do not decide yet, do so.
  */
 
 import type { InstanceId } from "../common/ids.ts";
+import { delay, systemTimers, type Timers } from "../common/timers.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
 import type { ChoiceRequest } from "../gateway/online-services.ts";
@@ -14,7 +17,11 @@
   RoomReply,
   RoomRequest,
 } from "../gateway/placement.ts";
-import { decisionTimeoutMilliseconds } from "./constants.ts";
+import {
+  decisionTimeoutMilliseconds,
+  undecidedRetryMilliseconds,
+  undecidedWaitMilliseconds,
+} from "./constants.ts";
 import type { CoordinatorClient } from "./coordinator-client.ts";
 import { makeRoomMessage, placementMessage, roomMessage } from "./messages.ts";
 
@@ -26,17 +33,36 @@
   readonly zone: string;
   /** Monotonic milliseconds. */
   readonly now: () => number;
+  readonly timers?: Timers;
 }
 
 export class RemotePlacer implements Placer {
-  readonly #options: RemotePlacerOptions;
+  readonly #options: Required<RemotePlacerOptions>;
 
   constructor(options: RemotePlacerOptions) {
-    this.#options = options;
+    this.#options = { timers: systemTimers, ...options };
   }
 
   async place(request: PlacementRequest): Promise<Placement> {
-    const { client, fallback, blackboard } = this.#options;
+    const { client, fallback, now, timers } = this.#options;
+    const giveUpAt = now() + undecidedWaitMilliseconds;
+    for (;;) {
+      const askedAt = now();
+      const decided = await this.#ask(request);
+      if (decided) return decided;
+      const placement = await fallback.place(request);
+      if (placement.kind === "send") client.handleLoadChange();
+      if (placement.kind !== "limited") return placement;
+      if (now() >= giveUpAt || !client.isUndecidedSince(askedAt)) {
+        return withShortRetry(placement);
+      }
+      await delay(timers, undecidedRetryMilliseconds);
+    }
+  }
+
+  /** Undefined if no coordinator decides. */
+  async #ask(request: PlacementRequest): Promise<Placement | undefined> {
+    const { client, blackboard } = this.#options;
     const { limitedWorkspace } = request;
     const placement = await client.ask(
       placementMessage,
@@ -56,8 +82,8 @@
         return reply;
       },
       { deadlineMilliseconds: decisionTimeoutMilliseconds },
-    ) ?? withShortRetry(await fallback.place(request));
-    if (placement.kind === "send") client.handleLoadChange();
+    );
+    if (placement?.kind === "send") client.handleLoadChange();
     return placement;
   }
 
@@ -99,8 +125,11 @@
  * A limit that this instance could only enforce for itself may have room once a coordinator
  * answers again, so that the caller is asked back soon.
  */
-function withShortRetry(placement: Placement): Placement {
-  return placement.kind === "limited"
-    ? { ...placement, retryAfterMilliseconds: defaultRetryAfterMilliseconds }
-    : placement;
+function withShortRetry(
+  placement: Extract<Placement, { kind: "limited" }>,
+): Placement {
+  return {
+    ...placement,
+    retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+  };
 }
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -64,6 +64,7 @@
   readonly #documents: Documents;
   readonly #coordination: Coordination;
   readonly #membership: Membership;
+  readonly #gateway: Gateway;
   readonly #listener: CallerListener;
   readonly #followers: PartitionFollower[];
   readonly #store: RelayedStore;
@@ -85,6 +86,7 @@
     this.#documents = this.#createDocuments();
     this.#coordination = this.#createCoordination();
     this.#membership = this.#createMembership();
+    this.#gateway = this.#createGateway();
     this.#listener = this.#createListener();
     this.#followers = this.#createFollowers();
   }
@@ -186,6 +188,7 @@
           this.#pools.retain((id) => upstreams.get(id) !== undefined);
           health.retain((id) => upstreams.get(id) !== undefined);
         }
+        this.#gateway.handleDocuments();
       },
     });
   }
@@ -239,9 +242,9 @@
     });
   }
 
-  #createListener(): CallerListener {
-    const { settings, callerCodec, logger } = this.#options;
-    const gateway = new Gateway({
+  #createGateway(): Gateway {
+    const { callerCodec, logger } = this.#options;
+    return new Gateway({
       blackboard: this.#blackboard,
       codec: callerCodec,
       pools: this.#pools,
@@ -250,11 +253,15 @@
       metrics: this.#options.metrics,
       logger,
     });
+  }
+
+  #createListener(): CallerListener {
+    const { settings, logger } = this.#options;
     return new CallerListener({
       ...settings.callers,
       limits: () => this.#blackboard.configuration?.configuration.limits,
       isLeaving: () => this.#blackboard.isLeaving,
-      handle: (...args) => gateway.handle(...args),
+      handle: (...args) => this.#gateway.handle(...args),
       logger,
     });
   }
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -103,3 +103,7 @@
  * behind others, and batch runs among them have to be displaced.
  */
 export const queueCheckIntervalMilliseconds = 65;
+/** Time from the start within which the first configuration and list of servers are read. */
+export const startWaitMilliseconds = 1_500;
+/** Requests that are held in that time; further ones are refused. */
+export const maximumRequestsHeldAtStart = 256;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -28,6 +28,7 @@
 import type { OnlineServices } from "./online-services.ts";
 import type { Placement, Placer } from "./placement.ts";
 import type { ServerPools } from "./server-pools.ts";
+import { StartWait } from "./start-wait.ts";
 
 /** Handles the calls on batch jobs after route and API key have been checked. */
 export interface JobCalls {
@@ -61,12 +62,21 @@
   readonly #options: GatewayOptions;
   readonly #services: OnlineServices;
   readonly #callerDeadlines = new CallerDeadlines();
+  readonly #startWait = new StartWait();
 
   constructor(options: GatewayOptions) {
     this.#options = options;
     this.#services = this.#createServices();
   }
 
+  /** Called when the configuration or the list of servers has changed. */
+  handleDocuments(): void {
+    const { blackboard } = this.#options;
+    if (blackboard.configuration && blackboard.hasServerList) {
+      this.#startWait.end();
+    }
+  }
+
   handle(
     message: IncomingMessage,
     body: Buffer,
@@ -76,7 +86,13 @@
     const { codec, blackboard } = this.#options;
     const configuration = blackboard.configuration;
     if (!configuration || !blackboard.hasServerList) {
-      return response.fail(notReady);
+      return this.#startWait.hold({
+        handle: () => {
+          if (response.isOver) return;
+          this.handle(message, body, response, receivedAt);
+        },
+        refuse: () => response.fail(notReady),
+      });
     }
     const request = codec.decodeRequest(message);
     if (typeof request === "string") {
