Begin the tests of workspace limits with a complete fleet

Cause: two of these tests failed once on another machine, with 64 of 244 requests refused and 201 of 216 admitted. A run in which three of five instances join during the load shows the same, 44 of 244 refused: the shares of the others shrink at once, and those that join use theirs only when their member record is in force. The fixture waited for the configuration, not for the members. Ruled out: load alone (33 plays passed, up to a load of 75 on 8 cores). Before: the load began as soon as every instance had the configuration. After: it begins when all instances are members in force everywhere. Conclusion: the tests check what they are named for.

--- a/packages/integration/limits.test.ts
+++ b/packages/integration/limits.test.ts
@@ -46,6 +46,8 @@
       limitedWorkspace.burst = burst;
     },
   });
+  // While an instance joins, a part of the rate is in use nowhere.
+  await testFleet.waitUntilComplete();
   return Object.assign(testFleet, { sentAt: new Map<number, number>() });
 }
 
--- a/packages/integration/test-fleet.ts
+++ b/packages/integration/test-fleet.ts
@@ -12,6 +12,7 @@
   createClientDispatcher,
 } from "../client/caller-client.ts";
 import { RosemaryrudderError } from "../common/errors.ts";
+import { freshnessMilliseconds } from "../control/constants.ts";
 import { type Deployment, deployments } from "../demo/deployments.ts";
 import { DirectPublisher } from "../demo/direct-publisher.ts";
 import {
@@ -20,6 +21,7 @@
   prepareDocument,
 } from "../demo/example-documents.ts";
 import { type Fleet, type FleetInstance, startFleet } from "../demo/fleet.ts";
+import { transferDeadlineMilliseconds } from "../limits/constants.ts";
 import {
   type JournalLine,
   readJournal,
@@ -168,6 +170,29 @@
     }
   }
 
+  /**
+   * Waits until every running instance lists all of them as active members, as of the same
+   * record, and that record is in force.
+   */
+  async waitUntilComplete(): Promise<void> {
+    await waitUntil("all instances are members", async () => {
+      const running = this.runningInstances;
+      const statuses = await Promise.all(
+        running.map((instance) => this.status(instance)),
+      );
+      const [first] = statuses;
+      return statuses.every(({ appliedOffset, members }) =>
+        appliedOffset === first?.appliedOffset &&
+        running.every(({ id }) =>
+          members.some(({ instance, state }) =>
+            instance === id && state === "active"
+          )
+        )
+      );
+    });
+    await sleep(freshnessMilliseconds + transferDeadlineMilliseconds);
+  }
+
   async status(instance: FleetInstance): Promise<InstanceStatus> {
     const response = await fetch(`${instance.metricsUrl}/status`, {
       signal: AbortSignal.timeout(2_000),
