Read the member list before the own record is written

Cause: after the loss of all 195 machines most coordinators took their role only 0.5 to 2 s after their start. An instance that finds its record of an earlier start takes its role at once, but list and own record were requested at the same time; where the record was written first, the instance saw itself as new and waited until the list, which 195 instances were changing, settled. Ruled out: the start itself (the documents are there after 0.4 s), the store's rates. After: the record is written after the first list.

--- a/packages/entry/membership.ts
+++ b/packages/entry/membership.ts
@@ -66,9 +66,9 @@
     return this.#follower.position !== undefined;
   }
 
+  /** Reads the list, and writes the record of this instance once it has been read. */
   start(): void {
     this.#follower.start();
-    void this.#register();
   }
 
   /** Removes the record of a member; a failed write is logged and not retried. */
