Tell the coordinators of every failed request, and retry items at other servers

No instance of 76 meets one server often enough to report it (two failures), and failed runs of items counted nowhere. Ruled out: poisoned items (they fail everywhere; here one server failed 50 items in a second), slow server lists. After: dependents report each failure to their coordinator; failed runs raise the failure share of their server, without avoiding it; an item goes on at a server where it has not failed.

--- a/packages/coordination/coordinator-client.test.ts
+++ b/packages/coordination/coordinator-client.test.ts
@@ -53,7 +53,7 @@
     coordinators: () => [first!, second!, third!],
     state: () => ({
       loads: [],
-      faults: [],
+      failures: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
       isStoreFailing: false,
--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -223,7 +223,7 @@
     this.#options.network.send(coordinator, dependentReportMessage, {
       settledQuestion: this.#settledQuestion(),
       loads: [],
-      faults: [],
+      failures: [],
       configurationPosition: Number.MAX_SAFE_INTEGER as Offset,
       serversPosition: Number.MAX_SAFE_INTEGER as Offset,
       isStoreFailing: false,
--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -126,8 +126,8 @@
     const { blackboard, clock, isStoreFailing, documentPush } = this.#options;
     const now = clock.monotonicNow();
     this.#dependents.update(sender, report, now);
-    for (const [server, share] of report.faults) {
-      blackboard.health.recordPeerFailureShare(server, share, now);
+    for (const [server, count] of report.failures) {
+      blackboard.health.countFailures(server, count, now);
     }
     documentPush.push(sender.instance, {
       configuration: report.configurationPosition,
--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -39,7 +39,7 @@
     coordinators: () => ["a", "b"] as InstanceId[],
     state: () => ({
       loads: [],
-      faults: [],
+      failures: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
       isStoreFailing: false,
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -138,8 +138,8 @@
   readonly settledQuestion: number;
   /** Server and number of requests in flight at it. */
   readonly loads: readonly (readonly [InstanceId, number])[];
-  /** Servers that recently failed many requests of the dependent, with the share that failed. */
-  readonly faults: readonly (readonly [InstanceId, number])[];
+  /** Server and number of requests that failed there since the last report. */
+  readonly failures: readonly (readonly [InstanceId, number])[];
   readonly configurationPosition: Offset;
   readonly serversPosition: Offset;
   readonly isStoreFailing: boolean;
@@ -152,7 +152,7 @@
 const dependentReportSchema = z.object({
   settledQuestion: z.int(),
   loads: z.array(z.tuple([z.string(), z.number()])),
-  faults: z.array(z.tuple([z.string(), z.number()])),
+  failures: z.array(z.tuple([z.string(), z.number()])),
   configurationPosition: z.number(),
   serversPosition: z.number(),
   isStoreFailing: z.boolean(),
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -327,8 +327,8 @@
         loads: loads.ownLoads().map(({ server, online }) =>
           [server, online] as const
         ),
-        faults: health.reportedFailureShares(clock.monotonicNow())
-          .map(({ server, share }) => [server, share] as const),
+        failures: health.takeFailureCounts()
+          .map(({ server, count }) => [server, count] as const),
         configurationPosition: this.#options.documents.position(
           "configuration",
         ),
--- a/packages/gateway/server-health.test.ts
+++ b/packages/gateway/server-health.test.ts
@@ -38,6 +38,30 @@
   assert.ok(health.failureShare(server, 60_000) < 0.01);
 });
 
+// Answers the load of a server that fails everything at once and so has free slots, in a fleet of
+// which no instance meets it more than once in a while.
+test("failures that many dependents meet one by one are known to their coordinator in time", () => {
+  const dependents = Array.from({ length: 10 }, () => new ServerHealth());
+  const coordinator = new ServerHealth();
+  for (const [index, dependent] of dependents.entries()) {
+    const now = index * 200;
+    dependent.addFailure(server, now);
+    assert.deepEqual(dependent.reportedFailureShares(now), []);
+    for (const { server: failed, count } of dependent.takeFailureCounts()) {
+      coordinator.countFailures(failed, count, now);
+    }
+    assert.deepEqual(dependent.takeFailureCounts(), []);
+  }
+  const now = 2_000;
+  assert.ok(coordinator.failureShare(server, now) > 0.7);
+  assert.equal(coordinator.isAvoided(server, now), false);
+  assert.equal(coordinator.reportedFailureShares(now).length, 1);
+  for (let success = 0; success < 10; success++) {
+    coordinator.addSuccess(server, now + success * 100);
+  }
+  assert.ok(coordinator.failureShare(server, now + 1_000) < 0.1);
+});
+
 test("a peer's report raises the failure share less than own failures do, and decays", () => {
   const reporter = new ServerHealth();
   const receiver = new ServerHealth();
--- a/packages/gateway/server-health.ts
+++ b/packages/gateway/server-health.ts
@@ -37,6 +37,7 @@
 
 export class ServerHealth {
   readonly #records = new Map<InstanceId, ServerRecord>();
+  readonly #unreportedFailures = new Map<InstanceId, number>();
 
   isAvoided(server: InstanceId, now: number): boolean {
     const record = this.#records.get(server);
@@ -65,6 +66,30 @@
       .filter(({ share }) => share >= reportedFailureShare);
   }
 
+  /**
+   * Failures since the last call, to be reported to the coordinator. An instance of a large fleet
+   * meets a server too rarely to judge it alone.
+   */
+  takeFailureCounts(): { server: InstanceId; count: number }[] {
+    const counts = [...this.#unreportedFailures]
+      .map(([server, count]) => ({ server, count }));
+    this.#unreportedFailures.clear();
+    return counts;
+  }
+
+  /**
+   * Raises the failure share without avoiding the server: for failures that a dependent met, or
+   * that may be due to the request.
+   */
+  countFailures(server: InstanceId, count: number, now: number): void {
+    const record = this.#recordOf(server, now);
+    const kept = (1 - failureSmoothingFactor) ** count;
+    record.ownShare = {
+      value: 1 - (1 - decayed(record.ownShare, now)) * kept,
+      updatedAt: now,
+    };
+  }
+
   /** A peer's report counts less than own outcomes; the server may fail only for some callers. */
   recordPeerFailureShare(server: InstanceId, share: number, now: number): void {
     const { peerShare } = this.#recordOf(server, now);
@@ -75,6 +100,8 @@
   }
 
   addFailure(server: InstanceId, now: number): void {
+    const unreported = this.#unreportedFailures.get(server) ?? 0;
+    this.#unreportedFailures.set(server, unreported + 1);
     const record = this.#recordOf(server, now);
     const share = decayed(record.ownShare, now);
     record.ownShare = {
@@ -116,6 +143,9 @@
     for (const id of this.#records.keys()) {
       if (!isKnown(id)) this.#records.delete(id);
     }
+    for (const id of this.#unreportedFailures.keys()) {
+      if (!isKnown(id)) this.#unreportedFailures.delete(id);
+    }
   }
 
   #recordOf(server: InstanceId, now: number): ServerRecord {
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -309,7 +309,11 @@
       zone,
       now: time,
     });
-    return chooseBatchServer(candidates, slotsKeptFreeFor(slack));
+    const untried = candidates.filter(({ id }) => !work.failedAt.has(id));
+    return chooseBatchServer(
+      untried.length > 0 ? untried : candidates,
+      slotsKeptFreeFor(slack),
+    );
   }
 
   #send(
@@ -397,6 +401,9 @@
       case "impossible":
         return this.#recordResult(work, partition, "dead_letter", "impossible");
       case "failed":
+        // A failing server ends runs early, so that it would draw item after item.
+        blackboard.health.countFailures(server, 1, now());
+        work.failedAt.add(server);
         return this.#countFailure(work, partition);
       case "interrupted":
         if (outcome.isServerFault) blackboard.health.addFailure(server, now());
--- a/packages/jobs/work-table.ts
+++ b/packages/jobs/work-table.ts
@@ -1,6 +1,6 @@
 /** Holds the in-memory state of the unfinished items of the partitions that an instance owns. */
 
-import type { JobId, PartitionNumber } from "../common/ids.ts";
+import type { InstanceId, JobId, PartitionNumber } from "../common/ids.ts";
 import type { ItemRun, PartialOutput } from "./item-run.ts";
 import type { JobState } from "./partition-state.ts";
 import type { ItemProgress } from "./progress-store.ts";
@@ -32,6 +32,8 @@
   interruptions: number;
   /** Runs that failed at a server, those of earlier owners included. */
   failures: number;
+  /** Servers at which a run failed; the next run goes to another one if there is any. */
+  readonly failedAt: Set<InstanceId>;
 }
 
 export class WorkTable {
@@ -75,6 +77,7 @@
         eventsAtRunStart: 0,
         interruptions: 0,
         failures: state.failures.get(item) ?? 0,
+        failedAt: new Set(),
       };
       items.set(item, work);
     }
