Give an item that failed another pause and a sound server

After: 0.7 s and 1.4 s until the second and third attempt, and such an item goes to servers that have hardly failed anything.

--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -15,11 +15,16 @@
 import { freeSlots } from "../gateway/choose-server.ts";
 import { listCandidates } from "../gateway/server-candidates.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
-import { chooseBatchServer, slotsKeptFreeFor } from "./choose-batch-server.ts";
+import {
+  chooseBatchServer,
+  selectForRetry,
+  slotsKeptFreeFor,
+} from "./choose-batch-server.ts";
 import {
   executorIntervalMilliseconds,
   handoverTimeoutMilliseconds,
   itemDeadlineMilliseconds,
+  itemFailureRetryMilliseconds,
   itemHeadTimeoutMilliseconds,
   itemIdleTimeoutMilliseconds,
   itemRetryMaximumMilliseconds,
@@ -309,9 +314,8 @@
       zone,
       now: time,
     });
-    const untried = candidates.filter(({ id }) => !work.failedAt.has(id));
     return chooseBatchServer(
-      untried.length > 0 ? untried : candidates,
+      selectForRetry(candidates, work.failedAt),
       slotsKeptFreeFor(slack),
     );
   }
@@ -438,7 +442,8 @@
       item: work.item,
       count: work.failures,
     });
-    work.retryAt = this.#options.now() + itemRetryMilliseconds;
+    work.retryAt = this.#options.now() +
+      itemFailureRetryMilliseconds * work.failures;
   }
 
   #recordResult(
--- a/packages/jobs/choose-batch-server.ts
+++ b/packages/jobs/choose-batch-server.ts
@@ -10,6 +10,7 @@
   healthWeight,
   type ServerCandidate,
 } from "../gateway/choose-server.ts";
+import { negligibleFailureShare } from "../gateway/constants.ts";
 import { slotsKeptFree, urgentSlackMilliseconds } from "./constants.ts";
 
 /**
@@ -22,6 +23,25 @@
   return isUrgent ? 0 : slotsKeptFree;
 }
 
+/**
+ * The servers for an item whose runs have failed: those at which it has not failed and which have
+ * hardly failed anything recently, or else the most suitable ones. Answers the load of several
+ * servers that fail every run at once and so have the most free slots: the next attempt of an item
+ * may be its last.
+ */
+export function selectForRetry(
+  candidates: readonly ServerCandidate[],
+  failedAt: ReadonlySet<InstanceId>,
+): readonly ServerCandidate[] {
+  if (failedAt.size === 0) return candidates;
+  const untried = candidates.filter(({ id }) => !failedAt.has(id));
+  const sound = untried.filter(({ failureShare }) =>
+    failureShare < negligibleFailureShare
+  );
+  return [sound, untried, candidates].find((group) => group.length > 0) ??
+    candidates;
+}
+
 export function chooseBatchServer(
   candidates: readonly ServerCandidate[],
   slotsKeptFree: number,
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -34,6 +34,11 @@
  * it was displaced. The pause grows with each interruption.
  */
 export const itemRetryMilliseconds = 150;
+/**
+ * Pause before the next attempt of an item whose run failed, for each failed run. Meanwhile the
+ * fleet learns which servers fail.
+ */
+export const itemFailureRetryMilliseconds = 700;
 /** Longest pause after repeated interruptions, and the pause of an item that cannot be sent. */
 export const itemRetryMaximumMilliseconds = 1_500;
 /** Longest wait for the response head of an item, which may queue behind other requests. */
