Simplify the selection of servers for a second attempt

Ruled out: nothing to rule out. Before and after: same behaviour; one comment said more than the code does.

--- a/packages/jobs/choose-batch-server.ts
+++ b/packages/jobs/choose-batch-server.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses a server for a batch item among those with slots that online requests leave free. Answers
  * the load of more items than the free slots can run: few slots are kept free for online requests,
- * which take a free slot before they displace a run.
+ * which displace a run where they find none.
  */
 
 import type { InstanceId } from "../common/ids.ts";
@@ -38,8 +38,8 @@
   const sound = untried.filter(({ failureShare }) =>
     failureShare < negligibleFailureShare
   );
-  return [sound, untried, candidates].find((group) => group.length > 0) ??
-    candidates;
+  if (sound.length > 0) return sound;
+  return untried.length > 0 ? untried : candidates;
 }
 
 export function chooseBatchServer(
