--- a/packages/jobs/choose-batch-server.test.ts
+++ b/packages/jobs/choose-batch-server.test.ts
@@ -3,12 +3,12 @@
 import type { InstanceId } from "../common/ids.ts";
 import { ServerHealth } from "../gateway/server-health.ts";
 import { chooseBatchServer, selectForRetry } from "./choose-batch-server.ts";
+import { itemFailureRetryMilliseconds } from "./constants.ts";
 
 const servers = 90;
 const failingServers = 6;
 const slots = 8;
 const maximumAttempts = 3;
-const attemptPauseMilliseconds = 700;
 const itemsOfWave = 5;
 
 function id(index: number): InstanceId {
@@ -24,7 +24,7 @@
   let items = 0;
   let givenUp = 0;
   let waiting: Set<InstanceId>[] = [];
-  for (let now = 0; now < 6_000; now += attemptPauseMilliseconds) {
+  for (let now = 0; now < 6_000; now += itemFailureRetryMilliseconds) {
     waiting.push(
       ...Array.from({ length: itemsOfWave }, () => new Set<InstanceId>()),
     );
--- a/packages/jobs/shared-servers.test.ts
+++ b/packages/jobs/shared-servers.test.ts
@@ -12,20 +12,22 @@
   type ServerCandidate,
 } from "../gateway/choose-server.ts";
 import { chooseBatchServer, slotsKeptFreeFor } from "./choose-batch-server.ts";
-import { resultDeliveryMilliseconds } from "./constants.ts";
+import {
+  executorIntervalMilliseconds,
+  itemRetryMilliseconds,
+  resultDeliveryMilliseconds,
+} from "./constants.ts";
 import { compareUrgency } from "./urgency.ts";
 
 const servers = 50;
 const slots = 8;
 const tickMilliseconds = 10;
-const batchTickMilliseconds = 50;
 const playedSeconds = 40;
 const dueMilliseconds = 18_000;
 const onlineMilliseconds = 700;
 const averageRunMilliseconds = 6_000;
 /** Time in which a server that takes up a run again generates nothing. */
 const resumeMilliseconds = 250;
-const retryMilliseconds = 150;
 /** Age up to which the view of the loads is outdated. */
 const viewLagMilliseconds = 60;
 /** The online load changes between these shares of its mean. */
@@ -147,7 +149,7 @@
         nextRequest++
       ) this.#place(requests[nextRequest]!, now);
       for (const server of this.#fleet) this.#advance(server, now);
-      if (now % batchTickMilliseconds === 0) this.#startItems(now);
+      if (now % executorIntervalMilliseconds === 0) this.#startItems(now);
     }
   }
 
@@ -173,7 +175,7 @@
     );
     if (!leastUrgent) return;
     server.batch = server.batch.filter((item) => item !== leastUrgent);
-    leastUrgent.retryAt = now + retryMilliseconds;
+    leastUrgent.retryAt = now + itemRetryMilliseconds;
     this.#waiting.add(leastUrgent);
   }
 
