Log what a failed attempt had received and the parts of its prompt

A failed attempt now states its status, its time, whether content had arrived, and the shared parts; a run of an item states its time and the events of this run.

No decision has changed.

--- a/packages/common/ids.ts
+++ b/packages/common/ids.ts
@@ -20,6 +20,8 @@
 export type JobId = Branded<string, "JobId">;
 export type FileId = Branded<string, "FileId">;
 export type RequestId = Branded<string, "RequestId">;
+/** Identifies one part of a prompt; parts with the same id have the same content. */
+export type PromptPartId = Branded<string, "PromptPartId">;
 export type StreamName = Branded<string, "StreamName">;
 /** Position of a record in a stream of the log. */
 export type Offset = Branded<number, "Offset">;
--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -68,6 +68,7 @@
           apiKey: undefined,
           deadlineMilliseconds: 4_000,
           lastEventId: undefined,
+          sharedPromptParts: [],
           forwardedHeaders: [],
         },
         body: Buffer.alloc(0),
--- a/packages/coordination/job-call-service.ts
+++ b/packages/coordination/job-call-service.ts
@@ -64,6 +64,7 @@
     apiKey: undefined,
     deadlineMilliseconds: remainingMilliseconds,
     lastEventId: undefined,
+    sharedPromptParts: [],
     forwardedHeaders: [],
   };
 }
--- a/packages/gateway/caller-request.ts
+++ b/packages/gateway/caller-request.ts
@@ -8,6 +8,7 @@
 import type {
   InstanceId,
   JobId,
+  PromptPartId,
   RequestId,
   WorkspaceId,
 } from "../common/ids.ts";
@@ -26,6 +27,11 @@
   readonly deadlineMilliseconds: number | undefined;
   /** Id of the last event of the stream that the caller has received already. */
   readonly lastEventId: number | undefined;
+  /**
+   * The parts of the prompt that other requests may have too, in their order: all but the last,
+   * which belongs to this request or its session alone.
+   */
+  readonly sharedPromptParts: readonly PromptPartId[];
   /** Headers to be passed on to the server, as alternating names and values. */
   readonly forwardedHeaders: readonly string[];
 }
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -65,6 +65,8 @@
   #isOver = false;
   #firstBytesAt: number | undefined;
   #head: AnswerHead | undefined;
+  /** The server of the present attempt has sent content of its answer. */
+  #hasServerBegun = false;
   #splitter = new EventSplitter();
   readonly #held = new HeldAnswer();
   #lastEventId: number | undefined;
@@ -171,6 +173,7 @@
     this.#attemptStart = services.now();
     this.#splitter = new EventSplitter();
     this.#head = undefined;
+    this.#hasServerBegun = false;
     const attempt = new ServerAttempt({
       pool: services.poolOf(server),
       method: request.method,
@@ -272,6 +275,7 @@
   /** Returns true if the answer has progressed, which for a stream takes a whole event. */
   #handleData(attempt: ServerAttempt, chunk: Buffer): boolean {
     if (attempt !== this.#attempt || this.#isOver) return false;
+    this.#hasServerBegun = true;
     if (this.#mode === "events") return this.#handleEventData(attempt, chunk);
     if (this.#mode !== "held") this.#write(chunk);
     else if (this.#held.add(chunk)) this.#releaseHeld();
@@ -376,6 +380,10 @@
       reason: failure.reason,
       repeats: mayRetry,
       lastEvent: this.#lastEventId ?? null,
+      status: this.#head?.status ?? null,
+      hasBegun: this.#hasServerBegun,
+      milliseconds: Math.round(services.now() - this.#attemptStart),
+      promptParts: received.request.sharedPromptParts.join(" "),
     });
     if (!mayRetry) {
       return this.#fail({
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -395,6 +395,8 @@
       outcome: outcome.kind,
       reason: outcome.kind === "interrupted" ? outcome.reason : null,
       events,
+      eventsOfRun: events - work.eventsAtRunStart,
+      milliseconds: Math.round(now() - work.runStartedAt),
       runs: work.runs,
     });
     switch (outcome.kind) {
