--- a/packages/coordination/coordinator-client.test.ts
+++ b/packages/coordination/coordinator-client.test.ts
@@ -54,6 +54,7 @@
     state: () => ({
       loads: [],
       failures: [],
+      begun: { parts: [], counts: [] },
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
       isStoreFailing: false,
--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -8,6 +8,7 @@
 import { PeerUnavailableError } from "../common/errors.ts";
 import type { InstanceId, Offset } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import { noBegunAnswers } from "../quarantine/messages.ts";
 import { PeerHandlerError } from "../protocol/peer-connection.ts";
 import type { PeerMessage } from "../protocol/peer-message.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
@@ -224,6 +225,7 @@
       settledQuestion: this.#settledQuestion(),
       loads: [],
       failures: [],
+      begun: noBegunAnswers,
       configurationPosition: Number.MAX_SAFE_INTEGER as Offset,
       serversPosition: Number.MAX_SAFE_INTEGER as Offset,
       isStoreFailing: false,
--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -11,6 +11,7 @@
 import type { WorkspaceRule } from "../fleet/configuration.ts";
 import type { DocumentPush } from "../fleet/peers/document-push.ts";
 import type { LocalPlacer } from "../gateway/placement.ts";
+import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { PeerNetwork, PeerSender } from "../protocol/peer-network.ts";
 import { Dependents } from "./dependents.ts";
 import {
@@ -32,6 +33,7 @@
   readonly canDecide: () => boolean;
   readonly isStoreFailing: () => boolean;
   readonly documentPush: DocumentPush;
+  readonly quarantine: Pick<Quarantine, "addBegins">;
   readonly clock: Clock;
 }
 
@@ -126,6 +128,7 @@
     const { blackboard, clock, isStoreFailing, documentPush } = this.#options;
     const now = clock.monotonicNow();
     this.#dependents.update(sender, report, now);
+    this.#options.quarantine.addBegins(report.begun, { isRelayed: true });
     for (const [server, count] of report.failures) {
       blackboard.health.countFailures(server, count, now);
     }
--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -40,6 +40,7 @@
     state: () => ({
       loads: [],
       failures: [],
+      begun: { parts: [], counts: [] },
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
       isStoreFailing: false,
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -7,12 +7,15 @@
 import type {
   InstanceId,
   Offset,
+  PromptPartId,
   UpstreamName,
   WorkspaceId,
 } from "../common/ids.ts";
 import type { JobCall } from "../gateway/caller-request.ts";
 import type { WaitTolerance } from "../gateway/online-services.ts";
 import type { Placement, RoomReply } from "../gateway/placement.ts";
+import type { BegunReport } from "../quarantine/crash-evidence.ts";
+import { begunReportSchema } from "../quarantine/messages.ts";
 import { definePeerMessage } from "../protocol/peer-message.ts";
 
 /** What a decision depends on; sets are sent as lists. */
@@ -40,6 +43,8 @@
   /** Number of the question; a later report says up to which number questions are settled. */
   readonly question: number;
   readonly limitedWorkspace: WireWorkspace | undefined;
+  readonly requestId: string;
+  readonly sharedPromptParts: readonly PromptPartId[];
 }
 
 const choiceFields = {
@@ -59,11 +64,20 @@
     ratePerSecond: z.number(),
     burst: z.number(),
   })),
+  requestId: z._default(z.string(), ""),
+  sharedPromptParts: z._default(z.array(z.string()), []),
 });
 
 const placementSchema = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("none") }),
   z.object({ kind: z.literal("full"), expectedWaitMilliseconds: z.number() }),
+  z.object({ kind: z.literal("held"), part: z.string() }),
+  z.object({
+    kind: z.literal("quarantined"),
+    part: z.string(),
+    crashes: z.number(),
+    decidedAt: z.number(),
+  }),
   z.object({
     kind: z.literal("limited"),
     retryAfterMilliseconds: z.number(),
@@ -80,6 +94,7 @@
   z.object({
     kind: z.literal("send"),
     displacesBatch: z.boolean(),
+    isTrial: z._default(z.boolean(), false),
     server: z.object({
       id: z.string(),
       slots: z.number(),
@@ -140,6 +155,8 @@
   readonly loads: readonly (readonly [InstanceId, number])[];
   /** Server and number of requests that failed there since the last report. */
   readonly failures: readonly (readonly [InstanceId, number])[];
+  /** Answers that have begun since the last report. */
+  readonly begun: BegunReport;
   readonly configurationPosition: Offset;
   readonly serversPosition: Offset;
   readonly isStoreFailing: boolean;
@@ -153,6 +170,7 @@
   settledQuestion: z.int(),
   loads: z.array(z.tuple([z.string(), z.number()])),
   failures: z.array(z.tuple([z.string(), z.number()])),
+  begun: z._default(begunReportSchema, { parts: [], counts: [] }),
   configurationPosition: z.number(),
   serversPosition: z.number(),
   isStoreFailing: z.boolean(),
--- a/packages/coordination/remote-placer.ts
+++ b/packages/coordination/remote-placer.ts
@@ -74,6 +74,8 @@
           ratePerSecond: limitedWorkspace.ratePerSecond,
           burst: limitedWorkspace.burst,
         },
+        requestId: request.requestId,
+        sharedPromptParts: request.sharedPromptParts,
       }),
       (reply) => {
         if (reply.kind === "send") {
--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -32,6 +32,7 @@
   ownerGroup,
   progressStream,
 } from "./constants.ts";
+import type { CrashControl } from "./crash-control.ts";
 import type { EntrySettings } from "./entry-settings.ts";
 
 export interface BatchWorkOptions {
@@ -40,6 +41,7 @@
   readonly blackboard: Blackboard;
   readonly network: PeerNetwork;
   readonly pools: ServerPools;
+  readonly crashControl: CrashControl;
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
   readonly peerReports: () => PeerReports;
@@ -229,6 +231,8 @@
       callerCodec,
       jobCodec,
       pools,
+      quarantine: this.#options.crashControl.quarantine,
+      crashDetector: this.#options.crashControl.detector,
       zone: settings.zone,
       now: clock.monotonicNow,
       wallNow: clock.wallNow,
--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -45,6 +45,7 @@
 export const jobStream = "jobs";
 export const bodyStream = "bodies";
 export const progressStream = "progress";
+export const verdictStream = "quarantine";
 /** Name of the group that shares the partitions of the job stream among the instances. */
 export const ownerGroup = "owners";
 /**
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -44,6 +44,7 @@
   displaceTimeoutMilliseconds,
   memberSilenceTimeoutMilliseconds,
 } from "./constants.ts";
+import { CrashControl } from "./crash-control.ts";
 import { CoordinationRole } from "./coordination-role.ts";
 import type { EntrySettings } from "./entry-settings.ts";
 import { SilentDependents } from "./silent-dependents.ts";
@@ -61,6 +62,8 @@
   /** Whether this instance cannot read the store at present. */
   readonly isStoreFailing: () => boolean;
   readonly removeMember: (member: Member) => void;
+  /** Called when the verdicts on prompt parts have been read for the first time. */
+  readonly onVerdictsLoaded: () => void;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
   readonly clock: Clock;
@@ -79,6 +82,7 @@
   readonly placer: Placer;
   /** Answers calls on batch jobs as the present role of this instance does. */
   readonly jobCalls: JobCalls;
+  readonly crashControl: CrashControl;
   readonly #options: CoordinationOptions;
   readonly #documentPush: DocumentPush;
   readonly #reports: PeerReports;
@@ -100,6 +104,11 @@
   constructor(options: CoordinationOptions) {
     this.#options = options;
     const { network, documents, logger, settings, blackboard, clock } = options;
+    this.crashControl = new CrashControl({
+      ...options,
+      coordinators: () => this.#rankedCoordinators,
+      isCoordinator: () => this.#role.isCoordinator,
+    });
     this.#documentPush = new DocumentPush({ network, documents, logger });
     this.#reports = this.#createReports();
     this.#role = new CoordinationRole({
@@ -158,6 +167,7 @@
   }
 
   start(): void {
+    this.crashControl.start();
     this.#client.start();
   }
 
@@ -167,6 +177,7 @@
   }
 
   stop(): void {
+    this.crashControl.stop();
     this.#reports.stop();
     this.#client.stop();
     this.#batch?.stop();
@@ -311,6 +322,7 @@
         if (!this.#role.isCoordinator) this.#limits.refresh();
         return this.#limits;
       },
+      quarantine: () => this.crashControl.quarantine,
       zone: this.#options.settings.zone,
       displaceBatch: (server) => void this.#displaceBatch(server),
       now: this.#options.clock.monotonicNow,
@@ -324,6 +336,7 @@
       network: this.#options.network,
       coordinators: () => this.#rankedCoordinators,
       state: () => ({
+        begun: this.crashControl.quarantine.takeBegins(),
         loads: loads.ownLoads().map(({ server, online }) =>
           [server, online] as const
         ),
@@ -355,6 +368,7 @@
       canDecide: () => this.#canDecide(),
       isStoreFailing: () => this.#options.isStoreFailing(),
       documentPush: this.#documentPush,
+      quarantine: this.crashControl.quarantine,
       clock,
     });
   }
@@ -395,6 +409,7 @@
       blackboard: this.#options.blackboard,
       network: this.#options.network,
       pools: this.#options.pools,
+      crashControl: this.crashControl,
       callerCodec,
       jobCodec,
       peerReports: () => this.#reports,
@@ -418,6 +433,7 @@
       documentPush: this.#documentPush,
       limits: () => this.#limits,
       jobReport: () => this.#batch?.report() ?? noJobs,
+      quarantine: this.crashControl.quarantine,
       isStoreFailing: () => this.#options.isStoreFailing(),
       clock,
       logger,
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -187,6 +187,9 @@
           const { upstreams, health } = this.#blackboard;
           this.#pools.retain((id) => upstreams.get(id) !== undefined);
           health.retain((id) => upstreams.get(id) !== undefined);
+          this.#coordination.crashControl.detector.retain((id) =>
+            upstreams.get(id) !== undefined
+          );
         }
         this.#gateway.handleDocuments();
       },
@@ -210,6 +213,7 @@
         this.#store.isDirectFailing ||
         this.#followers.some((follower) => follower.isFailing),
       removeMember: (member) => void this.#membership.remove(member),
+      onVerdictsLoaded: () => this.#gateway.handleDocuments(),
       countRun: (outcome) => metrics.countItemRun(outcome),
       clock,
       logger,
@@ -249,6 +253,8 @@
       codec: callerCodec,
       pools: this.#pools,
       placer: this.#coordination.placer,
+      quarantine: this.#coordination.crashControl.quarantine,
+      crashDetector: this.#coordination.crashControl.detector,
       jobs: this.#coordination.jobCalls,
       metrics: this.#options.metrics,
       logger,
--- a/packages/fleet/blackboard.ts
+++ b/packages/fleet/blackboard.ts
@@ -16,6 +16,8 @@
   configuration: ConfigurationIndex | undefined;
   /** The list of servers has been read at least once. */
   hasServerList = false;
+  /** The verdicts on prompt parts have been read at least once. */
+  hasVerdicts = false;
   /** The instance has been told to stop. */
   isLeaving = false;
   /** Moving average of the time that an online request occupies a slot. */
@@ -27,9 +29,14 @@
     this.requestDurationMilliseconds = initialDurationMilliseconds;
   }
 
+  /** Everything that decides on requests is known. */
+  get hasRequestDocuments(): boolean {
+    return this.configuration !== undefined && this.hasServerList &&
+      this.hasVerdicts;
+  }
+
   /** Whether new connections may be sent to this instance. */
   get isReady(): boolean {
-    return !this.isLeaving && this.configuration !== undefined &&
-      this.hasServerList;
+    return !this.isLeaving && this.hasRequestDocuments;
   }
 }
--- a/packages/fleet/peers/peer-reports.test.ts
+++ b/packages/fleet/peers/peer-reports.test.ts
@@ -50,6 +50,10 @@
       ownerGeneration: 0,
       waitingItems: 0,
     }),
+    quarantine: {
+      takeBegins: () => ({ parts: [], counts: [] }),
+      addBegins: () => {},
+    },
     isStoreFailing: () => false,
     clock: { wallNow: () => Date.now(), monotonicNow: () => Date.now() },
     logger: silentLogger,
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -20,6 +20,7 @@
 import type { Documents } from "../documents.ts";
 import type { FleetLimits } from "../limits/fleet-limits.ts";
 import type { FleetView } from "../limits/shared-bucket.ts";
+import type { Quarantine } from "../../quarantine/quarantine.ts";
 import type { DocumentPush } from "./document-push.ts";
 import type { Member } from "./members.ts";
 import { type PeerReport, reportMessage } from "./report.ts";
@@ -46,6 +47,7 @@
   readonly documentPush: DocumentPush;
   readonly limits: () => FleetLimits;
   readonly jobReport: () => JobReport;
+  readonly quarantine: Pick<Quarantine, "takeBegins" | "addBegins">;
   readonly isStoreFailing: () => boolean;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -250,6 +252,7 @@
           ] as const
         ),
       ...jobReport(),
+      begun: this.#options.quarantine.takeBegins(),
     };
   }
 
@@ -285,6 +288,7 @@
       })),
       now,
     );
+    this.#options.quarantine.addBegins(report.begun, { isRelayed: false });
     for (const [server, share] of report.faults) {
       blackboard.health.recordPeerFailureShare(server, share, now);
     }
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -12,6 +12,8 @@
   PartitionNumber,
   WorkspaceId,
 } from "../../common/ids.ts";
+import type { BegunReport } from "../../quarantine/crash-evidence.ts";
+import { begunReportSchema } from "../../quarantine/messages.ts";
 import { definePeerMessage } from "../../protocol/peer-message.ts";
 import type { KeyedRecord } from "../../store/keyed-store.ts";
 import type { DocumentKind } from "../documents.ts";
@@ -38,6 +40,8 @@
   readonly ownerGeneration: number;
   /** Number of items of batch jobs that wait for a server. */
   readonly waitingItems: number;
+  /** Answers to requests of the sender and its dependents that have begun since the last report. */
+  readonly begun: BegunReport;
 }
 
 const reportSchema = z.object({
@@ -54,6 +58,7 @@
   ownedPartitions: z.array(z.number()),
   ownerGeneration: z.number(),
   waitingItems: z.number(),
+  begun: z._default(begunReportSchema, { parts: [], counts: [] }),
 });
 
 export const reportMessage = definePeerMessage<PeerReport>(
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -38,6 +38,8 @@
     readonly server: ServerCandidate;
     /** A batch run at the server has to be displaced. */
     readonly displacesBatch: boolean;
+    /** The request may crash the server; others with the same suspected parts wait for it. */
+    readonly isTrial?: boolean;
   }
   | { readonly kind: "full"; readonly expectedWaitMilliseconds: number };
 
@@ -67,6 +69,25 @@
   return chooseFullServer(pool, options);
 }
 
+/** Chooses the server with the fewest requests, since all of them are lost if it crashes. */
+export function chooseServerForTrial(
+  candidates: readonly ServerCandidate[],
+  options: ChoiceOptions,
+): ServerChoice {
+  const choice = chooseServer(candidates, options);
+  if (choice.kind !== "send") return choice;
+  const requestsOf = ({ online, batch }: ServerCandidate) => online + batch;
+  const usable = candidates.filter((candidate) => !candidate.isAvoided);
+  const pool = usable.length > 0 ? usable : candidates;
+  const fewest = Math.min(...pool.map(requestsOf));
+  const server = pickByWeight(
+    pool,
+    (candidate) => requestsOf(candidate) === fewest ? 1 : 0,
+    options.random,
+  )!;
+  return { kind: "send", server, displacesBatch: freeSlots(server) === 0 };
+}
+
 /**
  * Picks among full servers with an acceptable wait, at random and more often those with a short
  * queue. It is random for the same reason as `pickByCapacity`.
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -35,6 +35,11 @@
 /** A server that failed is avoided for this time; each further failure doubles it. */
 export const initialAvoidanceMilliseconds = 500;
 export const maximumAvoidanceMilliseconds = 4_000;
+/**
+ * A server that has crashed is avoided for this time, unless it states earlier that it has started
+ * again.
+ */
+export const crashAvoidanceMilliseconds = 3_000;
 /** Smoothing factor of a server's failure share: the weight of one outcome. */
 export const failureSmoothingFactor = 0.25;
 /**
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -9,6 +9,8 @@
 import type { LogContext, Logger } from "../common/logging.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
+import type { CrashDetector } from "../quarantine/crash-detector.ts";
+import type { Quarantine } from "../quarantine/quarantine.ts";
 import { CallerDeadlines } from "./caller-deadlines.ts";
 import type {
   CallerCodec,
@@ -27,6 +29,7 @@
 import { OnlineRequest } from "./online-request.ts";
 import type { OnlineServices } from "./online-services.ts";
 import type { Placement, Placer } from "./placement.ts";
+import { quarantineError } from "./request-errors.ts";
 import type { ServerPools } from "./server-pools.ts";
 import { StartWait } from "./start-wait.ts";
 
@@ -53,6 +56,8 @@
   readonly codec: CallerCodec;
   readonly pools: ServerPools;
   readonly placer: Placer;
+  readonly quarantine: Quarantine;
+  readonly crashDetector: CrashDetector;
   readonly jobs: JobCalls;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
@@ -72,9 +77,7 @@
   /** Called when the configuration or the list of servers has changed. */
   handleDocuments(): void {
     const { blackboard } = this.#options;
-    if (blackboard.configuration && blackboard.hasServerList) {
-      this.#startWait.end();
-    }
+    if (blackboard.hasRequestDocuments) this.#startWait.end();
   }
 
   handle(
@@ -85,7 +88,7 @@
   ): void {
     const { codec, blackboard } = this.#options;
     const configuration = blackboard.configuration;
-    if (!configuration || !blackboard.hasServerList) {
+    if (!configuration || !blackboard.hasRequestDocuments) {
       return this.#startWait.hold({
         handle: () => {
           if (response.isOver) return;
@@ -153,6 +156,14 @@
       limitedWorkspace: isLimited ? workspace : undefined,
       refuseForLimit: (placement) =>
         this.#refuseForLimit(received.request, workspace, placement, response),
+      refuseForPart: (placement) => {
+        const { part, crashes, decidedAt } = placement;
+        this.#refuse(received.request, response, quarantineError(placement), {
+          part,
+          crashes,
+          decidedAt,
+        });
+      },
       isLikelyRetry: this.#callerDeadlines.isLikelyRetry(
         route.id,
         received.request.deadlineMilliseconds,
@@ -204,6 +215,7 @@
 
   #createServices(): OnlineServices {
     const { blackboard, codec, pools, logger, metrics, placer } = this.#options;
+    const { quarantine, crashDetector } = this.#options;
     const { loads, health, upstreams } = blackboard;
     const now = () => performance.now();
     const random = Math.random;
@@ -213,6 +225,9 @@
       now,
       random,
       placer,
+      quarantine,
+      examineServer: (server, suspect) =>
+        crashDetector.examine(server, suspect),
       chooseService: (route) => chooseService(route, random()),
       findServer: (id) => upstreams.get(id),
       poolOf: (server) => pools.poolOf(server),
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -4,24 +4,32 @@
  * and resumable streams, which continue elsewhere after the last whole event, in the same answer.
  */
 
-import { Buffer } from "node:buffer";
-import type { InstanceId, UpstreamName } from "../common/ids.ts";
+import type { Buffer } from "node:buffer";
+import type { InstanceId, PromptPartId, UpstreamName } from "../common/ids.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
+import type { UpstreamServer } from "../fleet/upstreams.ts";
+import {
+  undecidedRetryMilliseconds,
+  undecidedWaitMilliseconds,
+} from "../quarantine/constants.ts";
+import { AnswerRelay } from "./answer-relay.ts";
 import { attemptTimeouts, failureOfHead } from "./attempt-rules.ts";
 import type { AnswerHead, ReceivedRequest } from "./caller-request.ts";
 import type { CallerResponse, ErrorAnswer } from "./caller-response.ts";
 import {
-  defaultRetryAfterMilliseconds,
   minimumRemainingMilliseconds,
   rerouteAfterObjectives,
 } from "./constants.ts";
-import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
-import { HeldAnswer } from "./held-answer.ts";
 import type { SendChoice } from "./choose-server.ts";
 import type { ChoiceRequest, OnlineServices } from "./online-services.ts";
 import type { Placement } from "./placement.ts";
 import { QueueWatch } from "./queue-watch.ts";
-import { chooseRetryAfter } from "./retry-after.ts";
+import {
+  capacityError,
+  deadlineError,
+  noServerError,
+  serverFailedError,
+} from "./request-errors.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
 export interface OnlineRequestOptions {
@@ -36,16 +44,14 @@
   readonly refuseForLimit: (
     placement: Extract<Placement, { kind: "limited" }>,
   ) => void;
+  /** Answers a request with a part of its prompt under which servers crash. */
+  readonly refuseForPart: (
+    placement: Extract<Placement, { kind: "quarantined" }>,
+  ) => void;
   /** The caller has likely sent this request before and was refused or got a failure. */
   readonly isLikelyRetry: boolean;
 }
 
-/**
- * Relay of an answer. `direct`: as it arrives. `held`: once complete, to allow retries until then.
- * `events`: in whole events, so that the stream can be resumed at another server.
- */
-type RelayMode = "direct" | "held" | "events";
-
 export class OnlineRequest {
   readonly #options: OnlineRequestOptions;
   readonly #service: UpstreamName;
@@ -53,6 +59,7 @@
   readonly #excluded = new Set<InstanceId>();
   #attempt: ServerAttempt | undefined;
   #server: InstanceId | undefined;
+  #upstream: UpstreamServer | undefined;
   #choice: SendChoice | undefined;
   /** How often displacement of batch runs was requested after the request was sent. */
   #displacementRequests = 0;
@@ -64,13 +71,10 @@
   #isAdmitted = false;
   #isOver = false;
   #firstBytesAt: number | undefined;
-  #head: AnswerHead | undefined;
-  /** The server of the present attempt has sent content of its answer. */
-  #hasServerBegun = false;
-  #splitter = new EventSplitter();
-  readonly #held = new HeldAnswer();
-  #lastEventId: number | undefined;
-  #mode: RelayMode = "direct";
+  readonly #relay: AnswerRelay;
+  /** When the request first waited for a trial of its parts. */
+  #heldSince: number | undefined;
+  #heldTimer: NodeJS.Timeout | undefined;
   #deadlineTimer: NodeJS.Timeout | undefined;
   #queueWatch: QueueWatch | undefined;
 
@@ -83,7 +87,14 @@
       route.timeoutMilliseconds,
     );
     this.#deadline = received.receivedAt + timeoutMilliseconds;
-    this.#lastEventId = received.request.lastEventId;
+    this.#relay = new AnswerRelay({
+      response: options.response,
+      isStream: route.kind === "streaming",
+      isRetryable: this.#isRetryable,
+      lastEventId: received.request.lastEventId,
+      onWrite: () => this.#recordFirstBytes(),
+      onFull: () => this.#pauseAttempt(),
+    });
   }
 
   start(): void {
@@ -104,7 +115,7 @@
   }
 
   #tryNextServer(): void {
-    const { services, route } = this.#options;
+    const { services, route, received: { request } } = this.#options;
     if (this.#isOver) return;
     const remaining = this.#deadline - services.now();
     if (remaining < minimumRemainingMilliseconds) return this.#handleDeadline();
@@ -113,6 +124,8 @@
     }
     services.placer.place({
       ...this.#choiceRequest(),
+      requestId: request.id ?? "",
+      sharedPromptParts: request.sharedPromptParts,
       limitedWorkspace: this.#isAdmitted
         ? undefined
         : this.#options.limitedWorkspace,
@@ -144,6 +157,11 @@
         return this.#giveUp("no server is available");
       case "full":
         return this.#refuseForCapacity(placement.expectedWaitMilliseconds);
+      case "held":
+        return this.#waitForTrial(placement.part);
+      case "quarantined":
+        this.#close();
+        return this.#options.refuseForPart(placement);
       case "limited":
         this.#close();
         return this.#options.refuseForLimit(placement);
@@ -169,11 +187,10 @@
     const remaining = this.#deadline - services.now();
     const { request, body } = received;
     this.#server = server.id;
+    this.#upstream = server;
     this.#choice = choice;
     this.#attemptStart = services.now();
-    this.#splitter = new EventSplitter();
-    this.#head = undefined;
-    this.#hasServerBegun = false;
+    this.#relay.startAttempt();
     const attempt = new ServerAttempt({
       pool: services.poolOf(server),
       method: request.method,
@@ -182,7 +199,7 @@
         remainingMilliseconds: Math.max(1, Math.floor(remaining)),
         server: server.id,
         workspace: workspace?.id,
-        lastEventId: this.#lastEventId,
+        lastEventId: this.#relay.lastEventId,
       }),
       body,
       requestId: request.id ?? "",
@@ -242,7 +259,7 @@
 
   #handleHead(attempt: ServerAttempt, head: AnswerHead): void {
     if (attempt !== this.#attempt || this.#isOver) return;
-    const { services, route } = this.#options;
+    const { services } = this.#options;
     if (head.load !== undefined) {
       services.recordReportedLoad(this.#server!, head.load);
     }
@@ -252,13 +269,7 @@
     });
     if (failure) return this.#handleFailure(attempt, failure);
     this.#queueWatch?.stop();
-    this.#head = head;
-    this.#held.release();
-    this.#mode = "direct";
-    if (head.status === 200 && this.#isRetryable) {
-      this.#mode = route.kind === "streaming" ? "events" : "held";
-    }
-    if (this.#mode === "direct") this.#begin(head);
+    this.#relay.acceptHead(head);
   }
 
   /** True if the request may go to another server although it may have run at the present one. */
@@ -267,64 +278,30 @@
       this.#possibleRuns + 1 < this.#options.route.maximumAttempts;
   }
 
-  #begin(head: AnswerHead): void {
-    const { response } = this.#options;
-    if (!response.hasBegun) response.begin(head.status, head.forwardedHeaders);
-  }
-
-  /** Returns true if the answer has progressed, which for a stream takes a whole event. */
   #handleData(attempt: ServerAttempt, chunk: Buffer): boolean {
     if (attempt !== this.#attempt || this.#isOver) return false;
-    this.#hasServerBegun = true;
-    if (this.#mode === "events") return this.#handleEventData(attempt, chunk);
-    if (this.#mode !== "held") this.#write(chunk);
-    else if (this.#held.add(chunk)) this.#releaseHeld();
-    return true;
+    const hadBegun = this.#relay.hasBegunAnswer;
+    const result = this.#relay.add(chunk);
+    if (!hadBegun && this.#relay.hasBegunAnswer) this.#recordBegin();
+    if (typeof result === "boolean") return result;
+    this.#handleFailure(attempt, result);
+    return false;
   }
 
-  #handleEventData(attempt: ServerAttempt, chunk: Buffer): boolean {
-    const wholeEvents: Buffer[] = [];
-    for (const event of this.#splitter.push(chunk)) {
-      if (!this.#isNextEvent(event)) {
-        if (wholeEvents.length > 0) this.#writeEvents(wholeEvents);
-        this.#handleFailure(attempt, {
-          verdict: "ran",
-          reason: `event ${event.id} does not follow ${this.#lastEventId}`,
-          isServerFault: true,
-        });
-        return false;
-      }
-      if (event.id !== undefined) this.#lastEventId = event.id;
-      wholeEvents.push(event.bytes);
-    }
-    if (wholeEvents.length > 0) this.#writeEvents(wholeEvents);
-    if (this.#splitter.isOversized) {
-      this.#handleFailure(attempt, {
-        verdict: "ran",
-        reason: "an event of the stream does not end",
-        isServerFault: true,
-      });
-    }
-    return wholeEvents.length > 0;
-  }
-
-  #isNextEvent(event: StreamEvent): boolean {
-    return event.id === undefined || this.#lastEventId === undefined ||
-      event.id === this.#lastEventId + 1;
-  }
-
-  #writeEvents(events: Buffer[]): void {
-    this.#begin(this.#head!);
-    this.#write(events.length === 1 ? events[0]! : Buffer.concat(events));
+  #recordBegin(): void {
+    const { services, received } = this.#options;
+    services.quarantine.recordBegin(
+      received.request.sharedPromptParts,
+      this.#service,
+      { isTrial: this.#choice?.isTrial ?? false },
+    );
   }
 
-  #write(bytes: Buffer): void {
-    const { response } = this.#options;
-    this.#recordFirstBytes();
-    if (response.write(bytes)) return;
+  /** Stops reading from the server until the caller has caught up. */
+  #pauseAttempt(): void {
     const attempt = this.#attempt;
     attempt?.pause();
-    response.onDrain(() => attempt?.resume());
+    this.#options.response.onDrain(() => attempt?.resume());
   }
 
   #recordFirstBytes(): void {
@@ -334,27 +311,31 @@
     services.recordFirstBytes(received, workspace?.id ?? "");
   }
 
-  #releaseHeld(): void {
-    this.#begin(this.#head!);
-    this.#mode = "direct";
-    for (const chunk of this.#held.release()) this.#write(chunk);
-  }
-
   #handleEnd(attempt: ServerAttempt): void {
     if (attempt !== this.#attempt || this.#isOver) return;
-    const { services, response } = this.#options;
-    if (this.#mode === "events" && this.#splitter.pendingBytes > 0) {
-      return this.#handleFailure(attempt, {
-        verdict: "ran",
-        reason: "the stream ended in the middle of an event",
-        isServerFault: true,
-      });
-    }
-    if (this.#mode === "held") this.#releaseHeld();
-    this.#begin(this.#head!);
-    response.end();
+    const failure = this.#relay.checkEnd();
+    if (failure) return this.#handleFailure(attempt, failure);
+    if (!attempt.endsWithConnection) return this.#complete();
+    // The end of the connection is the end of the answer, unless the server has crashed.
+    this.#options.services.examineServer(this.#upstream!, undefined)
+      .then((hasCrashed) => {
+        if (attempt !== this.#attempt || this.#isOver) return;
+        if (!hasCrashed) return this.#complete();
+        this.#handleFailure(attempt, {
+          verdict: "ran",
+          reason: "the server crashed before the end of its answer",
+          isServerFault: true,
+          isConnectionBroken: true,
+        });
+      }).catch((error) => this.#handleError(error));
+  }
+
+  #complete(): void {
+    const { services } = this.#options;
+    const { status } = this.#relay.head!;
+    this.#relay.complete();
     this.#releaseAttempt();
-    if (this.#head!.status >= 500) {
+    if (status >= 500) {
       services.recordFailure(this.#server!);
       return this.#finish("server_error");
     }
@@ -366,9 +347,10 @@
     if (attempt !== this.#attempt || this.#isOver) return;
     const { services, received, response } = this.#options;
     const server = this.#server!;
+    const { hasBegunAnswer } = this.#relay;
     attempt.cancel();
     this.#releaseAttempt();
-    if (failure.isServerFault) services.recordFailure(server);
+    const examination = this.#examineServer(failure);
     this.#excluded.add(server);
     if (failure.verdict === "not_run") this.#refusals += 1;
     else this.#possibleRuns += 1;
@@ -379,27 +361,66 @@
       verdict: failure.verdict,
       reason: failure.reason,
       repeats: mayRetry,
-      lastEvent: this.#lastEventId ?? null,
-      status: this.#head?.status ?? null,
-      hasBegun: this.#hasServerBegun,
+      lastEvent: this.#relay.lastEventId ?? null,
+      status: this.#relay.head?.status ?? null,
+      hasBegun: hasBegunAnswer,
       milliseconds: Math.round(services.now() - this.#attemptStart),
       promptParts: received.request.sharedPromptParts.join(" "),
     });
     if (!mayRetry) {
-      return this.#fail({
-        status: 502,
-        code: "server_failed",
-        message: "the server failed and the request may have run",
-      });
+      return this.#fail(serverFailedError);
     }
-    if (response.hasBegun && this.#mode === "direct") {
+    if (this.#relay.isCommitted) {
       response.abort();
       return this.#finish("broken_off");
     }
     if (this.#hasTooManyRefusals()) {
       return this.#giveUp("too many servers refused");
     }
-    this.#tryNextServer();
+    // A request that may have crashed its server is judged by the report of the crash.
+    if (failure.isConnectionBroken && !hasBegunAnswer) {
+      examination.then(() => this.#tryNextServer())
+        .catch((error) => this.#handleError(error));
+    } else {
+      this.#tryNextServer();
+    }
+  }
+
+  /** Resolves when the failure was counted, against the server or as its crash. */
+  async #examineServer(failure: AttemptFailure): Promise<void> {
+    const { services, received } = this.#options;
+    const upstream = this.#upstream!;
+    if (!failure.isConnectionBroken) {
+      if (failure.isServerFault) services.recordFailure(upstream.id);
+      return;
+    }
+    const { id, sharedPromptParts } = received.request;
+    const isSuspect = !this.#relay.hasBegunAnswer;
+    const hasCrashed = await services.examineServer(
+      upstream,
+      isSuspect
+        ? {
+          request: id ?? "",
+          sharedPromptParts,
+          runMilliseconds: services.now() - this.#attemptStart,
+        }
+        : undefined,
+    );
+    if (!hasCrashed) services.recordFailure(upstream.id);
+  }
+
+  /** Waits until a request with the same suspected part has been answered or has crashed. */
+  #waitForTrial(part: PromptPartId): void {
+    const { services } = this.#options;
+    const now = services.now();
+    this.#heldSince ??= now;
+    if (now - this.#heldSince >= undecidedWaitMilliseconds) {
+      return this.#giveUp(`part ${part} of the prompt is on trial`);
+    }
+    this.#heldTimer = setTimeout(
+      () => this.#tryNextServer(),
+      undecidedRetryMilliseconds,
+    );
   }
 
   #hasTooManyRefusals(): boolean {
@@ -409,32 +430,15 @@
 
   #refuseForCapacity(waitMilliseconds: number): void {
     const { services } = this.#options;
-    this.#fail({
-      status: 503,
-      code: "no_capacity",
-      message: "all servers are full; the request has not run",
-      retryAfterMilliseconds: chooseRetryAfter({
-        expectedWaitMilliseconds: waitMilliseconds,
-        remainingMilliseconds: this.#deadline - services.now(),
-        random: services.random,
-      }),
-    });
+    this.#fail(capacityError({
+      expectedWaitMilliseconds: waitMilliseconds,
+      remainingMilliseconds: this.#deadline - services.now(),
+      random: services.random,
+    }));
   }
 
   #giveUp(reason: string): void {
-    if (this.#possibleRuns > 0) {
-      return this.#fail({
-        status: 502,
-        code: "servers_failed",
-        message: `${reason}; the request may have run`,
-      });
-    }
-    this.#fail({
-      status: 503,
-      code: "no_server",
-      message: `${reason}; the request has not run`,
-      retryAfterMilliseconds: defaultRetryAfterMilliseconds,
-    });
+    this.#fail(noServerError(reason, { mayHaveRun: this.#possibleRuns > 0 }));
   }
 
   #handleDeadline(): void {
@@ -445,11 +449,7 @@
       this.#options.services.recordFailure(this.#server);
     }
     if (!mayHaveRun) return this.#giveUp("the deadline has passed");
-    this.#fail({
-      status: 504,
-      code: "deadline",
-      message: "no complete answer before the deadline",
-    });
+    this.#fail(deadlineError);
   }
 
   #handleDisconnect(): void {
@@ -476,6 +476,7 @@
   #close(): void {
     this.#isOver = true;
     clearTimeout(this.#deadlineTimer);
+    clearTimeout(this.#heldTimer);
     this.#queueWatch?.stop();
   }
 
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -5,6 +5,8 @@
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { ConnectionPool } from "../transport/connection-pool.ts";
+import type { CrashSuspect } from "../quarantine/crash-evidence.ts";
+import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { CallerCodec, ReceivedRequest } from "./caller-request.ts";
 import type { SendChoice } from "./choose-server.ts";
 import type { Placer } from "./placement.ts";
@@ -63,6 +65,15 @@
   recordFailure(server: InstanceId): void;
   /** Records a success and how long the server took for it. */
   recordSuccess(server: InstanceId, durationMilliseconds: number): void;
+  /**
+   * Finds out whether a server to which a connection broke has crashed, and reports the crash.
+   * `suspect` is the request that was lost, unless its answer had begun.
+   */
+  examineServer(
+    server: UpstreamServer,
+    suspect: CrashSuspect | undefined,
+  ): Promise<boolean>;
+  readonly quarantine: Pick<Quarantine, "recordBegin">;
   recordFirstBytes(received: ReceivedRequest, workspace: string): void;
   recordOutcome(outcome: OnlineOutcome): void;
 }
--- a/packages/gateway/placement.ts
+++ b/packages/gateway/placement.ts
@@ -3,11 +3,17 @@
  * decides from this instance's own view of the fleet.
  */
 
-import type { InstanceId } from "../common/ids.ts";
+import type { InstanceId, PromptPartId } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { WorkspaceRule } from "../fleet/configuration.ts";
 import type { BucketState } from "../fleet/limits/shared-bucket.ts";
-import { chooseServer, freeSlots, type ServerChoice } from "./choose-server.ts";
+import type { Judgement } from "../quarantine/quarantine.ts";
+import {
+  chooseServer,
+  chooseServerForTrial,
+  freeSlots,
+  type ServerChoice,
+} from "./choose-server.ts";
 import { acceptableWaitShares } from "./constants.ts";
 import type { ChoiceRequest } from "./online-services.ts";
 import { listCandidates } from "./server-candidates.ts";
@@ -29,6 +35,9 @@
 export interface PlacementRequest extends ChoiceRequest {
   /** The workspace against whose limit the request still has to be counted, if any. */
   readonly limitedWorkspace: WorkspaceRule | undefined;
+  /** Parts of the prompt by which the request may be suspected to crash servers. */
+  readonly sharedPromptParts: readonly PromptPartId[];
+  readonly requestId: string;
 }
 
 /** A request that finds no room is not counted against the limit of its workspace. */
@@ -38,7 +47,23 @@
     & Omit<
       Extract<LimitDecision, { admitted: false }>,
       "admitted"
-    >;
+    >
+  /** Another request with the same suspected part has been sent, whose outcome is awaited. */
+  | { readonly kind: "held"; readonly part: PromptPartId }
+  /** Servers crash under the part, so that the request must not be sent. */
+  | {
+    readonly kind: "quarantined";
+    readonly part: PromptPartId;
+    readonly crashes: number;
+    /** Wall-clock milliseconds. */
+    readonly decidedAt: number;
+  };
+
+/** Decides on requests by the parts of their prompts. */
+export interface PartJudge {
+  judge(parts: readonly PromptPartId[]): Judgement;
+  beginTrial(request: string, parts: readonly PromptPartId[]): void;
+}
 
 /** Asks whether a request that waits at a server would begin sooner at another one. */
 export interface RoomRequest extends ChoiceRequest {
@@ -71,6 +96,7 @@
 export interface LocalPlacerOptions {
   readonly blackboard: Blackboard;
   readonly limiter: () => WorkspaceLimiter;
+  readonly quarantine: () => PartJudge;
   readonly zone: string;
   readonly displaceBatch: (server: InstanceId) => void;
   /** Monotonic milliseconds. */
@@ -108,7 +134,21 @@
 
   /** Decides on a request without counting it in the load of the server. */
   decide(request: PlacementRequest, origin: PlacementOrigin): Placement {
-    const choice = this.#choose(request, origin);
+    const quarantine = this.#options.quarantine();
+    const judgement = quarantine.judge(request.sharedPromptParts);
+    if (judgement.kind === "undecided") {
+      return { kind: "held", part: judgement.part };
+    }
+    if (judgement.kind === "rejected") {
+      const { part, crashes, decidedAt } = judgement.verdict;
+      return { kind: "quarantined", part, crashes, decidedAt };
+    }
+    const isTrial = judgement.kind === "trial";
+    const choice = this.#choose(
+      request,
+      origin,
+      isTrial ? chooseServerForTrial : chooseServer,
+    );
     if (choice.kind !== "send") return choice;
     const { limitedWorkspace } = request;
     if (limitedWorkspace) {
@@ -119,7 +159,9 @@
       }
     }
     if (choice.displacesBatch) this.#options.displaceBatch(choice.server.id);
-    return choice;
+    if (!isTrial) return choice;
+    quarantine.beginTrial(request.requestId, judgement.parts);
+    return { ...choice, isTrial };
   }
 
   checkRoom(request: RoomRequest, origin: PlacementOrigin): RoomReply {
@@ -139,6 +181,7 @@
   #choose(
     { service, excluded, objectiveMilliseconds, waitTolerance }: ChoiceRequest,
     { zone, avoided }: PlacementOrigin,
+    choose = chooseServer,
   ): ServerChoice {
     const { blackboard, now, random } = this.#options;
     const candidates = listCandidates(blackboard, {
@@ -148,7 +191,7 @@
       excluded,
       avoided,
     });
-    return chooseServer(candidates, {
+    return choose(candidates, {
       durationMilliseconds: blackboard.requestDurationMilliseconds,
       acceptableWaitMilliseconds: objectiveMilliseconds *
         acceptableWaitShares[waitTolerance],
--- /dev/null
+++ b/packages/gateway/request-errors.ts
@@ -0,0 +1,59 @@
+/** The errors that end an online request which no server has answered. */
+
+import type { ErrorAnswer } from "./caller-response.ts";
+import { defaultRetryAfterMilliseconds } from "./constants.ts";
+import type { Placement } from "./placement.ts";
+import { chooseRetryAfter, type RetryAfterOptions } from "./retry-after.ts";
+
+export const serverFailedError: ErrorAnswer = {
+  status: 502,
+  code: "server_failed",
+  message: "the server failed and the request may have run",
+};
+
+export const deadlineError: ErrorAnswer = {
+  status: 504,
+  code: "deadline",
+  message: "no complete answer before the deadline",
+};
+
+export function capacityError(options: RetryAfterOptions): ErrorAnswer {
+  return {
+    status: 503,
+    code: "no_capacity",
+    message: "all servers are full; the request has not run",
+    retryAfterMilliseconds: chooseRetryAfter(options),
+  };
+}
+
+/** The request is given up for the reason. */
+export function noServerError(
+  reason: string,
+  { mayHaveRun }: { readonly mayHaveRun: boolean },
+): ErrorAnswer {
+  if (mayHaveRun) {
+    return {
+      status: 502,
+      code: "servers_failed",
+      message: `${reason}; the request may have run`,
+    };
+  }
+  return {
+    status: 503,
+    code: "no_server",
+    message: `${reason}; the request has not run`,
+    retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+  };
+}
+
+/** A final error: clients do not repeat a request after 400. */
+export function quarantineError(
+  { part }: Extract<Placement, { kind: "quarantined" }>,
+): ErrorAnswer {
+  return {
+    status: 400,
+    code: "prompt_part_quarantined",
+    message:
+      `servers crash when they answer a prompt with the part ${part}; do not repeat the request`,
+  };
+}
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -22,6 +22,8 @@
   readonly reason: string;
   /** True if the server was silent, unreachable or failed while answering; false for a refusal. */
   readonly isServerFault: boolean;
+  /** The connection ended after the request was sent, so that the server may have crashed. */
+  readonly isConnectionBroken?: boolean;
 }
 
 export interface AttemptListener {
@@ -65,6 +67,7 @@
   #wasSent = false;
   #isPaused = false;
   #interimAnswers = 0;
+  #endsWithConnection = false;
 
   constructor(options: AttemptOptions, listener: AttemptListener) {
     this.#options = options;
@@ -76,6 +79,11 @@
     return this.#wasSent;
   }
 
+  /** True if only the end of the connection marks the end of the answer. */
+  get endsWithConnection(): boolean {
+    return this.#endsWithConnection;
+  }
+
   start(): void {
     const { pool, method, target, headers, body } = this.#options;
     this.#restartIdleTimer(this.#options.headTimeoutMilliseconds);
@@ -108,6 +116,7 @@
           verdict: this.#wasSent ? "unknown" : "not_run",
           reason: error.message,
           isServerFault: true,
+          isConnectionBroken: this.#wasSent,
         }),
     });
   }
@@ -139,6 +148,8 @@
   ): void {
     if (this.#isOver) return;
     if (status < 200) return this.#countInterimAnswer();
+    this.#endsWithConnection = headers["content-length"] === undefined &&
+      headers["transfer-encoding"] === undefined;
     const head = this.#options.decodeHead(status, headers);
     if (
       head.requestId !== undefined &&
@@ -181,6 +192,7 @@
         verdict: "unknown",
         reason: "the connection was reset before the end of the answer",
         isServerFault: true,
+        isConnectionBroken: true,
       });
     }
     if (this.#finish()) this.#listener.onEnd();
--- a/packages/gateway/server-health.ts
+++ b/packages/gateway/server-health.ts
@@ -8,6 +8,7 @@
 
 import type { InstanceId } from "../common/ids.ts";
 import {
+  crashAvoidanceMilliseconds,
   failureShareDecayMilliseconds,
   failureSmoothingFactor,
   initialAvoidanceMilliseconds,
@@ -119,6 +120,18 @@
       );
   }
 
+  /**
+   * Avoids a server that has crashed, without blame: a request may have been the cause, and the
+   * server is used again once it has started again.
+   */
+  recordCrash(server: InstanceId, now: number): void {
+    const record = this.#recordOf(server, now);
+    record.avoidedUntil = Math.max(
+      record.avoidedUntil,
+      now + crashAvoidanceMilliseconds,
+    );
+  }
+
   addSuccess(server: InstanceId, now: number): void {
     const record = this.#records.get(server);
     if (!record) return;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -10,9 +10,9 @@
 import { delay, systemTimers } from "../common/timers.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
+import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { chooseService } from "../gateway/gateway.ts";
-import { freeSlots } from "../gateway/choose-server.ts";
 import { listCandidates } from "../gateway/server-candidates.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import {
@@ -31,16 +31,20 @@
   itemRetryMilliseconds,
   maximumConcurrentRuns,
   resultDeliveryMilliseconds,
-  slotsKeptFree,
 } from "./constants.ts";
 import type { ItemBodies } from "./item-bodies.ts";
+import { collectReadyItems, maximumStarts } from "./ready-items.ts";
 import { RunEstimator } from "./run-estimate.ts";
 import { ItemRun, type RunOutcome } from "./item-run.ts";
+import type { CrashDetector } from "../quarantine/crash-detector.ts";
+import type { Judgement, Quarantine } from "../quarantine/quarantine.ts";
+import { recordInterruption } from "./interruption.ts";
 import type { JobCodec } from "./job-codec.ts";
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobState } from "./partition-state.ts";
 import type { ItemProgress, ProgressStore } from "./progress-store.ts";
 import type { ResultWriter } from "./result-writer.ts";
+import type { JobItem } from "./records.ts";
 import { compareUrgency, type Urgency } from "./urgency.ts";
 import { type ItemWork, WorkTable } from "./work-table.ts";
 
@@ -58,6 +62,8 @@
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
   readonly pools: ServerPools;
+  readonly quarantine: Quarantine;
+  readonly crashDetector: CrashDetector;
   readonly zone: string;
   readonly now: () => number;
   readonly wallNow: () => number;
@@ -65,6 +71,12 @@
   readonly logger: Logger;
 }
 
+/** Where a run took place, and whether content of its answer had arrived. */
+interface EndedRun {
+  readonly upstream: UpstreamServer;
+  readonly hasBegun: boolean;
+}
+
 export class BatchExecutor {
   readonly #options: BatchExecutorOptions;
   readonly #workTable = new WorkTable();
@@ -158,14 +170,23 @@
     if (this.#isStopped) return;
     const { blackboard, now, logger } = this.#options;
     if (!blackboard.configuration) return;
-    const ready = this.#collectReadyItems();
+    const ready = collectReadyItems({
+      ...this.#options,
+      workTable: this.#workTable,
+      now: now(),
+      wallNow: this.#options.wallNow(),
+    });
     this.#waitingItems = ready.length;
     if (ready.length === 0) return;
     const time = now();
     ready.sort((left, right) => this.#compareUrgency(left, right, time));
     // Checked only once: runs start after their bodies have been read, so none starts in the loop.
     if (this.#workTable.running().length >= maximumConcurrentRuns) return;
-    let startsLeft = this.#maximumStarts(ready);
+    let startsLeft = maximumStarts(blackboard, {
+      ready: ready.length,
+      waitingAtPeers: this.#options.waitingItemsOfPeers(),
+      now: time,
+    });
     for (const work of ready) {
       if (startsLeft <= 0) break;
       try {
@@ -197,55 +218,6 @@
     };
   }
 
-  #collectReadyItems(): ItemWork[] {
-    const { partitions, progress, canStartItems, now, wallNow } = this.#options;
-    const ready: ItemWork[] = [];
-    const time = now();
-    const wallTime = wallNow();
-    for (const partition of partitions.all()) {
-      if (!canStartItems(partition.number) || !partition.isLoaded) continue;
-      for (const state of partition.state.jobs()) {
-        if (state.isEnded) continue;
-        if (state.finished.size === state.record.items.length) continue;
-        for (const [item, { id, tokens }] of state.record.items.entries()) {
-          if (state.finished.has(item)) continue;
-          const work = this.#workTable.getOrCreate(
-            partition.number,
-            state,
-            item,
-            id,
-            {
-              dueAt: time + state.record.dueAt - wallTime,
-              tokens,
-              progress: () =>
-                progress.get(partition.number, state.record.job, item),
-            },
-          );
-          if (work.run || work.isStarting || work.hasResult) continue;
-          if (work.retryAt <= time) ready.push(work);
-        }
-      }
-    }
-    return ready;
-  }
-
-  /** This instance's share of the free slots, in proportion to its share of the waiting items. */
-  #maximumStarts(ready: readonly ItemWork[]): number {
-    const { blackboard, now } = this.#options;
-    const time = now();
-    let totalFreeSlots = 0;
-    for (const server of blackboard.upstreams.all()) {
-      if (server.state !== "ready") continue;
-      const load = blackboard.loads.estimate(server.id, time);
-      totalFreeSlots += freeSlots(
-        { slots: server.slots, ...load },
-        slotsKeptFree,
-      );
-    }
-    const totalWaiting = ready.length + this.#options.waitingItemsOfPeers();
-    return Math.max(1, Math.ceil(totalFreeSlots * ready.length / totalWaiting));
-  }
-
   /** Returns true if a slot was reserved for the item, which is sent once its body is read. */
   #startItem(work: ItemWork, time: number): boolean {
     const { blackboard, partitions, bodies, logger } = this.#options;
@@ -258,11 +230,32 @@
       item.path,
     );
     if (!route) {
-      this.#giveUpWithoutRoute(work, state, partition);
+      this.#giveUpAfterRetention(
+        work,
+        state,
+        partition,
+        "the route no longer exists",
+      );
+      return false;
+    }
+    const judgement = this.#judge(work, item, state.record.host);
+    if (judgement.kind === "undecided") return false;
+    if (judgement.kind === "rejected") {
+      const { part, crashes } = judgement.verdict;
+      this.#giveUpAfterRetention(
+        work,
+        state,
+        partition,
+        `${crashes} servers crashed under the prompt part ${part}`,
+      );
       return false;
     }
     const server = this.#chooseServer(work, route, time);
     if (!server) return false;
+    if (judgement.kind === "trial") {
+      this.#options.quarantine.beginTrial(work.itemId, judgement.parts);
+    }
+    work.isTrial = judgement.kind === "trial";
     work.isStarting = true;
     blackboard.loads.addRequest(server, "batch");
     bodies.read(partition, state.record, work.item).then(
@@ -281,22 +274,24 @@
     return true;
   }
 
-  /** Gives up an item whose route no longer exists, but only after the job's retention time. */
-  #giveUpWithoutRoute(
+  #judge(work: ItemWork, item: JobItem, host: string): Judgement {
+    const { jobCodec, quarantine } = this.#options;
+    work.sharedPromptParts ??= jobCodec.toRequest(item, host).sharedPromptParts;
+    return quarantine.judge(work.sharedPromptParts);
+  }
+
+  /** Gives up an item that cannot be sent, but only after the job's retention time. */
+  #giveUpAfterRetention(
     work: ItemWork,
     state: JobState,
     partition: JobPartition,
+    reason: string,
   ): void {
     if (this.#options.wallNow() < state.record.retainedUntil) {
       work.retryAt = this.#options.now() + itemRetryMaximumMilliseconds;
       return;
     }
-    this.#recordResult(
-      work,
-      partition,
-      "dead_letter",
-      "the route no longer exists",
-    );
+    this.#recordResult(work, partition, "dead_letter", reason);
   }
 
   #chooseServer(
@@ -338,7 +333,7 @@
       state.record.items[work.item]!,
       state.record.host,
     );
-    const run = new ItemRun({
+    const run: ItemRun = new ItemRun({
       server,
       output: work.output,
       attempt: {
@@ -362,7 +357,16 @@
           blackboard.loads.setSelfReportedLoad(server, head.load, now());
         }
       },
-      onEnd: (outcome) => this.#handleEnd(work, server, outcome),
+      onBegin: () =>
+        this.#options.quarantine.recordBegin(
+          request.sharedPromptParts,
+          upstream.service,
+          { isTrial: work.isTrial },
+        ),
+      hasServerCrashed: () =>
+        this.#options.crashDetector.examine(upstream, undefined),
+      onEnd: (outcome) =>
+        this.#handleEnd(work, { upstream, hasBegun: run.hasBegun }, outcome),
     });
     work.run = run;
     work.runs += 1;
@@ -377,8 +381,13 @@
     run.start();
   }
 
-  #handleEnd(work: ItemWork, server: InstanceId, outcome: RunOutcome): void {
+  #handleEnd(
+    work: ItemWork,
+    { upstream, hasBegun }: EndedRun,
+    outcome: RunOutcome,
+  ): void {
     const { blackboard, partitions, now, logger } = this.#options;
+    const server = upstream.id;
     work.run = undefined;
     blackboard.loads.removeRequest(server, "batch");
     const events = work.output.lastEventId ?? 0;
@@ -412,7 +421,12 @@
         work.failedAt.add(server);
         return this.#countFailure(work, partition);
       case "interrupted":
-        if (outcome.isServerFault) blackboard.health.addFailure(server, now());
+        void recordInterruption(work, outcome, {
+          ...this.#options,
+          health: blackboard.health,
+          upstream,
+          hasBegun,
+        });
         work.interruptions += 1;
         work.retryAt = now() + Math.min(
           itemRetryMilliseconds * work.interruptions,
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -41,6 +41,11 @@
 export const itemFailureRetryMilliseconds = 700;
 /** Longest pause after repeated interruptions, and the pause of an item that cannot be sent. */
 export const itemRetryMaximumMilliseconds = 1_500;
+/**
+ * Pause before an item is sent again whose servers have crashed twice before they began to answer; it
+ * doubles with each further crash, since the item may be the cause.
+ */
+export const itemCrashRetryMilliseconds = 1_500;
 /** Longest wait for the response head of an item, which may queue behind other requests. */
 export const itemHeadTimeoutMilliseconds = 3_000;
 /** Longest pause within the response to an item. */
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -32,6 +32,8 @@
     readonly reason: string;
     /** Whether the run counts against the health of the server; a refusal does not. */
     readonly isServerFault: boolean;
+    /** The connection ended, so that the server may have crashed. */
+    readonly isConnectionBroken: boolean;
   }
   | { readonly kind: "cancelled" };
 
@@ -40,6 +42,10 @@
   readonly output: PartialOutput;
   readonly attempt: AttemptOptions;
   readonly onHead: (head: AnswerHead) => void;
+  /** Called when the first event arrives. */
+  readonly onBegin: () => void;
+  /** Resolves to true if the server has crashed; asked where only the connection ends an answer. */
+  readonly hasServerCrashed: () => Promise<boolean>;
   readonly onEnd: (outcome: RunOutcome) => void;
 }
 
@@ -55,6 +61,7 @@
   #status = 0;
   /** Characters of text that this run has received; a longer text than the store takes is unsound. */
   #receivedCharacters = 0;
+  #hasBegun = false;
   #isOver = false;
 
   constructor(options: ItemRunOptions) {
@@ -97,6 +104,10 @@
     if (this.#isOver || this.#status !== statusOk) return false;
     const { output } = this.#options;
     const events = this.#splitter.push(chunk);
+    if (!this.#hasBegun) {
+      this.#hasBegun = true;
+      this.#options.onBegin();
+    }
     for (const event of events) {
       // The ids of an item's events are consecutive, also from one run to the next.
       const expected = (output.lastEventId ?? event.id ?? 0) +
@@ -134,17 +145,43 @@
       return this.#interrupt(
         "the stream ended in the middle of an event",
         true,
+        true,
       );
     }
-    this.#end({ kind: "completed" });
+    if (this.#options.output.lastEventId === undefined) {
+      return this.#interrupt("the stream ended without an event", true, true);
+    }
+    if (!this.#attempt.endsWithConnection) {
+      return this.#end({ kind: "completed" });
+    }
+    void this.#options.hasServerCrashed().then((hasCrashed) =>
+      hasCrashed
+        ? this.#interrupt("the server crashed", true, true)
+        : this.#end({ kind: "completed" })
+    );
   }
 
   #handleFailure(failure: AttemptFailure): void {
-    this.#interrupt(failure.reason, failure.isServerFault);
+    const { reason, isServerFault, isConnectionBroken } = failure;
+    this.#interrupt(reason, isServerFault, isConnectionBroken);
+  }
+
+  #interrupt(
+    reason: string,
+    isServerFault: boolean,
+    isConnectionBroken = false,
+  ): void {
+    this.#end({
+      kind: "interrupted",
+      reason,
+      isServerFault,
+      isConnectionBroken,
+    });
   }
 
-  #interrupt(reason: string, isServerFault: boolean): void {
-    this.#end({ kind: "interrupted", reason, isServerFault });
+  /** True once content of the answer has arrived. */
+  get hasBegun(): boolean {
+    return this.#hasBegun;
   }
 
   #end(outcome: RunOutcome): void {
--- a/packages/jobs/work-table.ts
+++ b/packages/jobs/work-table.ts
@@ -1,6 +1,11 @@
 /** Holds the in-memory state of the unfinished items of the partitions that an instance owns. */
 
-import type { InstanceId, JobId, PartitionNumber } from "../common/ids.ts";
+import type {
+  InstanceId,
+  JobId,
+  PartitionNumber,
+  PromptPartId,
+} from "../common/ids.ts";
 import type { ItemRun, PartialOutput } from "./item-run.ts";
 import type { JobState } from "./partition-state.ts";
 import type { ItemProgress } from "./progress-store.ts";
@@ -16,9 +21,13 @@
   /** Prompt tokens plus the largest number of output tokens. */
   readonly tokens: number;
   readonly output: PartialOutput;
+  /** Parts of the prompt that other requests may have too; undefined until they are needed. */
+  sharedPromptParts: readonly PromptPartId[] | undefined;
   run: ItemRun | undefined;
   /** Its body is being read, and a slot of the chosen server is reserved for it. */
   isStarting: boolean;
+  /** Its present run was sent to find out whether its prompt crashes servers. */
+  isTrial: boolean;
   /** Its result has been passed to the result writer, but may not be stored yet. */
   hasResult: boolean;
   /** Earliest time of the next run, in monotonic milliseconds. */
@@ -30,6 +39,8 @@
   eventsAtRunStart: number;
   /** Interrupted runs at this instance, which lengthen the pause before the next. */
   interruptions: number;
+  /** Runs at this instance whose server crashed before it began to answer. */
+  crashes: number;
   /** Runs that failed at a server, those of earlier owners included. */
   failures: number;
   /** Servers at which a run failed; the next run goes to another one if there is any. */
@@ -68,14 +79,17 @@
           eventData: earlier ? [earlier.text] : [],
           lastEventId: earlier?.lastEventId,
         },
+        sharedPromptParts: undefined,
         run: undefined,
         isStarting: false,
+        isTrial: false,
         hasResult: false,
         retryAt: Number.NEGATIVE_INFINITY,
         runs: 0,
         runStartedAt: 0,
         eventsAtRunStart: 0,
         interruptions: 0,
+        crashes: 0,
         failures: state.failures.get(item) ?? 0,
         failedAt: new Set(),
       };
--- /dev/null
+++ b/packages/quarantine/verdict-store.ts
@@ -0,0 +1,108 @@
+/** Writes verdicts on prompt parts to the store, where all instances read them. */
+
+import type {
+  PartitionNumber,
+  PromptPartId,
+  StreamName,
+} from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import { delay, systemTimers } from "../common/timers.ts";
+import type {
+  KeyedEntry,
+  KeyedStore,
+  StreamPartition,
+} from "../store/keyed-store.ts";
+import { writeRetryMilliseconds } from "./constants.ts";
+import {
+  claimEntry,
+  type TrialClaim,
+  type Verdict,
+  verdictEntry,
+} from "./verdict-records.ts";
+
+export interface VerdictStoreOptions {
+  readonly store: KeyedStore;
+  readonly stream: StreamName;
+  readonly logger: Logger;
+}
+
+export class VerdictStore {
+  readonly target: StreamPartition;
+  readonly #options: VerdictStoreOptions;
+  /** The newest verdict of each part that is not stored yet. */
+  readonly #unwritten = new Map<PromptPartId, Verdict>();
+  readonly #claiming = new Set<PromptPartId>();
+  #isWriting = false;
+  #isStopped = false;
+
+  constructor(options: VerdictStoreOptions) {
+    this.#options = options;
+    this.target = {
+      stream: options.stream,
+      partition: 0 as PartitionNumber,
+    };
+  }
+
+  /** True while a verdict on the part is not confirmed to be stored. */
+  isWriting(part: PromptPartId): boolean {
+    return this.#unwritten.has(part);
+  }
+
+  /** Writes the verdict, with retries until it is stored. */
+  write(verdict: Verdict): void {
+    this.#unwritten.set(verdict.part, verdict);
+    if (!this.#isWriting) void this.#writeAll();
+  }
+
+  /** Removes a verdict and its claims; rejects if the store does not confirm it. */
+  async remove(
+    part: PromptPartId,
+    entries: readonly KeyedEntry[],
+  ): Promise<void> {
+    this.#unwritten.delete(part);
+    await this.#options.store.append(this.target, entries);
+  }
+
+  /** Claims a trial; a claim that fails may be repeated. */
+  claim(claim: TrialClaim): void {
+    if (this.#claiming.has(claim.part)) return;
+    this.#claiming.add(claim.part);
+    this.#options.store.append(this.target, [claimEntry(claim)])
+      .catch((error) =>
+        this.#options.logger.warn("a trial could not be claimed", {
+          part: claim.part,
+          reason: String(error),
+        })
+      )
+      .finally(() => this.#claiming.delete(claim.part));
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #writeAll(): Promise<void> {
+    this.#isWriting = true;
+    while (this.#unwritten.size > 0 && !this.#isStopped) {
+      const verdicts = [...this.#unwritten.values()];
+      try {
+        await this.#options.store.append(
+          this.target,
+          verdicts.map(verdictEntry),
+        );
+        for (const verdict of verdicts) {
+          if (this.#unwritten.get(verdict.part) === verdict) {
+            this.#unwritten.delete(verdict.part);
+          }
+        }
+      } catch (error) {
+        this.#options.logger.warn("verdicts could not be written", {
+          parts: verdicts.map(({ part }) => part).join(" "),
+          reason: String(error),
+        });
+        await delay(systemTimers, writeRetryMilliseconds);
+      }
+    }
+    this.#isWriting = false;
+  }
+}
