Take no refusal without the id of its request for its answer

Another operator's faulty server wrote an earlier refusal once more on a kept connection. If the refusal had no id, the next request on that connection was taken to have been refused: its caller was told that it had not run although it had, or it ran at a second server. The id was compared only where there was one. A refusal counts now only with the id of the request; without it the request may have run, and the connection is closed.

--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -161,6 +161,14 @@
         isServerFault: false,
       });
     }
+    if (head.hasNotRun && head.requestId === undefined) {
+      // It may be the repeated refusal of an earlier request on the connection.
+      return this.#fail({
+        verdict: "unknown",
+        reason: "a refusal without the id of the request",
+        isServerFault: false,
+      });
+    }
     this.#restartIdleTimer(this.#options.bodyIdleTimeoutMilliseconds);
     this.#listener.onHead(head);
   }
