List and lift quarantined prompt parts, and count crashes of servers

An operator had no way to see which prompt parts are rejected or to end a verdict that turned out wrong. The address of the metrics answers GET /quarantine and DELETE /quarantine/PART; the tool has 'quarantine list' and 'quarantine lift'. No decision has changed.

--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -5,15 +5,12 @@
  */
 
 import process from "node:process";
-import type { Clock } from "../common/clock.ts";
 import type { InstanceId } from "../common/ids.ts";
-import type { Logger } from "../common/logging.ts";
 import { CoordinatorClient } from "../coordination/coordinator-client.ts";
 import { CoordinatorService } from "../coordination/coordinator-service.ts";
 import { ForwardedJobCalls } from "../coordination/forwarded-job-calls.ts";
 import { serveJobCalls } from "../coordination/job-call-service.ts";
 import { RemotePlacer } from "../coordination/remote-placer.ts";
-import type { Blackboard } from "../fleet/blackboard.ts";
 import type { Documents } from "../fleet/documents.ts";
 import {
   FleetLimits,
@@ -37,37 +34,29 @@
 import { LocalPlacer, type Placer } from "../gateway/placement.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
-import type { KeyedStore } from "../store/keyed-store.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
   coordinatorWarmUpMilliseconds,
   displaceTimeoutMilliseconds,
   memberSilenceTimeoutMilliseconds,
 } from "./constants.ts";
-import { CrashControl } from "./crash-control.ts";
+import { CrashControl, type CrashControlOptions } from "./crash-control.ts";
 import { CoordinationRole } from "./coordination-role.ts";
-import type { EntrySettings } from "./entry-settings.ts";
 import { SilentDependents } from "./silent-dependents.ts";
 
-export interface CoordinationOptions {
-  readonly settings: EntrySettings;
-  readonly blackboard: Blackboard;
+export interface CoordinationOptions
+  extends Omit<CrashControlOptions, "coordinators" | "isCoordinator"> {
   readonly network: ReportNetwork;
   readonly members: MemberTable;
   readonly documents: Documents;
-  readonly store: KeyedStore;
   readonly pools: ServerPools;
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
   /** Whether this instance cannot read the store at present. */
   readonly isStoreFailing: () => boolean;
   readonly removeMember: (member: Member) => void;
-  /** Called when the verdicts on prompt parts have been read for the first time. */
-  readonly onVerdictsLoaded: () => void;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
-  readonly clock: Clock;
-  readonly logger: Logger;
 }
 
 /** What is known of the tokens that are left when this instance begins to apply limits. */
--- a/packages/entry/crash-control.ts
+++ b/packages/entry/crash-control.ts
@@ -28,6 +28,7 @@
   readonly isCoordinator: () => boolean;
   /** Called when the verdicts on prompt parts have been read for the first time. */
   readonly onVerdictsLoaded: () => void;
+  readonly countServerCrash: () => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -59,7 +60,10 @@
       logger,
     });
     this.detector = new CrashDetector({
-      onCrash: (report) => this.quarantine.reportCrash(report),
+      onCrash: (report) => {
+        options.countServerCrash();
+        this.quarantine.reportCrash(report);
+      },
       now: clock.monotonicNow,
     });
     this.#follower = this.#createFollower();
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -4,7 +4,11 @@
  * a platform is passed in through the options.
  */
 
-import { createServer, type ServerResponse } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { DisposableStore } from "../common/disposable-store.ts";
 import type { Incarnation, StreamName } from "../common/ids.ts";
@@ -41,6 +45,7 @@
 import type { EntrySettings, ListenAddress } from "./entry-settings.ts";
 import { addInstanceGauges } from "./instance-gauges.ts";
 import { leaveFleet } from "./leaving.ts";
+import { handleQuarantineRequest } from "./quarantine-endpoint.ts";
 import { Membership } from "./membership.ts";
 
 export interface EntryInstanceOptions {
@@ -214,6 +219,7 @@
         this.#followers.some((follower) => follower.isFailing),
       removeMember: (member) => void this.#membership.remove(member),
       onVerdictsLoaded: () => this.#gateway.handleDocuments(),
+      countServerCrash: () => metrics.countServerCrash(),
       countRun: (outcome) => metrics.countItemRun(outcome),
       clock,
       logger,
@@ -299,7 +305,7 @@
   }
 
   async #listenForReadiness(): Promise<void> {
-    await this.#listenOn(this.#options.settings.readiness, (response) => {
+    await this.#listenOn(this.#options.settings.readiness, (_, response) => {
       const isReady = this.#blackboard.isReady && this.#membership.isLoaded &&
         this.#coordination.isDecided;
       response.writeHead(isReady ? 200 : 503);
@@ -307,11 +313,17 @@
     });
   }
 
-  /** Serves the metrics if the settings name an address for them. */
+  /** Serves the metrics and the quarantine if the settings name an address for them. */
   async #listenForMetrics(): Promise<void> {
     const { metrics, settings, logger } = this.#options;
     if (!settings.metrics) return;
-    await this.#listenOn(settings.metrics, (response) => {
+    const { quarantine } = this.#coordination.crashControl;
+    await this.#listenOn(settings.metrics, (request, response) => {
+      const isHandled = handleQuarantineRequest(request, response, {
+        quarantine,
+        logger,
+      });
+      if (isHandled) return;
       metrics.render().then(
         (text) => {
           response.writeHead(200, { "content-type": "text/plain" });
@@ -330,11 +342,11 @@
   /** Passes every HTTP request at the address to `respond` until the instance is stopped. */
   async #listenOn(
     address: ListenAddress,
-    respond: (response: ServerResponse) => void,
+    respond: (request: IncomingMessage, response: ServerResponse) => void,
   ): Promise<void> {
     const server = createServer((request, response) => {
       request.resume();
-      respond(response);
+      respond(request, response);
     });
     await listenOn(server, address);
     this.#disposables.add(() => {
--- a/packages/entry/entry-metrics.ts
+++ b/packages/entry/entry-metrics.ts
@@ -38,6 +38,11 @@
     "Runs of batch items by outcome.",
     ["outcome"],
   );
+  readonly #serverCrashes = this.#createCounter(
+    "rosemaryrudder_server_crashes_total",
+    "Crashes of servers that this instance has noticed.",
+    [],
+  );
   readonly #serverConnections = this.#createCounter(
     "rosemaryrudder_server_connections_total",
     "Connections opened to servers.",
@@ -81,6 +86,10 @@
     this.#itemRuns.inc({ outcome });
   }
 
+  countServerCrash(): void {
+    this.#serverCrashes.inc();
+  }
+
   countConnection(): void {
     this.#serverConnections.inc();
   }
--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -52,6 +52,11 @@
       help: "Partitions of the job stream that this instance owns.",
       read: () => coordination.batch?.report().ownedPartitions.length ?? 0,
     },
+    {
+      name: "rosemaryrudder_quarantined_parts",
+      help: "Prompt parts whose requests are rejected, since servers crash.",
+      read: () => coordination.crashControl.quarantine.verdicts.length,
+    },
     {
       name: "rosemaryrudder_coordinator",
       help: "1 if this instance is a coordinator.",
--- a/packages/operator/program.ts
+++ b/packages/operator/program.ts
@@ -14,6 +14,10 @@
 import { cancelJobCommand, listJobsCommand } from "./commands/jobs.ts";
 import { createKeyCommand, withdrawKeyCommand } from "./commands/keys.ts";
 import { publishCommand } from "./commands/publish.ts";
+import {
+  liftQuarantineCommand,
+  listQuarantineCommand,
+} from "./commands/quarantine.ts";
 import { statusCommand } from "./commands/status.ts";
 import { createTeamKeyCommand } from "./commands/teams.ts";
 import { validateCommand } from "./commands/validate.ts";
@@ -33,6 +37,8 @@
   cancelJobCommand,
   createTeamKeyCommand,
   explainCommand,
+  listQuarantineCommand,
+  liftQuarantineCommand,
 ];
 
 /** Descriptions of command groups by the first word of their commands. */
@@ -40,6 +46,7 @@
   keys: "Create and withdraw keys of callers",
   jobs: "List and cancel batch jobs",
   teams: "Create the signing keys of teams",
+  quarantine: "List and lift the quarantine of prompt parts",
 };
 
 export interface OperatorProgramOptions {
