Share the release trials of parts that are convicted together

Two parts that are always found together are both convicted, and each had three trials for release of its own, so that six requests could have crashed servers where three are allowed. The first part of a rejected request in order is now in charge of the trials. The removal of a released verdict is repeated until the store confirms it; it was given up after one failure, and a restarted instance would have read the verdict again.

--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -117,30 +117,30 @@
 
   /** Decides on a request with these shared parts. */
   judge(parts: readonly PromptPartId[]): Judgement {
-    const suspected: PromptPartId[] = [];
-    let isReleaseTrial = false;
-    for (const part of parts) {
-      const verdict = this.#verdicts.get(part);
-      if (verdict) {
-        const isCertain = verdict.alternatives.length === 0 ||
-          verdict.alternatives.some((other) => parts.includes(other));
-        if (isCertain) {
-          if (!this.#takeReleaseTrial(part)) {
-            return { kind: "rejected", verdict };
-          }
-          isReleaseTrial = true;
-        }
-        suspected.push(part);
-      } else if (this.#standing(part) !== "clear") {
-        suspected.push(part);
-      }
-    }
+    const suspected = parts.filter((part) =>
+      this.#verdicts.get(part) !== undefined ||
+      this.#standing(part) !== "clear"
+    );
     if (suspected.length === 0) return clear;
-    if (!isReleaseTrial) {
-      const waitsFor = suspected.find((part) => this.#mustWait(part));
-      if (waitsFor !== undefined) return { kind: "undecided", part: waitsFor };
+    // One part is in charge of the trials for release, so that several parts share their number.
+    const [leading] = suspected
+      .filter((part) => this.#isRejected(part, parts)).sort();
+    if (leading !== undefined) {
+      return this.#takeReleaseTrial(leading)
+        ? { kind: "trial", parts: suspected }
+        : { kind: "rejected", verdict: this.#verdicts.get(leading)! };
     }
-    return { kind: "trial", parts: suspected };
+    const waitsFor = suspected.find((part) => this.#mustWait(part));
+    return waitsFor === undefined
+      ? { kind: "trial", parts: suspected }
+      : { kind: "undecided", part: waitsFor };
+  }
+
+  #isRejected(part: PromptPartId, parts: readonly PromptPartId[]): boolean {
+    const alternatives = this.#verdicts.get(part)?.alternatives;
+    return alternatives !== undefined &&
+      (alternatives.length === 0 ||
+        alternatives.some((other) => parts.includes(other)));
   }
 
   /** Called when a request that was judged a trial is sent. */
@@ -436,12 +436,7 @@
     this.#verdicts.delete(part);
     this.#evidence.clear(part);
     logger.warn("a quarantined prompt part is released", { part, reason });
-    store.remove(part, entries).catch((error) =>
-      logger.error("a verdict could not be removed", {
-        part,
-        reason: String(error),
-      })
-    );
+    store.release(part, entries);
   }
 
   /**
--- a/packages/quarantine/verdict-store.ts
+++ b/packages/quarantine/verdict-store.ts
@@ -29,8 +29,8 @@
 export class VerdictStore {
   readonly target: StreamPartition;
   readonly #options: VerdictStoreOptions;
-  /** The newest verdict of each part that is not stored yet. */
-  readonly #unwritten = new Map<PromptPartId, Verdict>();
+  /** The newest entries of each part that are not stored yet. */
+  readonly #unwritten = new Map<PromptPartId, readonly KeyedEntry[]>();
   readonly #claiming = new Set<PromptPartId>();
   #isWriting = false;
   #isStopped = false;
@@ -43,15 +43,19 @@
     };
   }
 
-  /** True while a verdict on the part is not confirmed to be stored. */
+  /** True while a change of the verdict on the part is not confirmed to be stored. */
   isWriting(part: PromptPartId): boolean {
     return this.#unwritten.has(part);
   }
 
   /** Writes the verdict, with retries until it is stored. */
   write(verdict: Verdict): void {
-    this.#unwritten.set(verdict.part, verdict);
-    if (!this.#isWriting) void this.#writeAll();
+    this.#enqueue(verdict.part, [verdictEntry(verdict)]);
+  }
+
+  /** Removes a verdict and its claims, with retries until that is stored. */
+  release(part: PromptPartId, entries: readonly KeyedEntry[]): void {
+    this.#enqueue(part, entries);
   }
 
   /** Removes a verdict and its claims; rejects if the store does not confirm it. */
@@ -81,23 +85,28 @@
     this.#isStopped = true;
   }
 
+  #enqueue(part: PromptPartId, entries: readonly KeyedEntry[]): void {
+    this.#unwritten.set(part, entries);
+    if (!this.#isWriting) void this.#writeAll();
+  }
+
   async #writeAll(): Promise<void> {
     this.#isWriting = true;
     while (this.#unwritten.size > 0 && !this.#isStopped) {
-      const verdicts = [...this.#unwritten.values()];
+      const changes = [...this.#unwritten];
       try {
         await this.#options.store.append(
           this.target,
-          verdicts.map(verdictEntry),
+          changes.flatMap(([, entries]) => entries),
         );
-        for (const verdict of verdicts) {
-          if (this.#unwritten.get(verdict.part) === verdict) {
-            this.#unwritten.delete(verdict.part);
+        for (const [part, entries] of changes) {
+          if (this.#unwritten.get(part) === entries) {
+            this.#unwritten.delete(part);
           }
         }
       } catch (error) {
         this.#options.logger.warn("verdicts could not be written", {
-          parts: verdicts.map(({ part }) => part).join(" "),
+          parts: changes.map(([part]) => part).join(" "),
           reason: String(error),
         });
         await delay(systemTimers, writeRetryMilliseconds);
