--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -395,17 +395,12 @@
       return;
     }
     const { id, sharedPromptParts } = received.request;
-    const isSuspect = !this.#relay.hasBegunAnswer;
-    const hasCrashed = await services.examineServer(
-      upstream,
-      isSuspect
-        ? {
-          request: id ?? "",
-          sharedPromptParts,
-          runMilliseconds: services.now() - this.#attemptStart,
-        }
-        : undefined,
-    );
+    const suspect = this.#relay.hasBegunAnswer ? undefined : {
+      request: id ?? "",
+      sharedPromptParts,
+      runMilliseconds: services.now() - this.#attemptStart,
+    };
+    const hasCrashed = await services.examineServer(upstream, suspect);
     if (!hasCrashed) services.recordFailure(upstream.id);
   }
 
