Decode what servers state about themselves once, and log stated limits

The logs could not tell whether instances receive a server's limit, nor who sends beyond it. Load, limit and leaving are now decoded in one place in the adapter into one type, from every answer to a request, online and batch, interim answers and refusals included; malformed values are logged, counted and state nothing.

Ruled out: instances that heed the limit each for itself (they do not, and it would not help); retries of online requests. What is left: no instance heeds a limit, and only a budget of the whole fleet can.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -13,6 +13,7 @@
 import type { Logger } from "../common/logging.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { JobReport, PeerReports } from "../fleet/peers/peer-reports.ts";
+import type { ServerStatements } from "../fleet/server-statements.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import { BatchExecutor } from "../jobs/batch-executor.ts";
@@ -42,6 +43,7 @@
   readonly network: PeerNetwork;
   readonly pools: ServerPools;
   readonly crashControl: CrashControl;
+  readonly statements: ServerStatements;
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
   readonly peerReports: () => PeerReports;
@@ -233,6 +235,7 @@
       pools,
       quarantine: this.#options.crashControl.quarantine,
       crashDetector: this.#options.crashControl.detector,
+      statements: this.#options.statements,
       zone: settings.zone,
       now: clock.monotonicNow,
       wallNow: clock.wallNow,
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -12,6 +12,7 @@
 import { serveJobCalls } from "../coordination/job-call-service.ts";
 import { RemotePlacer } from "../coordination/remote-placer.ts";
 import type { Documents } from "../fleet/documents.ts";
+import type { ServerStatements } from "../fleet/server-statements.ts";
 import {
   FleetLimits,
   type FleetLimitsOptions,
@@ -49,6 +50,7 @@
   readonly network: ReportNetwork;
   readonly members: MemberTable;
   readonly documents: Documents;
+  readonly statements: ServerStatements;
   readonly pools: ServerPools;
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
@@ -399,6 +401,7 @@
       network: this.#options.network,
       pools: this.#options.pools,
       crashControl: this.crashControl,
+      statements: this.#options.statements,
       callerCodec,
       jobCodec,
       peerReports: () => this.#reports,
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -20,6 +20,7 @@
   Documents,
   type StoreFailure,
 } from "../fleet/documents.ts";
+import { ServerStatements } from "../fleet/server-statements.ts";
 import { MemberTable } from "../fleet/peers/members.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { CallerListener } from "../gateway/caller-listener.ts";
@@ -67,6 +68,7 @@
   readonly #pools: ServerPools;
   readonly #network: TcpPeerNetwork;
   readonly #documents: Documents;
+  readonly #statements: ServerStatements;
   readonly #coordination: Coordination;
   readonly #membership: Membership;
   readonly #gateway: Gateway;
@@ -89,6 +91,11 @@
       logger: options.logger,
     });
     this.#documents = this.#createDocuments();
+    this.#statements = new ServerStatements({
+      blackboard: this.#blackboard,
+      countMalformed: () => metrics.countMalformedStatement(),
+      logger: options.logger,
+    });
     this.#coordination = this.#createCoordination();
     this.#membership = this.#createMembership();
     this.#gateway = this.#createGateway();
@@ -211,6 +218,7 @@
       members: this.#members,
       documents: this.#documents,
       store: this.#store,
+      statements: this.#statements,
       pools: this.#pools,
       callerCodec,
       jobCodec,
@@ -261,6 +269,7 @@
       placer: this.#coordination.placer,
       quarantine: this.#coordination.crashControl.quarantine,
       crashDetector: this.#coordination.crashControl.detector,
+      statements: this.#statements,
       jobs: this.#coordination.jobCalls,
       metrics: this.#options.metrics,
       logger,
--- a/packages/entry/entry-metrics.ts
+++ b/packages/entry/entry-metrics.ts
@@ -43,6 +43,11 @@
     "Crashes of servers that this instance has noticed.",
     [],
   );
+  readonly #malformedStatements = this.#createCounter(
+    "rosemaryrudder_malformed_statements_total",
+    "Headers with which servers state load, limit or leaving and that cannot be decoded.",
+    [],
+  );
   readonly #serverConnections = this.#createCounter(
     "rosemaryrudder_server_connections_total",
     "Connections opened to servers.",
@@ -90,6 +95,10 @@
     this.#serverCrashes.inc();
   }
 
+  countMalformedStatement(): void {
+    this.#malformedStatements.inc();
+  }
+
   countConnection(): void {
     this.#serverConnections.inc();
   }
--- a/packages/gateway/caller-request.ts
+++ b/packages/gateway/caller-request.ts
@@ -12,6 +12,7 @@
   RequestId,
   WorkspaceId,
 } from "../common/ids.ts";
+import type { ServerStatement } from "../fleet/server-statement.ts";
 
 export interface CallerRequest {
   /** May be missing only on calls that read or end a batch job. */
@@ -53,8 +54,8 @@
   readonly requestId: string | undefined;
   /** The server states that the request did not run. */
   readonly hasNotRun: boolean;
-  /** Requests that run or wait at the server, if it says. */
-  readonly load: number | undefined;
+  /** What the server states about itself. */
+  readonly statement: ServerStatement;
   /** The answer has the stamp header that servers add to their answers. */
   readonly hasStamp: boolean;
   /** Headers to be passed on to the caller, as alternating names and values. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import type { LogContext, Logger } from "../common/logging.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
+import type { ServerStatements } from "../fleet/server-statements.ts";
 import type { CrashDetector } from "../quarantine/crash-detector.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import { CallerDeadlines } from "./caller-deadlines.ts";
@@ -58,6 +59,7 @@
   readonly placer: Placer;
   readonly quarantine: Quarantine;
   readonly crashDetector: CrashDetector;
+  readonly statements: ServerStatements;
   readonly jobs: JobCalls;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
@@ -215,8 +217,8 @@
 
   #createServices(): OnlineServices {
     const { blackboard, codec, pools, logger, metrics, placer } = this.#options;
-    const { quarantine, crashDetector } = this.#options;
-    const { loads, health, upstreams } = blackboard;
+    const { quarantine, crashDetector, statements } = this.#options;
+    const { health, upstreams } = blackboard;
     const now = () => performance.now();
     const random = Math.random;
     return {
@@ -231,8 +233,7 @@
       chooseService: (route) => chooseService(route, random()),
       findServer: (id) => upstreams.get(id),
       poolOf: (server) => pools.poolOf(server),
-      recordReportedLoad: (server, load) =>
-        loads.setSelfReportedLoad(server, load, now()),
+      recordStatement: (...statement) => statements.record(...statement),
       recordFailure: (server) => health.addFailure(server, now()),
       recordSuccess: (server, duration) => {
         health.addSuccess(server, now());
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -210,6 +210,8 @@
         mayMove: this.#mayMove,
       }),
     }, {
+      onStatement: (...statement) =>
+        services.recordStatement(server, ...statement),
       onHead: (head) => this.#handleHead(attempt, head),
       onData: (chunk) => this.#handleData(attempt, chunk),
       onEnd: () => this.#handleEnd(attempt),
@@ -259,10 +261,6 @@
 
   #handleHead(attempt: ServerAttempt, head: AnswerHead): void {
     if (attempt !== this.#attempt || this.#isOver) return;
-    const { services } = this.#options;
-    if (head.load !== undefined) {
-      services.recordReportedLoad(this.#server!, head.load);
-    }
     const failure = failureOfHead(head, {
       mayMove: this.#mayMove,
       hasBegun: this.#options.response.hasBegun,
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -3,6 +3,10 @@
 import type { InstanceId, UpstreamName } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
+import type {
+  ServerStatement,
+  StatementEvidence,
+} from "../fleet/server-statement.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { ConnectionPool } from "../transport/connection-pool.ts";
 import type { CrashSuspect } from "../quarantine/crash-evidence.ts";
@@ -59,8 +63,12 @@
   chooseService(route: RouteRule): UpstreamName;
   findServer(id: InstanceId): UpstreamServer | undefined;
   poolOf(server: UpstreamServer): ConnectionPool;
-  /** `load` counts the requests that run or wait at the server, as its answer states. */
-  recordReportedLoad(server: InstanceId, load: number): void;
+  /** Records what a server states about itself in the head of an answer. */
+  recordStatement(
+    server: UpstreamServer,
+    statement: ServerStatement,
+    evidence: StatementEvidence,
+  ): void;
   /** Counts a failure against the health of the server. */
   recordFailure(server: InstanceId): void;
   /** Records a success and how long the server took for it. */
--- a/packages/gateway/server-attempt.test.ts
+++ b/packages/gateway/server-attempt.test.ts
@@ -24,6 +24,7 @@
       headTimeoutMilliseconds: 10_000,
       bodyIdleTimeoutMilliseconds: 10_000,
     }, {
+      onStatement: () => {},
       onHead: () => {},
       onData: () => true,
       onEnd: () => {},
@@ -62,13 +63,19 @@
         status,
         requestId: undefined,
         hasNotRun: false,
-        load: undefined,
+        statement: {
+          load: undefined,
+          limitPerSecond: undefined,
+          isLeaving: undefined,
+          malformed: [],
+        },
         hasStamp: true,
         forwardedHeaders: [],
       }),
       headTimeoutMilliseconds: 2_000,
       bodyIdleTimeoutMilliseconds: 150,
     }, {
+      onStatement: () => {},
       onHead: () => {},
       onData: () => {
         attempt.pause();
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -6,6 +6,10 @@
 
 import type { Buffer } from "node:buffer";
 import type { Verdict } from "../common/verdict.ts";
+import type {
+  ServerStatement,
+  StatementEvidence,
+} from "../fleet/server-statement.ts";
 import {
   type ConnectionPool,
   isConnectionFailing,
@@ -27,6 +31,8 @@
 }
 
 export interface AttemptListener {
+  /** Called for the head of each answer to the request, also of an interim one or a refusal. */
+  onStatement(statement: ServerStatement, evidence: StatementEvidence): void;
   onHead(head: AnswerHead): void;
   /**
    * Returns true if the answer has progressed. Bytes without progress do not restart the idle
@@ -65,6 +71,7 @@
   #connectionTimer: NodeJS.Timeout | undefined;
   #isOver = false;
   #wasSent = false;
+  #sentAt = 0;
   #isPaused = false;
   #interimAnswers = 0;
   #endsWithConnection = false;
@@ -102,6 +109,7 @@
         if (this.#isOver) return controller.abort(new Error("cancelled"));
         clearTimeout(this.#connectionTimer);
         this.#wasSent = true;
+        this.#sentAt = performance.now();
       },
       onResponseStart: (_, status, responseHeaders) =>
         this.#handleHead(status, responseHeaders),
@@ -147,7 +155,10 @@
     headers: Record<string, string | string[] | undefined>,
   ): void {
     if (this.#isOver) return;
-    if (status < 200) return this.#countInterimAnswer();
+    if (status < 200) {
+      this.#recordStatement(this.#options.decodeHead(status, headers));
+      return this.#countInterimAnswer();
+    }
     this.#endsWithConnection = headers["content-length"] === undefined &&
       headers["transfer-encoding"] === undefined;
     const head = this.#options.decodeHead(status, headers);
@@ -170,9 +181,19 @@
       });
     }
     this.#restartIdleTimer(this.#options.bodyIdleTimeoutMilliseconds);
+    this.#recordStatement(head);
     this.#listener.onHead(head);
   }
 
+  #recordStatement({ statement, requestId }: AnswerHead): void {
+    if (requestId !== this.#options.requestId) return;
+    this.#listener.onStatement(statement, {
+      requestId,
+      sentAt: this.#sentAt,
+      statedAt: performance.now(),
+    });
+  }
+
   /** Fails if the server sends interim answers (1xx) without end. */
   #countInterimAnswer(): void {
     this.#interimAnswers += 1;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -10,6 +10,7 @@
 import { delay, systemTimers } from "../common/timers.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
+import type { ServerStatements } from "../fleet/server-statements.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { chooseService } from "../gateway/gateway.ts";
@@ -64,6 +65,7 @@
   readonly pools: ServerPools;
   readonly quarantine: Quarantine;
   readonly crashDetector: CrashDetector;
+  readonly statements: ServerStatements;
   readonly zone: string;
   readonly now: () => number;
   readonly wallNow: () => number;
@@ -352,11 +354,8 @@
         headTimeoutMilliseconds: itemHeadTimeoutMilliseconds,
         bodyIdleTimeoutMilliseconds: itemIdleTimeoutMilliseconds,
       },
-      onHead: (head) => {
-        if (head.load !== undefined) {
-          blackboard.loads.setSelfReportedLoad(server, head.load, now());
-        }
-      },
+      onStatement: (...statement) =>
+        this.#options.statements.record(upstream, ...statement),
       onBegin: () =>
         this.#options.quarantine.recordBegin(
           request.sharedPromptParts,
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -9,6 +9,7 @@
 import { dataOf, EventSplitter } from "../gateway/event-splitter.ts";
 import {
   type AttemptFailure,
+  type AttemptListener,
   type AttemptOptions,
   ServerAttempt,
 } from "../gateway/server-attempt.ts";
@@ -41,7 +42,7 @@
   readonly server: InstanceId;
   readonly output: PartialOutput;
   readonly attempt: AttemptOptions;
-  readonly onHead: (head: AnswerHead) => void;
+  readonly onStatement: AttemptListener["onStatement"];
   /** Called when the first event arrives. */
   readonly onBegin: () => void;
   /** Resolves to true if the server has crashed; asked where only the connection ends an answer. */
@@ -68,6 +69,7 @@
     this.#options = options;
     this.server = options.server;
     this.#attempt = new ServerAttempt(options.attempt, {
+      onStatement: options.onStatement,
       onHead: (head) => this.#handleHead(head),
       onData: (chunk) => this.#handleData(chunk),
       onEnd: () => this.#handleEnd(),
@@ -85,7 +87,6 @@
   }
 
   #handleHead(head: AnswerHead): void {
-    this.#options.onHead(head);
     this.#status = head.status;
     if (head.hasNotRun) return this.#interrupt("refused by the server", false);
     if (head.status === statusOk) {
