--- a/packages/coordination/coordinator-client.test.ts
+++ b/packages/coordination/coordinator-client.test.ts
@@ -51,10 +51,13 @@
   const client = new CoordinatorClient({
     network,
     coordinators: () => [first!, second!, third!],
+    onServerLimits: () => {},
     state: () => ({
       loads: [],
       failures: [],
       begun: { parts: [], counts: [] },
+      serverLimits: [],
+      unsent: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
       isStoreFailing: false,
--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -8,6 +8,7 @@
 import { PeerUnavailableError } from "../common/errors.ts";
 import type { InstanceId, Offset } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import type { WireLimit } from "../fleet/peers/limit-messages.ts";
 import { noBegunAnswers } from "../quarantine/messages.ts";
 import { PeerHandlerError } from "../protocol/peer-connection.ts";
 import type { PeerMessage } from "../protocol/peer-message.ts";
@@ -28,13 +29,21 @@
 } from "./messages.ts";
 
 /** What the instance reports, apart from the questions that are settled. */
-export type DependentState = Omit<DependentReport, "settledQuestion">;
+export type DependentState = Omit<
+  DependentReport,
+  "settledQuestion" | "knownLimitChanges"
+>;
 
 export interface CoordinatorClientOptions {
   readonly network: PeerNetwork;
   /** All coordinators but this instance, the preferred one first. */
   readonly coordinators: () => readonly InstanceId[];
   readonly state: () => DependentState;
+  /** Called with the limits of servers that a coordinator knows. */
+  readonly onServerLimits: (
+    limits: readonly WireLimit[],
+    coordinator: InstanceId,
+  ) => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -49,6 +58,8 @@
 interface CoordinatorState {
   suspectedUntil: number;
   isStoreFailing: boolean;
+  /** State of the servers' limits that the coordinator has sent; -1 for none. */
+  limitChanges: number;
 }
 
 export class CoordinatorClient {
@@ -204,7 +215,11 @@
       this.#withdrawReport(this.#coordinator);
       this.#coordinator = coordinator;
     }
-    const report = { ...state, settledQuestion: this.#settledQuestion() };
+    const report = {
+      ...state,
+      settledQuestion: this.#settledQuestion(),
+      knownLimitChanges: this.#stateOf(coordinator).limitChanges,
+    };
     void this.#request(
       coordinator,
       dependentReportMessage,
@@ -214,7 +229,10 @@
       if (reply === undefined) {
         return this.#scheduleReport(reportRetryMilliseconds);
       }
-      this.#stateOf(coordinator).isStoreFailing = reply.isStoreFailing;
+      const known = this.#stateOf(coordinator);
+      known.isStoreFailing = reply.isStoreFailing;
+      known.limitChanges = reply.limitChanges;
+      this.#options.onServerLimits(reply.serverLimits, coordinator);
     });
   }
 
@@ -226,6 +244,9 @@
       loads: [],
       failures: [],
       begun: noBegunAnswers,
+      serverLimits: [],
+      knownLimitChanges: noLimitChanges,
+      unsent: [],
       configurationPosition: Number.MAX_SAFE_INTEGER as Offset,
       serversPosition: Number.MAX_SAFE_INTEGER as Offset,
       isStoreFailing: false,
@@ -241,7 +262,11 @@
   #stateOf(coordinator: InstanceId): CoordinatorState {
     let state = this.#states.get(coordinator);
     if (!state) {
-      state = { suspectedUntil: 0, isStoreFailing: false };
+      state = {
+        suspectedUntil: 0,
+        isStoreFailing: false,
+        limitChanges: noLimitChanges,
+      };
       this.#states.set(coordinator, state);
     }
     return state;
@@ -249,3 +274,4 @@
 }
 
 const unnumberedQuestion = 0;
+const noLimitChanges = -1;
--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -9,7 +9,9 @@
 import type { InstanceId } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { WorkspaceRule } from "../fleet/configuration.ts";
+import type { KnownLimit } from "../fleet/limits/server-limits.ts";
 import type { DocumentPush } from "../fleet/peers/document-push.ts";
+import { decodeLimits, encodeLimits } from "../fleet/peers/limit-messages.ts";
 import type { LocalPlacer } from "../gateway/placement.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { PeerNetwork, PeerSender } from "../protocol/peer-network.ts";
@@ -34,6 +36,11 @@
   readonly isStoreFailing: () => boolean;
   readonly documentPush: DocumentPush;
   readonly quarantine: Pick<Quarantine, "addBegins">;
+  /** Called with the limits of servers that a dependent reports. */
+  readonly onServerLimits: (
+    limits: readonly KnownLimit[],
+    sender: InstanceId,
+  ) => void;
   readonly clock: Clock;
 }
 
@@ -132,10 +139,32 @@
     for (const [server, count] of report.failures) {
       blackboard.health.countFailures(server, count, now);
     }
+    this.#options.onServerLimits(
+      decodeLimits(report.serverLimits),
+      sender.instance,
+    );
+    const { serverLimits } = blackboard;
+    for (const [server, count] of report.unsent) {
+      for (let send = 0; send < count; send++) serverLimits.giveBack(server);
+    }
     documentPush.push(sender.instance, {
       configuration: report.configurationPosition,
       servers: report.serversPosition,
     }, now);
-    return { isStoreFailing: isStoreFailing() };
+    const limitChanges = serverLimits.changes;
+    const hasChanged = report.knownLimitChanges !== limitChanges;
+    return {
+      isStoreFailing: isStoreFailing(),
+      limitChanges,
+      serverLimits: hasChanged
+        // For the dependent it does not matter which coordinator has heard of a limit.
+        ? encodeLimits(
+          serverLimits.known(now).map((known) => ({
+            ...known,
+            isRelayed: false,
+          })),
+        )
+        : [],
+    };
   }
 }
--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -37,10 +37,13 @@
   const client = new CoordinatorClient({
     network,
     coordinators: () => ["a", "b"] as InstanceId[],
+    onServerLimits: () => {},
     state: () => ({
       loads: [],
       failures: [],
       begun: { parts: [], counts: [] },
+      serverLimits: [],
+      unsent: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
       isStoreFailing: false,
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -11,6 +11,10 @@
   UpstreamName,
   WorkspaceId,
 } from "../common/ids.ts";
+import {
+  type WireLimit,
+  wireLimitsSchema,
+} from "../fleet/peers/limit-messages.ts";
 import type { JobCall } from "../gateway/caller-request.ts";
 import type { WaitTolerance } from "../gateway/online-services.ts";
 import type { Placement, RoomReply } from "../gateway/placement.ts";
@@ -68,9 +72,23 @@
   sharedPromptParts: z._default(z.array(z.string()), []),
 });
 
+const sendBudgetSchema = z.object({
+  limitPerSecond: z.number(),
+  ageMilliseconds: z.number(),
+  allowance: z.number(),
+  level: z.number(),
+  burst: z.number(),
+  waitMilliseconds: z.number(),
+});
+
 const placementSchema = z.discriminatedUnion("kind", [
   z.object({ kind: z.literal("none") }),
   z.object({ kind: z.literal("full"), expectedWaitMilliseconds: z.number() }),
+  z.object({
+    kind: z.literal("at_limits"),
+    server: z.string(),
+    budget: sendBudgetSchema,
+  }),
   z.object({ kind: z.literal("held"), part: z.string() }),
   z.object({
     kind: z.literal("quarantined"),
@@ -103,6 +121,7 @@
       isSameZone: z.boolean(),
       isAvoided: z.boolean(),
       failureShare: z.number(),
+      sendBudget: z.optional(sendBudgetSchema),
     }),
   }),
 ]);
@@ -157,6 +176,12 @@
   readonly failures: readonly (readonly [InstanceId, number])[];
   /** Answers that have begun since the last report. */
   readonly begun: BegunReport;
+  /** Limits that servers have stated to the dependent since the last report. */
+  readonly serverLimits: readonly WireLimit[];
+  /** `limitChanges` of the receiver's last reply; -1 for none. */
+  readonly knownLimitChanges: number;
+  /** Server and number of granted requests that were not sent, since the last report. */
+  readonly unsent: readonly (readonly [InstanceId, number])[];
   readonly configurationPosition: Offset;
   readonly serversPosition: Offset;
   readonly isStoreFailing: boolean;
@@ -164,6 +189,10 @@
 
 export interface DependentReportReply {
   readonly isStoreFailing: boolean;
+  /** Rises with each change of a server's limit at the coordinator. */
+  readonly limitChanges: number;
+  /** The limits of servers, if they have changed since the dependent's last report. */
+  readonly serverLimits: readonly WireLimit[];
 }
 
 const dependentReportSchema = z.object({
@@ -171,11 +200,18 @@
   loads: z.array(z.tuple([z.string(), z.number()])),
   failures: z.array(z.tuple([z.string(), z.number()])),
   begun: z._default(begunReportSchema, { parts: [], counts: [] }),
+  serverLimits: wireLimitsSchema,
+  knownLimitChanges: z._default(z.number(), -1),
+  unsent: z._default(z.array(z.tuple([z.string(), z.number()])), []),
   configurationPosition: z.number(),
   serversPosition: z.number(),
   isStoreFailing: z.boolean(),
 });
-const dependentReportReplySchema = z.object({ isStoreFailing: z.boolean() });
+const dependentReportReplySchema = z.object({
+  isStoreFailing: z.boolean(),
+  limitChanges: z._default(z.number(), -1),
+  serverLimits: wireLimitsSchema,
+});
 
 export const dependentReportMessage = definePeerMessage<
   DependentReport,
@@ -183,7 +219,8 @@
 >(
   "dependent-report",
   (body) => dependentReportSchema.parse(body) as unknown as DependentReport,
-  (body) => dependentReportReplySchema.parse(body),
+  (body) =>
+    dependentReportReplySchema.parse(body) as unknown as DependentReportReply,
 );
 
 /** Checks that an instance is alive. */
--- a/packages/coordination/remote-placer.ts
+++ b/packages/coordination/remote-placer.ts
@@ -9,6 +9,7 @@
 import { delay, systemTimers, type Timers } from "../common/timers.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
+import type { SendChoice } from "../gateway/choose-server.ts";
 import type { ChoiceRequest } from "../gateway/online-services.ts";
 import type {
   Placement,
@@ -38,6 +39,10 @@
 
 export class RemotePlacer implements Placer {
   readonly #options: Required<RemotePlacerOptions>;
+  /** Choices that no coordinator has made. */
+  readonly #ownChoices = new WeakSet<SendChoice>();
+  /** Server and number of requests that a coordinator has placed there in vain. */
+  readonly #unsent = new Map<InstanceId, number>();
 
   constructor(options: RemotePlacerOptions) {
     this.#options = { timers: systemTimers, ...options };
@@ -51,7 +56,10 @@
       const decided = await this.#ask(request);
       if (decided) return decided;
       const placement = await fallback.place(request);
-      if (placement.kind === "send") client.handleLoadChange();
+      if (placement.kind === "send") {
+        this.#ownChoices.add(placement);
+        client.handleLoadChange();
+      }
       if (placement.kind !== "limited") return placement;
       if (now() >= giveUpAt || !client.isUndecidedSince(askedAt)) {
         return withShortRetry(placement);
@@ -94,6 +102,22 @@
     this.#options.client.handleLoadChange();
   }
 
+  withdraw(choice: SendChoice): void {
+    const { blackboard, client, fallback } = this.#options;
+    if (this.#ownChoices.has(choice)) return fallback.withdraw(choice);
+    const { id } = choice.server;
+    blackboard.loads.removeRequest(id, "online");
+    this.#unsent.set(id, (this.#unsent.get(id) ?? 0) + 1);
+    client.handleLoadChange();
+  }
+
+  /** Placements that were withdrawn since the last call, for the coordinator. */
+  takeUnsent(): (readonly [InstanceId, number])[] {
+    const unsent = [...this.#unsent];
+    this.#unsent.clear();
+    return unsent;
+  }
+
   async findRoom(request: RoomRequest): Promise<RoomReply> {
     const reply = await this.#options.client.ask(
       roomMessage,
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -23,6 +23,7 @@
   rankCoordinators,
 } from "../fleet/peers/coordinators.ts";
 import { DocumentPush } from "../fleet/peers/document-push.ts";
+import { decodeLimits } from "../fleet/peers/limit-messages.ts";
 import type { Member, MemberTable } from "../fleet/peers/members.ts";
 import {
   type JobReport,
@@ -35,14 +36,15 @@
 import { LocalPlacer, type Placer } from "../gateway/placement.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
+import { displaceBatch } from "./batch-displacement.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
   coordinatorWarmUpMilliseconds,
-  displaceTimeoutMilliseconds,
   memberSilenceTimeoutMilliseconds,
 } from "./constants.ts";
 import { CrashControl, type CrashControlOptions } from "./crash-control.ts";
 import { CoordinationRole } from "./coordination-role.ts";
+import { createDependentState } from "./dependent-state.ts";
 import { SilentDependents } from "./silent-dependents.ts";
 
 export interface CoordinationOptions
@@ -174,9 +176,10 @@
     this.#batch?.stop();
   }
 
-  /** Tells the other coordinators of a new configuration without waiting for the interval. */
-  announceConfiguration(): void {
-    this.#reports.announce();
+  /** Tells other instances of a change without waiting for the report interval. */
+  announce(): void {
+    if (this.#role.isCoordinator) this.#reports.announce();
+    else this.#client.handleLoadChange();
   }
 
   /** Drops the counts of silent dependents, and refreshes the limits of a dependent. */
@@ -307,38 +310,39 @@
   }
 
   #createLocalPlacer(): LocalPlacer {
+    const { blackboard, clock } = this.#options;
     return new LocalPlacer({
-      blackboard: this.#options.blackboard,
+      blackboard,
       limiter: () => {
         if (!this.#role.isCoordinator) this.#limits.refresh();
         return this.#limits;
       },
       quarantine: () => this.crashControl.quarantine,
+      refreshLimits: () => {
+        if (this.#role.isCoordinator) return;
+        blackboard.serverLimits.refresh(clock.monotonicNow(), this.view());
+      },
       zone: this.#options.settings.zone,
-      displaceBatch: (server) => void this.#displaceBatch(server),
-      now: this.#options.clock.monotonicNow,
+      displaceBatch: (server) => this.#displaceBatch(server),
+      now: clock.monotonicNow,
     });
   }
 
   #createClient(): CoordinatorClient {
     const { clock, logger } = this.#options;
-    const { loads, health } = this.#options.blackboard;
+    const { statements } = this.#options;
     return new CoordinatorClient({
       network: this.#options.network,
       coordinators: () => this.#rankedCoordinators,
-      state: () => ({
-        begun: this.crashControl.quarantine.takeBegins(),
-        loads: loads.ownLoads().map(({ server, online }) =>
-          [server, online] as const
-        ),
-        failures: health.takeFailureCounts()
-          .map(({ server, count }) => [server, count] as const),
-        configurationPosition: this.#options.documents.position(
-          "configuration",
-        ),
-        serversPosition: this.#options.documents.position("servers"),
-        isStoreFailing: this.#options.isStoreFailing(),
+      state: createDependentState({
+        ...this.#options,
+        quarantine: () => this.crashControl.quarantine,
+        placer: () => this.#remotePlacer,
       }),
+      onServerLimits: (limits, coordinator) =>
+        statements.recordKnownLimits(decodeLimits(limits), coordinator, {
+          isDependent: false,
+        }),
       clock,
       logger,
     });
@@ -360,6 +364,10 @@
       isStoreFailing: () => this.#options.isStoreFailing(),
       documentPush: this.#documentPush,
       quarantine: this.crashControl.quarantine,
+      onServerLimits: (limits, dependent) =>
+        this.#options.statements.recordKnownLimits(limits, dependent, {
+          isDependent: true,
+        }),
       clock,
     });
   }
@@ -426,37 +434,24 @@
       limits: () => this.#limits,
       jobReport: () => this.#batch?.report() ?? noJobs,
       quarantine: this.crashControl.quarantine,
+      onServerLimits: (limits, peer) =>
+        this.#options.statements.recordKnownLimits(limits, peer, {
+          isDependent: false,
+        }),
       isStoreFailing: () => this.#options.isStoreFailing(),
       clock,
       logger,
     });
   }
 
-  /** Displaces one batch run at the server, preferably one of this instance, else of a peer. */
-  async #displaceBatch(server: InstanceId): Promise<void> {
-    if (this.#batch?.displace(server)) return;
-    for (
-      const peer of this.#options.blackboard.loads.peersWithBatchRuns(server)
-    ) {
-      try {
-        const reply = await this.#options.network.request(
-          peer,
-          displaceMessage,
-          { server },
-          { deadlineMilliseconds: displaceTimeoutMilliseconds },
-        );
-        if (reply.isDisplaced) return;
-      } catch (error) {
-        this.#options.logger.warn(
-          "a peer did not respond to a displacement request",
-          {
-            peer,
-            server,
-            reason: String(error),
-          },
-        );
-      }
-    }
+  #displaceBatch(server: InstanceId): void {
+    const { network, blackboard, logger } = this.#options;
+    void displaceBatch(server, {
+      batch: this.#batch,
+      loads: blackboard.loads,
+      network,
+      logger,
+    });
   }
 
   #createPlacer(): Placer {
@@ -465,6 +460,7 @@
     return {
       place: (request) => current().place(request),
       releaseSlot: (server) => current().releaseSlot(server),
+      withdraw: (choice) => current().withdraw(choice),
       findRoom: (request) => current().findRoom(request),
       makeRoom: (server) => current().makeRoom(server),
     };
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -93,6 +93,8 @@
     this.#documents = this.#createDocuments();
     this.#statements = new ServerStatements({
       blackboard: this.#blackboard,
+      onLimitChange: () => this.#coordination.announce(),
+      now: this.#options.clock.monotonicNow,
       countMalformed: () => metrics.countMalformedStatement(),
       logger: options.logger,
     });
@@ -194,11 +196,12 @@
       onChange: (kind) => {
         if (kind === "configuration") {
           this.#listener.applyLimits();
-          this.#coordination.announceConfiguration();
+          this.#coordination.announce();
         } else {
-          const { upstreams, health } = this.#blackboard;
+          const { upstreams, health, serverLimits } = this.#blackboard;
           this.#pools.retain((id) => upstreams.get(id) !== undefined);
           health.retain((id) => upstreams.get(id) !== undefined);
+          serverLimits.retain((id) => upstreams.get(id) !== undefined);
           this.#coordination.crashControl.detector.retain((id) =>
             upstreams.get(id) !== undefined
           );
--- a/packages/entry/entry-metrics.ts
+++ b/packages/entry/entry-metrics.ts
@@ -28,6 +28,11 @@
     "Requests that were refused before they were sent, by reason.",
     ["code"],
   );
+  readonly #heldSends = this.#createCounter(
+    "rosemaryrudder_held_sends_total",
+    "Online requests that servers at their stated limits made wait, or that were refused.",
+    ["outcome"],
+  );
   readonly #storeCalls = this.#createCounter(
     "rosemaryrudder_store_calls_total",
     "Calls to the store by kind and outcome.",
@@ -81,6 +86,10 @@
     this.#refusals.inc({ code });
   }
 
+  countHeldSend(outcome: "waited" | "refused"): void {
+    this.#heldSends.inc({ outcome });
+  }
+
   countStoreCall(call: string, outcome: string, milliseconds: number): void {
     this.#storeCalls.inc({ call, outcome });
     // The label `workspace` of this summary holds the kind of call; its class is always `batch`.
--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -32,6 +32,11 @@
       help: "Servers in the list.",
       read: () => blackboard.upstreams.size,
     },
+    {
+      name: "rosemaryrudder_server_limits",
+      help: "Servers that state how many requests per second they take.",
+      read: () => blackboard.serverLimits.inForce,
+    },
     {
       name: "rosemaryrudder_active_requests",
       help: "Requests of callers that are being answered.",
--- a/packages/fleet/blackboard.ts
+++ b/packages/fleet/blackboard.ts
@@ -5,6 +5,7 @@
 
 import { ServerHealth } from "../gateway/server-health.ts";
 import type { ConfigurationIndex } from "./configuration.ts";
+import { ServerLimits } from "./limits/server-limits.ts";
 import { LoadTable } from "./load-table.ts";
 import { UpstreamTable } from "./upstreams.ts";
 
@@ -12,6 +13,7 @@
   readonly upstreams = new UpstreamTable();
   readonly loads = new LoadTable();
   readonly health = new ServerHealth();
+  readonly serverLimits = new ServerLimits();
   /** Undefined until a configuration is known. */
   configuration: ConfigurationIndex | undefined;
   /** The list of servers has been read at least once. */
--- a/packages/fleet/documents.ts
+++ b/packages/fleet/documents.ts
@@ -167,6 +167,7 @@
     blackboard.upstreams.set(server);
     if (known?.startedAtMilliseconds !== server.startedAtMilliseconds) {
       blackboard.health.forget(id);
+      blackboard.serverLimits.startLifetime(server);
     }
     if (known?.state !== server.state) {
       logger.info("a server changed its state", {
--- a/packages/fleet/limits/constants.ts
+++ b/packages/fleet/limits/constants.ts
@@ -24,3 +24,15 @@
 export const restartSlackShare = 0.3;
 /** Share of the allowed overage that is added to the rate. */
 export const usedOverageShare = 0.5;
+/**
+ * The bucket of a server's limit holds these requests and those of this time, so that requests that
+ * arrive unevenly find tokens.
+ */
+export const burstRequests = 2;
+export const burstSeconds = 1;
+/** Rate at which a server is asked that states a lower limit, 0 included. */
+export const minimumSendsPerSecond = 0.2;
+/** Time for which the end of a limit is still told to peers. */
+export const endedLimitLifetimeMilliseconds = 3_000;
+/** An instance that has not decided for this long begins with empty buckets of servers' limits. */
+export const unusedLimitsLifetimeMilliseconds = 1_500;
--- a/packages/fleet/limits/shared-bucket.ts
+++ b/packages/fleet/limits/shared-bucket.ts
@@ -4,7 +4,8 @@
  * interval. While the demand of the fleet exceeds the rate, an instance spends between two
  * reports only its share of the level, in proportion to its share of the demand, so that all
  * instances together stay within the level. A member that this instance no longer hears from is
- * assumed to spend an equal share of the rate.
+ * assumed to spend an equal share of the rate. A bucket of few tokens is always shared in this way,
+ * in whole tokens.
  */
 
 import type { InstanceId } from "../../common/ids.ts";
@@ -57,6 +58,8 @@
   /** The bucket starts with `burst` tokens; otherwise with `initialLevel`. */
   readonly startsFull: boolean;
   readonly initialLevel?: number;
+  /** When the level is divided among the instances; otherwise each may spend all of it. */
+  readonly sharing?: "under_contention" | "always";
   /** Returns a number from 0 (inclusive) to 1 (exclusive), like `Math.random`. */
   readonly random?: () => number;
 }
@@ -71,6 +74,7 @@
 
 export class SharedBucket {
   readonly #random: () => number;
+  readonly #sharing: "under_contention" | "always";
   #limit: BucketLimit;
   #level: number;
   /** False until the level of the fleet is known to a copy that did not start full. */
@@ -87,9 +91,16 @@
 
   constructor(
     limit: BucketLimit,
-    { now, startsFull, initialLevel = 0, random = Math.random }: BucketOptions,
+    {
+      now,
+      startsFull,
+      initialLevel = 0,
+      sharing = "under_contention",
+      random = Math.random,
+    }: BucketOptions,
   ) {
     this.#random = random;
+    this.#sharing = sharing;
     this.#limit = limit;
     this.#hasLevel = startsFull;
     this.#level = startsFull
@@ -103,6 +114,11 @@
     return this.#level;
   }
 
+  /** Requests that this instance may admit until the next refresh. */
+  get allowance(): number {
+    return this.#allowance;
+  }
+
   setLimit(limit: BucketLimit, now: number): void {
     this.#refill(now);
     this.#limit = limit;
@@ -111,12 +127,34 @@
 
   /** Takes a token if the allowance permits it; counts the request as demand in either case. */
   take(now: number): boolean {
+    if (this.#allowance < 1) {
+      this.#countDemand(now);
+      return false;
+    }
+    this.spend(now);
+    return true;
+  }
+
+  /** Takes a token whatever the allowance. */
+  spend(now: number): void {
     this.#countDemand(now);
-    if (this.#allowance < 1) return false;
     this.#allowance -= 1;
     this.#level -= 1;
     this.#admitted += 1;
-    return true;
+  }
+
+  /** Returns a token that was taken for nothing. Peers learn of it by the next one that is taken. */
+  giveBack(): void {
+    this.#allowance += 1;
+    this.#level = Math.min(this.#level + 1, this.#limit.burst);
+    this.#admitted = Math.max(0, this.#admitted - 1);
+  }
+
+  /** Discards all tokens. */
+  empty(now: number): void {
+    this.#level = Math.min(this.#level, 0);
+    this.#allowance = 0;
+    this.#refilledAt = Math.max(now, this.#refilledAt);
   }
 
   /** Recomputes the allowance; called once per report interval. */
@@ -130,6 +168,13 @@
     this.#refill(now);
     this.#decayDemand(now);
     const level = Math.max(0, this.#level);
+    if (this.#sharing === "always") {
+      this.#allowance = stochasticRound(
+        Math.floor(level) * this.#ownShare(view),
+        this.#random,
+      );
+      return;
+    }
     this.#allowance = this.#isContended(view)
       ? stochasticRound(level * this.#ownShare(view), this.#random)
       : level;
@@ -199,7 +244,7 @@
 
   #refill(now: number): void {
     const seconds = Math.max(0, now - this.#refilledAt) / millisecondsPerSecond;
-    this.#refilledAt = now;
+    this.#refilledAt = Math.max(now, this.#refilledAt);
     const gained = seconds * this.#limit.ratePerSecond * this.#heardShare;
     this.#level = Math.min(this.#limit.burst, this.#level + gained);
   }
--- /dev/null
+++ b/packages/fleet/peers/limit-messages.ts
@@ -0,0 +1,89 @@
+/** How instances tell each other of the limits that servers state, and of the sends to them. */
+
+import * as z from "zod/mini";
+import type { InstanceId } from "../../common/ids.ts";
+import type { KnownLimit, ServerUsage } from "../limits/server-limits.ts";
+
+/** Server, start of its lifetime, limit, age in milliseconds, whether it is relayed. */
+export type WireLimit = readonly [
+  InstanceId,
+  number,
+  number | null,
+  number,
+  boolean,
+];
+
+/** Server, start of its lifetime, requests sent, demand per second, level of the bucket. */
+export type WireServerUsage = readonly [
+  InstanceId,
+  number,
+  number,
+  number,
+  number,
+];
+
+const limitPerSecondSchema = z.number().check(z.nonnegative());
+
+/** A report of an instance of an earlier release has none of these fields. */
+export const wireLimitsSchema = z._default(
+  z.array(z.tuple([
+    z.string(),
+    z.number(),
+    z.nullable(limitPerSecondSchema),
+    z.number().check(z.nonnegative()),
+    z.boolean(),
+  ])),
+  [],
+);
+
+export const wireServerUsagesSchema = z._default(
+  z.array(
+    z.tuple([z.string(), z.number(), z.number(), z.number(), z.number()]),
+  ),
+  [],
+);
+
+export function encodeLimits(limits: readonly KnownLimit[]): WireLimit[] {
+  return limits.map((limit) => [
+    limit.server,
+    limit.serverStartedAt,
+    limit.limitPerSecond,
+    limit.ageMilliseconds,
+    limit.isRelayed,
+  ]);
+}
+
+export function decodeLimits(limits: readonly WireLimit[]): KnownLimit[] {
+  return limits.map(
+    (
+      [server, serverStartedAt, limitPerSecond, ageMilliseconds, isRelayed],
+    ) => ({
+      server,
+      serverStartedAt,
+      limitPerSecond,
+      ageMilliseconds,
+      isRelayed,
+    }),
+  );
+}
+
+export function encodeServerUsage(usage: ServerUsage): WireServerUsage {
+  return [
+    usage.server,
+    usage.serverStartedAt,
+    usage.admitted,
+    roundToHundredths(usage.demandPerSecond),
+    roundToHundredths(usage.level),
+  ];
+}
+
+export function decodeServerUsage(
+  [server, serverStartedAt, admitted, demandPerSecond, level]: WireServerUsage,
+): ServerUsage {
+  return { server, serverStartedAt, admitted, demandPerSecond, level };
+}
+
+/** Keeps reports short. */
+export function roundToHundredths(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- a/packages/fleet/peers/peer-reports.test.ts
+++ b/packages/fleet/peers/peer-reports.test.ts
@@ -54,6 +54,7 @@
       takeBegins: () => ({ parts: [], counts: [] }),
       addBegins: () => {},
     },
+    onServerLimits: () => {},
     isStoreFailing: () => false,
     clock: { wallNow: () => Date.now(), monotonicNow: () => Date.now() },
     logger: silentLogger,
@@ -68,6 +69,8 @@
       loads: [],
       faults: [],
       uses: [],
+      serverLimits: [],
+      serverUses: [],
     },
     { instance: peer, incarnation: "1" },
   );
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -11,6 +11,7 @@
 import type { PeerNetwork, PeerSender } from "../../protocol/peer-network.ts";
 import type { Blackboard } from "../blackboard.ts";
 import {
+  fullUsageIntervalMilliseconds,
   peerSilenceTimeoutMilliseconds,
   reportIntervalMilliseconds,
   reportIntervalPerMemberMilliseconds,
@@ -18,10 +19,18 @@
   unchangedReportIntervalMilliseconds,
 } from "../constants.ts";
 import type { Documents } from "../documents.ts";
-import type { FleetLimits } from "../limits/fleet-limits.ts";
+import type { FleetLimits, WorkspaceUsage } from "../limits/fleet-limits.ts";
+import type { KnownLimit, ServerUsage } from "../limits/server-limits.ts";
 import type { FleetView } from "../limits/shared-bucket.ts";
 import type { Quarantine } from "../../quarantine/quarantine.ts";
 import type { DocumentPush } from "./document-push.ts";
+import {
+  decodeLimits,
+  decodeServerUsage,
+  encodeLimits,
+  encodeServerUsage,
+  roundToHundredths,
+} from "./limit-messages.ts";
 import type { Member } from "./members.ts";
 import { type PeerReport, reportMessage } from "./report.ts";
 import { UsageSelection } from "./usage-selection.ts";
@@ -48,6 +57,11 @@
   readonly limits: () => FleetLimits;
   readonly jobReport: () => JobReport;
   readonly quarantine: Pick<Quarantine, "takeBegins" | "addBegins">;
+  /** Called with the limits of servers that a coordinator reports. */
+  readonly onServerLimits: (
+    limits: readonly KnownLimit[],
+    sender: InstanceId,
+  ) => void;
   readonly isStoreFailing: () => boolean;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -75,7 +89,15 @@
   /** The loads of the last report as JSON, compared to detect a change. */
   #lastReportedLoads = "";
   #lastReportedAt = Number.NEGATIVE_INFINITY;
-  readonly #usageSelection = new UsageSelection();
+  readonly #usageSelection = new UsageSelection<WorkspaceUsage>(
+    ({ workspace }) => workspace,
+  );
+  readonly #serverUsageSelection = new UsageSelection<ServerUsage>(
+    ({ server, serverStartedAt }) => `${server}/${serverStartedAt}`,
+  );
+  /** State of the servers' limits that was last reported, and when. */
+  #reportedLimitChanges = 0;
+  #limitsReportedAt = Number.NEGATIVE_INFINITY;
   #timer: NodeJS.Timeout | undefined;
   #isStopped = true;
 
@@ -167,6 +189,7 @@
     blackboard.loads.expire(clock.monotonicNow());
     documents.sweep();
     limits().refresh();
+    blackboard.serverLimits.refresh(clock.monotonicNow(), this.view());
     this.#sendAll(false);
     this.#timer = setTimeout(() => this.#tick(), this.#reportInterval());
   }
@@ -197,6 +220,7 @@
       if (known.has(peer)) continue;
       this.#peers.delete(peer);
       this.#options.limits().forgetPeer(peer);
+      this.#options.blackboard.serverLimits.forgetPeer(peer);
     }
   }
 
@@ -251,11 +275,26 @@
             roundToHundredths(usage.level),
           ] as const
         ),
+      serverLimits: encodeLimits(this.#selectLimits(now)),
+      serverUses: this.#serverUsageSelection
+        .select(blackboard.serverLimits.ownUsages(), now)
+        .map(encodeServerUsage),
       ...jobReport(),
       begun: this.#options.quarantine.takeBegins(),
     };
   }
 
+  /** The limits of servers if one has changed, and in a longer interval for those who missed it. */
+  #selectLimits(now: number): KnownLimit[] {
+    const { serverLimits } = this.#options.blackboard;
+    const hasChanged = serverLimits.changes !== this.#reportedLimitChanges;
+    const isDue = now - this.#limitsReportedAt >= fullUsageIntervalMilliseconds;
+    if (!hasChanged && !isDue) return [];
+    this.#reportedLimitChanges = serverLimits.changes;
+    this.#limitsReportedAt = now;
+    return serverLimits.known(now);
+  }
+
   #receive(report: PeerReport, sender: PeerSender): void {
     const { blackboard, clock, limits, documentPush } = this.#options;
     const now = clock.monotonicNow();
@@ -273,6 +312,8 @@
     state.report = report;
     if (isNew) {
       this.#usageSelection.reset();
+      this.#serverUsageSelection.reset();
+      this.#limitsReportedAt = Number.NEGATIVE_INFINITY;
       this.announce();
     }
     if (report.heard > state.acknowledgedSequence) {
@@ -302,6 +343,15 @@
         level,
       })),
     );
+    this.#options.onServerLimits(
+      decodeLimits(report.serverLimits),
+      sender.instance,
+    );
+    blackboard.serverLimits.recordPeerUsages(
+      sender.instance,
+      sender.incarnation,
+      report.serverUses.map(decodeServerUsage),
+    );
     documentPush.push(sender.instance, {
       configuration: report.configurationPosition,
       ...(report.isStoreFailing ? { servers: report.serversPosition } : {}),
@@ -326,7 +376,3 @@
     return state;
   }
 }
-
-function roundToHundredths(value: number): number {
-  return Math.round(value * 100) / 100;
-}
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -17,6 +17,12 @@
 import { definePeerMessage } from "../../protocol/peer-message.ts";
 import type { KeyedRecord } from "../../store/keyed-store.ts";
 import type { DocumentKind } from "../documents.ts";
+import {
+  type WireLimit,
+  wireLimitsSchema,
+  type WireServerUsage,
+  wireServerUsagesSchema,
+} from "./limit-messages.ts";
 
 export interface PeerReport {
   /** Rises with each report of the sender. */
@@ -35,6 +41,10 @@
    * requests.
    */
   readonly uses: readonly (readonly [WorkspaceId, number, number, number])[];
+  /** Limits that servers state. */
+  readonly serverLimits: readonly WireLimit[];
+  /** Usage of those limits by the sender and its dependents. */
+  readonly serverUses: readonly WireServerUsage[];
   readonly ownedPartitions: readonly PartitionNumber[];
   /** Generation of the group of owners that assigned the partitions. */
   readonly ownerGeneration: number;
@@ -55,6 +65,8 @@
   uses: z.array(
     z.tuple([z.string(), z.number(), z.number(), z.number()]),
   ),
+  serverLimits: wireLimitsSchema,
+  serverUses: wireServerUsagesSchema,
   ownedPartitions: z.array(z.number()),
   ownerGeneration: z.number(),
   waitingItems: z.number(),
--- a/packages/fleet/peers/usage-selection.test.ts
+++ b/packages/fleet/peers/usage-selection.test.ts
@@ -23,7 +23,9 @@
 }
 
 test("after a full report only changed usages are reported, until the next full one", () => {
-  const selection = new UsageSelection();
+  const selection = new UsageSelection<WorkspaceUsage>(({ workspace }) =>
+    workspace
+  );
   const usages = [usage("a", 1), usage("b", 1), usage("unused", 0, 0)];
   assert.deepEqual(names(selection.select(usages, 0)), ["a", "b"]);
   assert.deepEqual(names(selection.select(usages, 50)), []);
@@ -34,14 +36,18 @@
 });
 
 test("a workspace whose requests are all refused is reported when its demand rises", () => {
-  const selection = new UsageSelection();
+  const selection = new UsageSelection<WorkspaceUsage>(({ workspace }) =>
+    workspace
+  );
   selection.select([usage("a", 5, 10)], 0);
   assert.deepEqual(names(selection.select([usage("a", 5, 11)], 50)), []);
   assert.deepEqual(names(selection.select([usage("a", 5, 13)], 100)), ["a"]);
 });
 
 test("a peer that knows nothing yet gets all usages", () => {
-  const selection = new UsageSelection();
+  const selection = new UsageSelection<WorkspaceUsage>(({ workspace }) =>
+    workspace
+  );
   selection.select([usage("a", 5)], 0);
   selection.reset();
   assert.deepEqual(names(selection.select([usage("a", 5)], 50)), ["a"]);
--- a/packages/fleet/peers/usage-selection.ts
+++ b/packages/fleet/peers/usage-selection.ts
@@ -5,27 +5,32 @@
  * report interval.
  */
 
-import type { WorkspaceId } from "../../common/ids.ts";
 import { fullUsageIntervalMilliseconds } from "../constants.ts";
-import type { WorkspaceUsage } from "../limits/fleet-limits.ts";
+import type { BucketUsage } from "../limits/shared-bucket.ts";
 
 /** A demand is reported again once it has changed by this share of the reported one. */
 const reportedDemandChange = 0.2;
 /** Changes of the demand below this many requests per second are not worth a report. */
 const minimumDemandChangePerSecond = 0.5;
 
-export class UsageSelection {
-  readonly #reported = new Map<WorkspaceId, WorkspaceUsage>();
+export class UsageSelection<Usage extends BucketUsage> {
+  readonly #keyOf: (usage: Usage) => string;
+  readonly #reported = new Map<string, Usage>();
   #lastFullAt = Number.NEGATIVE_INFINITY;
 
+  /** `keyOf` names the limit that a usage is of. */
+  constructor(keyOf: (usage: Usage) => string) {
+    this.#keyOf = keyOf;
+  }
+
   /** `now` is monotonic milliseconds. */
-  select(usages: readonly WorkspaceUsage[], now: number): WorkspaceUsage[] {
+  select(usages: readonly Usage[], now: number): Usage[] {
     const isFull = now - this.#lastFullAt >= fullUsageIntervalMilliseconds;
     if (isFull) this.#lastFullAt = now;
     return usages.filter((usage) => {
       if (usage.admitted === 0 && usage.demandPerSecond === 0) return false;
       if (!isFull && !this.#hasChanged(usage)) return false;
-      this.#reported.set(usage.workspace, usage);
+      this.#reported.set(this.#keyOf(usage), usage);
       return true;
     });
   }
@@ -35,8 +40,9 @@
     this.#lastFullAt = Number.NEGATIVE_INFINITY;
   }
 
-  #hasChanged({ workspace, admitted, demandPerSecond }: WorkspaceUsage) {
-    const reported = this.#reported.get(workspace);
+  #hasChanged(usage: Usage): boolean {
+    const { admitted, demandPerSecond } = usage;
+    const reported = this.#reported.get(this.#keyOf(usage));
     if (!reported || reported.admitted !== admitted) return true;
     const change = Math.abs(demandPerSecond - reported.demandPerSecond);
     return change > Math.max(
--- a/packages/fleet/server-statements.ts
+++ b/packages/fleet/server-statements.ts
@@ -3,11 +3,16 @@
 import type { InstanceId } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import type { Blackboard } from "./blackboard.ts";
+import type { KnownLimit } from "./limits/server-limits.ts";
 import type { ServerStatement, StatementEvidence } from "./server-statement.ts";
 import type { UpstreamServer } from "./upstreams.ts";
 
 export interface ServerStatementsOptions {
   readonly blackboard: Blackboard;
+  /** Called when the limit of a server has changed in an answer to this instance. */
+  readonly onLimitChange: () => void;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
   /** Called for each header that states nothing, since it cannot be decoded. */
   readonly countMalformed: () => void;
   readonly logger: Logger;
@@ -15,7 +20,6 @@
 
 export class ServerStatements {
   readonly #options: ServerStatementsOptions;
-  readonly #limits = new Map<InstanceId, number>();
 
   constructor(options: ServerStatementsOptions) {
     this.#options = options;
@@ -26,7 +30,7 @@
     statement: ServerStatement,
     evidence: StatementEvidence,
   ): void {
-    const { blackboard, countMalformed, logger } = this.#options;
+    const { blackboard, countMalformed, onLimitChange, logger } = this.#options;
     for (const header of statement.malformed) {
       countMalformed();
       logger.warn("a statement of a server cannot be decoded", {
@@ -42,24 +46,36 @@
         evidence.statedAt,
       );
     }
-    this.#logLimit(server, statement, evidence);
+    if (statement.limitPerSecond === undefined) return;
+    const change = blackboard.serverLimits.record(
+      server,
+      statement.limitPerSecond,
+      evidence,
+    );
+    if (!change) return;
+    logger.info(limitMessage, { ...change, request: evidence.requestId });
+    onLimitChange();
   }
 
-  #logLimit(
-    { id }: UpstreamServer,
-    { limitPerSecond }: ServerStatement,
-    { requestId }: StatementEvidence,
+  /** Records limits of servers that another instance, perhaps a dependent, has heard of. */
+  recordKnownLimits(
+    limits: readonly KnownLimit[],
+    sender: InstanceId,
+    { isDependent }: { readonly isDependent: boolean },
   ): void {
-    if (limitPerSecond === undefined) return;
-    const previous = this.#limits.get(id) ?? null;
-    if (limitPerSecond === previous) return;
-    if (limitPerSecond === null) this.#limits.delete(id);
-    else this.#limits.set(id, limitPerSecond);
-    this.#options.logger.info("a server states another limit", {
-      server: id,
-      limitPerSecond,
-      previous,
-      request: requestId,
-    });
+    const { blackboard, onLimitChange, logger, now } = this.#options;
+    let hasChanged = false;
+    for (const known of limits) {
+      const change = blackboard.serverLimits.recordKnown(known, now(), {
+        isDependent,
+      });
+      if (!change) continue;
+      hasChanged = true;
+      logger.debug(limitMessage, { ...change, heardBy: sender });
+    }
+    if (hasChanged && isDependent) onLimitChange();
   }
 }
+
+/** The context names the limit in requests per second, null for none. */
+const limitMessage = "a server states another limit";
--- a/packages/gateway/choose-server.test.ts
+++ b/packages/gateway/choose-server.test.ts
@@ -2,7 +2,12 @@
 import { test } from "node:test";
 import type { InstanceId } from "../common/ids.ts";
 import { SeededRandom } from "../common/random.ts";
-import { chooseServer, type ServerCandidate } from "./choose-server.ts";
+import type { SendBudget } from "../fleet/limits/server-limits.ts";
+import {
+  chooseServer,
+  chooseServerForTrial,
+  type ServerCandidate,
+} from "./choose-server.ts";
 
 const options = {
   durationMilliseconds: 800,
@@ -124,3 +129,59 @@
   const only = choose([both[0]!]);
   assert.equal(only.kind === "send" && only.server, "failed");
 });
+
+function budget(allowance: number, level = allowance): SendBudget {
+  return {
+    limitPerSecond: 4,
+    ageMilliseconds: 0,
+    allowance,
+    level,
+    burst: 6,
+    waitMilliseconds: Math.max(0, 1 - level) * 250,
+  };
+}
+
+test("a server at its limit is not chosen, whatever its free slots", () => {
+  const counts = countChoices([
+    candidate("at limit", { sendBudget: budget(0, 4) }),
+    candidate("few tokens", { sendBudget: budget(1) }),
+    candidate("without limit", { online: 6 }),
+  ]);
+  assert.equal(counts.get("at limit"), undefined);
+  // The room of a server is the smaller of its free slots and its tokens.
+  assert.ok(counts.get("without limit")! > 2 * counts.get("few tokens")!);
+});
+
+test("no batch run is displaced at a server with a limit while another has room", () => {
+  const counts = countChoices([
+    candidate("limited", { batch: 8, sendBudget: budget(3) }),
+    candidate("unlimited", { online: 7 }),
+  ]);
+  assert.deepEqual([...counts.keys()], ["unlimited"]);
+});
+
+test("an online request does not wait on batch runs, also where all servers have limits", () => {
+  assert.deepEqual(
+    choose([candidate("limited", { batch: 8, sendBudget: budget(1) })]),
+    { kind: "send", server: "limited", displacesBatch: true },
+  );
+});
+
+test("where all servers are at their limits, the one that has a token first is given", () => {
+  const choice = choose([
+    candidate("later", { sendBudget: budget(0, -1) }),
+    candidate("first", { sendBudget: budget(0, 0.5) }),
+    candidate("full", { online: 20 }),
+  ]);
+  assert.ok(choice.kind === "at_limits");
+  assert.equal(choice.server, "first");
+  assert.equal(choice.budget.waitMilliseconds, 125);
+});
+
+test("a trial is not sent to a server at its limit", () => {
+  const choice = chooseServerForTrial([
+    candidate("idle", { sendBudget: budget(0) }),
+    candidate("busy", { online: 5 }),
+  ], options);
+  assert.equal(choice.kind === "send" && choice.server.id, "busy");
+});
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -4,6 +4,7 @@
  */
 
 import type { InstanceId } from "../common/ids.ts";
+import type { SendBudget } from "../fleet/limits/server-limits.ts";
 import {
   displaceableSlotShare,
   freeCapacityExponent,
@@ -25,11 +26,14 @@
   readonly isAvoided: boolean;
   /** Share of the server's recent requests that failed, from 0 to 1. */
   readonly failureShare: number;
+  /** What is left of the limit that the server states; undefined if it states none. */
+  readonly sendBudget?: SendBudget | undefined;
 }
 
 /**
  * `none`: there is no candidate. `full`: the expected wait is too long at every candidate; the
- * shortest one is given.
+ * shortest one is given. `at_limits`: so it is at every candidate to which a request may be sent by
+ * the limit that it states; the other one to which a request may be sent first is given.
  */
 export type ServerChoice =
   | { readonly kind: "none" }
@@ -41,7 +45,12 @@
     /** The request may crash the server; others with the same suspected parts wait for it. */
     readonly isTrial?: boolean;
   }
-  | { readonly kind: "full"; readonly expectedWaitMilliseconds: number };
+  | { readonly kind: "full"; readonly expectedWaitMilliseconds: number }
+  | {
+    readonly kind: "at_limits";
+    readonly server: InstanceId;
+    readonly budget: SendBudget;
+  };
 
 export type SendChoice = Extract<ServerChoice, { kind: "send" }>;
 
@@ -58,15 +67,18 @@
   candidates: readonly ServerCandidate[],
   options: ChoiceOptions,
 ): ServerChoice {
-  const usable = candidates.filter((candidate) => !candidate.isAvoided);
-  const pool = usable.length > 0 ? usable : candidates;
-  if (pool.length === 0) return { kind: "none" };
+  const trusted = trustedCandidates(candidates);
+  if (trusted.length === 0) return { kind: "none" };
+  const pool = trusted.filter(maySend);
+  if (pool.length === 0) return firstToHaveBudget(trusted);
   const serverWithCapacity = pickByCapacity(pool, options);
   if (serverWithCapacity) {
     const displacesBatch = freeSlots(serverWithCapacity) === 0;
     return { kind: "send", server: serverWithCapacity, displacesBatch };
   }
-  return chooseFullServer(pool, options);
+  const choice = chooseFullServer(pool, options);
+  if (choice.kind !== "full" || pool.length === trusted.length) return choice;
+  return firstToHaveBudget(trusted.filter((one) => !maySend(one)));
 }
 
 /** Chooses the server with the fewest requests, since all of them are lost if it crashes. */
@@ -77,8 +89,7 @@
   const choice = chooseServer(candidates, options);
   if (choice.kind !== "send") return choice;
   const requestsOf = ({ online, batch }: ServerCandidate) => online + batch;
-  const usable = candidates.filter((candidate) => !candidate.isAvoided);
-  const pool = usable.length > 0 ? usable : candidates;
+  const pool = trustedCandidates(candidates).filter(maySend);
   const fewest = Math.min(...pool.map(requestsOf));
   const server = pickByWeight(
     pool,
@@ -88,6 +99,28 @@
   return { kind: "send", server, displacesBatch: freeSlots(server) === 0 };
 }
 
+/** The candidates that are not avoided, or all if there is no other. */
+function trustedCandidates(
+  candidates: readonly ServerCandidate[],
+): readonly ServerCandidate[] {
+  const trusted = candidates.filter((candidate) => !candidate.isAvoided);
+  return trusted.length > 0 ? trusted : candidates;
+}
+
+/** Whether the limit that the server states leaves room for a request of this instance. */
+function maySend({ sendBudget }: ServerCandidate): boolean {
+  return sendBudget === undefined || sendBudget.allowance >= 1;
+}
+
+function firstToHaveBudget(
+  candidates: readonly ServerCandidate[],
+): Extract<ServerChoice, { kind: "at_limits" }> {
+  const [first] = candidates.toSorted((left, right) =>
+    left.sendBudget!.waitMilliseconds - right.sendBudget!.waitMilliseconds
+  );
+  return { kind: "at_limits", server: first!.id, budget: first!.sendBudget! };
+}
+
 /**
  * Picks among full servers with an acceptable wait, at random and more often those with a short
  * queue. It is random for the same reason as `pickByCapacity`.
@@ -107,7 +140,8 @@
     (candidate) =>
       waitOf(candidate) > acceptableWaitMilliseconds
         ? 0
-        : (candidate.online + 1 - candidate.slots) ** -queueExponent *
+        : Math.max(1, candidate.online + 1 - candidate.slots) **
+            -queueExponent *
           healthWeight(candidate),
     random,
   )!;
@@ -169,9 +203,15 @@
   return Math.max(0, slots - slotsKeptFree - online - batch);
 }
 
-/** Free slots of the server; slots of batch runs count in part, since runs can be displaced. */
+/**
+ * Free slots of the server; slots of batch runs count in part, since runs can be displaced. The
+ * limit that a server states bounds them; no run is displaced there, since it would have to be sent
+ * once more.
+ */
 function freeCapacity(candidate: ServerCandidate): number {
   const availableSlots = Math.max(0, candidate.slots - candidate.online);
   const free = freeSlots(candidate);
+  const { sendBudget } = candidate;
+  if (sendBudget) return Math.min(free, sendBudget.allowance);
   return free + (availableSlots - free) * displaceableSlotShare;
 }
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -98,6 +98,22 @@
 export const displaceableSlotShare = 0.5;
 /** The weight of a full server is divided by the length of its queue to this power. */
 export const queueExponent = 2;
+/** Attempts that did not run which are tolerated beyond the route's maximum of attempts. */
+export const additionalRefusals = 3;
+/**
+ * Longest wait for servers at their limits, in latency objectives. A request that is sent when a
+ * token is due finds a free slot and begins at once.
+ */
+export const acceptableLimitWaitShares = {
+  in_time: 0.7,
+  any: Number.POSITIVE_INFINITY,
+} as const;
+/**
+ * Share of its remaining time for which a caller who has come back waits for servers at their limits.
+ */
+export const returnedCallerWaitShare = 0.5;
+/** Interval at which requests are tried again that wait for servers at their limits. */
+export const sendRetryIntervalMilliseconds = 50;
 /** Smoothing factor of the average duration of requests: the weight of one new duration. */
 export const durationSmoothingFactor = 0.05;
 /** Average duration that is assumed before any request has been served. */
--- a/packages/gateway/gateway-metrics.ts
+++ b/packages/gateway/gateway-metrics.ts
@@ -6,6 +6,8 @@
 export interface GatewayMetrics {
   /** Counts a request that was refused before it was sent, by its error code. */
   countRefusal(code: string): void;
+  /** Counts a request that servers at their limits made wait or that was refused for them. */
+  countHeldSend(outcome: "waited" | "refused"): void;
   /** `now` is in monotonic milliseconds, here and below. */
   recordFirstBytes(
     received: ReceivedRequest,
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -32,6 +32,7 @@
 import type { Placement, Placer } from "./placement.ts";
 import { quarantineError } from "./request-errors.ts";
 import type { ServerPools } from "./server-pools.ts";
+import { SendQueue } from "./send-queue.ts";
 import { StartWait } from "./start-wait.ts";
 
 /** Handles the calls on batch jobs after route and API key have been checked. */
@@ -227,6 +228,8 @@
       now,
       random,
       placer,
+      sendQueue: new SendQueue(),
+      countHeldSend: (outcome) => metrics.countHeldSend(outcome),
       quarantine,
       examineServer: (server, suspect) =>
         crashDetector.examine(server, suspect),
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -5,31 +5,32 @@
  */
 
 import type { Buffer } from "node:buffer";
-import type { InstanceId, PromptPartId, UpstreamName } from "../common/ids.ts";
+import type { InstanceId, UpstreamName } from "../common/ids.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
-import {
-  undecidedRetryMilliseconds,
-  undecidedWaitMilliseconds,
-} from "../quarantine/constants.ts";
 import { AnswerRelay } from "./answer-relay.ts";
+import { examineAttempt } from "./attempt-examination.ts";
 import { attemptTimeouts, failureOfHead } from "./attempt-rules.ts";
 import type { AnswerHead, ReceivedRequest } from "./caller-request.ts";
 import type { CallerResponse, ErrorAnswer } from "./caller-response.ts";
 import {
+  additionalRefusals,
   minimumRemainingMilliseconds,
   rerouteAfterObjectives,
 } from "./constants.ts";
 import type { SendChoice } from "./choose-server.ts";
 import type { ChoiceRequest, OnlineServices } from "./online-services.ts";
 import type { Placement } from "./placement.ts";
+import { PlacementWait, type ServerAtLimit } from "./placement-wait.ts";
 import { QueueWatch } from "./queue-watch.ts";
 import {
   capacityError,
   deadlineError,
+  limitError,
   noServerError,
   serverFailedError,
 } from "./request-errors.ts";
+import type { RetryAfterOptions } from "./retry-after.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
 export interface OnlineRequestOptions {
@@ -72,9 +73,7 @@
   #isOver = false;
   #firstBytesAt: number | undefined;
   readonly #relay: AnswerRelay;
-  /** When the request first waited for a trial of its parts. */
-  #heldSince: number | undefined;
-  #heldTimer: NodeJS.Timeout | undefined;
+  readonly #wait: PlacementWait;
   #deadlineTimer: NodeJS.Timeout | undefined;
   #queueWatch: QueueWatch | undefined;
 
@@ -95,6 +94,16 @@
       onWrite: () => this.#recordFirstBytes(),
       onFull: () => this.#pauseAttempt(),
     });
+    this.#wait = new PlacementWait({
+      ...services,
+      queue: services.sendQueue,
+      service: this.#service,
+      requestId: received.request.id ?? "",
+      deadline: this.#deadline,
+      objectiveMilliseconds: route.latencyObjectiveMilliseconds,
+      retry: () => this.#tryNextServer(),
+      countHeld: services.countHeldSend,
+    });
   }
 
   start(): void {
@@ -122,8 +131,10 @@
     if (this.#possibleRuns >= route.maximumAttempts) {
       return this.#giveUp("the route allows no further attempt");
     }
+    const choice = this.#choiceRequest();
+    if (this.#wait.joinQueue(choice.waitTolerance)) return;
     services.placer.place({
-      ...this.#choiceRequest(),
+      ...choice,
       requestId: request.id ?? "",
       sharedPromptParts: request.sharedPromptParts,
       limitedWorkspace: this.#isAdmitted
@@ -149,7 +160,7 @@
   #handlePlacement(placement: Placement): void {
     const { placer } = this.#options.services;
     if (this.#isOver) {
-      if (placement.kind === "send") placer.releaseSlot(placement.server.id);
+      if (placement.kind === "send") placer.withdraw(placement);
       return;
     }
     switch (placement.kind) {
@@ -157,8 +168,11 @@
         return this.#giveUp("no server is available");
       case "full":
         return this.#refuseForCapacity(placement.expectedWaitMilliseconds);
+      case "at_limits":
+        return this.#waitForLimit(placement);
       case "held":
-        return this.#waitForTrial(placement.part);
+        if (this.#wait.waitForTrial()) return;
+        return this.#giveUp(`part ${placement.part} of the prompt is on trial`);
       case "quarantined":
         this.#close();
         return this.#options.refuseForPart(placement);
@@ -176,7 +190,7 @@
     const server = services.findServer(choice.server.id);
     if (!server) {
       // The server has left since it was chosen, so the request has not been sent to it.
-      services.placer.releaseSlot(choice.server.id);
+      services.placer.withdraw(choice);
       this.#excluded.add(choice.server.id);
       this.#refusals += 1;
       if (this.#hasTooManyRefusals()) {
@@ -348,7 +362,16 @@
     const { hasBegunAnswer } = this.#relay;
     attempt.cancel();
     this.#releaseAttempt();
-    const examination = this.#examineServer(failure);
+    const { id, sharedPromptParts } = received.request;
+    const examination = examineAttempt(services, {
+      upstream: this.#upstream!,
+      failure,
+      suspect: hasBegunAnswer ? undefined : {
+        request: id ?? "",
+        sharedPromptParts,
+        runMilliseconds: services.now() - this.#attemptStart,
+      },
+    });
     this.#excluded.add(server);
     if (failure.verdict === "not_run") this.#refusals += 1;
     else this.#possibleRuns += 1;
@@ -384,36 +407,10 @@
     }
   }
 
-  /** Resolves when the failure was counted, against the server or as its crash. */
-  async #examineServer(failure: AttemptFailure): Promise<void> {
-    const { services, received } = this.#options;
-    const upstream = this.#upstream!;
-    if (!failure.isConnectionBroken) {
-      if (failure.isServerFault) services.recordFailure(upstream.id);
-      return;
-    }
-    const { id, sharedPromptParts } = received.request;
-    const suspect = this.#relay.hasBegunAnswer ? undefined : {
-      request: id ?? "",
-      sharedPromptParts,
-      runMilliseconds: services.now() - this.#attemptStart,
-    };
-    const hasCrashed = await services.examineServer(upstream, suspect);
-    if (!hasCrashed) services.recordFailure(upstream.id);
-  }
-
-  /** Waits until a request with the same suspected part has been answered or has crashed. */
-  #waitForTrial(part: PromptPartId): void {
-    const { services } = this.#options;
-    const now = services.now();
-    this.#heldSince ??= now;
-    if (now - this.#heldSince >= undecidedWaitMilliseconds) {
-      return this.#giveUp(`part ${part} of the prompt is on trial`);
-    }
-    this.#heldTimer = setTimeout(
-      () => this.#tryNextServer(),
-      undecidedRetryMilliseconds,
-    );
+  #waitForLimit(atLimit: ServerAtLimit): void {
+    const { waitTolerance } = this.#choiceRequest();
+    if (this.#wait.waitForLimit(atLimit, waitTolerance)) return;
+    this.#fail(limitError(this.#retryOptions(atLimit.budget.waitMilliseconds)));
   }
 
   #hasTooManyRefusals(): boolean {
@@ -422,12 +419,16 @@
   }
 
   #refuseForCapacity(waitMilliseconds: number): void {
+    this.#fail(capacityError(this.#retryOptions(waitMilliseconds)));
+  }
+
+  #retryOptions(expectedWaitMilliseconds: number): RetryAfterOptions {
     const { services } = this.#options;
-    this.#fail(capacityError({
-      expectedWaitMilliseconds: waitMilliseconds,
+    return {
+      expectedWaitMilliseconds,
       remainingMilliseconds: this.#deadline - services.now(),
       random: services.random,
-    }));
+    };
   }
 
   #giveUp(reason: string): void {
@@ -460,16 +461,19 @@
   }
 
   #releaseAttempt(): void {
-    if (!this.#attempt) return;
+    const attempt = this.#attempt;
+    if (!attempt) return;
     this.#queueWatch?.stop();
     this.#attempt = undefined;
-    this.#options.services.placer.releaseSlot(this.#server!);
+    const { placer } = this.#options.services;
+    if (attempt.wasSent) placer.releaseSlot(this.#server!);
+    else placer.withdraw(this.#choice!);
   }
 
   #close(): void {
     this.#isOver = true;
     clearTimeout(this.#deadlineTimer);
-    clearTimeout(this.#heldTimer);
+    this.#wait.cancel();
     this.#queueWatch?.stop();
   }
 
@@ -491,6 +495,3 @@
     });
   }
 }
-
-/** Attempts that did not run which are tolerated beyond the route's maximum of attempts. */
-const additionalRefusals = 3;
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -14,6 +14,7 @@
 import type { CallerCodec, ReceivedRequest } from "./caller-request.ts";
 import type { SendChoice } from "./choose-server.ts";
 import type { Placer } from "./placement.ts";
+import type { SendQueue } from "./send-queue.ts";
 
 /**
  * How long a request may wait at a server. `in_time`: so short that it meets the latency
@@ -60,6 +61,7 @@
   /** A number from 0 (inclusive) to 1 (exclusive). */
   random(): number;
   readonly placer: Placer;
+  readonly sendQueue: SendQueue;
   chooseService(route: RouteRule): UpstreamName;
   findServer(id: InstanceId): UpstreamServer | undefined;
   poolOf(server: UpstreamServer): ConnectionPool;
@@ -82,6 +84,8 @@
     suspect: CrashSuspect | undefined,
   ): Promise<boolean>;
   readonly quarantine: Pick<Quarantine, "recordBegin">;
+  /** Counts a request that servers at their limits made wait or that was refused for them. */
+  countHeldSend(outcome: "waited" | "refused"): void;
   recordFirstBytes(received: ReceivedRequest, workspace: string): void;
   recordOutcome(outcome: OnlineOutcome): void;
 }
--- a/packages/gateway/placement.ts
+++ b/packages/gateway/placement.ts
@@ -12,6 +12,7 @@
   chooseServer,
   chooseServerForTrial,
   freeSlots,
+  type SendChoice,
   type ServerChoice,
 } from "./choose-server.ts";
 import { acceptableWaitShares } from "./constants.ts";
@@ -81,6 +82,8 @@
   /** Chooses a server and counts the request in its load, until `releaseSlot` is called. */
   place(request: PlacementRequest): Promise<Placement>;
   releaseSlot(server: InstanceId): void;
+  /** Takes back a choice whose request was not sent, as if it had not been made. */
+  withdraw(choice: SendChoice): void;
   findRoom(request: RoomRequest): Promise<RoomReply>;
   /** Has one batch run at the server stopped, since an online request needs its slot. */
   makeRoom(server: InstanceId): void;
@@ -97,6 +100,8 @@
   readonly blackboard: Blackboard;
   readonly limiter: () => WorkspaceLimiter;
   readonly quarantine: () => PartJudge;
+  /** Brings the limits up to date where no report interval does so. */
+  readonly refreshLimits?: () => void;
   readonly zone: string;
   readonly displaceBatch: (server: InstanceId) => void;
   /** Monotonic milliseconds. */
@@ -108,7 +113,11 @@
   readonly #options: Required<LocalPlacerOptions>;
 
   constructor(options: LocalPlacerOptions) {
-    this.#options = { random: Math.random, ...options };
+    this.#options = {
+      random: Math.random,
+      refreshLimits: () => {},
+      ...options,
+    };
   }
 
   place(request: PlacementRequest): Promise<Placement> {
@@ -123,6 +132,11 @@
     this.#options.blackboard.loads.removeRequest(server, "online");
   }
 
+  withdraw({ server }: SendChoice): void {
+    this.releaseSlot(server.id);
+    this.#options.blackboard.serverLimits.giveBack(server.id);
+  }
+
   findRoom(request: RoomRequest): Promise<RoomReply> {
     const { zone } = this.#options;
     return Promise.resolve(this.checkRoom(request, { zone }));
@@ -132,8 +146,10 @@
     this.#options.displaceBatch(server);
   }
 
-  /** Decides on a request without counting it in the load of the server. */
+  /** Decides on a request without counting it in the load of the server, but in its limit. */
   decide(request: PlacementRequest, origin: PlacementOrigin): Placement {
+    const { blackboard, now } = this.#options;
+    this.#options.refreshLimits();
     const quarantine = this.#options.quarantine();
     const judgement = quarantine.judge(request.sharedPromptParts);
     if (judgement.kind === "undecided") {
@@ -158,6 +174,8 @@
         return { kind: "limited", retryAfterMilliseconds, state };
       }
     }
+    const upstream = blackboard.upstreams.get(choice.server.id);
+    if (upstream) blackboard.serverLimits.take(upstream, now());
     if (choice.displacesBatch) this.#options.displaceBatch(choice.server.id);
     if (!isTrial) return choice;
     quarantine.beginTrial(request.requestId, judgement.parts);
--- a/packages/gateway/request-errors.ts
+++ b/packages/gateway/request-errors.ts
@@ -26,6 +26,17 @@
   };
 }
 
+/** All servers are at the limits that they state. */
+export function limitError(options: RetryAfterOptions): ErrorAnswer {
+  return {
+    status: 503,
+    code: "servers_at_limits",
+    message:
+      "all servers get as many requests as they take; the request has not run",
+    retryAfterMilliseconds: chooseRetryAfter(options),
+  };
+}
+
 /** The request is given up for the reason. */
 export function noServerError(
   reason: string,
--- a/packages/gateway/server-candidates.ts
+++ b/packages/gateway/server-candidates.ts
@@ -17,7 +17,7 @@
 }
 
 export function listCandidates(
-  { upstreams, loads, health }: Blackboard,
+  { upstreams, loads, health, serverLimits }: Blackboard,
   { service, zone, now, excluded, avoided }: CandidateQuery,
 ): ServerCandidate[] {
   const candidates: ServerCandidate[] = [];
@@ -33,6 +33,7 @@
       isAvoided: health.isAvoided(server.id, now) ||
         avoided?.has(server.id) === true,
       failureShare: health.failureShare(server.id, now),
+      sendBudget: serverLimits.budgetOf(server, now),
     });
   }
   return candidates;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -73,10 +73,9 @@
   readonly logger: Logger;
 }
 
-/** Where a run took place, and whether content of its answer had arrived. */
 interface EndedRun {
   readonly upstream: UpstreamServer;
-  readonly hasBegun: boolean;
+  readonly run: ItemRun;
 }
 
 export class BatchExecutor {
@@ -259,13 +258,15 @@
     }
     work.isTrial = judgement.kind === "trial";
     work.isStarting = true;
+    const upstream = blackboard.upstreams.get(server)!;
     blackboard.loads.addRequest(server, "batch");
+    blackboard.serverLimits.take(upstream, time);
     bodies.read(partition, state.record, work.item).then(
       (body) => this.#send(work, state, server, body),
       (error) => {
         work.isStarting = false;
         work.retryAt = this.#options.now() + itemRetryMaximumMilliseconds;
-        blackboard.loads.removeRequest(server, "batch");
+        this.#withdraw(server);
         logger.warn("the body of an item cannot be read", {
           job: work.job,
           item: work.itemId,
@@ -329,7 +330,7 @@
     const canStillRun = this.#workTable.has(work) && !this.#isStopped &&
       !state.isEnded && this.#options.isOwned(work.partition);
     if (!canStillRun || upstream?.state !== "ready") {
-      return blackboard.loads.removeRequest(server, "batch");
+      return this.#withdraw(server);
     }
     const request = jobCodec.toRequest(
       state.record.items[work.item]!,
@@ -364,8 +365,7 @@
         ),
       hasServerCrashed: () =>
         this.#options.crashDetector.examine(upstream, undefined),
-      onEnd: (outcome) =>
-        this.#handleEnd(work, { upstream, hasBegun: run.hasBegun }, outcome),
+      onEnd: (outcome) => this.#handleEnd(work, { upstream, run }, outcome),
     });
     work.run = run;
     work.runs += 1;
@@ -380,15 +380,23 @@
     run.start();
   }
 
+  /** Takes back the choice of a server to which the item was not sent. */
+  #withdraw(server: InstanceId): void {
+    const { loads, serverLimits } = this.#options.blackboard;
+    loads.removeRequest(server, "batch");
+    serverLimits.giveBack(server);
+  }
+
   #handleEnd(
     work: ItemWork,
-    { upstream, hasBegun }: EndedRun,
+    { upstream, run }: EndedRun,
     outcome: RunOutcome,
   ): void {
     const { blackboard, partitions, now, logger } = this.#options;
     const server = upstream.id;
     work.run = undefined;
-    blackboard.loads.removeRequest(server, "batch");
+    if (run.wasSent) blackboard.loads.removeRequest(server, "batch");
+    else this.#withdraw(server);
     const events = work.output.lastEventId ?? 0;
     this.#estimator.recordRun(
       events - work.eventsAtRunStart,
@@ -424,7 +432,7 @@
           ...this.#options,
           health: blackboard.health,
           upstream,
-          hasBegun,
+          hasBegun: run.hasBegun,
         });
         work.interruptions += 1;
         work.retryAt = now() + Math.min(
--- a/packages/jobs/choose-batch-server.test.ts
+++ b/packages/jobs/choose-batch-server.test.ts
@@ -87,3 +87,28 @@
   assert.deepEqual(select("a", "c"), ["b"]);
   assert.deepEqual(select("a", "b", "c"), ["a", "b", "c"]);
 });
+
+test("items with time leave the last tokens of a server's limit to online requests", () => {
+  const limited = (level: number) => ({
+    id: id(0),
+    slots,
+    online: 0,
+    batch: 0,
+    isSameZone: true,
+    isAvoided: false,
+    failureShare: 0,
+    sendBudget: {
+      limitPerSecond: 4,
+      ageMilliseconds: 0,
+      allowance: 1,
+      level,
+      burst: 6,
+      waitMilliseconds: 0,
+    },
+  });
+  const slotsKept = 1;
+  assert.equal(chooseBatchServer([limited(2)], slotsKept), undefined);
+  assert.equal(chooseBatchServer([limited(6)], slotsKept), id(0));
+  const urgent = 0;
+  assert.equal(chooseBatchServer([limited(2)], urgent), id(0));
+});
--- a/packages/jobs/choose-batch-server.ts
+++ b/packages/jobs/choose-batch-server.ts
@@ -42,6 +42,22 @@
   return untried.length > 0 ? untried : candidates;
 }
 
+/**
+ * Slots of the server that an item may use. The limit that a server states bounds them too; most of
+ * the sends that it allows at once are left to online requests, unless the item is urgent.
+ */
+function slotsForItem(
+  candidate: ServerCandidate,
+  slotsKeptFree: number,
+): number {
+  const free = freeSlots(candidate, slotsKeptFree);
+  const { sendBudget } = candidate;
+  if (!sendBudget) return free;
+  const { allowance, level, burst } = sendBudget;
+  const sendsKept = slotsKeptFree > 0 ? (burst - 1) * sendShareKept : 0;
+  return allowance < 1 || level < 1 + sendsKept ? 0 : Math.min(free, level);
+}
+
 export function chooseBatchServer(
   candidates: readonly ServerCandidate[],
   slotsKeptFree: number,
@@ -50,7 +66,7 @@
   let bestScore = 0;
   for (const candidate of candidates) {
     if (candidate.isAvoided) continue;
-    const free = freeSlots(candidate, slotsKeptFree);
+    const free = slotsForItem(candidate, slotsKeptFree);
     // Of two servers with equally many free slots, the one in the same zone is preferred.
     const score = free > 0
       ? (free + (candidate.isSameZone ? sameZoneBonus : 0)) *
@@ -64,5 +80,7 @@
   return best;
 }
 
+/** Share of the sends that a server allows at once which items with time leave to online requests. */
+const sendShareKept = 0.7;
 /** Added to the free slots of a server in the zone of this instance. */
 const sameZoneBonus = 0.5;
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -180,6 +180,11 @@
     });
   }
 
+  /** False if the item has not been sent, since no connection became available. */
+  get wasSent(): boolean {
+    return this.#attempt.wasSent;
+  }
+
   /** True once content of the answer has arrived. */
   get hasBegun(): boolean {
     return this.#hasBegun;
--- a/packages/jobs/ready-items.ts
+++ b/packages/jobs/ready-items.ts
@@ -48,7 +48,7 @@
 
 /** This instance's share of the free slots, in proportion to its share of the waiting items. */
 export function maximumStarts(
-  { upstreams, loads }: Blackboard,
+  { upstreams, loads, serverLimits }: Blackboard,
   { ready, waitingAtPeers, now }: {
     /** Number of items of this instance that can be sent. */
     readonly ready: number;
@@ -61,10 +61,11 @@
   for (const server of upstreams.all()) {
     if (server.state !== "ready") continue;
     const load = loads.estimate(server.id, now);
-    totalFreeSlots += freeSlots(
-      { slots: server.slots, ...load },
-      slotsKeptFree,
-    );
+    const free = freeSlots({ slots: server.slots, ...load }, slotsKeptFree);
+    const budget = serverLimits.budgetOf(server, now);
+    totalFreeSlots += budget
+      ? Math.min(free, Math.max(0, Math.floor(budget.level)))
+      : free;
   }
   const share = ready / (ready + waitingAtPeers);
   return Math.max(1, Math.ceil(totalFreeSlots * share));
