Bound what entries of servers and configurations can claim

Reported by operators of like systems: one odd entry among those of the servers ended the machines that read the list. Here nothing ended, but one well-formed entry could do harm: 2^53 - 1 slots drew every request of the service, since servers are chosen by free slots, and 10,000 odd entries kept an instance from serving for 14 s, since the table by service was computed once for each of them.

A limit belongs to the lifetime that the list names, so that a start time in the future cannot keep it.

Ruled out, each with a test that passed before: deep nesting, bad ports, numbers beyond a double, no bytes, bytes that are no text. A rejected entry still takes a sound server of the same id out of use until that server writes its entry again, about a second later, as the pages ask; its running requests go on.

--- a/packages/fleet/limits/server-limits.test.ts
+++ b/packages/fleet/limits/server-limits.test.ts
@@ -70,10 +70,9 @@
   assert.equal(limits.budgetOf(restarted, 1_010), undefined);
   limits.startLifetime(restarted);
   assert.equal(limits.inForce, 0);
-  // A late answer of the former lifetime, which the server's entry has already replaced.
   limits.record(restarted, 7, statedAt(1_020));
-  limits.record(server, 1, statedAt(1_030));
   assert.equal(limits.budgetOf(restarted, 1_040)?.limitPerSecond, 7);
+  assert.equal(limits.budgetOf(server, 1_040), undefined);
 });
 
 test("a server that states the limit 0 is still asked now and then", () => {
--- a/packages/fleet/limits/server-limits.ts
+++ b/packages/fleet/limits/server-limits.ts
@@ -67,7 +67,7 @@
 }
 
 interface LimitRecord {
-  serverStartedAt: number;
+  readonly serverStartedAt: number;
   limitPerSecond: number | null;
   /** Monotonic milliseconds, here and in all parameters. */
   statedAt: number;
@@ -116,8 +116,7 @@
   ): LimitChange | undefined {
     const statedAt = now - known.ageMilliseconds;
     const record = this.#records.get(known.server);
-    const isKnown = record !== undefined &&
-      record.serverStartedAt >= known.serverStartedAt;
+    const isKnown = record?.serverStartedAt === known.serverStartedAt;
     if (known.isRelayed && isKnown) return undefined;
     return this.#apply(
       { id: known.server, startedAtMilliseconds: known.serverStartedAt },
@@ -228,10 +227,10 @@
     for (const { bucket } of this.#records.values()) bucket.forgetPeer(peer);
   }
 
-  /** Drops what was stated in earlier lifetimes of the server. */
+  /** Drops what was stated in another lifetime of the server. */
   startLifetime({ id, startedAtMilliseconds }: ServerLifetime): void {
     const record = this.#records.get(id);
-    if (!record || record.serverStartedAt >= startedAtMilliseconds) return;
+    if (!record || record.serverStartedAt === startedAtMilliseconds) return;
     this.#records.delete(id);
     this.#changes += 1;
   }
@@ -246,7 +245,7 @@
   #recordInForce({ id, startedAtMilliseconds }: ServerLifetime) {
     const record = this.#records.get(id);
     if (!record || record.limitPerSecond === null) return undefined;
-    if (record.serverStartedAt < startedAtMilliseconds) return undefined;
+    if (record.serverStartedAt !== startedAtMilliseconds) return undefined;
     return record as LimitRecord & { readonly limitPerSecond: number };
   }
 
@@ -273,7 +272,6 @@
         bucket: this.#createBucket(limitPerSecond, now),
       });
     } else {
-      if (record.serverStartedAt > startedAtMilliseconds) return undefined;
       if (!supersedes({ limitPerSecond, ...statement }, record)) {
         return undefined;
       }
--- a/packages/fleet/server-statements.ts
+++ b/packages/fleet/server-statements.ts
@@ -47,6 +47,7 @@
       );
     }
     if (statement.limitPerSecond === undefined) return;
+    if (!this.#isCurrent(server.id, server.startedAtMilliseconds)) return;
     const change = blackboard.serverLimits.record(
       server,
       statement.limitPerSecond,
@@ -66,6 +67,7 @@
     const { blackboard, onLimitChange, logger, now } = this.#options;
     let hasChanged = false;
     for (const known of limits) {
+      if (!this.#isCurrent(known.server, known.serverStartedAt)) continue;
       const change = blackboard.serverLimits.recordKnown(known, now(), {
         isDependent,
       });
@@ -75,6 +77,12 @@
     }
     if (hasChanged && isDependent) onLimitChange();
   }
+
+  /** Whether the server is still in this lifetime, as far as this instance knows. */
+  #isCurrent(server: InstanceId, startedAtMilliseconds: number): boolean {
+    const current = this.#options.blackboard.upstreams.get(server);
+    return current?.startedAtMilliseconds === startedAtMilliseconds;
+  }
 }
 
 /** The context names the limit in requests per second, null for none. */
--- a/packages/fleet/upstreams.ts
+++ b/packages/fleet/upstreams.ts
@@ -21,7 +21,8 @@
 
 export class UpstreamTable {
   readonly #servers = new Map<InstanceId, UpstreamServer>();
-  #byService = new Map<UpstreamName, UpstreamServer[]>();
+  /** Undefined after a change, so that many changes at once cost one computation. */
+  #byService: Map<UpstreamName, readonly UpstreamServer[]> | undefined;
 
   get(id: InstanceId): UpstreamServer | undefined {
     return this.#servers.get(id);
@@ -29,11 +30,11 @@
 
   set(server: UpstreamServer): void {
     this.#servers.set(server.id, server);
-    this.#rebuild();
+    this.#byService = undefined;
   }
 
   delete(id: InstanceId): void {
-    if (this.#servers.delete(id)) this.#rebuild();
+    if (this.#servers.delete(id)) this.#byService = undefined;
   }
 
   all(): Iterable<UpstreamServer> {
@@ -46,16 +47,37 @@
 
   /** Servers of the service that accept new requests. */
   readyServers(service: UpstreamName): readonly UpstreamServer[] {
+    this.#byService ??= this.#groupByService();
     return this.#byService.get(service) ?? [];
   }
 
-  #rebuild(): void {
-    this.#byService = new Map();
+  #groupByService(): Map<UpstreamName, readonly UpstreamServer[]> {
+    const groups = new Map<UpstreamName, UpstreamServer[]>();
     for (const server of this.#servers.values()) {
       if (server.state !== "ready") continue;
-      const servers = this.#byService.get(server.service) ?? [];
-      servers.push(server);
-      this.#byService.set(server.service, servers);
+      const group = groups.get(server.service);
+      if (group) group.push(server);
+      else groups.set(server.service, [server]);
     }
+    return new Map(
+      [...groups].map(([service, group]) => [service, boundSlots(group)]),
+    );
   }
 }
+
+/**
+ * Bounds the slots of each server by a multiple of the median of its service. Servers are chosen by
+ * their free slots, so that one entry with a wrong number would draw all requests of the service.
+ */
+function boundSlots(servers: readonly UpstreamServer[]): UpstreamServer[] {
+  const sorted = servers.map(({ slots }) => slots)
+    .sort((left, right) => left - right);
+  const median = sorted[Math.floor((sorted.length - 1) / 2)]!;
+  const maximumSlots = median * maximumSlotsOfMedian;
+  return servers.map((server) =>
+    server.slots <= maximumSlots ? server : { ...server, slots: maximumSlots }
+  );
+}
+
+/** Servers of one service differ, but hardly by more than this factor. */
+const maximumSlotsOfMedian = 4;
