Decide late requests of a leaving instance by what is left of its grace

Reported by operators of like systems: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end. It could happen here: an instance ended all connections 0.7 s before the end of the grace, whatever was in progress, and accepted requests of any length until it had closed its listener.

A leaving instance now passes on what surely fits, by a pure function of the remaining grace, the time limit of the request and how long slow requests of its route take; other requests get 503 at once, closing their connection, as not run. At the end every request in progress gets its final answer: 503 if it was not sent, 504 if it may have run, a stream that has begun is broken off.

Not changed: when the listener closes.

--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -12,6 +12,8 @@
  * active.
  */
 export const graceReserveMilliseconds = 700;
+/** Time within that reserve in which requests that outlast the grace period get their answers. */
+export const finalAnswerMilliseconds = 200;
 /** Interval at which a leaving instance checks whether its last request has ended. */
 export const leavePollMilliseconds = 50;
 /** Pause before a failed write of this instance's member record is retried. */
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -152,6 +152,7 @@
     this.#coordination.keepRole();
     this.#leavePromise ??= leaveFleet({
       blackboard: this.#blackboard,
+      gateway: this.#gateway,
       listener: this.#listener,
       batch: this.#coordination.batch,
       membership: this.#membership,
--- a/packages/fleet/blackboard.ts
+++ b/packages/fleet/blackboard.ts
@@ -22,6 +22,8 @@
   hasVerdicts = false;
   /** The instance has been told to stop. */
   isLeaving = false;
+  /** When all requests end since the instance stops; monotonic milliseconds. */
+  servesUntil = Number.POSITIVE_INFINITY;
   /** Moving average of the time that an online request occupies a slot. */
   requestDurationMilliseconds: number;
 
--- a/packages/gateway/caller-listener.ts
+++ b/packages/gateway/caller-listener.ts
@@ -14,7 +14,7 @@
 import { listenOn } from "../common/listen.ts";
 import type { Logger } from "../common/logging.ts";
 import type { CallerLimits } from "../fleet/configuration.ts";
-import { CallerResponse } from "./caller-response.ts";
+import { CallerResponse, type ErrorAnswer } from "./caller-response.ts";
 
 /** `receivedAt` is in monotonic milliseconds, taken once the body is complete. */
 export type RequestHandler = (
@@ -43,7 +43,8 @@
 export class CallerListener {
   readonly #options: CallerListenerOptions;
   readonly #server: Server;
-  #activeRequests = 0;
+  /** Responses in progress, which are not finished. */
+  readonly #active = new Set<CallerResponse>();
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
@@ -61,7 +62,7 @@
 
   /** Requests in progress, whose answers are not finished. */
   get activeRequests(): number {
-    return this.#activeRequests;
+    return this.#active.size;
   }
 
   async listen(): Promise<number> {
@@ -82,6 +83,11 @@
     this.#server.close();
   }
 
+  /** Answers all requests in progress with the error, or breaks off what has begun. */
+  failActive(answer: ErrorAnswer): void {
+    for (const response of [...this.#active]) response.fail(answer);
+  }
+
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
@@ -95,8 +101,8 @@
     const limits = this.#options.limits();
     const maximumBodyBytes = limits?.maximumBodyBytes ??
       defaultMaximumBodyBytes;
-    this.#activeRequests += 1;
-    nodeResponse.once("close", () => this.#activeRequests -= 1);
+    this.#active.add(response);
+    nodeResponse.once("close", () => this.#active.delete(response));
     if (limits && headerBytes(message) > limits.maximumHeaderBytes) {
       message.resume();
       return response.fail({
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -86,6 +86,8 @@
 export const maximumHeldAnswerBytes = 256 * 1024;
 /** A request with less time than this until its deadline is not sent to a server. */
 export const minimumRemainingMilliseconds = 20;
+/** Retry-After of a leaving instance; the caller comes to another one, which has room. */
+export const leavingRetryAfterMilliseconds = 50;
 /** Factor on the weight of a server in another zone than this instance. */
 export const otherZoneWeight = 0.6;
 /**
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -30,7 +30,8 @@
 import { OnlineRequest } from "./online-request.ts";
 import type { OnlineServices } from "./online-services.ts";
 import type { Placement, Placer } from "./placement.ts";
-import { quarantineError } from "./request-errors.ts";
+import { fitsRemainingGrace, RouteDurations } from "./remaining-grace.ts";
+import { leavingError, quarantineError } from "./request-errors.ts";
 import type { ServerPools } from "./server-pools.ts";
 import { SendQueue } from "./send-queue.ts";
 import { StartWait } from "./start-wait.ts";
@@ -71,6 +72,8 @@
   readonly #services: OnlineServices;
   readonly #callerDeadlines = new CallerDeadlines();
   readonly #startWait = new StartWait();
+  readonly #activeRequests = new Set<OnlineRequest>();
+  readonly #routeDurations = new RouteDurations();
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -81,6 +84,14 @@
   handleDocuments(): void {
     const { blackboard } = this.#options;
     if (blackboard.hasRequestDocuments) this.#startWait.end();
+    const routes = blackboard.configuration?.configuration.routes ?? [];
+    const known = new Set(routes.map(({ id }) => id));
+    this.#routeDurations.retain((id) => known.has(id));
+  }
+
+  /** Gives all online requests in progress their final answer, since the instance stops. */
+  stop(): void {
+    for (const request of [...this.#activeRequests]) request.stop();
   }
 
   handle(
@@ -149,8 +160,11 @@
     workspace: WorkspaceRule | undefined,
     response: CallerResponse,
   ): void {
+    if (!this.#fitsRemainingGrace(received, route)) {
+      return this.#refuse(received.request, response, leavingError);
+    }
     const isLimited = workspace !== undefined && workspace.ratePerSecond > 0;
-    new OnlineRequest({
+    const onlineRequest: OnlineRequest = new OnlineRequest({
       received,
       route,
       workspace,
@@ -171,7 +185,27 @@
         route.id,
         received.request.deadlineMilliseconds,
       ),
-    }).start();
+      onOver: () => this.#activeRequests.delete(onlineRequest),
+    });
+    this.#activeRequests.add(onlineRequest);
+    onlineRequest.start();
+  }
+
+  /** Whether the request surely ends before this instance does, which may be leaving. */
+  #fitsRemainingGrace(
+    { request, receivedAt }: ReceivedRequest,
+    route: RouteRule,
+  ): boolean {
+    const { blackboard } = this.#options;
+    return fitsRemainingGrace({
+      graceMilliseconds: blackboard.servesUntil - receivedAt,
+      limitMilliseconds: Math.min(
+        request.deadlineMilliseconds ?? route.timeoutMilliseconds,
+        route.timeoutMilliseconds,
+      ),
+      usualMilliseconds: this.#routeDurations.of(route.id) ??
+        blackboard.requestDurationMilliseconds,
+    });
   }
 
   #refuseForLimit(
@@ -249,6 +283,9 @@
       recordOutcome: (outcome) => {
         metrics.recordOutcome(outcome, now());
         const { received, route, choice, firstBytesAt } = outcome;
+        if (outcome.outcome === "served") {
+          this.#routeDurations.record(route.id, now() - received.receivedAt);
+        }
         const since = (time: number) => Math.round(time - received.receivedAt);
         const context = {
           request: received.request.id ?? null,
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -6,20 +6,20 @@
 
 import type { Buffer } from "node:buffer";
 import type { InstanceId, UpstreamName } from "../common/ids.ts";
-import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import { AnswerRelay } from "./answer-relay.ts";
 import { examineAttempt } from "./attempt-examination.ts";
 import { attemptTimeouts, failureOfHead } from "./attempt-rules.ts";
-import type { AnswerHead, ReceivedRequest } from "./caller-request.ts";
-import type { CallerResponse, ErrorAnswer } from "./caller-response.ts";
+import type { AnswerHead } from "./caller-request.ts";
+import type { ErrorAnswer } from "./caller-response.ts";
 import {
   additionalRefusals,
   minimumRemainingMilliseconds,
   rerouteAfterObjectives,
 } from "./constants.ts";
 import type { SendChoice } from "./choose-server.ts";
-import type { ChoiceRequest, OnlineServices } from "./online-services.ts";
+import type { OnlineRequestOptions } from "./online-request-options.ts";
+import type { ChoiceRequest } from "./online-services.ts";
 import type { Placement } from "./placement.ts";
 import { PlacementWait, type ServerAtLimit } from "./placement-wait.ts";
 import { QueueWatch } from "./queue-watch.ts";
@@ -29,30 +29,11 @@
   limitError,
   noServerError,
   serverFailedError,
+  stoppedError,
 } from "./request-errors.ts";
 import type { RetryAfterOptions } from "./retry-after.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
-export interface OnlineRequestOptions {
-  readonly received: ReceivedRequest;
-  readonly route: RouteRule;
-  readonly workspace: WorkspaceRule | undefined;
-  readonly response: CallerResponse;
-  readonly services: OnlineServices;
-  /** The workspace against whose limit the request counts; undefined if there is no limit. */
-  readonly limitedWorkspace: WorkspaceRule | undefined;
-  /** Answers a request that exceeds the limit of its workspace. */
-  readonly refuseForLimit: (
-    placement: Extract<Placement, { kind: "limited" }>,
-  ) => void;
-  /** Answers a request with a part of its prompt under which servers crash. */
-  readonly refuseForPart: (
-    placement: Extract<Placement, { kind: "quarantined" }>,
-  ) => void;
-  /** The caller has likely sent this request before and was refused or got a failure. */
-  readonly isLikelyRetry: boolean;
-}
-
 export class OnlineRequest {
   readonly #options: OnlineRequestOptions;
   readonly #service: UpstreamName;
@@ -167,7 +148,9 @@
       case "none":
         return this.#giveUp("no server is available");
       case "full":
-        return this.#refuseForCapacity(placement.expectedWaitMilliseconds);
+        return this.#fail(
+          capacityError(this.#retryOptions(placement.expectedWaitMilliseconds)),
+        );
       case "at_limits":
         return this.#waitForLimit(placement);
       case "held":
@@ -418,10 +401,6 @@
     return this.#refusals > maximumAttempts + additionalRefusals;
   }
 
-  #refuseForCapacity(waitMilliseconds: number): void {
-    this.#fail(capacityError(this.#retryOptions(waitMilliseconds)));
-  }
-
   #retryOptions(expectedWaitMilliseconds: number): RetryAfterOptions {
     const { services } = this.#options;
     return {
@@ -437,13 +416,22 @@
 
   #handleDeadline(): void {
     if (this.#isOver) return;
-    const mayHaveRun = this.#possibleRuns > 0 ||
-      this.#attempt?.wasSent === true;
     if (this.#attempt && this.#server) {
       this.#options.services.recordFailure(this.#server);
     }
-    if (!mayHaveRun) return this.#giveUp("the deadline has passed");
-    this.#fail(deadlineError);
+    this.#end("the deadline has passed", deadlineError);
+  }
+
+  /** Gives the request its final answer, since the instance stops. */
+  stop(): void {
+    if (!this.#isOver) this.#end("the instance stops", stoppedError);
+  }
+
+  #end(reason: string, answerIfRun: ErrorAnswer): void {
+    const mayHaveRun = this.#possibleRuns > 0 ||
+      this.#attempt?.wasSent === true;
+    if (mayHaveRun) this.#fail(answerIfRun);
+    else this.#giveUp(reason);
   }
 
   #handleDisconnect(): void {
@@ -472,6 +460,7 @@
 
   #close(): void {
     this.#isOver = true;
+    this.#options.onOver();
     clearTimeout(this.#deadlineTimer);
     this.#wait.cancel();
     this.#queueWatch?.stop();
--- a/packages/gateway/request-errors.ts
+++ b/packages/gateway/request-errors.ts
@@ -1,7 +1,10 @@
 /** The errors that end an online request which no server has answered. */
 
 import type { ErrorAnswer } from "./caller-response.ts";
-import { defaultRetryAfterMilliseconds } from "./constants.ts";
+import {
+  defaultRetryAfterMilliseconds,
+  leavingRetryAfterMilliseconds,
+} from "./constants.ts";
 import type { Placement } from "./placement.ts";
 import { chooseRetryAfter, type RetryAfterOptions } from "./retry-after.ts";
 
@@ -37,6 +40,21 @@
   };
 }
 
+/** The instance leaves and would not complete the request. */
+export const leavingError: ErrorAnswer = {
+  status: 503,
+  code: "leaving",
+  message: "the instance is leaving; the request has not run",
+  retryAfterMilliseconds: leavingRetryAfterMilliseconds,
+};
+
+/** The instance stops before the end of the request. */
+export const stoppedError: ErrorAnswer = {
+  status: 504,
+  code: "stopped",
+  message: "the instance stops; the request may have run",
+};
+
 /** The request is given up for the reason. */
 export function noServerError(
   reason: string,
