Send nothing to a server that has stated that it leaves

A leaving server says so in all its answers. No module read it: an instance whose list was old, because the store was away, turned it away or was cut off, went on sending, and requests were lost when the server ended.

From then on the server counts as draining in that lifetime, whatever the list says, so that no first try, retry, move, resumption, run of an item or trial goes there; what runs there ends in peace. Coordinators are told at once, dependents with the next report; a dependent also checks what a coordinator has chosen. It ends when the list names another lifetime, not with an older answer.

--- a/packages/coordination/coordinator-client.test.ts
+++ b/packages/coordination/coordinator-client.test.ts
@@ -51,12 +51,13 @@
   const client = new CoordinatorClient({
     network,
     coordinators: () => [first!, second!, third!],
-    onServerLimits: () => {},
+    onStatements: () => {},
     state: () => ({
       loads: [],
       failures: [],
       begun: { parts: [], counts: [] },
       serverLimits: [],
+      leavingServers: [],
       unsent: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -8,7 +8,6 @@
 import { PeerUnavailableError } from "../common/errors.ts";
 import type { InstanceId, Offset } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
-import type { WireLimit } from "../fleet/peers/limit-messages.ts";
 import { noBegunAnswers } from "../quarantine/messages.ts";
 import { PeerHandlerError } from "../protocol/peer-connection.ts";
 import type { PeerMessage } from "../protocol/peer-message.ts";
@@ -25,13 +24,14 @@
 import {
   type DependentReport,
   dependentReportMessage,
+  type DependentReportReply,
   undecidedCode,
 } from "./messages.ts";
 
 /** What the instance reports, apart from the questions that are settled. */
 export type DependentState = Omit<
   DependentReport,
-  "settledQuestion" | "knownLimitChanges"
+  "settledQuestion" | "knownStatementChanges"
 >;
 
 export interface CoordinatorClientOptions {
@@ -39,9 +39,9 @@
   /** All coordinators but this instance, the preferred one first. */
   readonly coordinators: () => readonly InstanceId[];
   readonly state: () => DependentState;
-  /** Called with the limits of servers that a coordinator knows. */
-  readonly onServerLimits: (
-    limits: readonly WireLimit[],
+  /** Called with what servers state, as a coordinator knows it. */
+  readonly onStatements: (
+    statements: Pick<DependentReportReply, "serverLimits" | "leavingServers">,
     coordinator: InstanceId,
   ) => void;
   readonly clock: Clock;
@@ -58,8 +58,8 @@
 interface CoordinatorState {
   suspectedUntil: number;
   isStoreFailing: boolean;
-  /** State of the servers' limits that the coordinator has sent; -1 for none. */
-  limitChanges: number;
+  /** State of what servers state that the coordinator has sent; -1 for none. */
+  statementChanges: number;
 }
 
 export class CoordinatorClient {
@@ -218,7 +218,7 @@
     const report = {
       ...state,
       settledQuestion: this.#settledQuestion(),
-      knownLimitChanges: this.#stateOf(coordinator).limitChanges,
+      knownStatementChanges: this.#stateOf(coordinator).statementChanges,
     };
     void this.#request(
       coordinator,
@@ -231,8 +231,8 @@
       }
       const known = this.#stateOf(coordinator);
       known.isStoreFailing = reply.isStoreFailing;
-      known.limitChanges = reply.limitChanges;
-      this.#options.onServerLimits(reply.serverLimits, coordinator);
+      known.statementChanges = reply.statementChanges;
+      this.#options.onStatements(reply, coordinator);
     });
   }
 
@@ -245,7 +245,8 @@
       failures: [],
       begun: noBegunAnswers,
       serverLimits: [],
-      knownLimitChanges: noLimitChanges,
+      leavingServers: [],
+      knownStatementChanges: noStatementChanges,
       unsent: [],
       configurationPosition: Number.MAX_SAFE_INTEGER as Offset,
       serversPosition: Number.MAX_SAFE_INTEGER as Offset,
@@ -265,7 +266,7 @@
       state = {
         suspectedUntil: 0,
         isStoreFailing: false,
-        limitChanges: noLimitChanges,
+        statementChanges: noStatementChanges,
       };
       this.#states.set(coordinator, state);
     }
@@ -274,4 +275,4 @@
 }
 
 const unnumberedQuestion = 0;
-const noLimitChanges = -1;
+const noStatementChanges = -1;
--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -11,7 +11,13 @@
 import type { WorkspaceRule } from "../fleet/configuration.ts";
 import type { KnownLimit } from "../fleet/limits/server-limits.ts";
 import type { DocumentPush } from "../fleet/peers/document-push.ts";
-import { decodeLimits, encodeLimits } from "../fleet/peers/limit-messages.ts";
+import {
+  decodeLeaving,
+  decodeLimits,
+  encodeLeaving,
+  encodeLimits,
+} from "../fleet/peers/limit-messages.ts";
+import type { ServerLifetime } from "../fleet/upstreams.ts";
 import type { LocalPlacer } from "../gateway/placement.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { PeerNetwork, PeerSender } from "../protocol/peer-network.ts";
@@ -41,6 +47,11 @@
     limits: readonly KnownLimit[],
     sender: InstanceId,
   ) => void;
+  /** Called with the servers that leave, as a dependent reports. */
+  readonly onLeavingServers: (
+    servers: readonly ServerLifetime[],
+    sender: InstanceId,
+  ) => void;
   readonly clock: Clock;
 }
 
@@ -143,7 +154,11 @@
       decodeLimits(report.serverLimits),
       sender.instance,
     );
-    const { serverLimits } = blackboard;
+    this.#options.onLeavingServers(
+      decodeLeaving(report.leavingServers),
+      sender.instance,
+    );
+    const { serverLimits, upstreams } = blackboard;
     for (const [server, count] of report.unsent) {
       for (let send = 0; send < count; send++) serverLimits.giveBack(server);
     }
@@ -151,11 +166,14 @@
       configuration: report.configurationPosition,
       servers: report.serversPosition,
     }, now);
-    const limitChanges = serverLimits.changes;
-    const hasChanged = report.knownLimitChanges !== limitChanges;
+    const statementChanges = serverLimits.changes + upstreams.leavingChanges;
+    const hasChanged = report.knownStatementChanges !== statementChanges;
     return {
       isStoreFailing: isStoreFailing(),
-      limitChanges,
+      statementChanges,
+      leavingServers: hasChanged
+        ? encodeLeaving(upstreams.leavingServers())
+        : [],
       serverLimits: hasChanged
         // For the dependent it does not matter which coordinator has heard of a limit.
         ? encodeLimits(
--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -37,12 +37,13 @@
   const client = new CoordinatorClient({
     network,
     coordinators: () => ["a", "b"] as InstanceId[],
-    onServerLimits: () => {},
+    onStatements: () => {},
     state: () => ({
       loads: [],
       failures: [],
       begun: { parts: [], counts: [] },
       serverLimits: [],
+      leavingServers: [],
       unsent: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -12,6 +12,8 @@
   WorkspaceId,
 } from "../common/ids.ts";
 import {
+  type WireLeaving,
+  wireLeavingSchema,
   type WireLimit,
   wireLimitsSchema,
 } from "../fleet/peers/limit-messages.ts";
@@ -178,8 +180,10 @@
   readonly begun: BegunReport;
   /** Limits that servers have stated to the dependent since the last report. */
   readonly serverLimits: readonly WireLimit[];
-  /** `limitChanges` of the receiver's last reply; -1 for none. */
-  readonly knownLimitChanges: number;
+  /** Servers that have stated that they leave. */
+  readonly leavingServers: readonly WireLeaving[];
+  /** `statementChanges` of the receiver's last reply; -1 for none. */
+  readonly knownStatementChanges: number;
   /** Server and number of granted requests that were not sent, since the last report. */
   readonly unsent: readonly (readonly [InstanceId, number])[];
   readonly configurationPosition: Offset;
@@ -189,10 +193,11 @@
 
 export interface DependentReportReply {
   readonly isStoreFailing: boolean;
-  /** Rises with each change of a server's limit at the coordinator. */
-  readonly limitChanges: number;
-  /** The limits of servers, if they have changed since the dependent's last report. */
+  /** Rises with each change of what servers state, as the coordinator knows it. */
+  readonly statementChanges: number;
+  /** The limits of servers and those that leave, if that has changed since the last report. */
   readonly serverLimits: readonly WireLimit[];
+  readonly leavingServers: readonly WireLeaving[];
 }
 
 const dependentReportSchema = z.object({
@@ -201,7 +206,8 @@
   failures: z.array(z.tuple([z.string(), z.number()])),
   begun: z._default(begunReportSchema, { parts: [], counts: [] }),
   serverLimits: wireLimitsSchema,
-  knownLimitChanges: z._default(z.number(), -1),
+  leavingServers: wireLeavingSchema,
+  knownStatementChanges: z._default(z.number(), -1),
   unsent: z._default(z.array(z.tuple([z.string(), z.number()])), []),
   configurationPosition: z.number(),
   serversPosition: z.number(),
@@ -209,8 +215,9 @@
 });
 const dependentReportReplySchema = z.object({
   isStoreFailing: z.boolean(),
-  limitChanges: z._default(z.number(), -1),
+  statementChanges: z._default(z.number(), -1),
   serverLimits: wireLimitsSchema,
+  leavingServers: wireLeavingSchema,
 });
 
 export const dependentReportMessage = definePeerMessage<
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -17,13 +17,15 @@
   FleetLimits,
   type FleetLimitsOptions,
 } from "../fleet/limits/fleet-limits.ts";
+import type { KnownLimit } from "../fleet/limits/server-limits.ts";
+import type { ServerLifetime } from "../fleet/upstreams.ts";
 import type { FleetView } from "../fleet/limits/shared-bucket.ts";
 import {
   chooseCoordinators,
   rankCoordinators,
 } from "../fleet/peers/coordinators.ts";
 import { DocumentPush } from "../fleet/peers/document-push.ts";
-import { decodeLimits } from "../fleet/peers/limit-messages.ts";
+import { decodeLeaving, decodeLimits } from "../fleet/peers/limit-messages.ts";
 import type { Member, MemberTable } from "../fleet/peers/members.ts";
 import {
   type JobReport,
@@ -339,10 +341,13 @@
         quarantine: () => this.crashControl.quarantine,
         placer: () => this.#remotePlacer,
       }),
-      onServerLimits: (limits, coordinator) =>
-        statements.recordKnownLimits(decodeLimits(limits), coordinator, {
-          isDependent: false,
-        }),
+      onStatements: ({ serverLimits, leavingServers }, coordinator) => {
+        const origin = { isDependent: false };
+        const limits = decodeLimits(serverLimits);
+        statements.recordKnownLimits(limits, coordinator, origin);
+        const servers = decodeLeaving(leavingServers);
+        statements.recordLeavingServers(servers, coordinator, origin);
+      },
       clock,
       logger,
     });
@@ -364,10 +369,7 @@
       isStoreFailing: () => this.#options.isStoreFailing(),
       documentPush: this.#documentPush,
       quarantine: this.crashControl.quarantine,
-      onServerLimits: (limits, dependent) =>
-        this.#options.statements.recordKnownLimits(limits, dependent, {
-          isDependent: true,
-        }),
+      ...this.#statementListeners({ isDependent: true }),
       clock,
     });
   }
@@ -434,16 +436,25 @@
       limits: () => this.#limits,
       jobReport: () => this.#batch?.report() ?? noJobs,
       quarantine: this.crashControl.quarantine,
-      onServerLimits: (limits, peer) =>
-        this.#options.statements.recordKnownLimits(limits, peer, {
-          isDependent: false,
-        }),
+      ...this.#statementListeners({ isDependent: false }),
       isStoreFailing: () => this.#options.isStoreFailing(),
       clock,
       logger,
     });
   }
 
+  #statementListeners(origin: { readonly isDependent: boolean }) {
+    const { statements } = this.#options;
+    return {
+      onServerLimits: (limits: readonly KnownLimit[], sender: InstanceId) =>
+        statements.recordKnownLimits(limits, sender, origin),
+      onLeavingServers: (
+        servers: readonly ServerLifetime[],
+        sender: InstanceId,
+      ) => statements.recordLeavingServers(servers, sender, origin),
+    };
+  }
+
   #displaceBatch(server: InstanceId): void {
     const { network, blackboard, logger } = this.#options;
     void displaceBatch(server, {
--- a/packages/entry/dependent-state.ts
+++ b/packages/entry/dependent-state.ts
@@ -5,7 +5,7 @@
 import type { RemotePlacer } from "../coordination/remote-placer.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { Documents } from "../fleet/documents.ts";
-import { encodeLimits } from "../fleet/peers/limit-messages.ts";
+import { encodeLeaving, encodeLimits } from "../fleet/peers/limit-messages.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 
 export interface DependentStateOptions {
@@ -22,7 +22,7 @@
   { blackboard, documents, quarantine, placer, isStoreFailing, clock }:
     DependentStateOptions,
 ): () => DependentState {
-  const { loads, health, serverLimits } = blackboard;
+  const { loads, health, serverLimits, upstreams } = blackboard;
   let collectedAt = Number.NEGATIVE_INFINITY;
   return () => {
     const now = clock.monotonicNow();
@@ -37,6 +37,7 @@
         [server, count] as const
       ),
       serverLimits: encodeLimits(limits),
+      leavingServers: encodeLeaving(upstreams.leavingServers()),
       unsent: placer().takeUnsent(),
       configurationPosition: documents.position("configuration"),
       serversPosition: documents.position("servers"),
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -93,7 +93,7 @@
     this.#documents = this.#createDocuments();
     this.#statements = new ServerStatements({
       blackboard: this.#blackboard,
-      onLimitChange: () => this.#coordination.announce(),
+      onChange: () => this.#coordination.announce(),
       now: this.#options.clock.monotonicNow,
       countMalformed: () => metrics.countMalformedStatement(),
       logger: options.logger,
--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -37,6 +37,12 @@
       help: "Servers that state how many requests per second they take.",
       read: () => blackboard.serverLimits.inForce,
     },
+    {
+      name: "rosemaryrudder_leaving_servers",
+      help:
+        "Servers in the list that have stated in an answer that they leave.",
+      read: () => blackboard.upstreams.leavingServers().length,
+    },
     {
       name: "rosemaryrudder_active_requests",
       help: "Requests of callers that are being answered.",
--- a/packages/fleet/limits/server-limits.ts
+++ b/packages/fleet/limits/server-limits.ts
@@ -6,7 +6,7 @@
 
 import type { InstanceId } from "../../common/ids.ts";
 import type { StatementEvidence } from "../server-statement.ts";
-import type { UpstreamServer } from "../upstreams.ts";
+import type { ServerLifetime } from "../upstreams.ts";
 import {
   burstRequests,
   burstSeconds,
@@ -21,12 +21,6 @@
   SharedBucket,
 } from "./shared-bucket.ts";
 
-/** A server in one of its lifetimes. */
-export type ServerLifetime = Pick<
-  UpstreamServer,
-  "id" | "startedAtMilliseconds"
->;
-
 /** The newest statement of a server that is known, as instances tell it to each other. */
 export interface KnownLimit {
   readonly server: InstanceId;
--- a/packages/fleet/peers/limit-messages.ts
+++ b/packages/fleet/peers/limit-messages.ts
@@ -1,8 +1,9 @@
-/** How instances tell each other of the limits that servers state, and of the sends to them. */
+/** How instances tell each other what servers state: limits, the sends to them, and leaving. */
 
 import * as z from "zod/mini";
 import type { InstanceId } from "../../common/ids.ts";
 import type { KnownLimit, ServerUsage } from "../limits/server-limits.ts";
+import type { ServerLifetime } from "../upstreams.ts";
 
 /** Server, start of its lifetime, limit, age in milliseconds, whether it is relayed. */
 export type WireLimit = readonly [
@@ -43,6 +44,31 @@
   [],
 );
 
+/** Server and start of the lifetime in which it leaves. */
+export type WireLeaving = readonly [InstanceId, number];
+
+export const wireLeavingSchema = z._default(
+  z.array(z.tuple([z.string(), z.number()])),
+  [],
+);
+
+export function encodeLeaving(
+  servers: readonly ServerLifetime[],
+): WireLeaving[] {
+  return servers.map((
+    { id, startedAtMilliseconds },
+  ) => [id, startedAtMilliseconds]);
+}
+
+export function decodeLeaving(
+  servers: readonly WireLeaving[],
+): ServerLifetime[] {
+  return servers.map(([id, startedAtMilliseconds]) => ({
+    id,
+    startedAtMilliseconds,
+  }));
+}
+
 export function encodeLimits(limits: readonly KnownLimit[]): WireLimit[] {
   return limits.map((limit) => [
     limit.server,
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -19,14 +19,17 @@
   unchangedReportIntervalMilliseconds,
 } from "../constants.ts";
 import type { Documents } from "../documents.ts";
+import type { ServerLifetime } from "../upstreams.ts";
 import type { FleetLimits, WorkspaceUsage } from "../limits/fleet-limits.ts";
 import type { KnownLimit, ServerUsage } from "../limits/server-limits.ts";
 import type { FleetView } from "../limits/shared-bucket.ts";
 import type { Quarantine } from "../../quarantine/quarantine.ts";
 import type { DocumentPush } from "./document-push.ts";
 import {
+  decodeLeaving,
   decodeLimits,
   decodeServerUsage,
+  encodeLeaving,
   encodeLimits,
   encodeServerUsage,
   roundToHundredths,
@@ -62,6 +65,11 @@
     limits: readonly KnownLimit[],
     sender: InstanceId,
   ) => void;
+  /** Called with the servers that leave, as a coordinator reports. */
+  readonly onLeavingServers: (
+    servers: readonly ServerLifetime[],
+    sender: InstanceId,
+  ) => void;
   readonly isStoreFailing: () => boolean;
   readonly clock: Clock;
   readonly logger: Logger;
@@ -95,9 +103,9 @@
   readonly #serverUsageSelection = new UsageSelection<ServerUsage>(
     ({ server, serverStartedAt }) => `${server}/${serverStartedAt}`,
   );
-  /** State of the servers' limits that was last reported, and when. */
-  #reportedLimitChanges = 0;
-  #limitsReportedAt = Number.NEGATIVE_INFINITY;
+  /** State of what servers state that was last reported, and when. */
+  #reportedStatementChanges = 0;
+  #statementsReportedAt = Number.NEGATIVE_INFINITY;
   #timer: NodeJS.Timeout | undefined;
   #isStopped = true;
 
@@ -275,7 +283,7 @@
             roundToHundredths(usage.level),
           ] as const
         ),
-      serverLimits: encodeLimits(this.#selectLimits(now)),
+      ...this.#selectStatements(now),
       serverUses: this.#serverUsageSelection
         .select(blackboard.serverLimits.ownUsages(), now)
         .map(encodeServerUsage),
@@ -284,15 +292,22 @@
     };
   }
 
-  /** The limits of servers if one has changed, and in a longer interval for those who missed it. */
-  #selectLimits(now: number): KnownLimit[] {
-    const { serverLimits } = this.#options.blackboard;
-    const hasChanged = serverLimits.changes !== this.#reportedLimitChanges;
-    const isDue = now - this.#limitsReportedAt >= fullUsageIntervalMilliseconds;
-    if (!hasChanged && !isDue) return [];
-    this.#reportedLimitChanges = serverLimits.changes;
-    this.#limitsReportedAt = now;
-    return serverLimits.known(now);
+  /** What servers state if it has changed, and in a longer interval for those who missed it. */
+  #selectStatements(
+    now: number,
+  ): Pick<PeerReport, "serverLimits" | "leavingServers"> {
+    const { serverLimits, upstreams } = this.#options.blackboard;
+    const changes = serverLimits.changes + upstreams.leavingChanges;
+    const hasChanged = changes !== this.#reportedStatementChanges;
+    const isDue =
+      now - this.#statementsReportedAt >= fullUsageIntervalMilliseconds;
+    if (!hasChanged && !isDue) return { serverLimits: [], leavingServers: [] };
+    this.#reportedStatementChanges = changes;
+    this.#statementsReportedAt = now;
+    return {
+      serverLimits: encodeLimits(serverLimits.known(now)),
+      leavingServers: encodeLeaving(upstreams.leavingServers()),
+    };
   }
 
   #receive(report: PeerReport, sender: PeerSender): void {
@@ -313,7 +328,7 @@
     if (isNew) {
       this.#usageSelection.reset();
       this.#serverUsageSelection.reset();
-      this.#limitsReportedAt = Number.NEGATIVE_INFINITY;
+      this.#statementsReportedAt = Number.NEGATIVE_INFINITY;
       this.announce();
     }
     if (report.heard > state.acknowledgedSequence) {
@@ -347,6 +362,10 @@
       decodeLimits(report.serverLimits),
       sender.instance,
     );
+    this.#options.onLeavingServers(
+      decodeLeaving(report.leavingServers),
+      sender.instance,
+    );
     blackboard.serverLimits.recordPeerUsages(
       sender.instance,
       sender.incarnation,
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -18,6 +18,8 @@
 import type { KeyedRecord } from "../../store/keyed-store.ts";
 import type { DocumentKind } from "../documents.ts";
 import {
+  type WireLeaving,
+  wireLeavingSchema,
   type WireLimit,
   wireLimitsSchema,
   type WireServerUsage,
@@ -43,6 +45,8 @@
   readonly uses: readonly (readonly [WorkspaceId, number, number, number])[];
   /** Limits that servers state. */
   readonly serverLimits: readonly WireLimit[];
+  /** Servers that have stated that they leave. */
+  readonly leavingServers: readonly WireLeaving[];
   /** Usage of those limits by the sender and its dependents. */
   readonly serverUses: readonly WireServerUsage[];
   readonly ownedPartitions: readonly PartitionNumber[];
@@ -66,6 +70,7 @@
     z.tuple([z.string(), z.number(), z.number(), z.number()]),
   ),
   serverLimits: wireLimitsSchema,
+  leavingServers: wireLeavingSchema,
   serverUses: wireServerUsagesSchema,
   ownedPartitions: z.array(z.number()),
   ownerGeneration: z.number(),
--- a/packages/fleet/server-statements.ts
+++ b/packages/fleet/server-statements.ts
@@ -5,12 +5,12 @@
 import type { Blackboard } from "./blackboard.ts";
 import type { KnownLimit } from "./limits/server-limits.ts";
 import type { ServerStatement, StatementEvidence } from "./server-statement.ts";
-import type { UpstreamServer } from "./upstreams.ts";
+import type { ServerLifetime, UpstreamServer } from "./upstreams.ts";
 
 export interface ServerStatementsOptions {
   readonly blackboard: Blackboard;
-  /** Called when the limit of a server has changed in an answer to this instance. */
-  readonly onLimitChange: () => void;
+  /** Called when other instances have to be told what an answer has stated. */
+  readonly onChange: () => void;
   /** Monotonic milliseconds. */
   readonly now: () => number;
   /** Called for each header that states nothing, since it cannot be decoded. */
@@ -30,7 +30,7 @@
     statement: ServerStatement,
     evidence: StatementEvidence,
   ): void {
-    const { blackboard, countMalformed, onLimitChange, logger } = this.#options;
+    const { blackboard, countMalformed, onChange, logger } = this.#options;
     for (const header of statement.malformed) {
       countMalformed();
       logger.warn("a statement of a server cannot be decoded", {
@@ -46,6 +46,13 @@
         evidence.statedAt,
       );
     }
+    if (statement.isLeaving && blackboard.upstreams.markLeaving(server)) {
+      logger.info(leavingMessage, {
+        server: server.id,
+        request: evidence.requestId,
+      });
+      onChange();
+    }
     if (statement.limitPerSecond === undefined) return;
     if (!this.#isCurrent(server.id, server.startedAtMilliseconds)) return;
     const change = blackboard.serverLimits.record(
@@ -55,7 +62,23 @@
     );
     if (!change) return;
     logger.info(limitMessage, { ...change, request: evidence.requestId });
-    onLimitChange();
+    onChange();
+  }
+
+  /** Records servers that leave, as another instance, perhaps a dependent, has heard. */
+  recordLeavingServers(
+    servers: readonly ServerLifetime[],
+    sender: InstanceId,
+    { isDependent }: { readonly isDependent: boolean },
+  ): void {
+    const { blackboard, onChange, logger } = this.#options;
+    const news = servers.filter((server) =>
+      blackboard.upstreams.markLeaving(server)
+    );
+    for (const { id } of news) {
+      logger.debug(leavingMessage, { server: id, heardBy: sender });
+    }
+    if (news.length > 0 && isDependent) onChange();
   }
 
   /** Records limits of servers that another instance, perhaps a dependent, has heard of. */
@@ -64,7 +87,7 @@
     sender: InstanceId,
     { isDependent }: { readonly isDependent: boolean },
   ): void {
-    const { blackboard, onLimitChange, logger, now } = this.#options;
+    const { blackboard, onChange, logger, now } = this.#options;
     let hasChanged = false;
     for (const known of limits) {
       if (!this.#isCurrent(known.server, known.serverStartedAt)) continue;
@@ -75,7 +98,7 @@
       hasChanged = true;
       logger.debug(limitMessage, { ...change, heardBy: sender });
     }
-    if (hasChanged && isDependent) onLimitChange();
+    if (hasChanged && isDependent) onChange();
   }
 
   /** Whether the server is still in this lifetime, as far as this instance knows. */
@@ -85,5 +108,6 @@
   }
 }
 
+const leavingMessage = "a server states that it is leaving";
 /** The context names the limit in requests per second, null for none. */
 const limitMessage = "a server states another limit";
--- a/packages/fleet/upstreams.ts
+++ b/packages/fleet/upstreams.ts
@@ -1,7 +1,8 @@
 /**
  * The servers that requests may be sent to, by id and by service. A server whose entry disappears
  * around an outage of the store stays here for a grace period, since a live server writes its
- * entry again.
+ * entry again. A server that has stated in an answer that it is leaving counts as draining until it
+ * has started again, whatever its entry says: the list may be old.
  */
 
 import type { InstanceId, UpstreamName, ZoneId } from "../common/ids.ts";
@@ -19,8 +20,16 @@
   readonly startedAtMilliseconds: number;
 }
 
+/** A server in one of its lifetimes. */
+export type ServerLifetime = Pick<
+  UpstreamServer,
+  "id" | "startedAtMilliseconds"
+>;
+
 export class UpstreamTable {
   readonly #servers = new Map<InstanceId, UpstreamServer>();
+  readonly #leaving = new Map<string, ServerLifetime>();
+  #leavingChanges = 0;
   /** Undefined after a change, so that many changes at once cost one computation. */
   #byService: Map<UpstreamName, readonly UpstreamServer[]> | undefined;
 
@@ -29,7 +38,12 @@
   }
 
   set(server: UpstreamServer): void {
-    this.#servers.set(server.id, server);
+    this.#servers.set(
+      server.id,
+      this.#leaving.has(keyOf(server))
+        ? { ...server, state: "draining" }
+        : server,
+    );
     this.#byService = undefined;
   }
 
@@ -37,6 +51,44 @@
     if (this.#servers.delete(id)) this.#byService = undefined;
   }
 
+  /** Returns false if it is known already that the server leaves. */
+  markLeaving(lifetime: ServerLifetime): boolean {
+    const key = keyOf(lifetime);
+    if (this.#leaving.has(key)) return false;
+    if (this.#leaving.size >= maximumLeavingServers) this.#forgetLeft();
+    const { id, startedAtMilliseconds } = lifetime;
+    this.#leaving.set(key, { id, startedAtMilliseconds });
+    this.#leavingChanges += 1;
+    const server = this.#servers.get(id);
+    if (server?.startedAtMilliseconds === startedAtMilliseconds) {
+      this.set(server);
+    }
+    return true;
+  }
+
+  /** Servers in the list that have stated that they leave, in the lifetime that the list names. */
+  leavingServers(): ServerLifetime[] {
+    return [...this.#leaving.values()].filter((lifetime) =>
+      this.#isListed(lifetime)
+    );
+  }
+
+  /** Rises with each server that is found to leave. */
+  get leavingChanges(): number {
+    return this.#leavingChanges;
+  }
+
+  #isListed({ id, startedAtMilliseconds }: ServerLifetime): boolean {
+    return this.#servers.get(id)?.startedAtMilliseconds ===
+      startedAtMilliseconds;
+  }
+
+  #forgetLeft(): void {
+    for (const [key, lifetime] of this.#leaving) {
+      if (!this.#isListed(lifetime)) this.#leaving.delete(key);
+    }
+  }
+
   all(): Iterable<UpstreamServer> {
     return this.#servers.values();
   }
@@ -79,5 +131,11 @@
   );
 }
 
+function keyOf({ id, startedAtMilliseconds }: ServerLifetime): string {
+  return `${id}/${startedAtMilliseconds}`;
+}
+
+/** Above this number, servers that are no longer in the list are forgotten. */
+const maximumLeavingServers = 1_024;
 /** Servers of one service differ, but hardly by more than this factor. */
 const maximumSlotsOfMedian = 4;
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -171,13 +171,13 @@
   #send(choice: SendChoice): void {
     const { services, workspace, received } = this.#options;
     const server = services.findServer(choice.server.id);
-    if (!server) {
-      // The server has left since it was chosen, so the request has not been sent to it.
+    if (server?.state !== "ready") {
+      // The server leaves, which the coordinator that chose it may not know.
       services.placer.withdraw(choice);
       this.#excluded.add(choice.server.id);
       this.#refusals += 1;
       if (this.#hasTooManyRefusals()) {
-        return this.#giveUp("the chosen servers are no longer listed");
+        return this.#giveUp("the chosen servers are leaving");
       }
       return this.#tryNextServer();
     }
