--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -9,15 +9,14 @@
 import type { InstanceId } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { WorkspaceRule } from "../fleet/configuration.ts";
-import type { KnownLimit } from "../fleet/limits/server-limits.ts";
+import type { StatementListeners } from "../fleet/server-statements.ts";
 import type { DocumentPush } from "../fleet/peers/document-push.ts";
 import {
   decodeLeaving,
   decodeLimits,
   encodeLeaving,
   encodeLimits,
-} from "../fleet/peers/limit-messages.ts";
-import type { ServerLifetime } from "../fleet/upstreams.ts";
+} from "../fleet/peers/statement-messages.ts";
 import type { LocalPlacer } from "../gateway/placement.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { PeerNetwork, PeerSender } from "../protocol/peer-network.ts";
@@ -33,7 +32,7 @@
   undecidedCode,
 } from "./messages.ts";
 
-export interface CoordinatorServiceOptions {
+export interface CoordinatorServiceOptions extends StatementListeners {
   readonly network: PeerNetwork;
   readonly blackboard: Blackboard;
   readonly placer: LocalPlacer;
@@ -42,16 +41,6 @@
   readonly isStoreFailing: () => boolean;
   readonly documentPush: DocumentPush;
   readonly quarantine: Pick<Quarantine, "addBegins">;
-  /** Called with the limits of servers that a dependent reports. */
-  readonly onServerLimits: (
-    limits: readonly KnownLimit[],
-    sender: InstanceId,
-  ) => void;
-  /** Called with the servers that leave, as a dependent reports. */
-  readonly onLeavingServers: (
-    servers: readonly ServerLifetime[],
-    sender: InstanceId,
-  ) => void;
   readonly clock: Clock;
 }
 
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -16,7 +16,7 @@
   wireLeavingSchema,
   type WireLimit,
   wireLimitsSchema,
-} from "../fleet/peers/limit-messages.ts";
+} from "../fleet/peers/statement-messages.ts";
 import type { JobCall } from "../gateway/caller-request.ts";
 import type { WaitTolerance } from "../gateway/online-services.ts";
 import type { Placement, RoomReply } from "../gateway/placement.ts";
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -17,15 +17,16 @@
   FleetLimits,
   type FleetLimitsOptions,
 } from "../fleet/limits/fleet-limits.ts";
-import type { KnownLimit } from "../fleet/limits/server-limits.ts";
-import type { ServerLifetime } from "../fleet/upstreams.ts";
 import type { FleetView } from "../fleet/limits/shared-bucket.ts";
 import {
   chooseCoordinators,
   rankCoordinators,
 } from "../fleet/peers/coordinators.ts";
 import { DocumentPush } from "../fleet/peers/document-push.ts";
-import { decodeLeaving, decodeLimits } from "../fleet/peers/limit-messages.ts";
+import {
+  decodeLeaving,
+  decodeLimits,
+} from "../fleet/peers/statement-messages.ts";
 import type { Member, MemberTable } from "../fleet/peers/members.ts";
 import {
   type JobReport,
@@ -342,11 +343,9 @@
         placer: () => this.#remotePlacer,
       }),
       onStatements: ({ serverLimits, leavingServers }, coordinator) => {
-        const origin = { isDependent: false };
-        const limits = decodeLimits(serverLimits);
-        statements.recordKnownLimits(limits, coordinator, origin);
-        const servers = decodeLeaving(leavingServers);
-        statements.recordLeavingServers(servers, coordinator, origin);
+        const listeners = statements.listeners({ isDependent: false });
+        listeners.onServerLimits(decodeLimits(serverLimits), coordinator);
+        listeners.onLeavingServers(decodeLeaving(leavingServers), coordinator);
       },
       clock,
       logger,
@@ -369,7 +368,7 @@
       isStoreFailing: () => this.#options.isStoreFailing(),
       documentPush: this.#documentPush,
       quarantine: this.crashControl.quarantine,
-      ...this.#statementListeners({ isDependent: true }),
+      ...this.#options.statements.listeners({ isDependent: true }),
       clock,
     });
   }
@@ -436,25 +435,13 @@
       limits: () => this.#limits,
       jobReport: () => this.#batch?.report() ?? noJobs,
       quarantine: this.crashControl.quarantine,
-      ...this.#statementListeners({ isDependent: false }),
+      ...this.#options.statements.listeners({ isDependent: false }),
       isStoreFailing: () => this.#options.isStoreFailing(),
       clock,
       logger,
     });
   }
 
-  #statementListeners(origin: { readonly isDependent: boolean }) {
-    const { statements } = this.#options;
-    return {
-      onServerLimits: (limits: readonly KnownLimit[], sender: InstanceId) =>
-        statements.recordKnownLimits(limits, sender, origin),
-      onLeavingServers: (
-        servers: readonly ServerLifetime[],
-        sender: InstanceId,
-      ) => statements.recordLeavingServers(servers, sender, origin),
-    };
-  }
-
   #displaceBatch(server: InstanceId): void {
     const { network, blackboard, logger } = this.#options;
     void displaceBatch(server, {
--- a/packages/entry/dependent-state.ts
+++ b/packages/entry/dependent-state.ts
@@ -5,7 +5,10 @@
 import type { RemotePlacer } from "../coordination/remote-placer.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { Documents } from "../fleet/documents.ts";
-import { encodeLeaving, encodeLimits } from "../fleet/peers/limit-messages.ts";
+import {
+  encodeLeaving,
+  encodeLimits,
+} from "../fleet/peers/statement-messages.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 
 export interface DependentStateOptions {
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -18,10 +18,10 @@
   silentPeerReportIntervalMilliseconds,
   unchangedReportIntervalMilliseconds,
 } from "../constants.ts";
+import type { StatementListeners } from "../server-statements.ts";
 import type { Documents } from "../documents.ts";
-import type { ServerLifetime } from "../upstreams.ts";
 import type { FleetLimits, WorkspaceUsage } from "../limits/fleet-limits.ts";
-import type { KnownLimit, ServerUsage } from "../limits/server-limits.ts";
+import type { ServerUsage } from "../limits/server-limits.ts";
 import type { FleetView } from "../limits/shared-bucket.ts";
 import type { Quarantine } from "../../quarantine/quarantine.ts";
 import type { DocumentPush } from "./document-push.ts";
@@ -33,7 +33,7 @@
   encodeLimits,
   encodeServerUsage,
   roundToHundredths,
-} from "./limit-messages.ts";
+} from "./statement-messages.ts";
 import type { Member } from "./members.ts";
 import { type PeerReport, reportMessage } from "./report.ts";
 import { UsageSelection } from "./usage-selection.ts";
@@ -50,7 +50,7 @@
   readonly waitingItems: number;
 }
 
-export interface PeerReportsOptions {
+export interface PeerReportsOptions extends StatementListeners {
   readonly network: ReportNetwork;
   /** The other coordinators. */
   readonly peers: () => readonly Member[];
@@ -60,16 +60,6 @@
   readonly limits: () => FleetLimits;
   readonly jobReport: () => JobReport;
   readonly quarantine: Pick<Quarantine, "takeBegins" | "addBegins">;
-  /** Called with the limits of servers that a coordinator reports. */
-  readonly onServerLimits: (
-    limits: readonly KnownLimit[],
-    sender: InstanceId,
-  ) => void;
-  /** Called with the servers that leave, as a coordinator reports. */
-  readonly onLeavingServers: (
-    servers: readonly ServerLifetime[],
-    sender: InstanceId,
-  ) => void;
   readonly isStoreFailing: () => boolean;
   readonly clock: Clock;
   readonly logger: Logger;
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -24,7 +24,7 @@
   wireLimitsSchema,
   type WireServerUsage,
   wireServerUsagesSchema,
-} from "./limit-messages.ts";
+} from "./statement-messages.ts";
 
 export interface PeerReport {
   /** Rises with each report of the sender. */
--- a/packages/fleet/server-statements.ts
+++ b/packages/fleet/server-statements.ts
@@ -18,6 +18,18 @@
   readonly logger: Logger;
 }
 
+/** What other instances report of servers' statements, with the instance that reports it. */
+export interface StatementListeners {
+  readonly onServerLimits: (
+    limits: readonly KnownLimit[],
+    sender: InstanceId,
+  ) => void;
+  readonly onLeavingServers: (
+    servers: readonly ServerLifetime[],
+    sender: InstanceId,
+  ) => void;
+}
+
 export class ServerStatements {
   readonly #options: ServerStatementsOptions;
 
@@ -66,7 +78,7 @@
   }
 
   /** Records servers that leave, as another instance, perhaps a dependent, has heard. */
-  recordLeavingServers(
+  #recordLeavingServers(
     servers: readonly ServerLifetime[],
     sender: InstanceId,
     { isDependent }: { readonly isDependent: boolean },
@@ -81,8 +93,18 @@
     if (news.length > 0 && isDependent) onChange();
   }
 
+  /** Listeners for the reports of coordinators, or of this coordinator's dependents. */
+  listeners(origin: { readonly isDependent: boolean }): StatementListeners {
+    return {
+      onServerLimits: (limits, sender) =>
+        this.#recordKnownLimits(limits, sender, origin),
+      onLeavingServers: (servers, sender) =>
+        this.#recordLeavingServers(servers, sender, origin),
+    };
+  }
+
   /** Records limits of servers that another instance, perhaps a dependent, has heard of. */
-  recordKnownLimits(
+  #recordKnownLimits(
     limits: readonly KnownLimit[],
     sender: InstanceId,
     { isDependent }: { readonly isDependent: boolean },
