Keep a vanished server only until two seconds after a store outage

Cause, traced by a replay with all logs: an entry that disappears shortly after a store outage is kept, since a live server writes it again within two seconds of the end of the outage; the time was counted from the removal, so that a server that really left was used for 2.3 s. It is counted from the end of the outage now.

Ruled out: the statement of leaving servers, which no answer had carried.

--- a/packages/fleet/documents.test.ts
+++ b/packages/fleet/documents.test.ts
@@ -139,6 +139,16 @@
   assert.equal(fixture.readyIds(), "b");
 });
 
+test("a server whose entry is removed after a store outage is not used two seconds later", () => {
+  const fixture = createFixture();
+  fixture.applyRecords("servers", [server("a", 0), server("b", 1)]);
+  fixture.failStore({ forMilliseconds: 2_000 });
+  fixture.advance(500);
+  fixture.applyRecords("servers", [record("a", undefined, 2)]);
+  fixture.advance(2_000);
+  assert.equal(fixture.readyIds(), "b");
+});
+
 // A server whose entry was removed may stop serving after two seconds.
 test("a server that leaves after a single failed read is not used two seconds later", () => {
   const fixture = createFixture();
--- a/packages/fleet/documents.ts
+++ b/packages/fleet/documents.ts
@@ -54,14 +54,17 @@
   readonly onChange: (kind: DocumentKind) => void;
 }
 
-/** How long a server whose entry has disappeared is still used, in milliseconds. */
+/**
+ * How long a server whose entry has disappeared is still used, in milliseconds. A live server has
+ * written its entry again within two seconds of the end of an outage.
+ */
 function removalGrace(failure: StoreFailure | undefined, now: number): number {
-  if (!failure || now - failure.lastAt >= serverEntryGraceMilliseconds) {
-    return 0;
-  }
+  if (!failure) return 0;
+  const graceLeft = failure.lastAt + serverEntryGraceMilliseconds - now;
+  if (graceLeft <= 0) return 0;
   return failure.lastAt - failure.beganAt >= minimumOutageMilliseconds
-    ? serverEntryGraceMilliseconds
-    : briefFailureGraceMilliseconds;
+    ? graceLeft
+    : Math.min(graceLeft, briefFailureGraceMilliseconds);
 }
 
 export class Documents {
