--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -188,6 +188,9 @@
     };
     this.recorder = new Recorder(options.record);
     process.once("exit", () => this.#end());
+    for (const signal of ["SIGINT", "SIGTERM"]) {
+      process.once(signal, () => process.exit(2));
+    }
   }
 
   async start() {
@@ -373,12 +376,12 @@
     for (const server of this.servers) server.close();
     this.store?.close();
     await pause(200);
-    rmSync(this.#folder, { recursive: true, force: true });
   }
 
   #end() {
     this.isClosing = true;
     for (const child of this.#children) child.kill("SIGKILL");
+    rmSync(this.#folder, { recursive: true, force: true });
   }
 }
 
