--- a/packages/fleet/server-statement.ts
+++ b/packages/fleet/server-statement.ts
@@ -3,6 +3,11 @@
 export interface ServerStatement {
   /** Requests that run or wait at the server; undefined if it does not say. */
   readonly load: number | undefined;
+  /**
+   * How long work takes at the server at this moment, in percent of its usual time; undefined if it
+   * does not say. Servers that share their machine with others change it many times a second.
+   */
+  readonly workTimePercent: number | undefined;
   /**
    * Requests per second that the server takes from all instances together; null if it states that
    * it has no limit, undefined if the answer says nothing of it.
--- a/packages/gateway/server-attempt.test.ts
+++ b/packages/gateway/server-attempt.test.ts
@@ -65,6 +65,7 @@
         hasNotRun: false,
         statement: {
           load: undefined,
+          workTimePercent: undefined,
           limitPerSecond: undefined,
           isLeaving: undefined,
           malformed: [],
