Stop batch runs for a waiting request only where requests queue

Batch callers: a request whose first event took longer than 65 ms had a batch run of its server stopped at each check, also where the server had a slot for each request. On servers that share their machine the first event takes 100 ms and more without any queue, so that the run was stopped and sent once more without a gain for the online request.

The placer now stops a run only if the fleet's view of the load, which includes the load that the server states, exceeds the slots of the server.

Ruled out: a longer interval between the checks, which delays the requests that do queue.

--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -203,6 +203,20 @@
   return Math.max(0, slots - slotsKeptFree - online - batch);
 }
 
+/**
+ * Whether a request waits at the server for a slot. Answers the load of servers that begin late
+ * although they have a slot for each request: stopping a batch run there frees nothing that the
+ * waiting request could use, and the run has to be sent once more.
+ */
+export function hasQueue(
+  { slots, online, batch }: Pick<
+    ServerCandidate,
+    "slots" | "online" | "batch"
+  >,
+): boolean {
+  return online + batch > slots;
+}
+
 /**
  * Free slots of the server; slots of batch runs count in part, since runs can be displaced. The
  * limit that a server states bounds them; no run is displaced there, since it would have to be sent
--- a/packages/gateway/placement.ts
+++ b/packages/gateway/placement.ts
@@ -12,6 +12,7 @@
   chooseServer,
   chooseServerForTrial,
   freeSlots,
+  hasQueue,
   type SendChoice,
   type ServerChoice,
 } from "./choose-server.ts";
@@ -85,7 +86,7 @@
   /** Takes back a choice whose request was not sent, as if it had not been made. */
   withdraw(choice: SendChoice): void;
   findRoom(request: RoomRequest): Promise<RoomReply>;
-  /** Has one batch run at the server stopped, since an online request needs its slot. */
+  /** Has one batch run at the server stopped if requests wait there for a slot. */
   makeRoom(server: InstanceId): void;
 }
 
@@ -143,6 +144,11 @@
   }
 
   makeRoom(server: InstanceId): void {
+    const { blackboard, now } = this.#options;
+    const upstream = blackboard.upstreams.get(server);
+    if (!upstream) return;
+    const load = blackboard.loads.estimate(server, now());
+    if (!hasQueue({ slots: upstream.slots, ...load })) return;
     this.#options.displaceBatch(server);
   }
 
