--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -5,6 +5,7 @@
  */
 
 import type { RouteId, UpstreamName, WorkspaceId } from "../common/ids.ts";
+import type { ColdPolicy } from "./cold/cold-rate.ts";
 
 /** What may be done with a request of the route after a failed attempt. */
 export type RouteKind = "idempotent" | "non_idempotent" | "streaming" | "batch";
@@ -48,6 +49,8 @@
   readonly maximumConnections: number;
   /** Requests that one server runs at the same time. */
   readonly slots: number;
+  /** Undefined if servers of the service are never cold. */
+  readonly cold?: ColdPolicy | undefined;
 }
 
 export interface WorkspaceRule {
@@ -83,6 +86,7 @@
   readonly #routesByHost = new Map<string, RouteRule[]>();
   readonly #workspacesByKey = new Map<string, WorkspaceRule>();
   readonly #workspaces = new Map<WorkspaceId, WorkspaceRule>();
+  readonly #services = new Map<UpstreamName, ServiceRule>();
 
   constructor(configuration: FleetConfiguration) {
     this.configuration = configuration;
@@ -96,6 +100,9 @@
         right.pathPrefix.length - left.pathPrefix.length
       );
     }
+    for (const service of configuration.services) {
+      this.#services.set(service.name, service);
+    }
     for (const workspace of configuration.workspaces ?? []) {
       this.#workspaces.set(workspace.id, workspace);
       for (const key of workspace.keys) {
@@ -120,6 +127,10 @@
       ?.find((route) => route.kind === "batch");
   }
 
+  service(name: UpstreamName): ServiceRule | undefined {
+    return this.#services.get(name);
+  }
+
   workspace(id: WorkspaceId): WorkspaceRule | undefined {
     return this.#workspaces.get(id);
   }
--- a/packages/fleet/upstreams.ts
+++ b/packages/fleet/upstreams.ts
@@ -18,6 +18,11 @@
   readonly state: "ready" | "draining";
   /** Start time that the server states; distinguishes restarts of a server that keeps its id. */
   readonly startedAtMilliseconds: number;
+  /**
+   * How long the server stays cold, counted from when its entry was written; 0 if it is warm,
+   * undefined if the entry does not say.
+   */
+  readonly coldMilliseconds?: number | undefined;
 }
 
 /** A server in one of its lifetimes. */
