Ask one place whether anything may be sent to a server

The send rules answer for first tries, retries, moves, trials and batch runs; a standing rule is checked again directly before a send, since the coordinator that chose the server may know less. Runs of items in an evacuated zone are stopped at once, online requests end in peace. Items never go to cold servers: their bodies are read after the choice, so that they might arrive together.

A refused connection makes a server count as cold until a later entry says otherwise, since a server that starts again with its id is cold before its entry says so. Dependents report such refusals, coordinators tell each other.

Ruled out: health probes. Ninety servers asked once a second cost more than the entries, which arrive anyway with a lag that the hold of one second covers.

--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -12,6 +12,7 @@
 import type { StatementListeners } from "../fleet/server-statements.ts";
 import type { DocumentPush } from "../fleet/peers/document-push.ts";
 import {
+  decodeCold,
   decodeLeaving,
   decodeLimits,
   encodeLeaving,
@@ -147,6 +148,10 @@
       decodeLeaving(report.leavingServers),
       sender.instance,
     );
+    this.#options.onColdServers(
+      decodeCold(report.coldServers),
+      sender.instance,
+    );
     const { serverLimits, upstreams } = blackboard;
     for (const [server, count] of report.unsent) {
       for (let send = 0; send < count; send++) serverLimits.giveBack(server);
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -12,6 +12,8 @@
   WorkspaceId,
 } from "../common/ids.ts";
 import {
+  type WireCold,
+  wireColdSchema,
   type WireLeaving,
   wireLeavingSchema,
   type WireLimit,
@@ -84,7 +86,10 @@
 });
 
 const placementSchema = z.discriminatedUnion("kind", [
-  z.object({ kind: z.literal("none") }),
+  z.object({
+    kind: z.literal("none"),
+    waitMilliseconds: z.optional(z.number()),
+  }),
   z.object({ kind: z.literal("full"), expectedWaitMilliseconds: z.number() }),
   z.object({
     kind: z.literal("at_limits"),
@@ -182,6 +187,8 @@
   readonly serverLimits: readonly WireLimit[];
   /** Servers that have stated that they leave. */
   readonly leavingServers: readonly WireLeaving[];
+  /** Servers that have refused a connection of the dependent since the last report. */
+  readonly coldServers: readonly WireCold[];
   /** `statementChanges` of the receiver's last reply; -1 for none. */
   readonly knownStatementChanges: number;
   /** Server and number of granted requests that were not sent, since the last report. */
@@ -207,6 +214,7 @@
   begun: z._default(begunReportSchema, { parts: [], counts: [] }),
   serverLimits: wireLimitsSchema,
   leavingServers: wireLeavingSchema,
+  coldServers: wireColdSchema,
   knownStatementChanges: z._default(z.number(), -1),
   unsent: z._default(z.array(z.tuple([z.string(), z.number()])), []),
   configurationPosition: z.number(),
--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -17,6 +17,7 @@
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import { BatchExecutor } from "../jobs/batch-executor.ts";
+import { cancelEvacuatedRuns } from "../jobs/evacuated-runs.ts";
 import { ItemBodies } from "../jobs/item-bodies.ts";
 import { JobAdmission } from "../jobs/job-admission.ts";
 import { JobCallHandler } from "../jobs/job-call-handler.ts";
@@ -137,7 +138,7 @@
   }
 
   get runningItems(): number {
-    return this.#executor.runningItems;
+    return this.#executor.runningWork().length;
   }
 
   /** Stops reading the partitions; called last during a graceful shutdown. */
@@ -150,6 +151,14 @@
     return this.#executor.displace(server);
   }
 
+  /** Called when a zone may have been evacuated. */
+  stopEvacuatedRuns(): void {
+    const { clock, blackboard, logger } = this.#options;
+    const now = clock.monotonicNow();
+    const running = this.#executor.runningWork();
+    cancelEvacuatedRuns(running, { blackboard, now, logger });
+  }
+
   /** The batch state that this instance reports to its peers. */
   report(): JobReport {
     return {
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -105,6 +105,10 @@
       coordinators: () => this.#rankedCoordinators,
       isCoordinator: () => this.#role.isCoordinator,
     });
+    blackboard.coldServers.connect({
+      self: settings.instance,
+      view: () => this.#role.isCoordinator ? this.#reports.view() : undefined,
+    });
     this.#documentPush = new DocumentPush({ network, documents, logger });
     this.#reports = this.#createReports();
     this.#role = new CoordinationRole({
@@ -193,11 +197,15 @@
 
   /** Applies a change of the member list; see `CoordinationRole.handleChange`. */
   applyMembers({ isSettled }: { readonly isSettled: boolean }): void {
-    const { settings, members } = this.#options;
+    const { settings, members, blackboard, clock } = this.#options;
     this.#coordinators = chooseCoordinators(
       members.all(),
       settings.maximumCoordinators,
     );
+    blackboard.coldServers.setCoordinators(
+      this.#coordinators.map(({ instance }) => instance),
+      clock.monotonicNow(),
+    );
     this.#otherCoordinators = this.#coordinators.filter((member) =>
       member.instance !== settings.instance
     );
--- a/packages/entry/crash-control.ts
+++ b/packages/entry/crash-control.ts
@@ -84,7 +84,12 @@
     const known = blackboard.upstreams.get(report.server);
     if (known?.startedAtMilliseconds !== report.serverStartedAt) return;
     this.detector.recordCrash(report);
-    blackboard.health.recordCrash(report.server, clock.monotonicNow());
+    const now = clock.monotonicNow();
+    blackboard.health.recordCrash(report.server, now);
+    // All coordinators hear of a crash, so that none has to tell the others.
+    blackboard.coldServers.recordRefusedConnection(known, now, {
+      isOwn: false,
+    });
   }
 
   #createFollower(): PartitionFollower {
--- a/packages/entry/dependent-state.ts
+++ b/packages/entry/dependent-state.ts
@@ -6,6 +6,7 @@
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { Documents } from "../fleet/documents.ts";
 import {
+  encodeCold,
   encodeLeaving,
   encodeLimits,
 } from "../fleet/peers/statement-messages.ts";
@@ -25,11 +26,12 @@
   { blackboard, documents, quarantine, placer, isStoreFailing, clock }:
     DependentStateOptions,
 ): () => DependentState {
-  const { loads, health, serverLimits, upstreams } = blackboard;
+  const { loads, health, serverLimits, upstreams, coldServers } = blackboard;
   let collectedAt = Number.NEGATIVE_INFINITY;
   return () => {
     const now = clock.monotonicNow();
     const limits = serverLimits.heardSince(collectedAt, now);
+    const refused = coldServers.refusedSince(collectedAt, now);
     collectedAt = now;
     return {
       begun: quarantine().takeBegins(),
@@ -41,6 +43,7 @@
       ),
       serverLimits: encodeLimits(limits),
       leavingServers: encodeLeaving(upstreams.leavingServers()),
+      coldServers: encodeCold(refused),
       unsent: placer().takeUnsent(),
       configurationPosition: documents.position("configuration"),
       serversPosition: documents.position("servers"),
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -63,7 +63,7 @@
 export class EntryInstance {
   readonly #options: Required<EntryInstanceOptions>;
   readonly #disposables = new DisposableStore();
-  readonly #blackboard = new Blackboard({ initialDurationMilliseconds });
+  readonly #blackboard: Blackboard;
   readonly #members = new MemberTable();
   readonly #pools: ServerPools;
   readonly #network: TcpPeerNetwork;
@@ -81,7 +81,11 @@
 
   constructor(options: EntryInstanceOptions) {
     this.#options = { clock: systemClock, ...options };
-    const { metrics } = options;
+    const { metrics, settings } = options;
+    this.#blackboard = new Blackboard({
+      initialDurationMilliseconds,
+      coldBounds: settings.coldBounds,
+    });
     this.#pools = new ServerPools(() => metrics.countConnection());
     this.#network = this.#createNetwork();
     this.#store = new RelayedStore({
@@ -198,11 +202,14 @@
         if (kind === "configuration") {
           this.#listener.applyLimits();
           this.#coordination.announce();
+          this.#coordination.batch?.stopEvacuatedRuns();
         } else {
-          const { upstreams, health, serverLimits } = this.#blackboard;
+          const { upstreams, health, serverLimits, coldServers } =
+            this.#blackboard;
           this.#pools.retain((id) => upstreams.get(id) !== undefined);
           health.retain((id) => upstreams.get(id) !== undefined);
           serverLimits.retain((id) => upstreams.get(id) !== undefined);
+          coldServers.retain((id) => upstreams.get(id) !== undefined);
           this.#coordination.crashControl.detector.retain((id) =>
             upstreams.get(id) !== undefined
           );
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -1,5 +1,6 @@
 /** Settings of an entry instance, independent of the file or platform that they are read from. */
 
+import type { ColdBounds } from "../fleet/cold/cold-rate.ts";
 import type { Incarnation, InstanceId, ZoneId } from "../common/ids.ts";
 
 export interface ListenAddress {
@@ -31,6 +32,8 @@
   readonly limitOverage: number;
   /** Requests by which a window may exceed its limit in addition to the overage. */
   readonly limitSlackRequests: number;
+  /** By how much the requests to a cold server may exceed its rate; the defaults if not given. */
+  readonly coldBounds?: ColdBounds;
   /** How long a finished job stays readable, counted from the time it was accepted. */
   readonly jobLifetimeMilliseconds: number;
 }
--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -43,6 +43,27 @@
         "Servers in the list that have stated in an answer that they leave.",
       read: () => blackboard.upstreams.leavingServers().length,
     },
+    {
+      name: "rosemaryrudder_cold_servers",
+      help: "Servers that count as cold, so that they get few requests.",
+      read: () => blackboard.coldServers.count(performance.now()),
+    },
+    {
+      name: "rosemaryrudder_evacuated_zones",
+      help: "Zones that operators have evacuated.",
+      read: () => blackboard.evacuatedZones.all().length,
+    },
+    {
+      name: "rosemaryrudder_evacuated_since_seconds",
+      help:
+        "When the instance learnt of the oldest evacuation in force, in Unix time; 0 for none.",
+      read: () => evacuatedSince(blackboard),
+    },
+    {
+      name: "rosemaryrudder_evacuated_zone_requests",
+      help: "Requests and batch runs of the instance in evacuated zones.",
+      read: () => requestsInEvacuatedZones(blackboard),
+    },
     {
       name: "rosemaryrudder_active_requests",
       help: "Requests of callers that are being answered.",
@@ -91,3 +112,21 @@
   ];
   for (const gauge of gauges) metrics.addGauge(gauge);
 }
+
+function evacuatedSince({ evacuatedZones }: Blackboard): number {
+  const times = evacuatedZones.all().map(({ since }) => since);
+  return times.length === 0 ? 0 : Math.min(...times) / millisecondsPerSecond;
+}
+
+function requestsInEvacuatedZones(
+  { evacuatedZones, loads, upstreams }: Blackboard,
+): number {
+  let requests = 0;
+  for (const { server, online, batch } of loads.ownLoads()) {
+    const zone = upstreams.get(server)?.zone;
+    if (zone && evacuatedZones.has(zone)) requests += online + batch;
+  }
+  return requests;
+}
+
+const millisecondsPerSecond = 1_000;
--- a/packages/fleet/blackboard.ts
+++ b/packages/fleet/blackboard.ts
@@ -4,9 +4,13 @@
  */
 
 import { ServerHealth } from "../gateway/server-health.ts";
+import { ColdServers } from "./cold/cold-servers.ts";
+import type { ColdBounds } from "./cold/cold-rate.ts";
 import type { ConfigurationIndex } from "./configuration.ts";
+import { EvacuatedZones } from "./evacuation/evacuated-zones.ts";
 import { ServerLimits } from "./limits/server-limits.ts";
 import { LoadTable } from "./load-table.ts";
+import { SendRules } from "./send-rules.ts";
 import { UpstreamTable } from "./upstreams.ts";
 
 export class Blackboard {
@@ -14,6 +18,9 @@
   readonly loads = new LoadTable();
   readonly health = new ServerHealth();
   readonly serverLimits = new ServerLimits();
+  readonly evacuatedZones = new EvacuatedZones();
+  readonly coldServers: ColdServers;
+  readonly sendRules: SendRules;
   /** Undefined until a configuration is known. */
   configuration: ConfigurationIndex | undefined;
   /** The list of servers has been read at least once. */
@@ -28,9 +35,17 @@
   requestDurationMilliseconds: number;
 
   constructor(
-    { initialDurationMilliseconds }: { initialDurationMilliseconds: number },
+    { initialDurationMilliseconds, coldBounds }: {
+      readonly initialDurationMilliseconds: number;
+      readonly coldBounds?: ColdBounds | undefined;
+    },
   ) {
     this.requestDurationMilliseconds = initialDurationMilliseconds;
+    this.coldServers = new ColdServers({
+      ...(coldBounds ? { bounds: coldBounds } : {}),
+      policyOf: (service) => this.configuration?.service(service)?.cold,
+    });
+    this.sendRules = new SendRules(this);
   }
 
   /** Everything that decides on requests is known. */
--- a/packages/fleet/documents.test.ts
+++ b/packages/fleet/documents.test.ts
@@ -57,6 +57,8 @@
           idleTimeoutMilliseconds: 1,
         },
       }),
+      decodeEvacuation: ({ key }) =>
+        key.startsWith("evacuate/") ? key.slice(9) as ZoneId : undefined,
       decodeServer: ({ key, value }): UpstreamServer => {
         const { state } = JSON.parse(Buffer.from(value!).toString());
         if (!state) throw new Error("no state");
@@ -194,3 +196,24 @@
   applyRecords("servers", [server("c", 7)], true);
   assert.equal(readyIds(), "c");
 });
+
+test("a zone is evacuated while its record exists, whatever the value and the source of it", () => {
+  const { blackboard, applyRecords } = createFixture();
+  const zones = () => blackboard.evacuatedZones.all().map(({ zone }) => zone);
+  applyRecords("configuration", [
+    record("config", { version: 7 }, 3),
+    record("evacuate/north", {}, 4),
+  ]);
+  assert.deepEqual(zones(), ["north"]);
+  // An older record of a peer.
+  applyRecords("configuration", [record("evacuate/north", undefined, 2)]);
+  assert.deepEqual(zones(), ["north"]);
+  applyRecords("configuration", [record("evacuate/south", {}, 5)]);
+  // A snapshot from which the first record is missing, as after a tombstone that has expired.
+  applyRecords("configuration", [
+    record("evacuate/south", {}, 5),
+    record("config", { version: 8 }, 6),
+  ], true);
+  assert.deepEqual(zones(), ["south"]);
+  assert.equal(blackboard.configuration?.version, 8);
+});
--- a/packages/fleet/documents.ts
+++ b/packages/fleet/documents.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { InstanceId, Offset } from "../common/ids.ts";
+import type { InstanceId, Offset, ZoneId } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import type { KeyedRecord, StreamPartition } from "../store/keyed-store.ts";
 import type { Blackboard } from "./blackboard.ts";
@@ -19,6 +19,7 @@
   serverEntryGraceMilliseconds,
 } from "./constants.ts";
 import { KeyedTable } from "./keyed-table.ts";
+import { coldMessage } from "./server-statements.ts";
 import type { UpstreamServer } from "./upstreams.ts";
 
 /** Decodes the records that operators and servers write; supplied by an adapter. */
@@ -27,6 +28,8 @@
   readonly serverSource: StreamPartition;
   /** Undefined if the record is not about the configuration; throws if it is invalid. */
   decodeConfiguration(record: KeyedRecord): FleetConfiguration | undefined;
+  /** The zone whose evacuation the record is about; undefined if it is about something else. */
+  decodeEvacuation(record: KeyedRecord): ZoneId | undefined;
   /** Throws if the record does not describe a usable server. */
   decodeServer(record: KeyedRecord): UpstreamServer;
 }
@@ -107,7 +110,7 @@
     if (changed.length > 0) this.#options.onChange(kind);
   }
 
-  /** Removes servers whose entry was not written again within the grace period. */
+  /** Ends the grace period of removed servers, and the time for which servers count as cold. */
   sweep(): void {
     const now = this.#options.clock.monotonicNow();
     for (const [id, removeAt] of this.#pendingRemovals) {
@@ -115,10 +118,17 @@
       this.#pendingRemovals.delete(id);
       this.#remove(id, "its entry was not written again after a store outage");
     }
+    for (const id of this.#options.blackboard.coldServers.expire(now)) {
+      this.#options.logger.info("a server takes its full load again", {
+        server: id,
+      });
+    }
   }
 
   #applyConfiguration(record: KeyedRecord): void {
     const { blackboard, codec, logger } = this.#options;
+    const zone = codec.decodeEvacuation(record);
+    if (zone !== undefined) return this.#applyEvacuation(zone, record);
     if (record.value === undefined) return;
     let configuration: FleetConfiguration | undefined;
     try {
@@ -144,6 +154,22 @@
     });
   }
 
+  /** The record is in force as long as it exists, whatever its value is. */
+  #applyEvacuation(zone: ZoneId, { value, offset }: KeyedRecord): void {
+    const { blackboard, logger, clock } = this.#options;
+    const { evacuatedZones, coldServers, upstreams } = blackboard;
+    if (value !== undefined) {
+      if (!evacuatedZones.begin(zone, clock.wallNow())) return;
+      return logger.info("a zone is evacuated", { zone, offset });
+    }
+    if (!evacuatedZones.end(zone)) return;
+    logger.info("the evacuation of a zone is revoked", { zone, offset });
+    for (const server of upstreams.all()) {
+      if (server.zone !== zone) continue;
+      coldServers.recordZoneReturn(server, clock.monotonicNow());
+    }
+  }
+
   #applyServer(record: KeyedRecord): void {
     const { blackboard, codec, logger, clock } = this.#options;
     const id = record.key as InstanceId;
@@ -168,6 +194,12 @@
     const known = blackboard.upstreams.get(id);
     this.#pendingRemovals.delete(id);
     blackboard.upstreams.set(server);
+    const change = blackboard.coldServers.recordEntry(
+      server,
+      known,
+      clock.monotonicNow(),
+    );
+    if (change) logger.info(coldMessage, { ...change, offset: record.offset });
     if (known?.startedAtMilliseconds !== server.startedAtMilliseconds) {
       blackboard.health.forget(id);
       blackboard.serverLimits.startLifetime(server);
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -26,9 +26,11 @@
 import type { Quarantine } from "../../quarantine/quarantine.ts";
 import type { DocumentPush } from "./document-push.ts";
 import {
+  decodeCold,
   decodeLeaving,
   decodeLimits,
   decodeServerUsage,
+  encodeCold,
   encodeLeaving,
   encodeLimits,
   encodeServerUsage,
@@ -285,18 +287,22 @@
   /** What servers state if it has changed, and in a longer interval for those who missed it. */
   #selectStatements(
     now: number,
-  ): Pick<PeerReport, "serverLimits" | "leavingServers"> {
-    const { serverLimits, upstreams } = this.#options.blackboard;
-    const changes = serverLimits.changes + upstreams.leavingChanges;
+  ): Pick<PeerReport, "serverLimits" | "leavingServers" | "coldServers"> {
+    const { serverLimits, upstreams, coldServers } = this.#options.blackboard;
+    const changes = serverLimits.changes + upstreams.leavingChanges +
+      coldServers.changes;
     const hasChanged = changes !== this.#reportedStatementChanges;
     const isDue =
       now - this.#statementsReportedAt >= fullUsageIntervalMilliseconds;
-    if (!hasChanged && !isDue) return { serverLimits: [], leavingServers: [] };
+    if (!hasChanged && !isDue) {
+      return { serverLimits: [], leavingServers: [], coldServers: [] };
+    }
     this.#reportedStatementChanges = changes;
     this.#statementsReportedAt = now;
     return {
       serverLimits: encodeLimits(serverLimits.known(now)),
       leavingServers: encodeLeaving(upstreams.leavingServers()),
+      coldServers: encodeCold(coldServers.known(now)),
     };
   }
 
@@ -356,6 +362,10 @@
       decodeLeaving(report.leavingServers),
       sender.instance,
     );
+    this.#options.onColdServers(
+      decodeCold(report.coldServers),
+      sender.instance,
+    );
     blackboard.serverLimits.recordPeerUsages(
       sender.instance,
       sender.incarnation,
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -18,6 +18,8 @@
 import type { KeyedRecord } from "../../store/keyed-store.ts";
 import type { DocumentKind } from "../documents.ts";
 import {
+  type WireCold,
+  wireColdSchema,
   type WireLeaving,
   wireLeavingSchema,
   type WireLimit,
@@ -47,6 +49,8 @@
   readonly serverLimits: readonly WireLimit[];
   /** Servers that have stated that they leave. */
   readonly leavingServers: readonly WireLeaving[];
+  /** Servers that are cold, unless the sender has it from another coordinator. */
+  readonly coldServers: readonly WireCold[];
   /** Usage of those limits by the sender and its dependents. */
   readonly serverUses: readonly WireServerUsage[];
   readonly ownedPartitions: readonly PartitionNumber[];
@@ -71,6 +75,7 @@
   ),
   serverLimits: wireLimitsSchema,
   leavingServers: wireLeavingSchema,
+  coldServers: wireColdSchema,
   serverUses: wireServerUsagesSchema,
   ownedPartitions: z.array(z.number()),
   ownerGeneration: z.number(),
--- a/packages/fleet/peers/statement-messages.ts
+++ b/packages/fleet/peers/statement-messages.ts
@@ -1,7 +1,9 @@
-/** How instances tell each other what servers state: limits, the sends to them, and leaving. */
+/** How instances tell each other what servers state: limits, the sends to them, leaving, and
+ * which servers are cold. */
 
 import * as z from "zod/mini";
 import type { InstanceId } from "../../common/ids.ts";
+import type { KnownCold } from "../cold/cold-servers.ts";
 import type { KnownLimit, ServerUsage } from "../limits/server-limits.ts";
 import type { ServerLifetime } from "../upstreams.ts";
 
@@ -69,6 +71,31 @@
   }));
 }
 
+/** Server, start of its lifetime, milliseconds left, whether a refused connection suggests it. */
+export type WireCold = readonly [InstanceId, number, number, boolean];
+
+export const wireColdSchema = z._default(
+  z.array(z.tuple([
+    z.string(),
+    z.number(),
+    z.number().check(z.nonnegative()),
+    z.boolean(),
+  ])),
+  [],
+);
+
+export function encodeCold(servers: readonly KnownCold[]): WireCold[] {
+  return servers.map((
+    { server, serverStartedAt, leftMilliseconds, isPresumed },
+  ) => [server, serverStartedAt, leftMilliseconds, isPresumed]);
+}
+
+export function decodeCold(servers: readonly WireCold[]): KnownCold[] {
+  return servers.map((
+    [server, serverStartedAt, leftMilliseconds, isPresumed],
+  ) => ({ server, serverStartedAt, leftMilliseconds, isPresumed }));
+}
+
 export function encodeLimits(limits: readonly KnownLimit[]): WireLimit[] {
   return limits.map((limit) => [
     limit.server,
--- /dev/null
+++ b/packages/fleet/send-rules.test.ts
@@ -0,0 +1,89 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { InstanceId, UpstreamName, ZoneId } from "../common/ids.ts";
+import { Blackboard } from "./blackboard.ts";
+import { ConfigurationIndex } from "./configuration.ts";
+import { batchSend } from "./send-rules.ts";
+import type { UpstreamServer } from "./upstreams.ts";
+
+const service = "service" as UpstreamName;
+const server: UpstreamServer = {
+  id: "s" as InstanceId,
+  service,
+  host: "127.0.0.1",
+  port: 1,
+  zone: "north" as ZoneId,
+  slots: 8,
+  state: "ready",
+  startedAtMilliseconds: 1,
+};
+
+function createBlackboard(entry: UpstreamServer): Blackboard {
+  const blackboard = new Blackboard({ initialDurationMilliseconds: 700 });
+  blackboard.configuration = new ConfigurationIndex({
+    version: 1,
+    routes: [],
+    services: [{
+      name: service,
+      maximumConnections: 10,
+      slots: 8,
+      cold: { coldMilliseconds: 3_000, requestsPerSecond: 7.1 },
+    }],
+    workspaces: undefined,
+    limits: {
+      maximumHeaderBytes: 1,
+      maximumBodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+  });
+  const self = "c" as InstanceId;
+  const { coldServers, upstreams } = blackboard;
+  coldServers.connect({ self, view: () => ({ members: 1, heard: 1 }) });
+  coldServers.setCoordinators([self], -10_000);
+  upstreams.set(entry);
+  coldServers.recordEntry(entry, undefined, 0);
+  return blackboard;
+}
+
+test("nothing may be sent to a server of an evacuated zone or one that leaves", () => {
+  const { sendRules, evacuatedZones } = createBlackboard(server);
+  assert.equal(sendRules.check(server, 0).kind, "allowed");
+  assert.equal(
+    sendRules.standingRefusal({ ...server, state: "draining" }),
+    "leaving",
+  );
+  evacuatedZones.begin(server.zone, 0);
+  assert.equal(sendRules.standingRefusal(server), "evacuated");
+  assert.equal(sendRules.check(server, 0, batchSend).kind, "refused");
+  assert.equal(sendRules.timeUntilRoom(service, 0), undefined);
+  evacuatedZones.end(server.zone);
+  assert.equal(sendRules.timeUntilRoom(service, 0), 0);
+});
+
+test("a cold server gets no batch run, and says when it takes the next request", () => {
+  const cold = { ...server, coldMilliseconds: 3_000 };
+  const { sendRules } = createBlackboard(cold);
+  assert.equal(sendRules.check(cold, 0, batchSend).kind, "refused");
+  for (let send = 0; send < 7; send++) sendRules.take(cold, send * 10);
+  assert.equal(sendRules.check(cold, 100).kind, "refused");
+  assert.equal(sendRules.timeUntilRoom(service, 100), 900);
+});
+
+// A limit that the server states itself and the cold limit bind together.
+test("of two limits the scarcer one binds, and a send counts in both", () => {
+  const cold = { ...server, coldMilliseconds: 3_000 };
+  const { sendRules, serverLimits } = createBlackboard(cold);
+  const view = { members: 1, heard: 1 };
+  serverLimits.record(cold, 2, { sentAt: 0, statedAt: 0 });
+  serverLimits.refresh(0, view);
+  serverLimits.refresh(1_400, view);
+  const budgetAt = (now: number) => {
+    const permission = sendRules.check(cold, now);
+    return permission.kind === "allowed" ? permission.sendBudget : undefined;
+  };
+  assert.equal(budgetAt(1_400)?.allowance, 2);
+  sendRules.take(cold, 1_400);
+  sendRules.take(cold, 1_400);
+  assert.equal(budgetAt(1_400)?.allowance, 0);
+});
--- /dev/null
+++ b/packages/fleet/send-rules.ts
@@ -0,0 +1,112 @@
+/**
+ * Decides whether anything may be sent to a server: the one place that first tries, retries, moves,
+ * resumptions, trials and runs of batch items ask. A rule that stands, such as an evacuated zone, is
+ * checked once more directly before the send; a budget is checked and counted where the server is
+ * chosen.
+ */
+
+import type { UpstreamName } from "../common/ids.ts";
+import type { ColdServers } from "./cold/cold-servers.ts";
+import type { EvacuatedZones } from "./evacuation/evacuated-zones.ts";
+import type { SendBudget, ServerLimits } from "./limits/server-limits.ts";
+import type { UpstreamServer, UpstreamTable } from "./upstreams.ts";
+
+export type StandingRefusal = "leaving" | "evacuated";
+
+export type SendPermission =
+  | {
+    readonly kind: "allowed";
+    /** Slots of the server that may be used. */
+    readonly slots: number;
+    /** Undefined if the number of sends has no limit. */
+    readonly sendBudget: SendBudget | undefined;
+  }
+  | {
+    readonly kind: "refused";
+    readonly reason: StandingRefusal | "cold";
+    /** Time after which a send may be allowed; undefined if that is unknown. */
+    readonly waitMilliseconds: number | undefined;
+  };
+
+const onlineSend = { isBatch: false };
+export const batchSend = { isBatch: true };
+
+export interface SendRulesOptions {
+  readonly upstreams: UpstreamTable;
+  readonly serverLimits: ServerLimits;
+  readonly coldServers: ColdServers;
+  readonly evacuatedZones: EvacuatedZones;
+}
+
+export class SendRules {
+  readonly #options: SendRulesOptions;
+
+  constructor(options: SendRulesOptions) {
+    this.#options = options;
+  }
+
+  /** Why nothing at all may be sent to the server; undefined if something may. */
+  standingRefusal(
+    { state, zone }: Pick<UpstreamServer, "state" | "zone">,
+  ): StandingRefusal | undefined {
+    if (state !== "ready") return "leaving";
+    return this.#options.evacuatedZones.has(zone) ? "evacuated" : undefined;
+  }
+
+  /**
+   * Whether this instance may choose the server for a request now. Items of batch jobs leave cold
+   * servers to online requests: they have time, and are sent only after their bodies have been read.
+   */
+  check(
+    server: UpstreamServer,
+    now: number,
+    { isBatch }: { readonly isBatch: boolean } = onlineSend,
+  ): SendPermission {
+    const reason = this.standingRefusal(server);
+    if (reason) return { kind: "refused", reason, waitMilliseconds: undefined };
+    const { serverLimits, coldServers } = this.#options;
+    const stated = serverLimits.budgetOf(server, now);
+    const cold = coldServers.allowanceFor(server, now);
+    if (!cold) {
+      return { kind: "allowed", slots: server.slots, sendBudget: stated };
+    }
+    if (cold.kind === "refused" || (isBatch && cold.sendBudget)) {
+      const { waitMilliseconds } = cold.kind === "refused"
+        ? cold
+        : { waitMilliseconds: undefined };
+      return { kind: "refused", reason: "cold", waitMilliseconds };
+    }
+    const sendBudget = scarcerBudget(stated, cold.sendBudget);
+    return { kind: "allowed", slots: cold.slots, sendBudget };
+  }
+
+  /** Counts a request that is about to be sent; each send counts, whatever its kind. */
+  take(server: UpstreamServer, now: number): void {
+    this.#options.serverLimits.take(server, now);
+    this.#options.coldServers.take(server, now);
+  }
+
+  /**
+   * Time after which a server of the service may take a request, where none may now; undefined if
+   * that is unknown.
+   */
+  timeUntilRoom(service: UpstreamName, now: number): number | undefined {
+    let shortest = Number.POSITIVE_INFINITY;
+    for (const server of this.#options.upstreams.readyServers(service)) {
+      const permission = this.check(server, now);
+      if (permission.kind === "allowed") return 0;
+      const { waitMilliseconds = Number.POSITIVE_INFINITY } = permission;
+      shortest = Math.min(shortest, waitMilliseconds);
+    }
+    return Number.isFinite(shortest) ? shortest : undefined;
+  }
+}
+
+/** The budget that allows fewer sends; both bind. */
+function scarcerBudget(
+  left: SendBudget | undefined,
+  right: SendBudget | undefined,
+): SendBudget | undefined {
+  if (!left || !right) return left ?? right;
+  return left.allowance <= right.allowance ? left : right;
+}
--- a/packages/fleet/server-statements.ts
+++ b/packages/fleet/server-statements.ts
@@ -3,6 +3,7 @@
 import type { InstanceId } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import type { Blackboard } from "./blackboard.ts";
+import type { ColdChange, KnownCold } from "./cold/cold-servers.ts";
 import type { KnownLimit } from "./limits/server-limits.ts";
 import type { ServerStatement, StatementEvidence } from "./server-statement.ts";
 import type { ServerLifetime, UpstreamServer } from "./upstreams.ts";
@@ -28,6 +29,10 @@
     servers: readonly ServerLifetime[],
     sender: InstanceId,
   ) => void;
+  readonly onColdServers: (
+    servers: readonly KnownCold[],
+    sender: InstanceId,
+  ) => void;
 }
 
 export class ServerStatements {
@@ -100,9 +105,49 @@
         this.#recordKnownLimits(limits, sender, origin),
       onLeavingServers: (servers, sender) =>
         this.#recordLeavingServers(servers, sender, origin),
+      onColdServers: (servers, sender) =>
+        this.#recordColdServers(servers, sender, origin),
     };
   }
 
+  /** Records that a server refused a connection of this instance. */
+  recordRefusedConnection(server: UpstreamServer): void {
+    const { blackboard, onChange, now } = this.#options;
+    if (!this.#isCurrent(server.id, server.startedAtMilliseconds)) return;
+    const { coldServers } = blackboard;
+    const change = coldServers.recordRefusedConnection(server, now());
+    this.#logCold(change);
+    if (change) onChange();
+  }
+
+  /** Records servers that are cold, as another instance, perhaps a dependent, has found. */
+  #recordColdServers(
+    servers: readonly KnownCold[],
+    sender: InstanceId,
+    { isDependent }: { readonly isDependent: boolean },
+  ): void {
+    const { blackboard, onChange, now } = this.#options;
+    let hasChanged = false;
+    for (const known of servers) {
+      const server = blackboard.upstreams.get(known.server);
+      if (server?.startedAtMilliseconds !== known.serverStartedAt) continue;
+      const change = blackboard.coldServers.recordKnown(server, known, now(), {
+        isDependent,
+      });
+      this.#logCold(change, sender);
+      hasChanged ||= change !== undefined;
+    }
+    if (hasChanged && isDependent) onChange();
+  }
+
+  #logCold(change: ColdChange | undefined, heardBy?: InstanceId): void {
+    if (!change) return;
+    this.#options.logger.info(coldMessage, {
+      ...change,
+      heardBy: heardBy ?? null,
+    });
+  }
+
   /** Records limits of servers that another instance, perhaps a dependent, has heard of. */
   #recordKnownLimits(
     limits: readonly KnownLimit[],
@@ -130,6 +175,8 @@
   }
 }
 
+/** The context names the requests per second that the server takes from the whole fleet. */
+export const coldMessage = "a server counts as cold";
 const leavingMessage = "a server states that it is leaving";
 /** The context names the limit in requests per second, null for none. */
 const limitMessage = "a server states another limit";
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -36,7 +36,11 @@
  * the limit that it states; the other one to which a request may be sent first is given.
  */
 export type ServerChoice =
-  | { readonly kind: "none" }
+  | {
+    readonly kind: "none";
+    /** Time after which a server may take a request; undefined if that is unknown. */
+    readonly waitMilliseconds?: number | undefined;
+  }
   | {
     readonly kind: "send";
     readonly server: ServerCandidate;
@@ -52,6 +56,8 @@
     readonly budget: SendBudget;
   };
 
+export type NoServer = Partial<Extract<ServerChoice, { kind: "none" }>>;
+
 export type SendChoice = Extract<ServerChoice, { kind: "send" }>;
 
 export interface ChoiceOptions {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -269,7 +269,10 @@
         crashDetector.examine(server, suspect),
       chooseService: (route) => chooseService(route, random()),
       findServer: (id) => upstreams.get(id),
+      standingRefusal: (server) => blackboard.sendRules.standingRefusal(server),
       poolOf: (server) => pools.poolOf(server),
+      recordRefusedConnection: (server) =>
+        statements.recordRefusedConnection(server),
       recordStatement: (...statement) => statements.record(...statement),
       recordFailure: (server) => health.addFailure(server, now()),
       recordSuccess: (server, duration) => {
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -17,7 +17,7 @@
   minimumRemainingMilliseconds,
   rerouteAfterObjectives,
 } from "./constants.ts";
-import type { SendChoice } from "./choose-server.ts";
+import type { NoServer, SendChoice } from "./choose-server.ts";
 import type { OnlineRequestOptions } from "./online-request-options.ts";
 import type { ChoiceRequest } from "./online-services.ts";
 import type { Placement } from "./placement.ts";
@@ -146,7 +146,7 @@
     }
     switch (placement.kind) {
       case "none":
-        return this.#giveUp("no server is available");
+        return this.#giveUp("no server is available", placement);
       case "full":
         return this.#fail(
           capacityError(this.#retryOptions(placement.expectedWaitMilliseconds)),
@@ -171,13 +171,13 @@
   #send(choice: SendChoice): void {
     const { services, workspace, received } = this.#options;
     const server = services.findServer(choice.server.id);
-    if (server?.state !== "ready") {
-      // The server leaves, which the coordinator that chose it may not know.
+    if (!server || services.standingRefusal(server)) {
+      // The coordinator that chose the server may not know that nothing may be sent there.
       services.placer.withdraw(choice);
       this.#excluded.add(choice.server.id);
       this.#refusals += 1;
       if (this.#hasTooManyRefusals()) {
-        return this.#giveUp("the chosen servers are leaving");
+        return this.#giveUp("nothing may be sent to the chosen servers");
       }
       return this.#tryNextServer();
     }
@@ -209,6 +209,7 @@
     }, {
       onStatement: (...statement) =>
         services.recordStatement(server, ...statement),
+      onConnectionRefused: () => services.recordRefusedConnection(server),
       onHead: (head) => this.#handleHead(attempt, head),
       onData: (chunk) => this.#handleData(attempt, chunk),
       onEnd: () => this.#handleEnd(attempt),
@@ -410,8 +411,9 @@
     };
   }
 
-  #giveUp(reason: string): void {
-    this.#fail(noServerError(reason, { mayHaveRun: this.#possibleRuns > 0 }));
+  #giveUp(reason: string, { waitMilliseconds }: NoServer = {}): void {
+    const mayHaveRun = this.#possibleRuns > 0;
+    this.#fail(noServerError(reason, { mayHaveRun, waitMilliseconds }));
   }
 
   #handleDeadline(): void {
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -64,6 +64,8 @@
   readonly sendQueue: SendQueue;
   chooseService(route: RouteRule): UpstreamName;
   findServer(id: InstanceId): UpstreamServer | undefined;
+  /** Why nothing at all may be sent to the server; undefined if something may. */
+  standingRefusal(server: UpstreamServer): string | undefined;
   poolOf(server: UpstreamServer): ConnectionPool;
   /** Records what a server states about itself in the head of an answer. */
   recordStatement(
@@ -71,6 +73,7 @@
     statement: ServerStatement,
     evidence: StatementEvidence,
   ): void;
+  recordRefusedConnection(server: UpstreamServer): void;
   /** Counts a failure against the health of the server. */
   recordFailure(server: InstanceId): void;
   /** Records a success and how long the server took for it. */
--- a/packages/gateway/placement.ts
+++ b/packages/gateway/placement.ts
@@ -175,7 +175,7 @@
       }
     }
     const upstream = blackboard.upstreams.get(choice.server.id);
-    if (upstream) blackboard.serverLimits.take(upstream, now());
+    if (upstream) blackboard.sendRules.take(upstream, now());
     if (choice.displacesBatch) this.#options.displaceBatch(choice.server.id);
     if (!isTrial) return choice;
     quarantine.beginTrial(request.requestId, judgement.parts);
@@ -209,11 +209,14 @@
       excluded,
       avoided,
     });
-    return choose(candidates, {
+    const choice = choose(candidates, {
       durationMilliseconds: blackboard.requestDurationMilliseconds,
       acceptableWaitMilliseconds: objectiveMilliseconds *
         acceptableWaitShares[waitTolerance],
       random,
     });
+    if (choice.kind !== "none") return choice;
+    const waitMilliseconds = blackboard.sendRules.timeUntilRoom(service, now());
+    return { ...choice, waitMilliseconds };
   }
 }
--- a/packages/gateway/request-errors.ts
+++ b/packages/gateway/request-errors.ts
@@ -58,7 +58,11 @@
 /** The request is given up for the reason. */
 export function noServerError(
   reason: string,
-  { mayHaveRun }: { readonly mayHaveRun: boolean },
+  { mayHaveRun, waitMilliseconds = 0 }: {
+    readonly mayHaveRun: boolean;
+    /** Time until a server may take the request. */
+    readonly waitMilliseconds?: number | undefined;
+  },
 ): ErrorAnswer {
   if (mayHaveRun) {
     return {
@@ -71,7 +75,10 @@
     status: 503,
     code: "no_server",
     message: `${reason}; the request has not run`,
-    retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+    retryAfterMilliseconds: Math.max(
+      waitMilliseconds,
+      defaultRetryAfterMilliseconds,
+    ),
   };
 }
 
--- a/packages/gateway/server-attempt.test.ts
+++ b/packages/gateway/server-attempt.test.ts
@@ -25,6 +25,7 @@
       bodyIdleTimeoutMilliseconds: 10_000,
     }, {
       onStatement: () => {},
+      onConnectionRefused: () => {},
       onHead: () => {},
       onData: () => true,
       onEnd: () => {},
@@ -76,6 +77,7 @@
       bodyIdleTimeoutMilliseconds: 150,
     }, {
       onStatement: () => {},
+      onConnectionRefused: () => {},
       onHead: () => {},
       onData: () => {
         attempt.pause();
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -33,6 +33,8 @@
 export interface AttemptListener {
   /** Called for the head of each answer to the request, also of an interim one or a refusal. */
   onStatement(statement: ServerStatement, evidence: StatementEvidence): void;
+  /** Called if the server refuses a connection: it is down. */
+  onConnectionRefused(): void;
   onHead(head: AnswerHead): void;
   /**
    * Returns true if the answer has progressed. Bytes without progress do not restart the idle
@@ -119,13 +121,17 @@
         this.#restartIdleTimer(this.#options.bodyIdleTimeoutMilliseconds);
       },
       onResponseEnd: () => this.#handleEnd(),
-      onResponseError: (_, error) =>
+      onResponseError: (_, error) => {
+        if ("code" in error && error.code === "ECONNREFUSED") {
+          this.#listener.onConnectionRefused();
+        }
         this.#fail({
           verdict: this.#wasSent ? "unknown" : "not_run",
           reason: error.message,
           isServerFault: true,
           isConnectionBroken: this.#wasSent,
-        }),
+        });
+      },
     });
   }
 
--- a/packages/gateway/server-candidates.ts
+++ b/packages/gateway/server-candidates.ts
@@ -1,4 +1,4 @@
-/** Lists the servers that a request could be sent to, with their known load and failures. */
+/** Lists the servers that a request may be sent to, with their known load and failures. */
 
 import type { InstanceId, UpstreamName } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
@@ -12,28 +12,32 @@
   readonly now: number;
   /** Servers to leave out. */
   readonly excluded?: ReadonlySet<InstanceId> | undefined;
+  /** The request is a run of a batch item, which has time. */
+  readonly isBatch?: boolean;
   /** Servers to avoid besides those that failed requests of this instance. */
   readonly avoided?: ReadonlySet<InstanceId> | undefined;
 }
 
 export function listCandidates(
-  { upstreams, loads, health, serverLimits }: Blackboard,
-  { service, zone, now, excluded, avoided }: CandidateQuery,
+  { upstreams, loads, health, sendRules }: Blackboard,
+  { service, zone, now, excluded, avoided, isBatch = false }: CandidateQuery,
 ): ServerCandidate[] {
   const candidates: ServerCandidate[] = [];
   for (const server of upstreams.readyServers(service)) {
     if (excluded?.has(server.id)) continue;
+    const permission = sendRules.check(server, now, { isBatch });
+    if (permission.kind === "refused") continue;
     const { online, batch } = loads.estimate(server.id, now);
     candidates.push({
       id: server.id,
-      slots: server.slots,
+      slots: permission.slots,
       online,
       batch,
       isSameZone: server.zone === zone,
       isAvoided: health.isAvoided(server.id, now) ||
         avoided?.has(server.id) === true,
       failureShare: health.failureShare(server.id, now),
-      sendBudget: serverLimits.budgetOf(server, now),
+      sendBudget: permission.sendBudget,
     });
   }
   return candidates;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -15,6 +15,7 @@
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { chooseService } from "../gateway/gateway.ts";
 import { listCandidates } from "../gateway/server-candidates.ts";
+import { batchSend } from "../fleet/send-rules.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import {
   chooseBatchServer,
@@ -94,8 +95,8 @@
     return this.#waitingItems;
   }
 
-  get runningItems(): number {
-    return this.#workTable.running().length;
+  runningWork(): ItemWork[] {
+    return this.#workTable.running();
   }
 
   start(): void {
@@ -260,7 +261,7 @@
     work.isStarting = true;
     const upstream = blackboard.upstreams.get(server)!;
     blackboard.loads.addRequest(server, "batch");
-    blackboard.serverLimits.take(upstream, time);
+    blackboard.sendRules.take(upstream, time);
     bodies.read(partition, state.record, work.item).then(
       (body) => this.#send(work, state, server, body),
       (error) => {
@@ -311,6 +312,7 @@
       service,
       zone,
       now: time,
+      ...batchSend,
     });
     return chooseBatchServer(
       selectForRetry(candidates, work.failedAt),
@@ -329,7 +331,10 @@
     const upstream = blackboard.upstreams.get(server);
     const canStillRun = this.#workTable.has(work) && !this.#isStopped &&
       !state.isEnded && this.#options.isOwned(work.partition);
-    if (!canStillRun || upstream?.state !== "ready") {
+    if (
+      !canStillRun || !upstream ||
+      blackboard.sendRules.check(upstream, now(), batchSend).kind === "refused"
+    ) {
       return this.#withdraw(server);
     }
     const request = jobCodec.toRequest(
@@ -357,6 +362,8 @@
       },
       onStatement: (...statement) =>
         this.#options.statements.record(upstream, ...statement),
+      onConnectionRefused: () =>
+        this.#options.statements.recordRefusedConnection(upstream),
       onBegin: () =>
         this.#options.quarantine.recordBegin(
           request.sharedPromptParts,
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -43,6 +43,7 @@
   readonly output: PartialOutput;
   readonly attempt: AttemptOptions;
   readonly onStatement: AttemptListener["onStatement"];
+  readonly onConnectionRefused: AttemptListener["onConnectionRefused"];
   /** Called when the first event arrives. */
   readonly onBegin: () => void;
   /** Resolves to true if the server has crashed; asked where only the connection ends an answer. */
@@ -70,6 +71,7 @@
     this.server = options.server;
     this.#attempt = new ServerAttempt(options.attempt, {
       onStatement: options.onStatement,
+      onConnectionRefused: options.onConnectionRefused,
       onHead: (head) => this.#handleHead(head),
       onData: (chunk) => this.#handleData(chunk),
       onEnd: () => this.#handleEnd(),
--- a/packages/jobs/ready-items.ts
+++ b/packages/jobs/ready-items.ts
@@ -2,6 +2,7 @@
 
 import type { PartitionNumber } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
+import { batchSend } from "../fleet/send-rules.ts";
 import { freeSlots } from "../gateway/choose-server.ts";
 import { slotsKeptFree } from "./constants.ts";
 import type { JobPartitions } from "./job-partition.ts";
@@ -48,7 +49,7 @@
 
 /** This instance's share of the free slots, in proportion to its share of the waiting items. */
 export function maximumStarts(
-  { upstreams, loads, serverLimits }: Blackboard,
+  { upstreams, loads, sendRules }: Blackboard,
   { ready, waitingAtPeers, now }: {
     /** Number of items of this instance that can be sent. */
     readonly ready: number;
@@ -59,10 +60,11 @@
 ): number {
   let totalFreeSlots = 0;
   for (const server of upstreams.all()) {
-    if (server.state !== "ready") continue;
+    const permission = sendRules.check(server, now, batchSend);
+    if (permission.kind === "refused") continue;
     const load = loads.estimate(server.id, now);
-    const free = freeSlots({ slots: server.slots, ...load }, slotsKeptFree);
-    const budget = serverLimits.budgetOf(server, now);
+    const free = freeSlots({ slots: permission.slots, ...load }, slotsKeptFree);
+    const budget = permission.sendBudget;
     totalFreeSlots += budget
       ? Math.min(free, Math.max(0, Math.floor(budget.level)))
       : free;
