Keep requests within the regions that route and workspace allow

Servers of other regions are no candidates and are checked again directly before a send. Calls on jobs go to coordinators of allowed regions only. Targets without an allowed server are passed over, and requests and submissions that no listed server may take get 503 at once.

Not covered: store calls that an instance makes through a peer, and owners that read bodies from the store; both need the regions at the level of records.

--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -53,6 +53,8 @@
   readonly maximumAsked?: number;
   /** The reply may depend on the store, so that its absence says nothing of the coordinator. */
   readonly mayBeSlow?: boolean;
+  /** Whether the coordinator may receive the message; all may if not given. */
+  readonly isAllowed?: (coordinator: InstanceId) => boolean;
 }
 
 interface CoordinatorState {
@@ -129,6 +131,7 @@
       deadlineMilliseconds,
       maximumAsked = maximumAskedCoordinators,
       mayBeSlow = false,
+      isAllowed = () => true,
     }: AskOptions,
   ): Promise<Result | undefined> {
     // Only questions that may be granted a slot are numbered: a call on a job, which may wait long,
@@ -136,7 +139,7 @@
     const question = mayBeSlow ? unnumberedQuestion : ++this.#lastQuestion;
     if (!mayBeSlow) this.#openQuestions.add(question);
     try {
-      const asked = this.candidates().slice(0, maximumAsked);
+      const asked = this.candidates().filter(isAllowed).slice(0, maximumAsked);
       for (const [silentCoordinators, coordinator] of asked.entries()) {
         const reply = await this.#request(
           coordinator,
--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -24,10 +24,14 @@
 }
 
 /** Submits a job at a dependent whose coordinators answer in turn as given; returns the status. */
-async function submit(outcomes: readonly Outcome[]): Promise<number> {
+async function submit(
+  outcomes: readonly Outcome[],
+  allowed: readonly string[] = ["a", "b"],
+): Promise<number> {
   const remaining = [...outcomes];
   const network = {
-    request: () => {
+    request: (instance: InstanceId) => {
+      assert.ok(allowed.includes(instance));
       const outcome = remaining.shift();
       return outcome === undefined || outcome === "silent"
         ? Promise.reject(new PeerUnavailableError("no reply"))
@@ -55,6 +59,7 @@
   });
   const calls = new ForwardedJobCalls({
     client,
+    isAllowedInstance: (instance) => allowed.includes(instance),
     now: systemClock.monotonicNow,
     logger: silentLogger,
   });
@@ -103,3 +108,10 @@
   }
   assert.equal(await submit(["silent", "silent"]), 504);
 });
+
+// A body must not reach an instance outside of the regions of its route or workspace.
+test("a submission goes only to coordinators that may receive its body", async () => {
+  assert.equal(await submit([reply(202)], ["b"]), 202);
+  assert.equal(await submit([reply(202)], []), 503);
+  assert.equal(await submit(["silent"], ["b"]), 504);
+});
--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -5,7 +5,7 @@
  */
 
 import { Buffer } from "node:buffer";
-import type { WorkspaceId } from "../common/ids.ts";
+import type { InstanceId, WorkspaceId } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { JobCall, ReceivedRequest } from "../gateway/caller-request.ts";
@@ -24,6 +24,12 @@
 
 export interface ForwardedJobCallsOptions {
   readonly client: CoordinatorClient;
+  /** Whether the instance may receive bodies of the requests of a route and workspace. */
+  readonly isAllowedInstance: (
+    instance: InstanceId,
+    route: RouteRule,
+    workspace: WorkspaceId | undefined,
+  ) => boolean;
   /** Monotonic milliseconds. */
   readonly now: () => number;
   readonly logger: Logger;
@@ -65,11 +71,13 @@
     workspace: WorkspaceId | undefined,
     response: JobResponse,
   ): Promise<void> {
-    const { client, now, logger } = this.#options;
+    const { client, now, logger, isAllowedInstance } = this.#options;
     const waitMilliseconds = call?.kind === "results"
       ? call.waitMilliseconds
       : 0;
     const { deadlineMilliseconds } = request;
+    let allowedCoordinators = 0;
+    let excludedCoordinators = 0;
     const reply = await client.ask(
       jobCallMessage,
       () => ({
@@ -92,6 +100,12 @@
       {
         deadlineMilliseconds: jobCallTimeoutMilliseconds + waitMilliseconds,
         mayBeSlow: true,
+        isAllowed: (instance) => {
+          const isAllowed = isAllowedInstance(instance, route, workspace);
+          if (isAllowed) allowedCoordinators += 1;
+          else excludedCoordinators += 1;
+          return isAllowed;
+        },
       },
     );
     if (reply) return sendReply(reply, response);
@@ -99,6 +113,9 @@
       request: request.id ?? null,
       path: request.path,
     });
+    if (excludedCoordinators > 0 && allowedCoordinators === 0) {
+      return response.fail(noAllowedCoordinator);
+    }
     response.fail(call === undefined ? outcomeUnknown : noCoordinator);
   }
 }
@@ -127,6 +144,15 @@
   retryAfterMilliseconds: defaultRetryAfterMilliseconds,
 };
 
+/** The call was sent to no other instance. */
+const noAllowedCoordinator: ErrorAnswer = {
+  status: 503,
+  code: "no_allowed_coordinator",
+  message:
+    "no coordinator is in a region in which the call may be handled; nothing was done",
+  retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+};
+
 const outcomeUnknown: ErrorAnswer = {
   status: 504,
   code: "outcome_unknown",
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -35,6 +35,7 @@
   readonly objectiveMilliseconds: number;
   readonly waitTolerance: WaitTolerance;
   readonly zone: string;
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** A workspace with the limit that is in force at the dependent. */
@@ -62,6 +63,7 @@
   objectiveMilliseconds: z.number(),
   waitTolerance: z.enum(["in_time", "late", "any"]),
   zone: z.string(),
+  allowedRegions: z.optional(z.array(z.string())),
 };
 
 const questionSchema = z.object({
--- a/packages/coordination/remote-placer.ts
+++ b/packages/coordination/remote-placer.ts
@@ -133,15 +133,16 @@
   }
 
   #encodeChoice(
-    { service, excluded, objectiveMilliseconds, waitTolerance }: ChoiceRequest,
+    { excluded, ...request }: ChoiceRequest,
   ) {
     const { blackboard, zone, now } = this.#options;
     return {
-      service,
+      service: request.service,
       excluded: [...excluded],
       avoided: blackboard.health.avoidedServers(now()),
-      objectiveMilliseconds,
-      waitTolerance,
+      objectiveMilliseconds: request.objectiveMilliseconds,
+      waitTolerance: request.waitTolerance,
+      allowedRegions: request.allowedRegions,
       zone,
     };
   }
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -28,6 +28,7 @@
   decodeLimits,
 } from "../fleet/peers/statement-messages.ts";
 import type { Member, MemberTable } from "../fleet/peers/members.ts";
+import { isAllowedInstance } from "../fleet/regions.ts";
 import {
   type JobReport,
   PeerReports,
@@ -473,9 +474,11 @@
   }
 
   #createJobCalls(): JobCalls {
-    const { clock, logger } = this.#options;
+    const { clock, logger, members, blackboard } = this.#options;
     const forwarded = new ForwardedJobCalls({
       client: this.#client,
+      isAllowedInstance: (instance, route, workspace) =>
+        isAllowedInstance(members.get(instance), route, workspace, blackboard),
       now: clock.monotonicNow,
       logger,
     });
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -85,6 +85,7 @@
     this.#blackboard = new Blackboard({
       initialDurationMilliseconds,
       coldBounds: settings.coldBounds,
+      regionByZone: settings.regionByZone,
     });
     this.#pools = new ServerPools(() => metrics.countConnection());
     this.#network = this.#createNetwork();
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -1,6 +1,7 @@
 /** Settings of an entry instance, independent of the file or platform that they are read from. */
 
 import type { ColdBounds } from "../fleet/cold/cold-rate.ts";
+import type { RegionByZone } from "../fleet/regions.ts";
 import type { Incarnation, InstanceId, ZoneId } from "../common/ids.ts";
 
 export interface ListenAddress {
@@ -32,6 +33,8 @@
   readonly limitOverage: number;
   /** Requests by which a window may exceed its limit in addition to the overage. */
   readonly limitSlackRequests: number;
+  /** The region of each zone, as far as the settings name it. */
+  readonly regionByZone?: RegionByZone;
   /** By how much the requests to a cold server may exceed its rate; the defaults if not given. */
   readonly coldBounds?: ColdBounds;
   /** How long a finished job stays readable, counted from the time it was accepted. */
--- a/packages/fleet/blackboard.ts
+++ b/packages/fleet/blackboard.ts
@@ -10,6 +10,7 @@
 import { EvacuatedZones } from "./evacuation/evacuated-zones.ts";
 import { ServerLimits } from "./limits/server-limits.ts";
 import { LoadTable } from "./load-table.ts";
+import type { RegionByZone } from "./regions.ts";
 import { SendRules } from "./send-rules.ts";
 import { UpstreamTable } from "./upstreams.ts";
 
@@ -21,6 +22,7 @@
   readonly evacuatedZones = new EvacuatedZones();
   readonly coldServers: ColdServers;
   readonly sendRules: SendRules;
+  readonly regionByZone: RegionByZone;
   /** Undefined until a configuration is known. */
   configuration: ConfigurationIndex | undefined;
   /** The list of servers has been read at least once. */
@@ -35,9 +37,10 @@
   requestDurationMilliseconds: number;
 
   constructor(
-    { initialDurationMilliseconds, coldBounds }: {
+    { initialDurationMilliseconds, coldBounds, regionByZone = new Map() }: {
       readonly initialDurationMilliseconds: number;
       readonly coldBounds?: ColdBounds | undefined;
+      readonly regionByZone?: RegionByZone | undefined;
     },
   ) {
     this.requestDurationMilliseconds = initialDurationMilliseconds;
@@ -45,6 +48,7 @@
       ...(coldBounds ? { bounds: coldBounds } : {}),
       policyOf: (service) => this.configuration?.service(service)?.cold,
     });
+    this.regionByZone = regionByZone;
     this.sendRules = new SendRules(this);
   }
 
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -42,6 +42,8 @@
    * their results at the same time; 0 for no limit.
    */
   readonly maximumWaitingTokens: number;
+  /** Regions in which requests of the route may be handled; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 export interface ServiceRule {
@@ -62,6 +64,8 @@
   readonly ratePerSecond: number;
   /** Capacity of the token bucket, in requests. */
   readonly burst: number;
+  /** Regions in which requests of the workspace may be handled; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Limits on the size of a caller's request and on how long it may take. */
--- /dev/null
+++ b/packages/fleet/regions.ts
@@ -0,0 +1,53 @@
+/**
+ * The regions in which a request may be handled. A route and a workspace may each name some; the
+ * region of a zone is given by the settings. A zone without a region is in none of them.
+ */
+
+import type { WorkspaceId } from "../common/ids.ts";
+import type {
+  ConfigurationIndex,
+  RouteRule,
+  WorkspaceRule,
+} from "./configuration.ts";
+
+export type RegionByZone = ReadonlyMap<string, string>;
+
+/** Undefined if the request may be handled anywhere; empty if it may be handled nowhere. */
+export function allowedRegionsOf(
+  route: Pick<RouteRule, "allowedRegions">,
+  workspace: Pick<WorkspaceRule, "allowedRegions"> | undefined,
+): readonly string[] | undefined {
+  const ofRoute = route.allowedRegions;
+  const ofWorkspace = workspace?.allowedRegions;
+  if (!ofRoute || !ofWorkspace) return ofRoute ?? ofWorkspace;
+  return ofRoute.filter((region) => ofWorkspace.includes(region));
+}
+
+export function isAllowedZone(
+  zone: string,
+  allowedRegions: readonly string[] | undefined,
+  regionByZone: RegionByZone,
+): boolean {
+  if (!allowedRegions) return true;
+  const region = regionByZone.get(zone);
+  return region !== undefined && allowedRegions.includes(region);
+}
+
+/** Whether a member of the fleet may receive bodies of requests of a route and workspace. */
+export function isAllowedInstance(
+  member: { readonly zone: string } | undefined,
+  route: RouteRule,
+  workspace: WorkspaceId | undefined,
+  { configuration, regionByZone }: {
+    readonly configuration: ConfigurationIndex | undefined;
+    readonly regionByZone: RegionByZone;
+  },
+): boolean {
+  const rule = workspace === undefined
+    ? undefined
+    : configuration?.workspace(workspace);
+  const allowedRegions = allowedRegionsOf(route, rule);
+  return !allowedRegions ||
+    (member !== undefined &&
+      isAllowedZone(member.zone, allowedRegions, regionByZone));
+}
--- a/packages/fleet/send-rules.test.ts
+++ b/packages/fleet/send-rules.test.ts
@@ -3,9 +3,10 @@
 import type { InstanceId, UpstreamName, ZoneId } from "../common/ids.ts";
 import { Blackboard } from "./blackboard.ts";
 import { ConfigurationIndex } from "./configuration.ts";
-import { batchSend } from "./send-rules.ts";
+import { allowedTargets, hasAllowedServer } from "./send-rules.ts";
 import type { UpstreamServer } from "./upstreams.ts";
 
+const batchSend = { isBatch: true };
 const service = "service" as UpstreamName;
 const server: UpstreamServer = {
   id: "s" as InstanceId,
@@ -70,6 +71,21 @@
   assert.equal(sendRules.timeUntilRoom(service, 100), 900);
 });
 
+test("of the targets of a route those with a server in an allowed region are used", () => {
+  const { upstreams } = createBlackboard(server);
+  const regionByZone = new Map([["north", "home"]]);
+  const servers = { upstreams, regionByZone };
+  const other = { service: "other" as UpstreamName, weight: 9 };
+  const target = { service, weight: 1 };
+  const targets = [other, target];
+  const allowed = allowedTargets({ targets }, ["home"], servers);
+  assert.deepEqual(allowed.targets, [target]);
+  assert.deepEqual(allowedTargets({ targets }, undefined, servers), {
+    targets,
+  });
+  assert.ok(!hasAllowedServer({ targets }, ["away"], servers));
+});
+
 // A limit that the server states itself and the cold limit bind together.
 test("of two limits the scarcer one binds, and a send counts in both", () => {
   const cold = { ...server, coldMilliseconds: 3_000 };
--- a/packages/fleet/send-rules.ts
+++ b/packages/fleet/send-rules.ts
@@ -7,11 +7,20 @@
 
 import type { UpstreamName } from "../common/ids.ts";
 import type { ColdServers } from "./cold/cold-servers.ts";
+import type { RouteRule } from "./configuration.ts";
 import type { EvacuatedZones } from "./evacuation/evacuated-zones.ts";
 import type { SendBudget, ServerLimits } from "./limits/server-limits.ts";
+import { isAllowedZone, type RegionByZone } from "./regions.ts";
 import type { UpstreamServer, UpstreamTable } from "./upstreams.ts";
 
-export type StandingRefusal = "leaving" | "evacuated";
+export type StandingRefusal = "leaving" | "evacuated" | "other_region";
+
+/** What the permission depends on besides the server. */
+export interface SendPurpose {
+  readonly isBatch?: boolean;
+  /** Regions in which the request may be handled; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
+}
 
 export type SendPermission =
   | {
@@ -28,14 +37,12 @@
     readonly waitMilliseconds: number | undefined;
   };
 
-const onlineSend = { isBatch: false };
-export const batchSend = { isBatch: true };
-
 export interface SendRulesOptions {
   readonly upstreams: UpstreamTable;
   readonly serverLimits: ServerLimits;
   readonly coldServers: ColdServers;
   readonly evacuatedZones: EvacuatedZones;
+  readonly regionByZone: RegionByZone;
 }
 
 export class SendRules {
@@ -48,8 +55,13 @@
   /** Why nothing at all may be sent to the server; undefined if something may. */
   standingRefusal(
     { state, zone }: Pick<UpstreamServer, "state" | "zone">,
+    { allowedRegions }: SendPurpose = {},
   ): StandingRefusal | undefined {
     if (state !== "ready") return "leaving";
+    const { regionByZone } = this.#options;
+    if (!isAllowedZone(zone, allowedRegions, regionByZone)) {
+      return "other_region";
+    }
     return this.#options.evacuatedZones.has(zone) ? "evacuated" : undefined;
   }
 
@@ -60,9 +72,9 @@
   check(
     server: UpstreamServer,
     now: number,
-    { isBatch }: { readonly isBatch: boolean } = onlineSend,
+    purpose: SendPurpose = {},
   ): SendPermission {
-    const reason = this.standingRefusal(server);
+    const reason = this.standingRefusal(server, purpose);
     if (reason) return { kind: "refused", reason, waitMilliseconds: undefined };
     const { serverLimits, coldServers } = this.#options;
     const stated = serverLimits.budgetOf(server, now);
@@ -70,7 +82,7 @@
     if (!cold) {
       return { kind: "allowed", slots: server.slots, sendBudget: stated };
     }
-    if (cold.kind === "refused" || (isBatch && cold.sendBudget)) {
+    if (cold.kind === "refused" || (purpose.isBatch && cold.sendBudget)) {
       const { waitMilliseconds } = cold.kind === "refused"
         ? cold
         : { waitMilliseconds: undefined };
@@ -90,10 +102,14 @@
    * Time after which a server of the service may take a request, where none may now; undefined if
    * that is unknown.
    */
-  timeUntilRoom(service: UpstreamName, now: number): number | undefined {
+  timeUntilRoom(
+    service: UpstreamName,
+    now: number,
+    purpose: SendPurpose = {},
+  ): number | undefined {
     let shortest = Number.POSITIVE_INFINITY;
     for (const server of this.#options.upstreams.readyServers(service)) {
-      const permission = this.check(server, now);
+      const permission = this.check(server, now, purpose);
       if (permission.kind === "allowed") return 0;
       const { waitMilliseconds = Number.POSITIVE_INFINITY } = permission;
       shortest = Math.min(shortest, waitMilliseconds);
@@ -102,6 +118,36 @@
   }
 }
 
+/** Whether a listed server of any service of the route may ever take its requests. */
+export function hasAllowedServer(
+  { targets }: Pick<RouteRule, "targets">,
+  allowedRegions: readonly string[] | undefined,
+  { upstreams, regionByZone }: Pick<
+    SendRulesOptions,
+    "upstreams" | "regionByZone"
+  >,
+): boolean {
+  if (!allowedRegions) return true;
+  for (const { service, zone } of upstreams.all()) {
+    if (!isAllowedZone(zone, allowedRegions, regionByZone)) continue;
+    if (targets.some((target) => target.service === service)) return true;
+  }
+  return false;
+}
+
+/** The targets of the route with a server in an allowed region; all of them if there is none. */
+export function allowedTargets(
+  { targets }: Pick<RouteRule, "targets">,
+  allowedRegions: readonly string[] | undefined,
+  servers: Pick<SendRulesOptions, "upstreams" | "regionByZone">,
+): Pick<RouteRule, "targets"> {
+  if (!allowedRegions) return { targets };
+  const allowed = targets.filter((target) =>
+    hasAllowedServer({ targets: [target] }, allowedRegions, servers)
+  );
+  return { targets: allowed.length > 0 ? allowed : targets };
+}
+
 /** The budget that allows fewer sends; both bind. */
 function scarcerBudget(
   left: SendBudget | undefined,
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -9,6 +9,8 @@
 import type { LogContext, Logger } from "../common/logging.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
+import { allowedRegionsOf } from "../fleet/regions.ts";
+import { allowedTargets, hasAllowedServer } from "../fleet/send-rules.ts";
 import type { ServerStatements } from "../fleet/server-statements.ts";
 import type { CrashDetector } from "../quarantine/crash-detector.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
@@ -143,6 +145,12 @@
     if (request.id === undefined) {
       return this.#refuse(request, response, missingId);
     }
+    const allowedRegions = allowedRegionsOf(route, workspace);
+    if (!hasAllowedServer(route, allowedRegions, blackboard)) {
+      return this.#refuse(request, response, noAllowedServer, {
+        allowedRegions: allowedRegions!.join(" "),
+      });
+    }
     if (route.kind === "batch") {
       return this.#options.jobs.submit(
         received,
@@ -267,9 +275,14 @@
       quarantine,
       examineServer: (server, suspect) =>
         crashDetector.examine(server, suspect),
-      chooseService: (route) => chooseService(route, random()),
+      chooseService: (route, { allowedRegions }) =>
+        chooseService(
+          allowedTargets(route, allowedRegions, blackboard),
+          random(),
+        ),
       findServer: (id) => upstreams.get(id),
-      standingRefusal: (server) => blackboard.sendRules.standingRefusal(server),
+      standingRefusal: (...send) =>
+        blackboard.sendRules.standingRefusal(...send),
       poolOf: (server) => pools.poolOf(server),
       recordRefusedConnection: (server) =>
         statements.recordRefusedConnection(server),
@@ -316,6 +329,14 @@
   retryAfterMilliseconds: defaultRetryAfterMilliseconds,
 };
 
+const noAllowedServer: ErrorAnswer = {
+  status: 503,
+  code: "no_allowed_server",
+  message:
+    "no server is in a region in which the request may be handled; it has not run",
+  retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+};
+
 const missingId: ErrorAnswer = {
   status: 400,
   code: "missing_id",
@@ -358,7 +379,10 @@
  * Chooses a service of the route at random, in proportion to the weights of the route's targets;
  * `random` is at least 0 and less than 1.
  */
-export function chooseService(route: RouteRule, random: number): UpstreamName {
+export function chooseService(
+  route: Pick<RouteRule, "targets">,
+  random: number,
+): UpstreamName {
   const { targets } = route;
   const total = targets.reduce((sum, target) => sum + target.weight, 0);
   let rest = random * total;
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -6,6 +6,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { InstanceId, UpstreamName } from "../common/ids.ts";
+import { allowedRegionsOf } from "../fleet/regions.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import { AnswerRelay } from "./answer-relay.ts";
 import { examineAttempt } from "./attempt-examination.ts";
@@ -37,6 +38,7 @@
 export class OnlineRequest {
   readonly #options: OnlineRequestOptions;
   readonly #service: UpstreamName;
+  readonly #allowedRegions: readonly string[] | undefined;
   readonly #deadline: number;
   readonly #excluded = new Set<InstanceId>();
   #attempt: ServerAttempt | undefined;
@@ -60,8 +62,11 @@
 
   constructor(options: OnlineRequestOptions) {
     this.#options = options;
-    const { route, received, services } = options;
-    this.#service = services.chooseService(route);
+    const { route, received, services, workspace } = options;
+    this.#allowedRegions = allowedRegionsOf(route, workspace);
+    this.#service = services.chooseService(route, {
+      allowedRegions: this.#allowedRegions,
+    });
     const timeoutMilliseconds = Math.min(
       received.request.deadlineMilliseconds ?? route.timeoutMilliseconds,
       route.timeoutMilliseconds,
@@ -170,8 +175,9 @@
 
   #send(choice: SendChoice): void {
     const { services, workspace, received } = this.#options;
+    const choiceRequest = this.#choiceRequest();
     const server = services.findServer(choice.server.id);
-    if (!server || services.standingRefusal(server)) {
+    if (!server || services.standingRefusal(server, choiceRequest)) {
       // The coordinator that chose the server may not know that nothing may be sent there.
       services.placer.withdraw(choice);
       this.#excluded.add(choice.server.id);
@@ -223,6 +229,7 @@
   #choiceRequest(): ChoiceRequest {
     const { route, isLikelyRetry } = this.#options;
     return {
+      allowedRegions: this.#allowedRegions,
       service: this.#service,
       excluded: this.#excluded,
       objectiveMilliseconds: route.latencyObjectiveMilliseconds,
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -7,6 +7,7 @@
   ServerStatement,
   StatementEvidence,
 } from "../fleet/server-statement.ts";
+import type { SendPurpose } from "../fleet/send-rules.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { ConnectionPool } from "../transport/connection-pool.ts";
 import type { CrashSuspect } from "../quarantine/crash-evidence.ts";
@@ -30,6 +31,8 @@
   /** Latency objective of the route. */
   readonly objectiveMilliseconds: number;
   readonly waitTolerance: WaitTolerance;
+  /** Regions in which the request may be handled; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** The end of an online request, for metrics and logs. */
@@ -62,10 +65,13 @@
   random(): number;
   readonly placer: Placer;
   readonly sendQueue: SendQueue;
-  chooseService(route: RouteRule): UpstreamName;
+  chooseService(route: RouteRule, purpose: SendPurpose): UpstreamName;
   findServer(id: InstanceId): UpstreamServer | undefined;
   /** Why nothing at all may be sent to the server; undefined if something may. */
-  standingRefusal(server: UpstreamServer): string | undefined;
+  standingRefusal(
+    server: UpstreamServer,
+    purpose: SendPurpose,
+  ): string | undefined;
   poolOf(server: UpstreamServer): ConnectionPool;
   /** Records what a server states about itself in the head of an answer. */
   recordStatement(
--- a/packages/gateway/placement.ts
+++ b/packages/gateway/placement.ts
@@ -197,16 +197,16 @@
   }
 
   #choose(
-    { service, excluded, objectiveMilliseconds, waitTolerance }: ChoiceRequest,
+    request: ChoiceRequest,
     { zone, avoided }: PlacementOrigin,
     choose = chooseServer,
   ): ServerChoice {
     const { blackboard, now, random } = this.#options;
+    const { service, objectiveMilliseconds, waitTolerance } = request;
     const candidates = listCandidates(blackboard, {
-      service,
+      ...request,
       zone,
       now: now(),
-      excluded,
       avoided,
     });
     const choice = choose(candidates, {
@@ -216,7 +216,11 @@
       random,
     });
     if (choice.kind !== "none") return choice;
-    const waitMilliseconds = blackboard.sendRules.timeUntilRoom(service, now());
+    const waitMilliseconds = blackboard.sendRules.timeUntilRoom(
+      service,
+      now(),
+      request,
+    );
     return { ...choice, waitMilliseconds };
   }
 }
--- a/packages/gateway/server-candidates.ts
+++ b/packages/gateway/server-candidates.ts
@@ -2,9 +2,10 @@
 
 import type { InstanceId, UpstreamName } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
+import type { SendPurpose } from "../fleet/send-rules.ts";
 import type { ServerCandidate } from "./choose-server.ts";
 
-export interface CandidateQuery {
+export interface CandidateQuery extends SendPurpose {
   readonly service: UpstreamName;
   /** Zone of this instance. */
   readonly zone: string;
@@ -12,20 +13,19 @@
   readonly now: number;
   /** Servers to leave out. */
   readonly excluded?: ReadonlySet<InstanceId> | undefined;
-  /** The request is a run of a batch item, which has time. */
-  readonly isBatch?: boolean;
   /** Servers to avoid besides those that failed requests of this instance. */
   readonly avoided?: ReadonlySet<InstanceId> | undefined;
 }
 
 export function listCandidates(
   { upstreams, loads, health, sendRules }: Blackboard,
-  { service, zone, now, excluded, avoided, isBatch = false }: CandidateQuery,
+  query: CandidateQuery,
 ): ServerCandidate[] {
+  const { service, zone, now, excluded, avoided } = query;
   const candidates: ServerCandidate[] = [];
   for (const server of upstreams.readyServers(service)) {
     if (excluded?.has(server.id)) continue;
-    const permission = sendRules.check(server, now, { isBatch });
+    const permission = sendRules.check(server, now, query);
     if (permission.kind === "refused") continue;
     const { online, batch } = loads.estimate(server.id, now);
     candidates.push({
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -6,17 +6,14 @@
 
 import type { Buffer } from "node:buffer";
 import type { InstanceId, JobId, PartitionNumber } from "../common/ids.ts";
-import type { Logger } from "../common/logging.ts";
 import { delay, systemTimers } from "../common/timers.ts";
-import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
-import type { ServerStatements } from "../fleet/server-statements.ts";
+import { allowedRegionsOf } from "../fleet/regions.ts";
+import { allowedTargets, type SendPurpose } from "../fleet/send-rules.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
-import type { CallerCodec } from "../gateway/caller-request.ts";
 import { chooseService } from "../gateway/gateway.ts";
 import { listCandidates } from "../gateway/server-candidates.ts";
-import { batchSend } from "../fleet/send-rules.ts";
-import type { ServerPools } from "../gateway/server-pools.ts";
+import type { BatchExecutorOptions } from "./batch-executor-options.ts";
 import {
   chooseBatchServer,
   selectForRetry,
@@ -34,46 +31,18 @@
   maximumConcurrentRuns,
   resultDeliveryMilliseconds,
 } from "./constants.ts";
-import type { ItemBodies } from "./item-bodies.ts";
 import { collectReadyItems, maximumStarts } from "./ready-items.ts";
 import { RunEstimator } from "./run-estimate.ts";
 import { ItemRun, type RunOutcome } from "./item-run.ts";
-import type { CrashDetector } from "../quarantine/crash-detector.ts";
-import type { Judgement, Quarantine } from "../quarantine/quarantine.ts";
+import type { Judgement } from "../quarantine/quarantine.ts";
 import { recordInterruption } from "./interruption.ts";
-import type { JobCodec } from "./job-codec.ts";
-import type { JobPartition, JobPartitions } from "./job-partition.ts";
+import type { JobPartition } from "./job-partition.ts";
 import type { JobState } from "./partition-state.ts";
-import type { ItemProgress, ProgressStore } from "./progress-store.ts";
-import type { ResultWriter } from "./result-writer.ts";
+import type { ItemProgress } from "./progress-store.ts";
 import type { JobItem } from "./records.ts";
 import { compareUrgency, type Urgency } from "./urgency.ts";
 import { type ItemWork, WorkTable } from "./work-table.ts";
 
-export interface BatchExecutorOptions {
-  readonly blackboard: Blackboard;
-  readonly partitions: JobPartitions;
-  readonly bodies: ItemBodies;
-  readonly writerOf: (partition: JobPartition) => ResultWriter;
-  readonly progress: ProgressStore;
-  /** Whether new runs of items of the partition may be started. */
-  readonly canStartItems: (partition: PartitionNumber) => boolean;
-  readonly isOwned: (partition: PartitionNumber) => boolean;
-  /** Number of items that wait at all other owners together. */
-  readonly waitingItemsOfPeers: () => number;
-  readonly callerCodec: CallerCodec;
-  readonly jobCodec: JobCodec;
-  readonly pools: ServerPools;
-  readonly quarantine: Quarantine;
-  readonly crashDetector: CrashDetector;
-  readonly statements: ServerStatements;
-  readonly zone: string;
-  readonly now: () => number;
-  readonly wallNow: () => number;
-  readonly countRun: (outcome: string) => void;
-  readonly logger: Logger;
-}
-
 interface EndedRun {
   readonly upstream: UpstreamServer;
   readonly run: ItemRun;
@@ -252,7 +221,8 @@
       );
       return false;
     }
-    const server = this.#chooseServer(work, route, time);
+    const purpose = this.#purposeOf(route, state);
+    const server = this.#chooseServer(work, route, time, purpose);
     if (!server) return false;
     if (judgement.kind === "trial") {
       this.#options.quarantine.beginTrial(work.itemId, judgement.parts);
@@ -263,7 +233,7 @@
     blackboard.loads.addRequest(server, "batch");
     blackboard.sendRules.take(upstream, time);
     bodies.read(partition, state.record, work.item).then(
-      (body) => this.#send(work, state, server, body),
+      (body) => this.#send(work, state, { server, body, purpose }),
       (error) => {
         work.isStarting = false;
         work.retryAt = this.#options.now() + itemRetryMaximumMilliseconds;
@@ -298,13 +268,25 @@
     this.#recordResult(work, partition, "dead_letter", reason);
   }
 
+  #purposeOf(route: RouteRule, { record }: JobState): SendPurpose {
+    const workspace = record.workspace === undefined
+      ? undefined
+      : this.#options.blackboard.configuration!.workspace(record.workspace);
+    const allowedRegions = allowedRegionsOf(route, workspace);
+    return { isBatch: true, allowedRegions };
+  }
+
   #chooseServer(
     work: ItemWork,
     route: RouteRule,
     time: number,
+    purpose: SendPurpose,
   ): InstanceId | undefined {
     const { blackboard, zone } = this.#options;
-    const service = chooseService(route, Math.random());
+    const service = chooseService(
+      allowedTargets(route, purpose.allowedRegions, blackboard),
+      Math.random(),
+    );
     const { remainingMilliseconds } = this.#urgencyOf(work);
     const slack = work.dueAt - time - remainingMilliseconds -
       resultDeliveryMilliseconds;
@@ -312,7 +294,7 @@
       service,
       zone,
       now: time,
-      ...batchSend,
+      ...purpose,
     });
     return chooseBatchServer(
       selectForRetry(candidates, work.failedAt),
@@ -323,8 +305,11 @@
   #send(
     work: ItemWork,
     state: JobState,
-    server: InstanceId,
-    body: Buffer,
+    { server, body, purpose }: {
+      readonly server: InstanceId;
+      readonly body: Buffer;
+      readonly purpose: SendPurpose;
+    },
   ): void {
     const { blackboard, pools, callerCodec, jobCodec, now } = this.#options;
     work.isStarting = false;
@@ -333,7 +318,7 @@
       !state.isEnded && this.#options.isOwned(work.partition);
     if (
       !canStillRun || !upstream ||
-      blackboard.sendRules.check(upstream, now(), batchSend).kind === "refused"
+      blackboard.sendRules.check(upstream, now(), purpose).kind === "refused"
     ) {
       return this.#withdraw(server);
     }
--- a/packages/jobs/ready-items.ts
+++ b/packages/jobs/ready-items.ts
@@ -2,7 +2,6 @@
 
 import type { PartitionNumber } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
-import { batchSend } from "../fleet/send-rules.ts";
 import { freeSlots } from "../gateway/choose-server.ts";
 import { slotsKeptFree } from "./constants.ts";
 import type { JobPartitions } from "./job-partition.ts";
@@ -60,7 +59,7 @@
 ): number {
   let totalFreeSlots = 0;
   for (const server of upstreams.all()) {
-    const permission = sendRules.check(server, now, batchSend);
+    const permission = sendRules.check(server, now, { isBatch: true });
     if (permission.kind === "refused") continue;
     const load = loads.estimate(server.id, now);
     const free = freeSlots({ slots: permission.slots, ...load }, slotsKeptFree);
