--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -28,6 +28,7 @@
   decodeLimits,
 } from "../fleet/peers/statement-messages.ts";
 import type { Member, MemberTable } from "../fleet/peers/members.ts";
+import { isAllowedInstance } from "../fleet/regions.ts";
 import {
   type JobReport,
   PeerReports,
@@ -105,6 +106,10 @@
       coordinators: () => this.#rankedCoordinators,
       isCoordinator: () => this.#role.isCoordinator,
     });
+    blackboard.coldServers.connect({
+      self: settings.instance,
+      view: () => this.#role.isCoordinator ? this.#reports.view() : undefined,
+    });
     this.#documentPush = new DocumentPush({ network, documents, logger });
     this.#reports = this.#createReports();
     this.#role = new CoordinationRole({
@@ -193,11 +198,15 @@
 
   /** Applies a change of the member list; see `CoordinationRole.handleChange`. */
   applyMembers({ isSettled }: { readonly isSettled: boolean }): void {
-    const { settings, members } = this.#options;
+    const { settings, members, blackboard, clock } = this.#options;
     this.#coordinators = chooseCoordinators(
       members.all(),
       settings.maximumCoordinators,
     );
+    blackboard.coldServers.setCoordinators(
+      this.#coordinators.map(({ instance }) => instance),
+      clock.monotonicNow(),
+    );
     this.#otherCoordinators = this.#coordinators.filter((member) =>
       member.instance !== settings.instance
     );
@@ -465,9 +474,11 @@
   }
 
   #createJobCalls(): JobCalls {
-    const { clock, logger } = this.#options;
+    const { clock, logger, members, blackboard } = this.#options;
     const forwarded = new ForwardedJobCalls({
       client: this.#client,
+      isAllowedInstance: (instance, route, workspace) =>
+        isAllowedInstance(members.get(instance), route, workspace, blackboard),
       now: clock.monotonicNow,
       logger,
     });
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -5,6 +5,7 @@
  */
 
 import type { RouteId, UpstreamName, WorkspaceId } from "../common/ids.ts";
+import type { ColdPolicy } from "./cold/cold-rate.ts";
 
 /** What may be done with a request of the route after a failed attempt. */
 export type RouteKind = "idempotent" | "non_idempotent" | "streaming" | "batch";
@@ -41,6 +42,8 @@
    * their results at the same time; 0 for no limit.
    */
   readonly maximumWaitingTokens: number;
+  /** Regions in which requests of the route may be handled; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 export interface ServiceRule {
@@ -48,6 +51,8 @@
   readonly maximumConnections: number;
   /** Requests that one server runs at the same time. */
   readonly slots: number;
+  /** Undefined if servers of the service are never cold. */
+  readonly cold?: ColdPolicy | undefined;
 }
 
 export interface WorkspaceRule {
@@ -59,6 +64,8 @@
   readonly ratePerSecond: number;
   /** Capacity of the token bucket, in requests. */
   readonly burst: number;
+  /** Regions in which requests of the workspace may be handled; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Limits on the size of a caller's request and on how long it may take. */
@@ -83,6 +90,7 @@
   readonly #routesByHost = new Map<string, RouteRule[]>();
   readonly #workspacesByKey = new Map<string, WorkspaceRule>();
   readonly #workspaces = new Map<WorkspaceId, WorkspaceRule>();
+  readonly #services = new Map<UpstreamName, ServiceRule>();
 
   constructor(configuration: FleetConfiguration) {
     this.configuration = configuration;
@@ -96,6 +104,9 @@
         right.pathPrefix.length - left.pathPrefix.length
       );
     }
+    for (const service of configuration.services) {
+      this.#services.set(service.name, service);
+    }
     for (const workspace of configuration.workspaces ?? []) {
       this.#workspaces.set(workspace.id, workspace);
       for (const key of workspace.keys) {
@@ -120,6 +131,10 @@
       ?.find((route) => route.kind === "batch");
   }
 
+  service(name: UpstreamName): ServiceRule | undefined {
+    return this.#services.get(name);
+  }
+
   workspace(id: WorkspaceId): WorkspaceRule | undefined {
     return this.#workspaces.get(id);
   }
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -6,6 +6,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { InstanceId, UpstreamName } from "../common/ids.ts";
+import { allowedRegionsOf } from "../fleet/regions.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import { AnswerRelay } from "./answer-relay.ts";
 import { examineAttempt } from "./attempt-examination.ts";
@@ -17,7 +18,7 @@
   minimumRemainingMilliseconds,
   rerouteAfterObjectives,
 } from "./constants.ts";
-import type { SendChoice } from "./choose-server.ts";
+import type { NoServer, SendChoice } from "./choose-server.ts";
 import type { OnlineRequestOptions } from "./online-request-options.ts";
 import type { ChoiceRequest } from "./online-services.ts";
 import type { Placement } from "./placement.ts";
@@ -37,6 +38,7 @@
 export class OnlineRequest {
   readonly #options: OnlineRequestOptions;
   readonly #service: UpstreamName;
+  readonly #allowedRegions: readonly string[] | undefined;
   readonly #deadline: number;
   readonly #excluded = new Set<InstanceId>();
   #attempt: ServerAttempt | undefined;
@@ -60,8 +62,11 @@
 
   constructor(options: OnlineRequestOptions) {
     this.#options = options;
-    const { route, received, services } = options;
-    this.#service = services.chooseService(route);
+    const { route, received, services, workspace } = options;
+    this.#allowedRegions = allowedRegionsOf(route, workspace);
+    this.#service = services.chooseService(route, {
+      allowedRegions: this.#allowedRegions,
+    });
     const timeoutMilliseconds = Math.min(
       received.request.deadlineMilliseconds ?? route.timeoutMilliseconds,
       route.timeoutMilliseconds,
@@ -146,7 +151,7 @@
     }
     switch (placement.kind) {
       case "none":
-        return this.#giveUp("no server is available");
+        return this.#giveUp("no server is available", placement);
       case "full":
         return this.#fail(
           capacityError(this.#retryOptions(placement.expectedWaitMilliseconds)),
@@ -170,14 +175,15 @@
 
   #send(choice: SendChoice): void {
     const { services, workspace, received } = this.#options;
+    const choiceRequest = this.#choiceRequest();
     const server = services.findServer(choice.server.id);
-    if (server?.state !== "ready") {
-      // The server leaves, which the coordinator that chose it may not know.
+    if (!server || services.standingRefusal(server, choiceRequest)) {
+      // The coordinator that chose the server may not know that nothing may be sent there.
       services.placer.withdraw(choice);
       this.#excluded.add(choice.server.id);
       this.#refusals += 1;
       if (this.#hasTooManyRefusals()) {
-        return this.#giveUp("the chosen servers are leaving");
+        return this.#giveUp("nothing may be sent to the chosen servers");
       }
       return this.#tryNextServer();
     }
@@ -209,6 +215,7 @@
     }, {
       onStatement: (...statement) =>
         services.recordStatement(server, ...statement),
+      onConnectionRefused: () => services.recordRefusedConnection(server),
       onHead: (head) => this.#handleHead(attempt, head),
       onData: (chunk) => this.#handleData(attempt, chunk),
       onEnd: () => this.#handleEnd(attempt),
@@ -222,6 +229,7 @@
   #choiceRequest(): ChoiceRequest {
     const { route, isLikelyRetry } = this.#options;
     return {
+      allowedRegions: this.#allowedRegions,
       service: this.#service,
       excluded: this.#excluded,
       objectiveMilliseconds: route.latencyObjectiveMilliseconds,
@@ -410,8 +418,9 @@
     };
   }
 
-  #giveUp(reason: string): void {
-    this.#fail(noServerError(reason, { mayHaveRun: this.#possibleRuns > 0 }));
+  #giveUp(reason: string, { waitMilliseconds }: NoServer = {}): void {
+    const mayHaveRun = this.#possibleRuns > 0;
+    this.#fail(noServerError(reason, { mayHaveRun, waitMilliseconds }));
   }
 
   #handleDeadline(): void {
--- a/packages/gateway/placement.ts
+++ b/packages/gateway/placement.ts
@@ -181,7 +181,7 @@
       }
     }
     const upstream = blackboard.upstreams.get(choice.server.id);
-    if (upstream) blackboard.serverLimits.take(upstream, now());
+    if (upstream) blackboard.sendRules.take(upstream, now());
     if (choice.displacesBatch) this.#options.displaceBatch(choice.server.id);
     if (!isTrial) return choice;
     quarantine.beginTrial(request.requestId, judgement.parts);
@@ -203,23 +203,30 @@
   }
 
   #choose(
-    { service, excluded, objectiveMilliseconds, waitTolerance }: ChoiceRequest,
+    request: ChoiceRequest,
     { zone, avoided }: PlacementOrigin,
     choose = chooseServer,
   ): ServerChoice {
     const { blackboard, now, random } = this.#options;
+    const { service, objectiveMilliseconds, waitTolerance } = request;
     const candidates = listCandidates(blackboard, {
-      service,
+      ...request,
       zone,
       now: now(),
-      excluded,
       avoided,
     });
-    return choose(candidates, {
+    const choice = choose(candidates, {
       durationMilliseconds: blackboard.requestDurationMilliseconds,
       acceptableWaitMilliseconds: objectiveMilliseconds *
         acceptableWaitShares[waitTolerance],
       random,
     });
+    if (choice.kind !== "none") return choice;
+    const waitMilliseconds = blackboard.sendRules.timeUntilRoom(
+      service,
+      now(),
+      request,
+    );
+    return { ...choice, waitMilliseconds };
   }
 }
--- a/packages/gateway/server-candidates.ts
+++ b/packages/gateway/server-candidates.ts
@@ -1,10 +1,11 @@
-/** Lists the servers that a request could be sent to, with their known load and failures. */
+/** Lists the servers that a request may be sent to, with their known load and failures. */
 
 import type { InstanceId, UpstreamName } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
+import type { SendPurpose } from "../fleet/send-rules.ts";
 import type { ServerCandidate } from "./choose-server.ts";
 
-export interface CandidateQuery {
+export interface CandidateQuery extends SendPurpose {
   readonly service: UpstreamName;
   /** Zone of this instance. */
   readonly zone: string;
@@ -17,23 +18,26 @@
 }
 
 export function listCandidates(
-  { upstreams, loads, health, serverLimits }: Blackboard,
-  { service, zone, now, excluded, avoided }: CandidateQuery,
+  { upstreams, loads, health, sendRules }: Blackboard,
+  query: CandidateQuery,
 ): ServerCandidate[] {
+  const { service, zone, now, excluded, avoided } = query;
   const candidates: ServerCandidate[] = [];
   for (const server of upstreams.readyServers(service)) {
     if (excluded?.has(server.id)) continue;
+    const permission = sendRules.check(server, now, query);
+    if (permission.kind === "refused") continue;
     const { online, batch } = loads.estimate(server.id, now);
     candidates.push({
       id: server.id,
-      slots: server.slots,
+      slots: permission.slots,
       online,
       batch,
       isSameZone: server.zone === zone,
       isAvoided: health.isAvoided(server.id, now) ||
         avoided?.has(server.id) === true,
       failureShare: health.failureShare(server.id, now),
-      sendBudget: serverLimits.budgetOf(server, now),
+      sendBudget: permission.sendBudget,
     });
   }
   return candidates;
--- a/packages/jobs/ready-items.ts
+++ b/packages/jobs/ready-items.ts
@@ -48,7 +48,7 @@
 
 /** This instance's share of the free slots, in proportion to its share of the waiting items. */
 export function maximumStarts(
-  { upstreams, loads, serverLimits }: Blackboard,
+  { upstreams, loads, sendRules }: Blackboard,
   { ready, waitingAtPeers, now }: {
     /** Number of items of this instance that can be sent. */
     readonly ready: number;
@@ -59,10 +59,11 @@
 ): number {
   let totalFreeSlots = 0;
   for (const server of upstreams.all()) {
-    if (server.state !== "ready") continue;
+    const permission = sendRules.check(server, now, { isBatch: true });
+    if (permission.kind === "refused") continue;
     const load = loads.estimate(server.id, now);
-    const free = freeSlots({ slots: server.slots, ...load }, slotsKeptFree);
-    const budget = serverLimits.budgetOf(server, now);
+    const free = freeSlots({ slots: permission.slots, ...load }, slotsKeptFree);
+    const budget = permission.sendBudget;
     totalFreeSlots += budget
       ? Math.min(free, Math.max(0, Math.floor(budget.level)))
       : free;
