Answer a request that meets an unexpected error with 500

Cause: nothing between the HTTP listener and the handler of uncaught errors caught what the admission of a request threw, so that the caller got no answer. The gateway is now that boundary: it answers 500 and logs the id of the request, which the codec decodes apart from the rest. The listeners for readiness, metrics and the quarantine have the same boundary.

Ruled out: 502 or 503, which state that a server was asked or that the request has not run; neither is known here.

--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -359,7 +359,16 @@
   ): Promise<void> {
     const server = createServer((request, response) => {
       request.resume();
-      respond(request, response);
+      try {
+        respond(request, response);
+      } catch (error) {
+        this.#options.logger.error("an operator's request failed", {
+          path: request.url ?? null,
+          reason: String(error),
+        });
+        if (!response.headersSent) response.writeHead(500);
+        response.end();
+      }
     });
     await listenOn(server, address);
     this.#disposables.add(() => {
--- a/packages/gateway/caller-request.ts
+++ b/packages/gateway/caller-request.ts
@@ -78,6 +78,8 @@
   | { readonly kind: "malformed"; readonly reason: string };
 
 export interface CallerCodec {
+  /** The id of the request for the logs, also if the rest cannot be decoded. */
+  decodeRequestId(message: IncomingMessage): RequestId | undefined;
   /** Returns the reason as a text if the request cannot be decoded. */
   decodeRequest(message: IncomingMessage): CallerRequest | string;
   /** Returns undefined if the request is no call on a batch job. */
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -94,11 +94,33 @@
     for (const request of [...this.#activeRequests]) request.stop();
   }
 
+  /** Never throws: a request that meets an unexpected error gets a final answer. */
   handle(
     message: IncomingMessage,
     body: Buffer,
     response: CallerResponse,
     receivedAt: number,
+  ): void {
+    try {
+      this.#admit(message, body, response, receivedAt);
+    } catch (error) {
+      const { logger, metrics, codec } = this.#options;
+      metrics.countRefusal(unexpectedError.code);
+      logger.error("a request failed by an unexpected error", {
+        request: codec.decodeRequestId(message) ?? null,
+        reason: error instanceof Error
+          ? error.stack ?? error.message
+          : String(error),
+      });
+      response.fail(unexpectedError);
+    }
+  }
+
+  #admit(
+    message: IncomingMessage,
+    body: Buffer,
+    response: CallerResponse,
+    receivedAt: number,
   ): void {
     const { codec, blackboard } = this.#options;
     const configuration = blackboard.configuration;
@@ -313,6 +335,12 @@
   retryAfterMilliseconds: defaultRetryAfterMilliseconds,
 };
 
+const unexpectedError: ErrorAnswer = {
+  status: 500,
+  code: "unexpected_error",
+  message: "the request failed by an unexpected error of the instance",
+};
+
 const missingId: ErrorAnswer = {
   status: 400,
   code: "missing_id",
