Do not count malformed input as a fault of the process

Cause: the handler of uncaught errors counted every error alike, so that one caller whose request raises one could make each process exit. Errors that decoders raise for malformed input (escaped text, JSON, schemas, frames, URLs, headers) are logged but not counted; a fresh process would get the same input.

Ruled out: counting by the place of the error, since a failing process raises the same error again and again, too.

--- a/packages/common/last-resort.ts
+++ b/packages/common/last-resort.ts
@@ -1,9 +1,11 @@
 /**
  * Keeps a process alive after an error that no handler caught. State that must last is in the store
  * and each request is independent, so that one failed task is no reason to cut off all others. A
- * process that fails again and again exits, so that it is started afresh.
+ * process that fails again and again exits, so that it is started afresh. Errors that malformed
+ * input raises are logged but not counted: a fresh process would get the same input.
  */
 
+import { isInputError } from "./input-errors.ts";
 import type { Logger } from "./logging.ts";
 
 /** Errors within the window after which the process exits. */
@@ -31,12 +33,14 @@
   let recent: number[] = [];
   const handle = (error: unknown) => {
     const time = now();
+    const isCounted = !isInputError(error);
     recent = recent.filter((at) => time - at < uncaughtErrorWindowMilliseconds);
-    recent.push(time);
+    if (isCounted) recent.push(time);
     logger.error("an error was not caught", {
       reason: error instanceof Error
         ? error.stack ?? error.message
         : String(error),
+      isCounted,
       recentErrors: recent.length,
     });
     if (recent.length > maximumUncaughtErrors) exit();
