List the whole data of an event in the text of its item

Cause: dataOf took lines by a regular expression with the flag m, whose $ also matches before U+2028, U+2029 and a lone carriage return, so that the rest of the line was lost. Lines now end at a line feed, with or without a carriage return before it, which is also what ends an event.

Ruled out: taking a lone carriage return for a line end, as the standard of event streams does. The splitter has never ended an event there, and a text must not lose a part.

Before: the new property test failed on its first example.

--- a/packages/gateway/event-splitter.test.ts
+++ b/packages/gateway/event-splitter.test.ts
@@ -37,3 +37,34 @@
   );
   assert.equal(splitter.pendingBytes, 8);
 });
+
+// Guards against texts that are cut off at a character that other formats take for a line end.
+test("the data of an event is whole, whatever characters it holds", () => {
+  const character = fastCheck.oneof(
+    fastCheck.constantFrom("\u2028", "\u2029", "\u0085", "\r", "a", ":", " "),
+    fastCheck.string({ unit: "binary", minLength: 1, maxLength: 1 }),
+  );
+  const line = fastCheck.array(character).map((characters) =>
+    characters.join("").replaceAll("\n", "").replace(/\r+$/, "")
+  );
+  fastCheck.assert(
+    fastCheck.property(
+      fastCheck.array(line, { minLength: 1, maxLength: 3 }),
+      fastCheck.constantFrom("\n", "\r\n"),
+      (lines, lineEnd) => {
+        const text = [
+          "id: 7",
+          ...lines.map((value) => `data: ${value}`),
+          "",
+          "",
+        ]
+          .join(lineEnd);
+        const [event, ...others] = new EventSplitter().push(Buffer.from(text));
+        assert.deepEqual(others, []);
+        assert.equal(event!.id, 7);
+        assert.equal(dataOf(event!), lines.join("\n"));
+      },
+    ),
+    { seed: 5, examples: [[["one\u2028two\u2029three"], "\n"]] },
+  );
+});
--- a/packages/gateway/event-splitter.ts
+++ b/packages/gateway/event-splitter.ts
@@ -15,8 +15,7 @@
 }
 
 const lineFeed = 0x0a;
-const idField = /^id: ?(\d+)\r?$/m;
-const dataField = /^data: ?(.*?)\r?$/gm;
+const idPattern = /^\d+$/;
 
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0);
@@ -69,15 +68,26 @@
 }
 
 function idOf(bytes: Buffer): number | undefined {
-  const match = idField.exec(bytes.toString("latin1"));
-  return match ? Number(match[1]) : undefined;
+  const id = valuesOf(bytes.toString("latin1"), "id")
+    .find((value) => idPattern.test(value));
+  return id === undefined ? undefined : Number(id);
 }
 
 /** The data of an event; several lines are joined by line feeds. */
 export function dataOf(event: StreamEvent): string {
-  const lines = [];
-  for (const match of event.bytes.toString("utf8").matchAll(dataField)) {
-    lines.push(match[1] ?? "");
+  return valuesOf(event.bytes.toString("utf8"), "data").join("\n");
+}
+
+/**
+ * The values of a field, in order. Only a line feed, with or without a carriage return before it,
+ * ends a line, as it ends an event; any other character belongs to the value.
+ */
+function valuesOf(event: string, field: string): string[] {
+  const values: string[] = [];
+  for (const line of event.split("\n")) {
+    if (!line.startsWith(`${field}:`)) continue;
+    const start = field.length + (line[field.length + 1] === " " ? 2 : 1);
+    values.push(line.slice(start, line.endsWith("\r") ? -1 : undefined));
   }
-  return lines.join("\n");
+  return values;
 }
