--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -187,13 +187,14 @@
   }
 
   #createDocuments(): Documents {
-    const { documentCodec, logger, clock } = this.#options;
+    const { documentCodec, logger, clock, metrics } = this.#options;
     return new Documents({
       blackboard: this.#blackboard,
       codec: documentCodec,
       logger,
       clock,
       lastStoreFailure: () => this.#lastStoreFailure,
+      countMalformedEntry: () => metrics.countMalformedEntry(),
       onChange: (kind) => {
         if (kind === "configuration") {
           this.#listener.applyLimits();
--- a/packages/entry/entry-metrics.ts
+++ b/packages/entry/entry-metrics.ts
@@ -53,6 +53,11 @@
     "Headers with which servers state load, limit or leaving and that cannot be decoded.",
     [],
   );
+  readonly #malformedEntries = this.#createCounter(
+    "rosemaryrudder_malformed_server_entries_total",
+    "Entries of servers in the list that cannot be decoded and are skipped.",
+    [],
+  );
   readonly #serverConnections = this.#createCounter(
     "rosemaryrudder_server_connections_total",
     "Connections opened to servers.",
@@ -108,6 +113,10 @@
     this.#malformedStatements.inc();
   }
 
+  countMalformedEntry(): void {
+    this.#malformedEntries.inc();
+  }
+
   countConnection(): void {
     this.#serverConnections.inc();
   }
--- a/packages/fleet/documents.test.ts
+++ b/packages/fleet/documents.test.ts
@@ -9,7 +9,7 @@
   UpstreamName,
   ZoneId,
 } from "../common/ids.ts";
-import { silentLogger } from "../common/logging.ts";
+import { type Logger, silentLogger } from "../common/logging.ts";
 import type { KeyedRecord } from "../store/keyed-store.ts";
 import { Blackboard } from "./blackboard.ts";
 import { Documents, type StoreFailure } from "./documents.ts";
@@ -32,13 +32,19 @@
   return record(id, { state }, offset);
 }
 
-function createFixture() {
+function createFixture(
+  { logger = silentLogger, countMalformedEntry = () => {} }: {
+    logger?: Logger;
+    countMalformedEntry?: () => void;
+  } = {},
+) {
   const blackboard = new Blackboard({ initialDurationMilliseconds: 700 });
   let now = 100_000;
   let storeFailure: StoreFailure | undefined;
   const documents = new Documents({
     blackboard,
-    logger: silentLogger,
+    logger,
+    countMalformedEntry,
     clock: { monotonicNow: () => now, wallNow: () => now },
     lastStoreFailure: () => storeFailure,
     onChange: () => {},
@@ -194,3 +200,22 @@
   applyRecords("servers", [server("c", 7)], true);
   assert.equal(readyIds(), "c");
 });
+
+// Guards against a log line for each of the many copies of one malformed entry.
+test("an entry that cannot be decoded is counted each time and logged once", () => {
+  const reasons: unknown[] = [];
+  let count = 0;
+  const { applyRecords } = createFixture({
+    logger: {
+      ...silentLogger,
+      warn: (_, context) => reasons.push(context?.["server"]),
+    },
+    countMalformedEntry: () => count += 1,
+  });
+  for (const offset of [1, 2, 3]) {
+    applyRecords("servers", [record("a", {}, offset)]);
+  }
+  assert.deepEqual([count, reasons], [3, ["a"]]);
+  applyRecords("servers", [server("a", 4), record("a", {}, 5)]);
+  assert.deepEqual([count, reasons], [4, ["a", "a"]]);
+});
--- a/packages/fleet/documents.ts
+++ b/packages/fleet/documents.ts
@@ -50,6 +50,8 @@
    * afterwards may be written again.
    */
   readonly lastStoreFailure: () => StoreFailure | undefined;
+  /** Called for each server entry that cannot be decoded. */
+  readonly countMalformedEntry?: () => void;
   /** Called after a table has changed. */
   readonly onChange: (kind: DocumentKind) => void;
 }
@@ -75,6 +77,8 @@
   };
   /** Servers whose entry disappeared around a store outage, with the time of their removal. */
   readonly #pendingRemovals = new Map<InstanceId, number>();
+  /** Why the entry of a server cannot be decoded, which is logged once. */
+  readonly #malformedEntries = new Map<InstanceId, string>();
 
   constructor(options: DocumentsOptions) {
     this.#options = options;
@@ -148,6 +152,7 @@
     const { blackboard, codec, logger, clock } = this.#options;
     const id = record.key as InstanceId;
     if (record.value === undefined) {
+      this.#malformedEntries.delete(id);
       if (!blackboard.upstreams.get(id)) return;
       const now = clock.monotonicNow();
       const grace = removalGrace(this.#options.lastStoreFailure(), now);
@@ -159,12 +164,10 @@
     try {
       server = codec.decodeServer(record);
     } catch (error) {
-      logger.warn("a server entry cannot be decoded; the server is not used", {
-        server: id,
-        reason: String(error),
-      });
+      this.#recordMalformedEntry(id, String(error));
       return this.#remove(id, "its entry cannot be decoded");
     }
+    this.#malformedEntries.delete(id);
     const known = blackboard.upstreams.get(id);
     this.#pendingRemovals.delete(id);
     blackboard.upstreams.set(server);
@@ -182,6 +185,17 @@
     }
   }
 
+  #recordMalformedEntry(id: InstanceId, reason: string): void {
+    const { logger, countMalformedEntry } = this.#options;
+    countMalformedEntry?.();
+    if (this.#malformedEntries.get(id) === reason) return;
+    this.#malformedEntries.set(id, reason);
+    logger.warn("a server entry cannot be decoded; the server is not used", {
+      server: id,
+      reason,
+    });
+  }
+
   #remove(id: InstanceId, reason: string): void {
     const { blackboard, logger } = this.#options;
     this.#pendingRemovals.delete(id);
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -261,19 +261,18 @@
     const upstream = blackboard.upstreams.get(server)!;
     blackboard.loads.addRequest(server, "batch");
     blackboard.serverLimits.take(upstream, time);
-    bodies.read(partition, state.record, work.item).then(
-      (body) => this.#send(work, state, server, body),
-      (error) => {
+    bodies.read(partition, state.record, work.item)
+      .then((body) => this.#send(work, state, server, body))
+      .catch((error) => {
         work.isStarting = false;
         work.retryAt = this.#options.now() + itemRetryMaximumMilliseconds;
         this.#withdraw(server);
-        logger.warn("the body of an item cannot be read", {
+        logger.warn("an item cannot be read or sent", {
           job: work.job,
           item: work.itemId,
           reason: String(error),
         });
-      },
-    );
+      });
     return true;
   }
 
