Answer HEAD requests on streaming routes

Cause: the end of an answer without events was taken for a broken stream, whatever the method, so that HEAD got 502 on a resumable route and a closed connection on another, and its servers counted as failing. An answer to HEAD ends with its head; the end of its connection says nothing either.

--- a/packages/gateway/answer-relay.ts
+++ b/packages/gateway/answer-relay.ts
@@ -21,6 +21,8 @@
   readonly response: CallerResponse;
   /** The route answers with event streams. */
   readonly isStream: boolean;
+  /** The answer has a head only, as that to a HEAD request. */
+  readonly hasNoBody: boolean;
   /** The request may be sent again although it may have run. */
   readonly isRetryable: boolean;
   /** The last event that the caller has received already. */
@@ -130,7 +132,8 @@
   }
 
   get #isEventStream(): boolean {
-    return this.#options.isStream && this.#head?.status === statusOk;
+    const { isStream, hasNoBody } = this.#options;
+    return isStream && !hasNoBody && this.#head?.status === statusOk;
   }
 
   #addEvents(chunk: Buffer): boolean | AttemptFailure {
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -70,6 +70,7 @@
     this.#relay = new AnswerRelay({
       response: options.response,
       isStream: route.kind === "streaming",
+      hasNoBody: received.request.method === "HEAD",
       isRetryable: this.#isRetryable,
       lastEventId: received.request.lastEventId,
       onWrite: () => this.#recordFirstBytes(),
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -159,7 +159,9 @@
       this.#recordStatement(this.#options.decodeHead(status, headers));
       return this.#countInterimAnswer();
     }
-    this.#endsWithConnection = headers["content-length"] === undefined &&
+    // An answer to HEAD ends with its head.
+    this.#endsWithConnection = this.#options.method !== "HEAD" &&
+      headers["content-length"] === undefined &&
       headers["transfer-encoding"] === undefined;
     const head = this.#options.decodeHead(status, headers);
     if (
