Give up open items of a batch route that was removed

Cause: an item without a route waited until the retention time of its job, and one whose path also matches an online route ran on that route's service. Now an item runs on a batch route, or on an online one while the route of its job is in force. If the route is gone, the owner of the partition records a dead letter, but only after it has read the configuration once more since it found the route missing: an instance with an older configuration than the one by which the job was accepted lacks the route, too. Without a configuration nothing is decided.

Ruled out: the version of the configuration in the job record, which would say the same but change the record.

Before: open items of a removed route were listed in no state.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -47,6 +47,8 @@
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
   readonly peerReports: () => PeerReports;
+  /** See `BatchExecutorOptions`. */
+  readonly configurationReadAt: () => number;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
   readonly clock: Clock;
@@ -225,6 +227,7 @@
         this.#progress.isLoaded(partition) &&
         this.#ownership.canStartItems(partition),
       isOwned: (partition) => this.#ownership.isOwned(partition),
+      configurationReadAt: this.#options.configurationReadAt,
       waitingItemsOfPeers: () =>
         peerReports().recentReports().reduce(
           (sum, { report }) => sum + report.waitingItems,
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -61,6 +61,8 @@
   readonly jobCodec: JobCodec;
   /** Whether this instance cannot read the store at present. */
   readonly isStoreFailing: () => boolean;
+  /** See `BatchExecutorOptions`. */
+  readonly configurationReadAt: () => number;
   readonly removeMember: (member: Member) => void;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
@@ -414,6 +416,7 @@
       callerCodec,
       jobCodec,
       peerReports: () => this.#reports,
+      configurationReadAt: this.#options.configurationReadAt,
       countRun: (outcome) => this.#options.countRun(outcome),
       clock,
       logger,
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -17,6 +17,7 @@
 import { Blackboard } from "../fleet/blackboard.ts";
 import {
   type DocumentCodec,
+  type DocumentKind,
   Documents,
   type StoreFailure,
 } from "../fleet/documents.ts";
@@ -74,6 +75,7 @@
   readonly #gateway: Gateway;
   readonly #listener: CallerListener;
   readonly #followers: PartitionFollower[];
+  readonly #configurationFollower: PartitionFollower;
   readonly #store: RelayedStore;
   /** The last failure to read the configuration or the server list. */
   #lastStoreFailure: StoreFailure | undefined;
@@ -102,7 +104,11 @@
     this.#membership = this.#createMembership();
     this.#gateway = this.#createGateway();
     this.#listener = this.#createListener();
-    this.#followers = this.#createFollowers();
+    this.#configurationFollower = this.#createFollower("configuration");
+    this.#followers = [
+      this.#configurationFollower,
+      this.#createFollower("servers"),
+    ];
   }
 
   /** True while this instance coordinates others, or may do so. */
@@ -230,6 +236,7 @@
       isStoreFailing: () =>
         this.#store.isDirectFailing ||
         this.#followers.some((follower) => follower.isFailing),
+      configurationReadAt: () => this.#configurationFollower.completeUntil,
       removeMember: (member) => void this.#membership.remove(member),
       onVerdictsLoaded: () => this.#gateway.handleDocuments(),
       countServerCrash: () => metrics.countServerCrash(),
@@ -292,30 +299,26 @@
     });
   }
 
-  #createFollowers(): PartitionFollower[] {
+  #createFollower(kind: DocumentKind): PartitionFollower {
     const { documentCodec, logger } = this.#options;
-    const sources = [
-      ["configuration", documentCodec.configurationSource],
-      ["servers", documentCodec.serverSource],
-    ] as const;
-    return sources.map(([kind, target]) =>
-      new PartitionFollower({
-        store: this.#store,
-        target,
-        logger,
-        onRecords: (records, position, isSnapshot) =>
-          this.#documents.applyRecords(kind, records, position, { isSnapshot }),
-        // Dependents also receive the documents from their coordinator.
-        waitMilliseconds: () =>
-          this.#coordination.isCoordinator
-            ? followWaitMilliseconds
-            : relaxedFollowWaitMilliseconds,
-        onFailure: (beganAt) => {
-          const lastAt = this.#options.clock.monotonicNow();
-          this.#lastStoreFailure = { beganAt, lastAt };
-        },
-      })
-    );
+    return new PartitionFollower({
+      store: this.#store,
+      target: kind === "configuration"
+        ? documentCodec.configurationSource
+        : documentCodec.serverSource,
+      logger,
+      onRecords: (records, position, isSnapshot) =>
+        this.#documents.applyRecords(kind, records, position, { isSnapshot }),
+      // Dependents also receive the documents from their coordinator.
+      waitMilliseconds: () =>
+        this.#coordination.isCoordinator
+          ? followWaitMilliseconds
+          : relaxedFollowWaitMilliseconds,
+      onFailure: (beganAt) => {
+        const lastAt = this.#options.clock.monotonicNow();
+        this.#lastStoreFailure = { beganAt, lastAt };
+      },
+    });
   }
 
   async #listenForReadiness(): Promise<void> {
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -40,6 +40,7 @@
 import type { CrashDetector } from "../quarantine/crash-detector.ts";
 import type { Judgement, Quarantine } from "../quarantine/quarantine.ts";
 import { recordInterruption } from "./interruption.ts";
+import { findItemRoute, isRemovalCertain } from "./item-route.ts";
 import type { JobCodec } from "./job-codec.ts";
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobState } from "./partition-state.ts";
@@ -58,6 +59,11 @@
   /** Whether new runs of items of the partition may be started. */
   readonly canStartItems: (partition: PartitionNumber) => boolean;
   readonly isOwned: (partition: PartitionNumber) => boolean;
+  /**
+   * When the last read that reached the end of the configuration's stream was sent, in monotonic
+   * milliseconds.
+   */
+  readonly configurationReadAt: () => number;
   /** Number of items that wait at all other owners together. */
   readonly waitingItemsOfPeers: () => number;
   readonly callerCodec: CallerCodec;
@@ -226,17 +232,13 @@
     const state = partition.job(work.job);
     if (!state) return false;
     const item = state.record.items[work.item]!;
-    const route = blackboard.configuration!.findRoute(
-      state.record.host,
-      item.path,
-    );
-    if (!route) {
-      this.#giveUpAfterRetention(
-        work,
-        state,
-        partition,
-        "the route no longer exists",
-      );
+    const found = findItemRoute(blackboard.configuration!, state.record, item);
+    const readAt = this.#options.configurationReadAt();
+    const isRemoved = isRemovalCertain(work, found, { now: time, readAt });
+    if (found.kind !== "route") {
+      const reason = "no route takes the item";
+      if (isRemoved) this.#recordResult(work, partition, "dead_letter", reason);
+      else this.#giveUpAfterRetention(work, state, partition, reason);
       return false;
     }
     const judgement = this.#judge(work, item, state.record.host);
@@ -251,7 +253,7 @@
       );
       return false;
     }
-    const server = this.#chooseServer(work, route, time);
+    const server = this.#chooseServer(work, found.route, time);
     if (!server) return false;
     if (judgement.kind === "trial") {
       this.#options.quarantine.beginTrial(work.itemId, judgement.parts);
--- a/packages/jobs/work-table.ts
+++ b/packages/jobs/work-table.ts
@@ -32,6 +32,8 @@
   hasResult: boolean;
   /** Earliest time of the next run, in monotonic milliseconds. */
   retryAt: number;
+  /** Since when the job's route is not in force, in monotonic milliseconds, if it is not. */
+  routeMissingSince: number | undefined;
   /** Runs that this instance has started. */
   runs: number;
   runStartedAt: number;
@@ -85,6 +87,7 @@
         isTrial: false,
         hasResult: false,
         retryAt: Number.NEGATIVE_INFINITY,
+        routeMissingSince: undefined,
         runs: 0,
         runStartedAt: 0,
         eventsAtRunStart: 0,
