Keep accepted jobs readable after their batch route was removed

Cause: every call on a job needs a batch route of its host, so that the removal of the route made all its jobs unknown (404), also those with results. Without a route in force the record of the job now decides: its host must be that of the call, and the API key must belong to its workspace. Where no such job exists the answer stays 404; an instance that cannot read the partition to its end answers 503. A dependent forwards the call without a route, and a coordinator no longer needs the route for a call that the dependent has checked.

Ruled out: remembering removed routes in memory, which a restart loses.

--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -11,7 +11,7 @@
 import type { JobCall, ReceivedRequest } from "../gateway/caller-request.ts";
 import type { ErrorAnswer } from "../gateway/caller-response.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
-import type { JobCalls } from "../gateway/gateway.ts";
+import type { JobAccess, JobCalls } from "../gateway/gateway.ts";
 import { malformedJob } from "../jobs/job-call-handler.ts";
 import type { JobResponse } from "../jobs/job-response.ts";
 import { jobCallTimeoutMilliseconds } from "./constants.ts";
@@ -42,27 +42,27 @@
     workspace: WorkspaceId | undefined,
     response: JobResponse,
   ): void {
-    void this.#forward(undefined, received, route, workspace, response);
+    const { host } = received.request;
+    const access = { workspace, routeId: route.id, host };
+    void this.#forward(undefined, received, access, response);
   }
 
   handle(
     call: JobCall,
     received: ReceivedRequest,
-    route: RouteRule,
-    workspace: WorkspaceId | undefined,
+    access: JobAccess,
     response: JobResponse,
   ): void {
     if (call.kind === "malformed") {
       return response.fail(malformedJob(call.reason));
     }
-    void this.#forward(call, received, route, workspace, response);
+    void this.#forward(call, received, access, response);
   }
 
   async #forward(
     call: ForwardedJobCall["call"],
     { request, body, receivedAt }: ReceivedRequest,
-    route: RouteRule,
-    workspace: WorkspaceId | undefined,
+    { workspace, routeId, host }: JobAccess,
     response: JobResponse,
   ): Promise<void> {
     const { client, now, logger } = this.#options;
@@ -76,8 +76,8 @@
         call,
         requestId: request.id,
         path: request.path,
-        host: request.host,
-        routeId: route.id,
+        host,
+        routeId,
         workspace,
         remainingMilliseconds: deadlineMilliseconds === undefined
           ? undefined
--- a/packages/coordination/job-call-service.ts
+++ b/packages/coordination/job-call-service.ts
@@ -38,17 +38,21 @@
   return new Promise((resolve) => {
     const response = new CollectedResponse(resolve);
     const handler = calls();
-    const route = blackboard.configuration?.configuration.routes
-      .find(({ id }) => id === forwarded.routeId);
-    if (!handler || !route) return response.fail(notReady);
+    const configuration = blackboard.configuration?.configuration;
+    if (!handler || !configuration) return response.fail(notReady);
     const received = {
       request: toRequest(forwarded),
       body: Buffer.from(forwarded.body),
       receivedAt: now(),
     };
-    const { call, workspace } = forwarded;
-    if (call) handler.handle(call, received, route, workspace, response);
-    else handler.submit(received, route, workspace, response);
+    const { call, workspace, routeId, host } = forwarded;
+    if (call) {
+      const access = { workspace, routeId, host };
+      return handler.handle(call, received, access, response);
+    }
+    const route = configuration.routes.find(({ id }) => id === routeId);
+    if (!route) return response.fail(notReady);
+    handler.submit(received, route, workspace, response);
   });
 }
 
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -8,6 +8,7 @@
   InstanceId,
   Offset,
   PromptPartId,
+  RouteId,
   UpstreamName,
   WorkspaceId,
 } from "../common/ids.ts";
@@ -240,7 +241,8 @@
   readonly requestId: string | undefined;
   readonly path: string;
   readonly host: string;
-  readonly routeId: string;
+  /** Undefined on a call if no batch route of its host is in force. */
+  readonly routeId: RouteId | undefined;
   readonly workspace: WorkspaceId | undefined;
   /** Time that the caller still waits. */
   readonly remainingMilliseconds: number | undefined;
@@ -268,7 +270,7 @@
   requestId: z.nullish(z.string()),
   path: z.string(),
   host: z.string(),
-  routeId: z.string(),
+  routeId: z.nullish(z.string()),
   workspace: z.nullish(z.string()),
   remainingMilliseconds: z.nullish(z.number()),
   body: z.instanceof(Uint8Array),
@@ -291,6 +293,7 @@
       ...call,
       call: call.call ?? undefined,
       requestId: call.requestId ?? undefined,
+      routeId: call.routeId ?? undefined,
       workspace: call.workspace ?? undefined,
       remainingMilliseconds: call.remainingMilliseconds ?? undefined,
     } as unknown as ForwardedJobCall;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -5,7 +5,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
-import type { UpstreamName, WorkspaceId } from "../common/ids.ts";
+import type { RouteId, UpstreamName, WorkspaceId } from "../common/ids.ts";
 import type { LogContext, Logger } from "../common/logging.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
@@ -36,6 +36,17 @@
 import { SendQueue } from "./send-queue.ts";
 import { StartWait } from "./start-wait.ts";
 
+/** What a job must match for a caller to read or end it. */
+export interface JobAccess {
+  readonly workspace: WorkspaceId | undefined;
+  /**
+   * The batch route in force of the host that the call names. Without one, the job must have been
+   * accepted at that host, on a route that was removed since.
+   */
+  readonly routeId: RouteId | undefined;
+  readonly host: string;
+}
+
 /** Handles the calls on batch jobs after route and API key have been checked. */
 export interface JobCalls {
   submit(
@@ -44,12 +55,10 @@
     workspace: WorkspaceId | undefined,
     response: JobResponse,
   ): void;
-  /** `route` is the batch route of the host that the call names. */
   handle(
     call: JobCall,
     received: ReceivedRequest,
-    route: RouteRule,
-    workspace: WorkspaceId | undefined,
+    access: JobAccess,
     response: JobResponse,
   ): void;
 }
@@ -146,10 +155,19 @@
     const route = jobCall
       ? configuration.findBatchRoute(request.host)
       : configuration.findRoute(request.host, request.path);
-    if (!route) return this.#refuse(request, response, unknownRoute);
     const workspace = request.apiKey === undefined
       ? undefined
       : configuration.workspaceOfKey(request.apiKey);
+    if (!route) {
+      if (!jobCall || jobCall.kind === "malformed") {
+        return this.#refuse(request, response, unknownRoute);
+      }
+      return this.#options.jobs.handle(jobCall, received, {
+        workspace: workspace?.id,
+        routeId: undefined,
+        host: request.host,
+      }, response);
+    }
     if (configuration.requiresApiKey && !route.isPublic && !workspace) {
       return this.#refuse(request, response, unknownKey);
     }
@@ -157,8 +175,7 @@
       return this.#options.jobs.handle(
         jobCall,
         received,
-        route,
-        workspace?.id,
+        { workspace: workspace?.id, routeId: route.id, host: request.host },
         response,
       );
     }
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -12,7 +12,7 @@
 import type { JobCall, ReceivedRequest } from "../gateway/caller-request.ts";
 import type { ErrorAnswer } from "../gateway/caller-response.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
-import type { JobCalls } from "../gateway/gateway.ts";
+import type { JobAccess, JobCalls } from "../gateway/gateway.ts";
 import { StoreUnavailableError } from "../store/keyed-store.ts";
 import {
   defaultSubmitDeadlineMilliseconds,
@@ -62,12 +62,11 @@
   handle(
     call: JobCall,
     received: ReceivedRequest,
-    _route: RouteRule,
-    workspace: WorkspaceId | undefined,
+    access: JobAccess,
     response: JobResponse,
   ): void {
     this.#reportOutcome(
-      this.#dispatch(call, received, workspace, response),
+      this.#dispatch(call, received, access, response),
       received,
       response,
     );
@@ -107,18 +106,18 @@
   #dispatch(
     call: JobCall,
     received: ReceivedRequest,
-    workspace: WorkspaceId | undefined,
+    access: JobAccess,
     response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
     switch (call.kind) {
       case "malformed":
         return Promise.resolve(malformedJob(call.reason));
       case "results":
-        return this.#sendResults(call, received, workspace, response);
+        return this.#sendResults(call, received, access, response);
       case "body":
-        return this.#sendBody(call, workspace, response);
+        return this.#sendBody(call, access, response);
       case "end":
-        return this.#endJob(call.job, workspace, response);
+        return this.#endJob(call.job, access, response);
     }
   }
 
@@ -295,11 +294,11 @@
   async #sendResults(
     call: Extract<JobCall, { kind: "results" }>,
     received: ReceivedRequest,
-    workspace: WorkspaceId | undefined,
+    access: JobAccess,
     response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
     const { partitions, codec, now } = this.#options;
-    const found = await this.#findJob(call.job, workspace);
+    const found = await this.#findJob(call.job, access);
     if ("status" in found) return found;
     const partition = partitions.forJob(call.job);
     const until = received.receivedAt + call.waitMilliseconds;
@@ -327,11 +326,11 @@
 
   async #sendBody(
     call: Extract<JobCall, { kind: "body" }>,
-    workspace: WorkspaceId | undefined,
+    access: JobAccess,
     response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
     const { partitions, bodies, logger } = this.#options;
-    const found = await this.#findJob(call.job, workspace);
+    const found = await this.#findJob(call.job, access);
     if ("status" in found) return found;
     const item = found.record.items.findIndex(({ id }) => id === call.item);
     if (item < 0) return unknownItem;
@@ -355,11 +354,11 @@
 
   async #endJob(
     job: JobId,
-    workspace: WorkspaceId | undefined,
+    access: JobAccess,
     response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
     const { partitions, logger } = this.#options;
-    const found = await this.#findJob(job, workspace);
+    const found = await this.#findJob(job, access);
     if ("status" in found) return found;
     const partition = partitions.forJob(job);
     if (!found.isEnded) {
@@ -384,12 +383,12 @@
   }
 
   /**
-   * Returns the job, or the error answer if the job does not exist for the workspace or the store
-   * is unavailable.
+   * Returns the job, or the error answer if the job does not exist for the caller or the store is
+   * unavailable.
    */
   async #findJob(
     job: JobId,
-    workspace: WorkspaceId | undefined,
+    { workspace, routeId, host }: JobAccess,
   ): Promise<JobState | ErrorAnswer> {
     const partition = this.#options.partitions.forJob(job);
     let state = partition.job(job);
@@ -398,6 +397,7 @@
       state = partition.job(job);
     }
     if (!state || state.record.workspace !== workspace) return unknownJob;
+    if (routeId === undefined && state.record.host !== host) return unknownJob;
     return state;
   }
 }
