--- a/packages/fleet/peers/members.ts
+++ b/packages/fleet/peers/members.ts
@@ -4,7 +4,7 @@
  */
 
 import type { InstanceId, Offset } from "../../common/ids.ts";
-import { decodeValue, encodeValue } from "../../protocol/frames.ts";
+import { decodeValue, encodeValue, FrameError } from "../../protocol/frames.ts";
 import type { PeerAddress } from "../../protocol/peer-connection.ts";
 import * as z from "zod/mini";
 import type { KeyedRecord } from "../../store/keyed-store.ts";
@@ -18,13 +18,16 @@
   readonly capacity: number;
 }
 
+const maximumPort = 65_535;
+
 const memberSchema = z.object({
   incarnation: z.string(),
-  host: z.string(),
-  port: z.int(),
+  // Connecting to a host or port of another form throws at once.
+  host: z.string().check(z.regex(/^[\w.:-]+$/)),
+  port: z.int().check(z.positive(), z.lte(maximumPort)),
   zone: z.string(),
   // Instances of an earlier version do not state their capacity.
-  capacity: z._default(z.number(), 1),
+  capacity: z._default(z.number().check(z.nonnegative()), 1),
 });
 
 export function encodeMember(member: Member): Uint8Array {
@@ -74,6 +77,13 @@
   instance: InstanceId,
   value: Uint8Array,
 ): Member | undefined {
-  const result = memberSchema.safeParse(decodeValue(value));
+  let content: unknown;
+  try {
+    content = decodeValue(value);
+  } catch (error) {
+    if (error instanceof FrameError) return undefined;
+    throw error;
+  }
+  const result = memberSchema.safeParse(content);
   return result.success ? { instance, ...result.data } : undefined;
 }
