Ignore results of items that their job does not have

Cause: a result with an index beyond the items was listed; the job then counted as finished with one item open, and reading its results failed with 502.

Before: 1 of the tests of partition-state failed (the new one). After: all pass.

--- a/packages/jobs/partition-state.test.ts
+++ b/packages/jobs/partition-state.test.ts
@@ -117,3 +117,12 @@
   const record = { ...jobRecord(), workspace: undefined };
   assert.deepEqual(decodeRecord(encodeRecord(record)), record);
 });
+
+// Guards against a job that counts as finished while one of its items has no result.
+test("a result of an item that the job does not have is ignored", () => {
+  const state = new PartitionState();
+  state.apply(jobRecord(2));
+  state.apply(group([{ item: 7 }, { item: -1 }, { item: 1 }]));
+  assert.deepEqual(texts(state), ["1"]);
+  assert.deepEqual([...state.job(job)!.finished], [1]);
+});
--- a/packages/jobs/partition-state.ts
+++ b/packages/jobs/partition-state.ts
@@ -99,9 +99,11 @@
     }
     for (const result of group.results) {
       const state = this.#jobs.get(result.job);
-      if (!state || state.finished.has(result.item)) continue;
+      const item = state?.record.items[result.item];
+      // A result of no item would count as one of the items that are finished.
+      if (!state || !item || state.finished.has(result.item)) continue;
       state.finished.add(result.item);
-      state.finishedTokens += state.record.items[result.item]?.tokens ?? 0;
+      state.finishedTokens += item.tokens;
       state.results.push(result);
       state.failures.delete(result.item);
       changed.add(result.job);
