Check the calls and replies of the store that go through a peer

Cause: only the kind of a call and the outcome of a reply were checked; the rest was passed on as it came. A malformed reply raised a TypeError in the reader of a partition or gave positions that are no numbers. It is now an error of the store.

--- a/packages/store/relayed-store.ts
+++ b/packages/store/relayed-store.ts
@@ -8,7 +8,6 @@
  * what it writes.
  */
 
-import * as z from "zod/mini";
 import { PeerUnavailableError } from "../common/errors.ts";
 import type { InstanceId, Offset } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
@@ -27,6 +26,11 @@
   StoreUnavailableError,
   type StreamPartition,
 } from "./keyed-store.ts";
+import {
+  relayCallSchema,
+  relayReplySchema,
+  relayValueSchemas,
+} from "./relay-schemas.ts";
 
 type RelayCall =
   | {
@@ -60,17 +64,10 @@
     readonly mayHaveTakenEffect: boolean;
   };
 
-const callSchema = z.looseObject({
-  call: z.enum(["append", "read", "newest", "join", "leave"]),
-});
-const replySchema = z.looseObject({
-  outcome: z.enum(["done", "history_lost", "unavailable"]),
-});
-
 const relayMessage = definePeerMessage<RelayCall, RelayReply>(
   "store-call",
-  (body) => callSchema.parse(body) as unknown as RelayCall,
-  (body) => replySchema.parse(body) as unknown as RelayReply,
+  (body) => relayCallSchema.parse(body) as unknown as RelayCall,
+  (body) => relayReplySchema.parse(body),
 );
 
 export interface RelayedStoreOptions {
@@ -175,11 +172,15 @@
         });
     }
     let reply: RelayReply;
+    let value: unknown;
     try {
       reply = await network.request(peer, relayMessage, call, {
         deadlineMilliseconds: relayTimeoutMilliseconds +
           (call.call === "read" ? call.options.waitMilliseconds ?? 0 : 0),
       });
+      if (reply.outcome === "done") {
+        value = relayValueSchemas[call.call].parse(reply.value);
+      }
     } catch (cause) {
       // A message that begins with "no " (no connection, no known address) means that the call
       // was not sent.
@@ -195,7 +196,7 @@
     }
     switch (reply.outcome) {
       case "done":
-        return reply.value as never;
+        return value as never;
       case "history_lost":
         throw new OffsetOutOfRangeError(reply.message);
       case "unavailable":
