Check the whole reply to a question on the admission of a job

Cause: only isAdmitted was checked, so that a refusal without the time until the job fits gave a Retry-After that is no number.

Before: 1 of the tests of job-admission failed (the new one). After: all pass.

--- a/packages/jobs/job-admission.test.ts
+++ b/packages/jobs/job-admission.test.ts
@@ -75,3 +75,16 @@
   await assert.rejects(decideForPeer(), /cannot be read/);
   await assert.rejects(admission.reserve(demand), /cannot be read/);
 });
+
+// Guards against a refusal whose Retry-After is no number.
+test("a refusal without the time until the job fits is malformed", () => {
+  const { parseReply } = reserveTokensMessage;
+  const refusal = {
+    isAdmitted: false as const,
+    waitingTokens: 5,
+    retryAfterMilliseconds: 7,
+  };
+  assert.deepEqual(parseReply(refusal), refusal);
+  assert.deepEqual(parseReply({ isAdmitted: true }), { isAdmitted: true });
+  assert.throws(() => parseReply({ isAdmitted: false }));
+});
--- a/packages/jobs/job-admission.ts
+++ b/packages/jobs/job-admission.ts
@@ -29,7 +29,14 @@
   tokens: z.number(),
   maximumTokens: z.number(),
 });
-const decisionSchema = z.looseObject({ isAdmitted: z.boolean() });
+const decisionSchema = z.discriminatedUnion("isAdmitted", [
+  z.object({ isAdmitted: z.literal(true) }),
+  z.object({
+    isAdmitted: z.literal(false),
+    waitingTokens: z.number(),
+    retryAfterMilliseconds: z.number().check(z.nonnegative()),
+  }),
+]);
 
 function parseDemand(body: unknown): TokenDemand {
   const demand = demandSchema.parse(body);
@@ -46,7 +53,7 @@
 >(
   "reserve-tokens",
   parseDemand,
-  (body) => decisionSchema.parse(body) as unknown as TokenDecision,
+  (body) => decisionSchema.parse(body),
 );
 
 /** Withdraws the reservation of a job that was not written. */
