Bound the counts in reports between instances

Cause: a coordinator counts the requests of its dependents one by one, up to the number in their report. A malformed number such as 1e300 kept it in that loop for ever.

Ruled out: rejecting the report, which would drop the sound counts in it as well.

--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -23,6 +23,7 @@
 import type { Placement, RoomReply } from "../gateway/placement.ts";
 import type { BegunReport } from "../quarantine/crash-evidence.ts";
 import { begunReportSchema } from "../quarantine/messages.ts";
+import { countSchema } from "../protocol/count-schema.ts";
 import { definePeerMessage } from "../protocol/peer-message.ts";
 
 /** What a decision depends on; sets are sent as lists. */
@@ -203,13 +204,13 @@
 
 const dependentReportSchema = z.object({
   settledQuestion: z.int(),
-  loads: z.array(z.tuple([z.string(), z.number()])),
-  failures: z.array(z.tuple([z.string(), z.number()])),
+  loads: z.array(z.tuple([z.string(), countSchema])),
+  failures: z.array(z.tuple([z.string(), countSchema])),
   begun: z._default(begunReportSchema, { parts: [], counts: [] }),
   serverLimits: wireLimitsSchema,
   leavingServers: wireLeavingSchema,
   knownStatementChanges: z._default(z.number(), -1),
-  unsent: z._default(z.array(z.tuple([z.string(), z.number()])), []),
+  unsent: z._default(z.array(z.tuple([z.string(), countSchema])), []),
   configurationPosition: z.number(),
   serversPosition: z.number(),
   isStoreFailing: z.boolean(),
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -14,6 +14,7 @@
 } from "../../common/ids.ts";
 import type { BegunReport } from "../../quarantine/crash-evidence.ts";
 import { begunReportSchema } from "../../quarantine/messages.ts";
+import { countSchema } from "../../protocol/count-schema.ts";
 import { definePeerMessage } from "../../protocol/peer-message.ts";
 import type { KeyedRecord } from "../../store/keyed-store.ts";
 import type { DocumentKind } from "../documents.ts";
@@ -64,7 +65,7 @@
   configurationPosition: z.number(),
   serversPosition: z.number(),
   isStoreFailing: z.boolean(),
-  loads: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  loads: z.array(z.tuple([z.string(), countSchema, countSchema])),
   faults: z._default(z.array(z.tuple([z.string(), z.number()])), []),
   uses: z.array(
     z.tuple([z.string(), z.number(), z.number(), z.number()]),
