Fail a request of a peer whose reply no frame can hold

Cause: encoding a reply above the limit of a frame raised an error that nothing caught; the peer waited until its deadline. The peer now gets a failure with the code bad_frame.

Before: the test of replies failed (the code was that of a time-out). After: all tests of packages/protocol pass.

--- a/packages/protocol/peer-network.ts
+++ b/packages/protocol/peer-network.ts
@@ -4,6 +4,7 @@
  * messages; decisions are taken from the records of the log.
  */
 
+import type { Buffer } from "node:buffer";
 import { createServer, type Server, type Socket } from "node:net";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { PeerUnavailableError, RosemaryrudderError } from "../common/errors.ts";
@@ -12,7 +13,7 @@
 import { type Logger, silentLogger } from "../common/logging.ts";
 import { maximumQueuedBytes, protocolVersion } from "./constants.ts";
 import { type Envelope, envelopeSchema } from "./envelope.ts";
-import { encodeFrame, FrameReader } from "./frames.ts";
+import { encodeFrame, FrameError, FrameReader } from "./frames.ts";
 import { type PeerAddress, PeerConnection } from "./peer-connection.ts";
 import type { PeerMessage } from "./peer-message.ts";
 
@@ -246,7 +247,7 @@
   ): Promise<void> {
     const result = await this.#runHandler(envelope, sender);
     if (envelope.kind !== "request" || socket.destroyed) return;
-    const frame = encodeFrame({ ...result, id: envelope.id });
+    const frame = this.#encodeReply(envelope.id, result);
     if (socket.writableLength > maximumQueuedBytes) {
       socket.destroy();
       return;
@@ -255,6 +256,20 @@
     socket.write(frame);
   }
 
+  /** A reply that no frame can hold becomes a failure, so that the peer need not wait. */
+  #encodeReply(id: number, result: object): Buffer {
+    try {
+      return encodeFrame({ ...result, id });
+    } catch (error) {
+      if (!(error instanceof FrameError)) throw error;
+      const { code, message } = error;
+      this.#options.logger.warn("a reply to a peer cannot be sent", {
+        reason: message,
+      });
+      return encodeFrame({ kind: "failure", id, code, message });
+    }
+  }
+
   async #runHandler(
     envelope: { type: string; body?: unknown },
     sender: PeerSender,
--- a/packages/protocol/protocol.test.ts
+++ b/packages/protocol/protocol.test.ts
@@ -7,6 +7,7 @@
 import fc from "fast-check";
 import { z } from "zod";
 import { brandAs, type Incarnation, type InstanceId } from "../common/ids.ts";
+import { maximumFrameBytes } from "./constants.ts";
 import { encodeFrame, FrameError, FrameReader } from "./frames.ts";
 import { definePeerMessage } from "./peer-message.ts";
 import { TcpPeerNetwork } from "./peer-network.ts";
@@ -80,6 +81,7 @@
     right.handle(echoMessage, ({ text }) => {
       if (text === "slow") return new Promise(() => {});
       if (text === "bad") throw new FrameError("refused");
+      if (text === "long") return { text: "x".repeat(maximumFrameBytes) };
       return { text };
     });
     const requestEcho = (text: string) =>
@@ -89,6 +91,8 @@
     assert.deepEqual(await requestEcho("hello"), { text: "hello" });
     await assert.rejects(requestEcho("slow"), { code: "peer_unavailable" });
     await assert.rejects(requestEcho("bad"), { code: "bad_frame" });
+    // Guards against a reply that is too long for a frame and raises an error that nothing catches.
+    await assert.rejects(requestEcho("long"), { code: "bad_frame" });
   } finally {
     await Promise.all([left.close(), right.close()]);
   }
