Look for a job in a recent copy where the caller has no key

Cause: a call on a job whose host has no batch route used to be refused without any read; since such jobs stay readable, each call of anybody would cost a read of the partition up to its end.

Ruled out: sharing one read among calls that wait, which has all of them wait for a read that hangs.

--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -42,9 +42,12 @@
     workspace: WorkspaceId | undefined,
     response: JobResponse,
   ): void {
-    const { host } = received.request;
-    const access = { workspace, routeId: route.id, host };
-    void this.#forward(undefined, received, access, response);
+    void this.#forward(undefined, received, {
+      workspace,
+      routeId: route.id,
+      host: received.request.host,
+      isKeyMissing: false,
+    }, response);
   }
 
   handle(
--- a/packages/coordination/job-call-service.ts
+++ b/packages/coordination/job-call-service.ts
@@ -38,7 +38,7 @@
   return new Promise((resolve) => {
     const response = new CollectedResponse(resolve);
     const handler = calls();
-    const configuration = blackboard.configuration?.configuration;
+    const { configuration } = blackboard;
     if (!handler || !configuration) return response.fail(notReady);
     const received = {
       request: toRequest(forwarded),
@@ -47,10 +47,14 @@
     };
     const { call, workspace, routeId, host } = forwarded;
     if (call) {
-      const access = { workspace, routeId, host };
+      const isKeyMissing = routeId === undefined && workspace === undefined &&
+        configuration.requiresApiKey;
+      const access = { workspace, routeId, host, isKeyMissing };
       return handler.handle(call, received, access, response);
     }
-    const route = configuration.routes.find(({ id }) => id === routeId);
+    const route = configuration.configuration.routes.find(({ id }) =>
+      id === routeId
+    );
     if (!route) return response.fail(notReady);
     handler.submit(received, route, workspace, response);
   });
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -45,6 +45,8 @@
    */
   readonly routeId: RouteId | undefined;
   readonly host: string;
+  /** The configuration requires an API key and the caller has shown no valid one. */
+  readonly isKeyMissing: boolean;
 }
 
 /** Handles the calls on batch jobs after route and API key have been checked. */
@@ -166,6 +168,7 @@
         workspace: workspace?.id,
         routeId: undefined,
         host: request.host,
+        isKeyMissing: configuration.requiresApiKey && !workspace,
       }, response);
     }
     if (configuration.requiresApiKey && !route.isPublic && !workspace) {
@@ -175,7 +178,12 @@
       return this.#options.jobs.handle(
         jobCall,
         received,
-        { workspace: workspace?.id, routeId: route.id, host: request.host },
+        {
+          workspace: workspace?.id,
+          routeId: route.id,
+          host: request.host,
+          isKeyMissing: false,
+        },
         response,
       );
     }
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -388,12 +388,17 @@
    */
   async #findJob(
     job: JobId,
-    { workspace, routeId, host }: JobAccess,
+    { workspace, routeId, host, isKeyMissing }: JobAccess,
   ): Promise<JobState | ErrorAnswer> {
     const partition = this.#options.partitions.forJob(job);
     let state = partition.job(job);
     if (!state) {
-      if (!await partition.catchUp()) return storeUnavailable;
+      // A caller without a key must not cost a read of the store with each call; it can only have
+      // a job of a public route that was removed.
+      const isRead = isKeyMissing
+        ? await partition.refresh()
+        : await partition.catchUp();
+      if (!isRead) return storeUnavailable;
       state = partition.job(job);
     }
     if (!state || state.record.workspace !== workspace) return unknownJob;
