Refuse a job whose id fits in no key of the store

Cause: the length of a key is one byte. An id of more than 245 bytes raised a RangeError while its bodies were encoded, after its tokens had been reserved, and the caller got 502. It now gets 400 before anything is reserved.

Before: the new test failed. After: 2 of 2 of job-call-handler pass.

--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -13,6 +13,8 @@
  * no further results yet; an older copy is refreshed first.
  */
 export const maximumCopyAgeMilliseconds = 600;
+/** A key of the store, which holds the id of the job and up to ten more bytes, has 255 at most. */
+export const maximumJobIdBytes = 240;
 /** Largest total text of the results in one answer, except for a single larger result. */
 export const maximumResultBytes = 900_000;
 /** Largest total size of the item bodies that are cached in memory. */
--- a/packages/jobs/job-call-handler.test.ts
+++ b/packages/jobs/job-call-handler.test.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import type { JobId, RouteId, WorkspaceId } from "../common/ids.ts";
 import { silentLogger } from "../common/logging.ts";
+import type { RouteRule } from "../fleet/configuration.ts";
 import type { ReceivedRequest } from "../gateway/caller-request.ts";
 import type { JobAccess } from "../gateway/gateway.ts";
 import {
@@ -60,3 +61,22 @@
     reads: ["recent"],
   });
 });
+
+// Guards against an id that fits in no key of the store and fails after its tokens were reserved.
+test("a job whose id is too long is refused as malformed", async () => {
+  const handler = new JobCallHandler({
+    logger: silentLogger,
+  } as unknown as JobCallHandlerOptions);
+  const received = {
+    request: { id: "\u00e9".repeat(121), path: "/" },
+  } as unknown as ReceivedRequest;
+  const status = await new Promise<number>((resolve) =>
+    handler.submit(
+      received,
+      {} as RouteRule,
+      undefined,
+      { fail: (answer) => resolve(answer.status) } as JobResponse,
+    )
+  );
+  assert.equal(status, 400);
+});
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -16,6 +16,7 @@
 import { StoreUnavailableError } from "../store/keyed-store.ts";
 import {
   defaultSubmitDeadlineMilliseconds,
+  maximumJobIdBytes,
   maximumResultBytes,
   submitDeadlineShare,
   writeRetryMilliseconds,
@@ -129,6 +130,9 @@
   ): Promise<ErrorAnswer | undefined> {
     const { partitions, codec, now, logger } = this.#options;
     const job = received.request.id as unknown as JobId;
+    if (Buffer.byteLength(job) > maximumJobIdBytes) {
+      return malformedJob(`the id exceeds ${maximumJobIdBytes} bytes`);
+    }
     const partition = partitions.forJob(job);
     const items = codec.decodeSubmission(received.body);
     if (typeof items === "string") return malformedJob(items);
