Do not blame a server for a request that the client rejects

Cause: the client for HTTP rejects a request that it cannot write (a workspace with a name beyond Latin-1 is a header, too). That counted as a failure of the chosen server, so that such requests had one server after another avoided.

--- a/packages/gateway/server-attempt.test.ts
+++ b/packages/gateway/server-attempt.test.ts
@@ -92,3 +92,38 @@
   server.closeAllConnections();
   server.close();
 });
+
+// Guards against servers that are avoided for a request, such as one with a name of a workspace
+// beyond Latin-1, that the client cannot send to any of them.
+test("a request that the client rejects is no failure of the server", async () => {
+  const pool = createConnectionPool({
+    host: "127.0.0.1",
+    port: 9,
+    connectTimeoutMilliseconds: 1_000,
+    idleMilliseconds: 1_000,
+  });
+  const failure = await new Promise<AttemptFailure>((resolve) => {
+    new ServerAttempt({
+      pool,
+      method: "POST",
+      target: "/",
+      headers: ["x-name", "\u20ac"],
+      body: Buffer.alloc(0),
+      requestId: "r",
+      decodeHead: () => assert.fail("there is no answer"),
+      headTimeoutMilliseconds: 10_000,
+      bodyIdleTimeoutMilliseconds: 10_000,
+    }, {
+      onStatement: () => {},
+      onHead: () => {},
+      onData: () => true,
+      onEnd: () => {},
+      onFailure: resolve,
+    }).start();
+  });
+  assert.deepEqual([failure.verdict, failure.isServerFault], [
+    "not_run",
+    false,
+  ]);
+  await pool.destroy();
+});
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -61,6 +61,10 @@
   readonly bodyIdleTimeoutMilliseconds: number;
 }
 
+function isRejectedByClient(error: Error): boolean {
+  return "code" in error && error.code === "UND_ERR_INVALID_ARG";
+}
+
 export class ServerAttempt {
   readonly #options: AttemptOptions;
   readonly #listener: AttemptListener;
@@ -123,7 +127,8 @@
         this.#fail({
           verdict: this.#wasSent ? "unknown" : "not_run",
           reason: error.message,
-          isServerFault: true,
+          // The client may reject the request itself, before anything is sent.
+          isServerFault: !isRejectedByClient(error),
           isConnectionBroken: this.#wasSent,
         }),
     });
