--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -5,13 +5,13 @@
  */
 
 import { Buffer } from "node:buffer";
-import type { InstanceId, WorkspaceId } from "../common/ids.ts";
+import type { InstanceId, RouteId, WorkspaceId } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { JobCall, ReceivedRequest } from "../gateway/caller-request.ts";
 import type { ErrorAnswer } from "../gateway/caller-response.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
-import type { JobCalls } from "../gateway/gateway.ts";
+import type { JobAccess, JobCalls } from "../gateway/gateway.ts";
 import { malformedJob } from "../jobs/job-call-handler.ts";
 import type { JobResponse } from "../jobs/job-response.ts";
 import { jobCallTimeoutMilliseconds } from "./constants.ts";
@@ -27,7 +27,7 @@
   /** Whether the instance may receive bodies of the requests of a route and workspace. */
   readonly isAllowedInstance: (
     instance: InstanceId,
-    route: RouteRule,
+    routeId: RouteId | undefined,
     workspace: WorkspaceId | undefined,
   ) => boolean;
   /** Monotonic milliseconds. */
@@ -48,27 +48,30 @@
     workspace: WorkspaceId | undefined,
     response: JobResponse,
   ): void {
-    void this.#forward(undefined, received, route, workspace, response);
+    void this.#forward(undefined, received, {
+      workspace,
+      routeId: route.id,
+      host: received.request.host,
+      isKeyMissing: false,
+    }, response);
   }
 
   handle(
     call: JobCall,
     received: ReceivedRequest,
-    route: RouteRule,
-    workspace: WorkspaceId | undefined,
+    access: JobAccess,
     response: JobResponse,
   ): void {
     if (call.kind === "malformed") {
       return response.fail(malformedJob(call.reason));
     }
-    void this.#forward(call, received, route, workspace, response);
+    void this.#forward(call, received, access, response);
   }
 
   async #forward(
     call: ForwardedJobCall["call"],
     { request, body, receivedAt }: ReceivedRequest,
-    route: RouteRule,
-    workspace: WorkspaceId | undefined,
+    { workspace, routeId, host }: JobAccess,
     response: JobResponse,
   ): Promise<void> {
     const { client, now, logger, isAllowedInstance } = this.#options;
@@ -84,8 +87,8 @@
         call,
         requestId: request.id,
         path: request.path,
-        host: request.host,
-        routeId: route.id,
+        host,
+        routeId,
         workspace,
         remainingMilliseconds: deadlineMilliseconds === undefined
           ? undefined
@@ -101,7 +104,7 @@
         deadlineMilliseconds: jobCallTimeoutMilliseconds + waitMilliseconds,
         mayBeSlow: true,
         isAllowed: (instance) => {
-          const isAllowed = isAllowedInstance(instance, route, workspace);
+          const isAllowed = isAllowedInstance(instance, routeId, workspace);
           if (isAllowed) allowedCoordinators += 1;
           else excludedCoordinators += 1;
           return isAllowed;
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -8,6 +8,7 @@
   InstanceId,
   Offset,
   PromptPartId,
+  RouteId,
   UpstreamName,
   WorkspaceId,
 } from "../common/ids.ts";
@@ -24,6 +25,7 @@
 import type { Placement, RoomReply } from "../gateway/placement.ts";
 import type { BegunReport } from "../quarantine/crash-evidence.ts";
 import { begunReportSchema } from "../quarantine/messages.ts";
+import { countSchema } from "../protocol/count-schema.ts";
 import { definePeerMessage } from "../protocol/peer-message.ts";
 
 /** What a decision depends on; sets are sent as lists. */
@@ -211,14 +213,14 @@
 
 const dependentReportSchema = z.object({
   settledQuestion: z.int(),
-  loads: z.array(z.tuple([z.string(), z.number()])),
-  failures: z.array(z.tuple([z.string(), z.number()])),
+  loads: z.array(z.tuple([z.string(), countSchema])),
+  failures: z.array(z.tuple([z.string(), countSchema])),
   begun: z._default(begunReportSchema, { parts: [], counts: [] }),
   serverLimits: wireLimitsSchema,
   leavingServers: wireLeavingSchema,
   coldServers: wireColdSchema,
   knownStatementChanges: z._default(z.number(), -1),
-  unsent: z._default(z.array(z.tuple([z.string(), z.number()])), []),
+  unsent: z._default(z.array(z.tuple([z.string(), countSchema])), []),
   configurationPosition: z.number(),
   serversPosition: z.number(),
   isStoreFailing: z.boolean(),
@@ -250,7 +252,8 @@
   readonly requestId: string | undefined;
   readonly path: string;
   readonly host: string;
-  readonly routeId: string;
+  /** Undefined on a call if no batch route of its host is in force. */
+  readonly routeId: RouteId | undefined;
   readonly workspace: WorkspaceId | undefined;
   /** Time that the caller still waits. */
   readonly remainingMilliseconds: number | undefined;
@@ -278,7 +281,7 @@
   requestId: z.nullish(z.string()),
   path: z.string(),
   host: z.string(),
-  routeId: z.string(),
+  routeId: z.nullish(z.string()),
   workspace: z.nullish(z.string()),
   remainingMilliseconds: z.nullish(z.number()),
   body: z.instanceof(Uint8Array),
@@ -301,6 +304,7 @@
       ...call,
       call: call.call ?? undefined,
       requestId: call.requestId ?? undefined,
+      routeId: call.routeId ?? undefined,
       workspace: call.workspace ?? undefined,
       remainingMilliseconds: call.remainingMilliseconds ?? undefined,
     } as unknown as ForwardedJobCall;
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -62,6 +62,8 @@
   readonly jobCodec: JobCodec;
   /** Whether this instance cannot read the store at present. */
   readonly isStoreFailing: () => boolean;
+  /** See `BatchExecutorOptions`. */
+  readonly configurationReadAt: () => number;
   readonly removeMember: (member: Member) => void;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
@@ -423,6 +425,7 @@
       callerCodec,
       jobCodec,
       peerReports: () => this.#reports,
+      configurationReadAt: this.#options.configurationReadAt,
       countRun: (outcome) => this.#options.countRun(outcome),
       clock,
       logger,
@@ -477,8 +480,13 @@
     const { clock, logger, members, blackboard } = this.#options;
     const forwarded = new ForwardedJobCalls({
       client: this.#client,
-      isAllowedInstance: (instance, route, workspace) =>
-        isAllowedInstance(members.get(instance), route, workspace, blackboard),
+      isAllowedInstance: (instance, routeId, workspace) =>
+        isAllowedInstance(
+          members.get(instance),
+          routeId,
+          workspace,
+          blackboard,
+        ),
       now: clock.monotonicNow,
       logger,
     });
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -17,6 +17,7 @@
 import { Blackboard } from "../fleet/blackboard.ts";
 import {
   type DocumentCodec,
+  type DocumentKind,
   Documents,
   type StoreFailure,
 } from "../fleet/documents.ts";
@@ -74,6 +75,7 @@
   readonly #gateway: Gateway;
   readonly #listener: CallerListener;
   readonly #followers: PartitionFollower[];
+  readonly #configurationFollower: PartitionFollower;
   readonly #store: RelayedStore;
   /** The last failure to read the configuration or the server list. */
   #lastStoreFailure: StoreFailure | undefined;
@@ -107,7 +109,11 @@
     this.#membership = this.#createMembership();
     this.#gateway = this.#createGateway();
     this.#listener = this.#createListener();
-    this.#followers = this.#createFollowers();
+    this.#configurationFollower = this.#createFollower("configuration");
+    this.#followers = [
+      this.#configurationFollower,
+      this.#createFollower("servers"),
+    ];
   }
 
   /** True while this instance coordinates others, or may do so. */
@@ -192,13 +198,14 @@
   }
 
   #createDocuments(): Documents {
-    const { documentCodec, logger, clock } = this.#options;
+    const { documentCodec, logger, clock, metrics } = this.#options;
     return new Documents({
       blackboard: this.#blackboard,
       codec: documentCodec,
       logger,
       clock,
       lastStoreFailure: () => this.#lastStoreFailure,
+      countMalformedEntry: () => metrics.countMalformedEntry(),
       onChange: (kind) => {
         if (kind === "configuration") {
           this.#listener.applyLimits();
@@ -237,6 +244,7 @@
       isStoreFailing: () =>
         this.#store.isDirectFailing ||
         this.#followers.some((follower) => follower.isFailing),
+      configurationReadAt: () => this.#configurationFollower.completeUntil,
       removeMember: (member) => void this.#membership.remove(member),
       onVerdictsLoaded: () => this.#gateway.handleDocuments(),
       countServerCrash: () => metrics.countServerCrash(),
@@ -299,30 +307,26 @@
     });
   }
 
-  #createFollowers(): PartitionFollower[] {
+  #createFollower(kind: DocumentKind): PartitionFollower {
     const { documentCodec, logger } = this.#options;
-    const sources = [
-      ["configuration", documentCodec.configurationSource],
-      ["servers", documentCodec.serverSource],
-    ] as const;
-    return sources.map(([kind, target]) =>
-      new PartitionFollower({
-        store: this.#store,
-        target,
-        logger,
-        onRecords: (records, position, isSnapshot) =>
-          this.#documents.applyRecords(kind, records, position, { isSnapshot }),
-        // Dependents also receive the documents from their coordinator.
-        waitMilliseconds: () =>
-          this.#coordination.isCoordinator
-            ? followWaitMilliseconds
-            : relaxedFollowWaitMilliseconds,
-        onFailure: (beganAt) => {
-          const lastAt = this.#options.clock.monotonicNow();
-          this.#lastStoreFailure = { beganAt, lastAt };
-        },
-      })
-    );
+    return new PartitionFollower({
+      store: this.#store,
+      target: kind === "configuration"
+        ? documentCodec.configurationSource
+        : documentCodec.serverSource,
+      logger,
+      onRecords: (records, position, isSnapshot) =>
+        this.#documents.applyRecords(kind, records, position, { isSnapshot }),
+      // Dependents also receive the documents from their coordinator.
+      waitMilliseconds: () =>
+        this.#coordination.isCoordinator
+          ? followWaitMilliseconds
+          : relaxedFollowWaitMilliseconds,
+      onFailure: (beganAt) => {
+        const lastAt = this.#options.clock.monotonicNow();
+        this.#lastStoreFailure = { beganAt, lastAt };
+      },
+    });
   }
 
   async #listenForReadiness(): Promise<void> {
@@ -367,7 +371,16 @@
   ): Promise<void> {
     const server = createServer((request, response) => {
       request.resume();
-      respond(request, response);
+      try {
+        respond(request, response);
+      } catch (error) {
+        this.#options.logger.error("an operator's request failed", {
+          path: request.url ?? null,
+          reason: String(error),
+        });
+        if (!response.headersSent) response.writeHead(500);
+        response.end();
+      }
     });
     await listenOn(server, address);
     this.#disposables.add(() => {
--- a/packages/fleet/regions.ts
+++ b/packages/fleet/regions.ts
@@ -3,7 +3,7 @@
  * region of a zone is given by the settings. A zone without a region is in none of them.
  */
 
-import type { WorkspaceId } from "../common/ids.ts";
+import type { RouteId, WorkspaceId } from "../common/ids.ts";
 import type {
   ConfigurationIndex,
   RouteRule,
@@ -14,10 +14,10 @@
 
 /** Undefined if the request may be handled anywhere; empty if it may be handled nowhere. */
 export function allowedRegionsOf(
-  route: Pick<RouteRule, "allowedRegions">,
+  route: Pick<RouteRule, "allowedRegions"> | undefined,
   workspace: Pick<WorkspaceRule, "allowedRegions"> | undefined,
 ): readonly string[] | undefined {
-  const ofRoute = route.allowedRegions;
+  const ofRoute = route?.allowedRegions;
   const ofWorkspace = workspace?.allowedRegions;
   if (!ofRoute || !ofWorkspace) return ofRoute ?? ofWorkspace;
   return ofRoute.filter((region) => ofWorkspace.includes(region));
@@ -36,7 +36,7 @@
 /** Whether a member of the fleet may receive bodies of requests of a route and workspace. */
 export function isAllowedInstance(
   member: { readonly zone: string } | undefined,
-  route: RouteRule,
+  routeId: RouteId | undefined,
   workspace: WorkspaceId | undefined,
   { configuration, regionByZone }: {
     readonly configuration: ConfigurationIndex | undefined;
@@ -46,6 +46,9 @@
   const rule = workspace === undefined
     ? undefined
     : configuration?.workspace(workspace);
+  const route = configuration?.configuration.routes.find(({ id }) =>
+    id === routeId
+  );
   const allowedRegions = allowedRegionsOf(route, rule);
   return !allowedRegions ||
     (member !== undefined &&
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -5,7 +5,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
-import type { UpstreamName, WorkspaceId } from "../common/ids.ts";
+import type { RouteId, UpstreamName, WorkspaceId } from "../common/ids.ts";
 import type { LogContext, Logger } from "../common/logging.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
@@ -38,6 +38,19 @@
 import { SendQueue } from "./send-queue.ts";
 import { StartWait } from "./start-wait.ts";
 
+/** What a job must match for a caller to read or end it. */
+export interface JobAccess {
+  readonly workspace: WorkspaceId | undefined;
+  /**
+   * The batch route in force of the host that the call names. Without one, the job must have been
+   * accepted at that host, on a route that was removed since.
+   */
+  readonly routeId: RouteId | undefined;
+  readonly host: string;
+  /** The configuration requires an API key and the caller has shown no valid one. */
+  readonly isKeyMissing: boolean;
+}
+
 /** Handles the calls on batch jobs after route and API key have been checked. */
 export interface JobCalls {
   submit(
@@ -46,12 +59,10 @@
     workspace: WorkspaceId | undefined,
     response: JobResponse,
   ): void;
-  /** `route` is the batch route of the host that the call names. */
   handle(
     call: JobCall,
     received: ReceivedRequest,
-    route: RouteRule,
-    workspace: WorkspaceId | undefined,
+    access: JobAccess,
     response: JobResponse,
   ): void;
 }
@@ -96,11 +107,33 @@
     for (const request of [...this.#activeRequests]) request.stop();
   }
 
+  /** Never throws: a request that meets an unexpected error gets a final answer. */
   handle(
     message: IncomingMessage,
     body: Buffer,
     response: CallerResponse,
     receivedAt: number,
+  ): void {
+    try {
+      this.#admit(message, body, response, receivedAt);
+    } catch (error) {
+      const { logger, metrics, codec } = this.#options;
+      metrics.countRefusal(unexpectedError.code);
+      logger.error("a request failed by an unexpected error", {
+        request: codec.decodeRequestId(message) ?? null,
+        reason: error instanceof Error
+          ? error.stack ?? error.message
+          : String(error),
+      });
+      response.fail(unexpectedError);
+    }
+  }
+
+  #admit(
+    message: IncomingMessage,
+    body: Buffer,
+    response: CallerResponse,
+    receivedAt: number,
   ): void {
     const { codec, blackboard } = this.#options;
     const configuration = blackboard.configuration;
@@ -126,10 +159,20 @@
     const route = jobCall
       ? configuration.findBatchRoute(request.host)
       : configuration.findRoute(request.host, request.path);
-    if (!route) return this.#refuse(request, response, unknownRoute);
     const workspace = request.apiKey === undefined
       ? undefined
       : configuration.workspaceOfKey(request.apiKey);
+    if (!route) {
+      if (!jobCall || jobCall.kind === "malformed") {
+        return this.#refuse(request, response, unknownRoute);
+      }
+      return this.#options.jobs.handle(jobCall, received, {
+        workspace: workspace?.id,
+        routeId: undefined,
+        host: request.host,
+        isKeyMissing: configuration.requiresApiKey && !workspace,
+      }, response);
+    }
     if (configuration.requiresApiKey && !route.isPublic && !workspace) {
       return this.#refuse(request, response, unknownKey);
     }
@@ -137,8 +180,12 @@
       return this.#options.jobs.handle(
         jobCall,
         received,
-        route,
-        workspace?.id,
+        {
+          workspace: workspace?.id,
+          routeId: route.id,
+          host: request.host,
+          isKeyMissing: false,
+        },
         response,
       );
     }
@@ -337,6 +384,12 @@
   retryAfterMilliseconds: defaultRetryAfterMilliseconds,
 };
 
+const unexpectedError: ErrorAnswer = {
+  status: 500,
+  code: "unexpected_error",
+  message: "the request failed by an unexpected error of the instance",
+};
+
 const missingId: ErrorAnswer = {
   status: 400,
   code: "missing_id",
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -63,6 +63,10 @@
   readonly bodyIdleTimeoutMilliseconds: number;
 }
 
+function isRejectedByClient(error: Error): boolean {
+  return "code" in error && error.code === "UND_ERR_INVALID_ARG";
+}
+
 export class ServerAttempt {
   readonly #options: AttemptOptions;
   readonly #listener: AttemptListener;
@@ -128,7 +132,8 @@
         this.#fail({
           verdict: this.#wasSent ? "unknown" : "not_run",
           reason: error.message,
-          isServerFault: true,
+          // The client may reject the request itself, before anything is sent.
+          isServerFault: !isRejectedByClient(error),
           isConnectionBroken: this.#wasSent,
         });
       },
@@ -165,7 +170,9 @@
       this.#recordStatement(this.#options.decodeHead(status, headers));
       return this.#countInterimAnswer();
     }
-    this.#endsWithConnection = headers["content-length"] === undefined &&
+    // An answer to HEAD ends with its head.
+    this.#endsWithConnection = this.#options.method !== "HEAD" &&
+      headers["content-length"] === undefined &&
       headers["transfer-encoding"] === undefined;
     const head = this.#options.decodeHead(status, headers);
     if (
--- a/packages/jobs/batch-executor-options.ts
+++ b/packages/jobs/batch-executor-options.ts
@@ -23,6 +23,11 @@
   /** Whether new runs of items of the partition may be started. */
   readonly canStartItems: (partition: PartitionNumber) => boolean;
   readonly isOwned: (partition: PartitionNumber) => boolean;
+  /**
+   * When the last read that reached the end of the configuration's stream was sent, in monotonic
+   * milliseconds.
+   */
+  readonly configurationReadAt: () => number;
   /** Number of items that wait at all other owners together. */
   readonly waitingItemsOfPeers: () => number;
   readonly callerCodec: CallerCodec;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -36,6 +36,7 @@
 import { ItemRun, type RunOutcome } from "./item-run.ts";
 import type { Judgement } from "../quarantine/quarantine.ts";
 import { recordInterruption } from "./interruption.ts";
+import { findItemRoute, isRemovalCertain } from "./item-route.ts";
 import type { JobPartition } from "./job-partition.ts";
 import type { JobState } from "./partition-state.ts";
 import type { ItemProgress } from "./progress-store.ts";
@@ -196,17 +197,13 @@
     const state = partition.job(work.job);
     if (!state) return false;
     const item = state.record.items[work.item]!;
-    const route = blackboard.configuration!.findRoute(
-      state.record.host,
-      item.path,
-    );
-    if (!route) {
-      this.#giveUpAfterRetention(
-        work,
-        state,
-        partition,
-        "the route no longer exists",
-      );
+    const found = findItemRoute(blackboard.configuration!, state.record, item);
+    const readAt = this.#options.configurationReadAt();
+    const isRemoved = isRemovalCertain(work, found, { now: time, readAt });
+    if (found.kind !== "route") {
+      const reason = "no route takes the item";
+      if (isRemoved) this.#recordResult(work, partition, "dead_letter", reason);
+      else this.#giveUpAfterRetention(work, state, partition, reason);
       return false;
     }
     const judgement = this.#judge(work, item, state.record.host);
@@ -221,8 +218,8 @@
       );
       return false;
     }
-    const purpose = this.#purposeOf(route, state);
-    const server = this.#chooseServer(work, route, time, purpose);
+    const purpose = this.#purposeOf(found.route, state);
+    const server = this.#chooseServer(work, found.route, time, purpose);
     if (!server) return false;
     if (judgement.kind === "trial") {
       this.#options.quarantine.beginTrial(work.itemId, judgement.parts);
@@ -232,19 +229,18 @@
     const upstream = blackboard.upstreams.get(server)!;
     blackboard.loads.addRequest(server, "batch");
     blackboard.sendRules.take(upstream, time);
-    bodies.read(partition, state.record, work.item).then(
-      (body) => this.#send(work, state, { server, body, purpose }),
-      (error) => {
+    bodies.read(partition, state.record, work.item)
+      .then((body) => this.#send(work, state, { server, body, purpose }))
+      .catch((error) => {
         work.isStarting = false;
         work.retryAt = this.#options.now() + itemRetryMaximumMilliseconds;
         this.#withdraw(server);
-        logger.warn("the body of an item cannot be read", {
+        logger.warn("an item cannot be read or sent", {
           job: work.job,
           item: work.itemId,
           reason: String(error),
         });
-      },
-    );
+      });
     return true;
   }
 
