Let requests that may have run wait for cold servers, and spread the sends

In a run at a load of 29 a request that had moved between warm servers got 502, since the only server left was cold; the placement had answered that there was none. Such a request now waits for the time that the placement names, if its deadline allows. A request that has not run is refused as before, and so is one that has failed at all servers of its service.

The seven sends of a second were made in one moment; a server that has just started is slow. Now at most two are sent in a quarter of a second.

--- a/packages/fleet/cold/cold-rate.ts
+++ b/packages/fleet/cold/cold-rate.ts
@@ -9,6 +9,7 @@
   rampStepMilliseconds,
   rampSteps,
   toleratedSenders,
+  windowParts,
 } from "./constants.ts";
 
 /** What the configuration says of the cold servers of one service. */
@@ -78,6 +79,17 @@
   return Math.ceil(slots * step / (rampSteps + 1));
 }
 
+/** Sends within the window, and within its last part, that one sender may make. */
+function limitsOfSender(share: number) {
+  return [
+    { sends: share, milliseconds: coldWindowMilliseconds },
+    {
+      sends: Math.ceil(share / windowParts),
+      milliseconds: coldWindowMilliseconds / windowParts,
+    },
+  ];
+}
+
 /**
  * Time until one more request may be sent, 0 if it may be sent now; infinite if the share is 0.
  * `sends` are the times of earlier sends, oldest first.
@@ -88,8 +100,22 @@
   now: number,
 ): number {
   if (share <= 0) return Number.POSITIVE_INFINITY;
-  const deciding = sends[sends.length - share];
-  return deciding === undefined
-    ? 0
-    : Math.max(0, deciding + coldWindowMilliseconds - now);
+  const waits = limitsOfSender(share).map((limit) => {
+    const deciding = sends[sends.length - limit.sends];
+    return deciding === undefined ? 0 : deciding + limit.milliseconds - now;
+  });
+  return Math.max(0, ...waits);
+}
+
+/** Requests that may be sent now. */
+export function sendsLeft(
+  sends: readonly number[],
+  share: number,
+  now: number,
+): number {
+  const left = limitsOfSender(share).map((limit) =>
+    limit.sends -
+    sends.filter((time) => now - time < limit.milliseconds).length
+  );
+  return Math.max(0, Math.min(...left));
 }
--- a/packages/fleet/cold/cold-servers.ts
+++ b/packages/fleet/cold/cold-servers.ts
@@ -16,6 +16,7 @@
   type ColdPolicy,
   defaultColdBounds,
   sendersAtStep,
+  sendsLeft,
   shareOfSender,
   slotsAtStep,
   stageAt,
@@ -319,9 +320,7 @@
       const left = record.coldUntil - now;
       return { kind: "refused", waitMilliseconds: Math.min(wait, left) };
     }
-    const spent =
-      record.sends.filter((time) => now - time < coldWindowMilliseconds).length;
-    const left = share - spent;
+    const left = sendsLeft(record.sends, share, now);
     return {
       kind: "allowed",
       slots,
--- a/packages/fleet/cold/constants.ts
+++ b/packages/fleet/cold/constants.ts
@@ -2,6 +2,11 @@
 
 /** Length of the sliding window in which requests to a cold server are counted. */
 export const coldWindowMilliseconds = 1_000;
+/**
+ * Parts of the window over which the sends are spread. A server that has just started is slow, so that
+ * requests of one moment would wait for each other.
+ */
+export const windowParts = 4;
 /**
  * Instances that may spend the whole share of one server at the same time without exceeding its
  * bound: two, since two instances may differ about the member list for a moment.
--- a/packages/fleet/send-rules.ts
+++ b/packages/fleet/send-rules.ts
@@ -5,7 +5,7 @@
  * chosen.
  */
 
-import type { UpstreamName } from "../common/ids.ts";
+import type { InstanceId, UpstreamName } from "../common/ids.ts";
 import type { ColdServers } from "./cold/cold-servers.ts";
 import type { RouteRule } from "./configuration.ts";
 import type { EvacuatedZones } from "./evacuation/evacuated-zones.ts";
@@ -99,16 +99,19 @@
   }
 
   /**
-   * Time after which a server of the service may take a request, where none may now; undefined if
-   * that is unknown.
+   * Time after which a server of the service that is not excluded may take a request, where none may
+   * now; undefined if that is unknown.
    */
   timeUntilRoom(
     service: UpstreamName,
     now: number,
-    purpose: SendPurpose = {},
+    { excluded, ...purpose }: SendPurpose & {
+      readonly excluded?: ReadonlySet<InstanceId>;
+    } = {},
   ): number | undefined {
     let shortest = Number.POSITIVE_INFINITY;
     for (const server of this.#options.upstreams.readyServers(service)) {
+      if (excluded?.has(server.id)) continue;
       const permission = this.check(server, now, purpose);
       if (permission.kind === "allowed") return 0;
       const { waitMilliseconds = Number.POSITIVE_INFINITY } = permission;
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -151,6 +151,7 @@
     }
     switch (placement.kind) {
       case "none":
+        if (this.#wait.waitForRoom(placement, this.#choiceRequest())) return;
         return this.#giveUp("no server is available", placement);
       case "full":
         return this.#fail(
--- a/packages/gateway/placement-wait.ts
+++ b/packages/gateway/placement-wait.ts
@@ -13,8 +13,10 @@
 import {
   acceptableLimitWaitShares,
   returnedCallerWaitShare,
+  sendRetryIntervalMilliseconds,
 } from "./constants.ts";
-import type { WaitTolerance } from "./online-services.ts";
+import type { NoServer } from "./choose-server.ts";
+import type { ChoiceRequest, WaitTolerance } from "./online-services.ts";
 import type { SendQueue } from "./send-queue.ts";
 
 export interface PlacementWaitOptions {
@@ -67,6 +69,23 @@
     return true;
   }
 
+  /**
+   * Waits for servers that take no request at present, such as cold ones, where no other is left.
+   * Returns false if the request has not run, so that its caller can come back, or has no time.
+   */
+  waitForRoom(
+    { waitMilliseconds }: NoServer,
+    { waitTolerance }: Pick<ChoiceRequest, "waitTolerance">,
+  ): boolean {
+    const { now, retry, deadline } = this.#options;
+    if (waitTolerance !== "any" || waitMilliseconds === undefined) return false;
+    const pause = Math.max(waitMilliseconds, sendRetryIntervalMilliseconds);
+    if (now() + pause >= deadline) return false;
+    const timer = setTimeout(retry, pause);
+    this.#cancel = () => clearTimeout(timer);
+    return true;
+  }
+
   /** Returns false if the wait would be longer than acceptable. */
   waitForLimit(
     atLimit: ServerAtLimit,
