--- a/packages/store/testing/memory-keyed-store.ts
+++ b/packages/store/testing/memory-keyed-store.ts
@@ -3,6 +3,7 @@
  * drop responses after the write, drop old records and reassign partitions.
  */
 
+import { Buffer } from "node:buffer";
 import type { InstanceId, Offset, PartitionNumber } from "../../common/ids.ts";
 import {
   type GroupAssignment,
@@ -14,6 +15,7 @@
   OffsetOutOfRangeError,
   type ReadOptions,
   type ReadResult,
+  StoreRejectedError,
   StoreUnavailableError,
   type StreamPartition,
 } from "../keyed-store.ts";
@@ -26,6 +28,9 @@
   waiters: Set<() => void>;
 }
 
+/** Largest record that the store takes, with its key. */
+const maximumRecordBytes = 262_144;
+
 interface Group {
   generation: number;
   members: Set<InstanceId>;
@@ -47,6 +52,8 @@
   /** Delay before an append takes effect. */
   appendDelayMilliseconds = 0;
   appendCount = 0;
+  /** Appends that were rejected since a record is too large. */
+  rejectedAppends = 0;
 
   constructor({ partitions = 4, pageSize = 500 } = {}) {
     this.#partitions = partitions;
@@ -77,7 +84,28 @@
     return log;
   }
 
+  /** Bytes of the newest record of each key of a stream. */
+  liveBytes(stream: string): number {
+    let bytes = 0;
+    for (const [name, { newest }] of this.#logs) {
+      if (!name.startsWith(`${stream}/`)) continue;
+      for (const record of newest.values()) bytes += sizeOf(record);
+    }
+    return bytes;
+  }
+
+  /** Keys of a stream that have a value, in all partitions. */
+  liveKeys(stream: string): string[] {
+    return [...this.#logs].flatMap(([name, { newest }]) =>
+      name.startsWith(`${stream}/`) ? [...newest.keys()] : []
+    );
+  }
+
   append(target: StreamPartition, entries: readonly KeyedEntry[]): Offset {
+    if (entries.some((entry) => sizeOf(entry) > maximumRecordBytes)) {
+      this.rejectedAppends += 1;
+      throw new StoreRejectedError("a record is too large");
+    }
     const log = this.log(target);
     const first = log.records.length;
     this.appendCount += 1;
@@ -222,6 +250,10 @@
   }
 }
 
+function sizeOf({ key, value }: KeyedEntry): number {
+  return Buffer.byteLength(key) + (value?.length ?? 0);
+}
+
 function waitFor(
   log: PartitionLog,
   milliseconds: number,
