A text larger than a record is stored in parts, a rejected write is not repeated

A text is limited to 900,000 bytes in UTF-8 instead of 240,000 characters; a larger one is given up after three runs, since one run alone may come from a server that sends without end. Texts above the size of a record are written as text records that precede their result. A rejected write is repeated entry by entry, and a single rejected result gives way to the dead letter of its item.

Bodies of a job are read one by one, so that those of listed items may be missing.

Ruled out: giving up every text above one record, which loses sound results.

--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -15,6 +15,13 @@
 export const maximumCopyAgeMilliseconds = 600;
 /** Largest total text of the results in one answer, except for a single larger result. */
 export const maximumResultBytes = 900_000;
+/**
+ * Largest text of an item in UTF-8; it is stored in several records, and read in one answer. A run
+ * that exceeds it may come from a server that sends without end, so that the item starts anew.
+ */
+export const maximumItemTextBytes = 900_000;
+/** Runs that exceed it before the item is given up, since the text itself seems to be too large. */
+export const maximumOversizedRuns = 3;
 /** Largest total size of the item bodies that are cached in memory. */
 export const bodyCacheBytes = 6_000_000;
 /** Share of the caller's deadline during which the write of a submitted job is retried. */
@@ -85,3 +92,44 @@
 export const admissionTimeoutMilliseconds = 120;
 /** Factor on the average run time within which nearly all runs of items end. */
 export const runTimeMargin = 1.3;
+/**
+ * Share of a job's lifetime that its records are kept beyond its end of life, for readers that are
+ * slow and instances whose clocks differ; 30 s at a lifetime of 120 s.
+ */
+export const retentionMarginShare = 0.25;
+/**
+ * Share of a job's lifetime after which records of a job that does not exist are removed: bodies
+ * whose submission failed, or results that arrived after the removal. Longer than a submission may
+ * take from its bodies to its job record (`maximumSubmissionGapMilliseconds`).
+ */
+export const orphanAgeShare = 0.5;
+/** A job record is not written if the writing of its bodies began longer ago; they are written again. */
+export const maximumSubmissionGapMilliseconds = 15_000;
+/** Most records of one partition that are removed in one sweep, about 50 KB of removals. */
+export const maximumRemovalsPerSweep = 1_000;
+/** Pause of the removals of a partition after a failed one. */
+export const removalRetryMilliseconds = 5_000;
+/**
+ * Interval at which the owner of a partition searches for bodies of jobs that do not exist, and the
+ * shorter one while the store is fuller than `earlyBodyRemovalFill`. A search reads all live bodies.
+ */
+export const orphanSearchMilliseconds = 600_000;
+export const urgentOrphanSearchMilliseconds = 60_000;
+/**
+ * Fill of the store, as a share of its capacity, from which bodies of listed items are removed before
+ * their job, and from which they are removed at once. Bodies younger than the history take up room
+ * in any case.
+ */
+export const earlyBodyRemovalFill = 0.3;
+export const immediateBodyRemovalFill = 0.5;
+/** Shortest time that the body of an item is kept after it was listed or its job was ended. */
+export const minimumBodyGraceMilliseconds = 2_000;
+/**
+ * Fill of the store above which new jobs are refused. The rest is left for results and progress of
+ * accepted jobs, for removals, and for what instances write before they hear of each other's writes.
+ */
+export const refusalFill = 0.75;
+/** Assumed text of an open item as long as no result has been read. */
+export const defaultTextBytes = 4_096;
+/** Retry-After of a job that is refused since the store is nearly full. */
+export const fullStoreRetryAfterMilliseconds = 5_000;
--- a/packages/jobs/item-bodies.ts
+++ b/packages/jobs/item-bodies.ts
@@ -5,6 +5,7 @@
  */
 
 import { Buffer } from "node:buffer";
+import { RosemaryrudderError } from "../common/errors.ts";
 import type { JobId, Offset, StreamName } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import {
@@ -22,7 +23,7 @@
   maximumValueBytes,
 } from "./constants.ts";
 import type { JobPartition } from "./job-partition.ts";
-import { bodyKey, type JobRecord, keyBeforeBodies } from "./records.ts";
+import { bodyKeys, type JobRecord, keyBeforeBodies } from "./records.ts";
 
 export interface ItemBodiesOptions {
   readonly store: KeyedStore;
@@ -30,10 +31,20 @@
   readonly logger: Logger;
 }
 
+/** The store was read, and it does not hold the body of the item. */
+export class BodyMissingError extends RosemaryrudderError {
+  constructor(message: string) {
+    super("body_missing", message);
+  }
+}
+
+/** Bodies by the index of the item; those that were removed are undefined. */
+type LoadedBodies = readonly (Buffer | undefined)[];
+
 export class ItemBodies {
   readonly #options: ItemBodiesOptions;
-  readonly #cache = new Map<JobId, Buffer[]>();
-  readonly #loading = new Map<JobId, Promise<Buffer[]>>();
+  readonly #cache = new Map<JobId, LoadedBodies>();
+  readonly #loading = new Map<string, Promise<LoadedBodies>>();
   #cachedBytes = 0;
 
   constructor(options: ItemBodiesOptions) {
@@ -60,17 +71,23 @@
     return first ?? (0 as Offset);
   }
 
-  /** Returns the body of one item; rejects if it cannot be read from the store. */
+  /**
+   * Returns the body of one item; rejects with BodyMissingError if the store does not hold it, and
+   * with another error if it cannot be read.
+   */
   async read(
     partition: JobPartition,
     record: JobRecord,
     item: number,
   ): Promise<Buffer> {
+    if (record.items[item]?.bodyBytes === 0) return Buffer.alloc(0);
     const cached = this.#cache.get(record.job);
-    const bodies = cached ?? await this.#load(partition, record);
-    const body = bodies[item];
-    if (!body) throw new Error(`no body of item ${item} of job ${record.job}`);
-    return body;
+    // What is cached may lack bodies that were beyond the limit of the first read.
+    const known = cached ?? await this.#load(partition, record, "offset");
+    const body = known[item] ??
+      (await this.#load(partition, record, "newest"))[item];
+    if (body) return body;
+    throw new BodyMissingError(`no body of item ${item} of job ${record.job}`);
   }
 
   /** Removes the bodies of a job from the cache. */
@@ -81,39 +98,34 @@
     this.#cachedBytes -= sizeOf(bodies);
   }
 
-  #load(partition: JobPartition, record: JobRecord): Promise<Buffer[]> {
-    const running = this.#loading.get(record.job);
+  /** Loads the bodies of a job in one of two ways; concurrent calls share one load. */
+  #load(
+    partition: JobPartition,
+    record: JobRecord,
+    way: "offset" | "newest",
+  ): Promise<LoadedBodies> {
+    const key = `${way}/${record.job}`;
+    const running = this.#loading.get(key);
     if (running) return running;
-    const loading = this.#loadFromStore(partition, record)
-      .finally(() => this.#loading.delete(record.job));
-    this.#loading.set(record.job, loading);
+    const target = this.#target(partition);
+    const records = way === "offset"
+      ? this.#readFromOffset(target, record)
+      : this.#readNewestRecords(target, record);
+    const loading = records
+      .then((found) => {
+        const bodies = assembleBodies(record, found);
+        this.#addToCache(record.job, bodies);
+        return bodies;
+      })
+      .finally(() => this.#loading.delete(key));
+    this.#loading.set(key, loading);
     return loading;
   }
 
   /**
-   * Reads the records from the offset of the bodies on, or the newest record of each key if the
-   * store has dropped those records or they do not contain all bodies.
+   * Reads the records from the offset at which the bodies were written; returns none if the store
+   * has dropped them.
    */
-  async #loadFromStore(
-    partition: JobPartition,
-    record: JobRecord,
-  ): Promise<Buffer[]> {
-    const target = this.#target(partition);
-    let records: KeyedRecord[];
-    try {
-      records = await this.#readFromOffset(target, record);
-    } catch (error) {
-      if (!(error instanceof OffsetOutOfRangeError)) throw error;
-      records = await this.#readNewestRecords(target, record);
-    }
-    const bodies = assembleBodies(record, records) ??
-      assembleBodies(record, await this.#readNewestRecords(target, record));
-    if (!bodies) throw new Error(`bodies of job ${record.job} are incomplete`);
-    this.#addToCache(record.job, bodies);
-    return bodies;
-  }
-
-  /** Reads the records from the offset at which the bodies were written. */
   async #readFromOffset(
     target: StreamPartition,
     record: JobRecord,
@@ -122,11 +134,16 @@
       (sum, item) => sum + item.bodyBytes + recordOverheadBytes,
       0,
     );
-    const result = await this.#options.store.read(target, {
-      from: record.bodyOffset as Offset,
-      maximumBytes: Math.min(total, maximumAppendBytes / 2),
-    });
-    return [...result.records];
+    try {
+      const result = await this.#options.store.read(target, {
+        from: record.bodyOffset as Offset,
+        maximumBytes: Math.min(total, maximumAppendBytes / 2),
+      });
+      return [...result.records];
+    } catch (error) {
+      if (error instanceof OffsetOutOfRangeError) return [];
+      throw error;
+    }
   }
 
   /** Reads the newest record of each key, from the key of the job's first body on. */
@@ -150,8 +167,8 @@
     return { stream: this.#options.stream, partition: partition.number };
   }
 
-  #addToCache(job: JobId, bodies: Buffer[]): void {
-    if (this.#cache.has(job)) return;
+  #addToCache(job: JobId, bodies: LoadedBodies): void {
+    this.evict(job);
     this.#cache.set(job, bodies);
     this.#cachedBytes += sizeOf(bodies);
     for (const oldest of this.#cache.keys()) {
@@ -162,40 +179,32 @@
 }
 
 function toEntries(job: JobId, bodies: readonly Buffer[]): KeyedEntry[] {
-  return bodies.flatMap((body, item) => {
-    const parts = Math.max(1, Math.ceil(body.length / maximumValueBytes));
-    return Array.from({ length: parts }, (_, part) => ({
-      key: bodyKey(job, item, part),
+  return bodies.flatMap((body, item) =>
+    bodyKeys(job, item, body.length).map((key, part) => ({
+      key,
       value: body.subarray(
         part * maximumValueBytes,
         (part + 1) * maximumValueBytes,
       ),
-    }));
-  });
+    }))
+  );
 }
 
-/** Returns undefined if a part is missing or a body does not have its expected length. */
+/** Leaves out the bodies of which a part is missing, or whose length differs from the expected one. */
 function assembleBodies(
   record: JobRecord,
   records: readonly KeyedRecord[],
-): Buffer[] | undefined {
+): LoadedBodies {
   const byKey = new Map(records.map((found) => [found.key, found.value]));
-  const bodies: Buffer[] = [];
-  for (const [item, { bodyBytes }] of record.items.entries()) {
-    const parts: Uint8Array[] = [];
-    const count = Math.max(1, Math.ceil(bodyBytes / maximumValueBytes));
-    for (let part = 0; part < count; part++) {
-      const key = bodyKey(record.job, item, part);
-      if (!byKey.has(key)) return undefined;
-      parts.push(byKey.get(key) ?? new Uint8Array(0));
-    }
+  return record.items.map(({ bodyBytes }, item) => {
+    const keys = bodyKeys(record.job, item, bodyBytes);
+    const parts = keys.flatMap((key) => byKey.get(key) ?? []);
+    if (parts.length < keys.length) return undefined;
     const body = Buffer.concat(parts);
-    if (body.length !== bodyBytes) return undefined;
-    bodies.push(body);
-  }
-  return bodies;
+    return body.length === bodyBytes ? body : undefined;
+  });
 }
 
-function sizeOf(bodies: readonly Buffer[]): number {
-  return bodies.reduce((sum, body) => sum + body.length, 0);
+function sizeOf(bodies: LoadedBodies): number {
+  return bodies.reduce((sum, body) => sum + (body?.length ?? 0), 0);
 }
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -3,7 +3,7 @@
  * leaves the data received so far and the id of the last event, from which the next run resumes.
  */
 
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type { InstanceId } from "../common/ids.ts";
 import type { AnswerHead } from "../gateway/caller-request.ts";
 import { dataOf, EventSplitter } from "../gateway/event-splitter.ts";
@@ -13,13 +13,15 @@
   type AttemptOptions,
   ServerAttempt,
 } from "../gateway/server-attempt.ts";
-import { maximumValueBytes } from "./constants.ts";
+import { maximumItemTextBytes, maximumOversizedRuns } from "./constants.ts";
 
 /** What all runs of an item have received so far. */
 export interface PartialOutput {
   /** Data of each event; the first entry may be the whole text that an earlier owner stored. */
   readonly eventData: string[];
   lastEventId: number | undefined;
+  /** Runs that were stopped since the text exceeded `maximumItemTextBytes`. */
+  oversizedRuns: number;
 }
 
 export type RunOutcome =
@@ -60,14 +62,18 @@
   readonly #attempt: ServerAttempt;
   readonly #splitter = new EventSplitter();
   #status = 0;
-  /** Characters of text that this run has received; a longer text than the store takes is unsound. */
-  #receivedCharacters = 0;
+  /** Bytes of the whole text in UTF-8, those of earlier runs included. */
+  #textBytes: number;
   #hasBegun = false;
   #isOver = false;
 
   constructor(options: ItemRunOptions) {
     this.#options = options;
     this.server = options.server;
+    this.#textBytes = options.output.eventData.reduce(
+      (sum, data) => sum + Buffer.byteLength(data),
+      0,
+    );
     this.#attempt = new ServerAttempt(options.attempt, {
       onStatement: options.onStatement,
       onHead: (head) => this.#handleHead(head),
@@ -123,13 +129,16 @@
       output.lastEventId = event.id;
       const data = dataOf(event);
       output.eventData.push(data);
-      this.#receivedCharacters += data.length;
+      this.#textBytes += Buffer.byteLength(data);
     }
     if (this.#splitter.isOversized) {
       this.#interrupt("an event of the stream does not end", true);
-    } else if (this.#receivedCharacters > maximumValueBytes) {
+    } else if (this.#textBytes > maximumItemTextBytes) {
       this.#discardOutput();
-      this.#interrupt("the text of the item does not end", true);
+      output.oversizedRuns += 1;
+      if (output.oversizedRuns >= maximumOversizedRuns) {
+        this.#end({ kind: "impossible" });
+      } else this.#interrupt("the text of the item does not end", true);
     }
     return events.length > 0;
   }
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -4,7 +4,12 @@
  */
 
 import { hashNumber } from "../common/hashing.ts";
-import type { JobId, PartitionNumber, StreamName } from "../common/ids.ts";
+import type {
+  JobId,
+  Offset,
+  PartitionNumber,
+  StreamName,
+} from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import type {
   KeyedEntry,
@@ -22,7 +27,14 @@
   nonOwnerReadPauseMilliseconds,
 } from "./constants.ts";
 import { type JobState, PartitionState } from "./partition-state.ts";
-import { type BatchRecord, decodeRecord } from "./records.ts";
+import { RecordIndex } from "./record-index.ts";
+import {
+  type BatchRecord,
+  decodeRecord,
+  endKey,
+  jobKey,
+  jobsOf,
+} from "./records.ts";
 
 export interface JobPartitionOptions {
   readonly store: KeyedStore;
@@ -36,6 +48,7 @@
 
 export class JobPartition {
   readonly state = new PartitionState();
+  readonly index = new RecordIndex();
   readonly target: StreamPartition;
   readonly #options: JobPartitionOptions;
   readonly #follower: PartitionFollower;
@@ -48,7 +61,8 @@
       store: options.store,
       target: options.target,
       logger: options.logger,
-      onRecords: (records) => this.#apply(records),
+      onRecords: (records, position, isSnapshot) =>
+        this.#apply(records, position, isSnapshot),
       pauseMilliseconds: () =>
         options.isOwned() ? 0 : nonOwnerReadPauseMilliseconds,
       waitMilliseconds: () =>
@@ -115,22 +129,22 @@
     };
   }
 
-  #apply(records: readonly KeyedRecord[]): void {
+  #apply(
+    records: readonly KeyedRecord[],
+    position: Offset,
+    isSnapshot: boolean,
+  ): void {
     const changed = new Set<JobId>();
     for (const record of records) {
-      if (record.value === undefined) continue;
-      let decoded: BatchRecord;
-      try {
-        decoded = decodeRecord(record.value);
-      } catch (error) {
-        this.#options.logger.error("a job record cannot be decoded", {
-          partition: this.number,
-          offset: record.offset,
-          reason: String(error),
-        });
-        continue;
+      const jobs = record.value === undefined
+        ? this.#remove(record.key, record.offset)
+        : this.#add(record, isSnapshot);
+      for (const job of jobs) changed.add(job);
+    }
+    if (isSnapshot) {
+      for (const key of this.index.missingFrom(records, position)) {
+        for (const job of this.#remove(key, position)) changed.add(job);
       }
-      for (const job of this.state.apply(decoded)) changed.add(job);
     }
     if (changed.size === 0) return;
     for (const job of changed) {
@@ -141,6 +155,37 @@
     }
     this.#options.onChange([...changed]);
   }
+
+  /** Applies a record and returns the jobs that changed. */
+  #add(record: KeyedRecord, isFromSnapshot: boolean): readonly JobId[] {
+    const now = this.#options.now();
+    let decoded: BatchRecord;
+    try {
+      decoded = decodeRecord(record.value!);
+    } catch (error) {
+      this.#options.logger.error("a job record cannot be decoded", {
+        partition: this.number,
+        offset: record.offset,
+        reason: String(error),
+      });
+      this.index.add(record, { jobs: [], now, isFromSnapshot });
+      return [];
+    }
+    this.index.add(record, { jobs: jobsOf(decoded), now, isFromSnapshot });
+    return this.state.apply(decoded, record.key);
+  }
+
+  /** Forgets a record that was removed from the store; returns the jobs that changed. */
+  #remove(key: string, offset: Offset): readonly JobId[] {
+    const jobs = this.index.get(key)?.jobs ?? [];
+    if (!this.index.delete(key, offset)) return [];
+    this.state.removeGroup(key);
+    const removed = jobs.filter((job) =>
+      key === jobKey(job) || (key === endKey(job) && !this.state.job(job))
+    );
+    for (const job of removed) this.state.removeJob(job);
+    return removed;
+  }
 }
 
 /** All partitions of the job stream; the hash of a job's id selects its partition. */
--- a/packages/jobs/partition-state.ts
+++ b/packages/jobs/partition-state.ts
@@ -11,6 +11,7 @@
   GroupRecord,
   ItemResult,
   JobRecord,
+  TextRecord,
 } from "./records.ts";
 
 export interface JobState {
@@ -29,12 +30,19 @@
   isEnded: boolean;
 }
 
+interface PendingGroup {
+  readonly key: string;
+  readonly group: GroupRecord;
+}
+
 export class PartitionState {
   readonly #jobs = new Map<JobId, JobState>();
   /** Jobs whose end has been read; a job that is read after its end never runs. */
   readonly #endedJobs = new Set<JobId>();
   /** Results and failure counts that were read before the job they belong to. */
-  readonly #pendingGroups: GroupRecord[] = [];
+  readonly #pendingGroups: PendingGroup[] = [];
+  /** Parts of texts whose result has not been read yet, by the job and the id of the text. */
+  readonly #texts = new Map<JobId, Map<string, string[]>>();
 
   job(id: JobId): JobState | undefined {
     return this.#jobs.get(id);
@@ -49,7 +57,7 @@
   }
 
   /** Applies a record and returns the jobs that changed; failure counts are no change. */
-  apply(record: BatchRecord): JobId[] {
+  apply(record: BatchRecord, key = ""): JobId[] {
     switch (record.kind) {
       case "job":
         return this.#applyJob(record);
@@ -60,14 +68,24 @@
         return [record.job];
       }
       case "group":
-        return this.#applyGroup(record);
+        return this.#applyGroup(record, key);
+      case "text":
+        this.#applyText(record);
+        return [];
     }
   }
 
-  /** Removes a job whose lifetime has passed. */
+  /** Removes a job whose record was removed from the store. */
   removeJob(id: JobId): void {
     this.#jobs.delete(id);
     this.#endedJobs.delete(id);
+    this.#texts.delete(id);
+  }
+
+  /** Forgets a group of unknown jobs whose record was removed from the store. */
+  removeGroup(key: string): void {
+    const index = this.#pendingGroups.findIndex((group) => group.key === key);
+    if (index >= 0) this.#pendingGroups.splice(index, 1);
   }
 
   #applyJob(record: JobRecord): JobId[] {
@@ -83,11 +101,33 @@
       isEnded: this.#endedJobs.has(record.job),
     });
     const pending = this.#pendingGroups.splice(0);
-    for (const group of pending) this.#applyGroup(group);
+    for (const { group, key } of pending) this.#applyGroup(group, key);
     return [record.job];
   }
 
-  #applyGroup(group: GroupRecord): JobId[] {
+  #applyText({ job, id, part, text }: TextRecord): void {
+    const texts = this.#texts.get(job) ?? new Map<string, string[]>();
+    this.#texts.set(job, texts);
+    const parts = texts.get(id) ?? [];
+    texts.set(id, parts);
+    parts[part] = text;
+  }
+
+  /** Returns the result with its whole text, or undefined if a part is missing. */
+  #completeText(result: ItemResult): ItemResult | undefined {
+    const { job, item, state, parts: reference } = result;
+    if (!reference) return result;
+    const texts = this.#texts.get(job);
+    const parts = texts?.get(reference.id) ?? [];
+    texts?.delete(reference.id);
+    if (texts?.size === 0) this.#texts.delete(job);
+    for (let part = 0; part < reference.count; part++) {
+      if (parts[part] === undefined) return undefined;
+    }
+    return { job, item, state, text: parts.join("") };
+  }
+
+  #applyGroup(group: GroupRecord, key: string): JobId[] {
     const changed = new Set<JobId>();
     const unmatched: GroupRecord = {
       kind: "group",
@@ -95,11 +135,13 @@
       failures: group.failures.filter((entry) => !this.#jobs.has(entry.job)),
     };
     if (unmatched.results.length + unmatched.failures.length > 0) {
-      this.#pendingGroups.push(unmatched);
+      this.#pendingGroups.push({ key, group: unmatched });
     }
-    for (const result of group.results) {
-      const state = this.#jobs.get(result.job);
-      if (!state || state.finished.has(result.item)) continue;
+    for (const stored of group.results) {
+      const state = this.#jobs.get(stored.job);
+      if (!state) continue;
+      const result = this.#completeText(stored);
+      if (!result || state.finished.has(result.item)) continue;
       state.finished.add(result.item);
       state.finishedTokens += state.record.items[result.item]?.tokens ?? 0;
       state.results.push(result);
--- a/packages/jobs/result-writer.ts
+++ b/packages/jobs/result-writer.ts
@@ -2,30 +2,38 @@
  * Writes the results and failure counts of items in groups, and retries each write until the
  * store confirms it. A write whose outcome is unknown is retried under a new key: a second record
  * with the same key would hide the first, and an instance that reads the partition later would
- * see its results at later positions.
+ * see its results at later positions. A write that the store rejects as invalid is not retried
+ * unchanged; as the last resort the item is given up.
  */
 
-import { Buffer } from "node:buffer";
 import type { Logger } from "../common/logging.ts";
 import { delay, systemTimers } from "../common/timers.ts";
 import {
   type KeyedEntry,
+  StoreRejectedError,
   StoreUnavailableError,
 } from "../store/keyed-store.ts";
+import { retryPauseMilliseconds } from "../store/retry-pause.ts";
 import { chunkBySize } from "./chunk-by-size.ts";
 import {
   groupCommitMilliseconds,
-  maximumValueBytes,
   writeRetryMilliseconds,
 } from "./constants.ts";
 import type { JobPartition } from "./job-partition.ts";
 import {
+  type BatchRecord,
   encodeRecord,
   groupKey,
-  type GroupRecord,
   type ItemFailures,
   type ItemResult,
+  jobsOf,
+  textKey,
 } from "./records.ts";
+import {
+  type PendingEntries,
+  recordsInsteadOf,
+  toRecords,
+} from "./result-records.ts";
 
 export interface ResultWriterOptions {
   readonly partition: JobPartition;
@@ -36,14 +44,6 @@
   readonly nextNumber: () => number;
 }
 
-interface PendingEntries {
-  results: ItemResult[];
-  failures: ItemFailures[];
-}
-
-/** Bytes allowed for the ids and field names of one entry. */
-const entryOverheadBytes = 120;
-
 export class ResultWriter {
   readonly #options: ResultWriterOptions;
   #pending: PendingEntries = createPendingEntries();
@@ -93,22 +93,28 @@
     this.#isWriting = true;
     const pending = this.#pending;
     this.#pending = createPendingEntries();
-    const values = splitIntoGroups(pending).map(encodeRecord);
-    for (const chunk of chunkBySize(values, (value) => value.length)) {
+    const records = toRecords(
+      pending,
+      () => `${this.#options.writer}/${this.#options.nextNumber()}`,
+    ).map(encode);
+    for (const chunk of chunkBySize(records, ({ value }) => value.length)) {
       await this.#appendWithRetry(chunk);
     }
     this.#isWriting = false;
     if (countOf(this.#pending) > 0) this.#schedule();
   }
 
-  async #appendWithRetry(values: readonly Uint8Array[]): Promise<void> {
+  async #appendWithRetry(records: readonly EncodedRecord[]): Promise<void> {
     const { partition, logger } = this.#options;
-    let entries = this.#assignKeys(values);
+    let entries = this.#assignKeys(records);
     for (let attempt = 1;; attempt++) {
       try {
         await partition.append(entries);
         return;
       } catch (error) {
+        if (error instanceof StoreRejectedError) {
+          return await this.#appendInsteadOf(records, error);
+        }
         logger.warn("results could not be written; the write will be retried", {
           partition: partition.number,
           attempt,
@@ -117,59 +123,70 @@
         const isNotWritten = error instanceof StoreUnavailableError &&
           !error.mayHaveTakenEffect;
         // A write that certainly had no effect can be retried under the same keys.
-        if (!isNotWritten) entries = this.#assignKeys(values);
-        const pause = Math.min(attempt, maximumBackoffFactor) *
-          writeRetryMilliseconds;
-        await delay(systemTimers, pause);
+        if (!isNotWritten) entries = this.#assignKeys(records);
+        await delay(
+          systemTimers,
+          retryPauseMilliseconds(error, {
+            attempt,
+            baseMilliseconds: writeRetryMilliseconds,
+          }),
+        );
       }
     }
   }
 
-  #assignKeys(values: readonly Uint8Array[]): KeyedEntry[] {
+  /** Never writes rejected records unchanged: one by one first, then what takes their place. */
+  async #appendInsteadOf(
+    records: readonly EncodedRecord[],
+    error: StoreRejectedError,
+  ): Promise<void> {
+    if (records.length > 1) {
+      for (const record of records) await this.#appendWithRetry([record]);
+      return;
+    }
+    const [{ record }] = records as [EncodedRecord];
+    const substitutes = recordsInsteadOf(record);
+    this.#options.logger.error("the store rejected a record of results", {
+      partition: this.#options.partition.number,
+      kind: record.kind,
+      jobs: jobsOf(record).join(" "),
+      items: record.kind === "group"
+        ? record.results.map(({ item }) => item).join(" ")
+        : null,
+      substitutes: substitutes.length,
+      reason: error.message,
+    });
+    for (const substitute of substitutes) {
+      await this.#appendWithRetry([encode(substitute)]);
+    }
+  }
+
+  #assignKeys(records: readonly EncodedRecord[]): KeyedEntry[] {
     const { writer, nextNumber } = this.#options;
-    return values.map((value) => ({
-      key: groupKey(writer, nextNumber()),
+    return records.map(({ record, value }) => ({
+      key: record.kind === "text"
+        ? textKey(record.id, record.part, nextNumber())
+        : groupKey(writer, nextNumber()),
       value,
     }));
   }
 }
 
 const flushPollMilliseconds = 10;
-/** Number of attempts after which the pause between two attempts stops growing. */
-const maximumBackoffFactor = 4;
 
-function createPendingEntries(): PendingEntries {
-  return { results: [], failures: [] };
+interface EncodedRecord {
+  readonly record: BatchRecord;
+  readonly value: Uint8Array;
 }
 
-function countOf({ results, failures }: PendingEntries): number {
-  return results.length + failures.length;
+function encode(record: BatchRecord): EncodedRecord {
+  return { record, value: encodeRecord(record) };
 }
 
-/** Splits pending entries into records that are small enough for the store. */
-function splitIntoGroups(pending: PendingEntries): GroupRecord[] {
-  const groups: GroupRecord[] = [];
-  let current = createPendingEntries();
-  let bytes = 0;
-  const add = (size: number, addTo: (group: PendingEntries) => void) => {
-    if (bytes + size > maximumValueBytes && countOf(current) > 0) {
-      groups.push({ kind: "group", ...current });
-      current = createPendingEntries();
-      bytes = 0;
-    }
-    addTo(current);
-    bytes += size;
-  };
-  for (const result of pending.results) {
-    add(sizeOfText(result.text), (group) => group.results.push(result));
-  }
-  for (const failures of pending.failures) {
-    add(entryOverheadBytes, (group) => group.failures.push(failures));
-  }
-  if (countOf(current) > 0) groups.push({ kind: "group", ...current });
-  return groups;
+function createPendingEntries(): PendingEntries {
+  return { results: [], failures: [] };
 }
 
-function sizeOfText(text: string): number {
-  return Buffer.byteLength(text) + entryOverheadBytes;
+function countOf({ results, failures }: PendingEntries): number {
+  return results.length + failures.length;
 }
--- a/packages/jobs/work-table.ts
+++ b/packages/jobs/work-table.ts
@@ -78,6 +78,7 @@
         output: {
           eventData: earlier ? [earlier.text] : [],
           lastEventId: earlier?.lastEventId,
+          oversizedRuns: 0,
         },
         sharedPromptParts: undefined,
         run: undefined,
--- a/packages/store/keyed-store.ts
+++ b/packages/store/keyed-store.ts
@@ -96,6 +96,13 @@
   }
 }
 
+/** The store is full; the write had no effect and may succeed once records were removed. */
+export class StoreFullError extends StoreUnavailableError {
+  constructor(message: string) {
+    super(message, { mayHaveTakenEffect: false });
+  }
+}
+
 /** The store has dropped the records at the requested offset. */
 export class OffsetOutOfRangeError extends RosemaryrudderError {
   constructor(message: string) {
--- a/packages/store/relayed-store.ts
+++ b/packages/store/relayed-store.ts
@@ -24,6 +24,8 @@
   OffsetOutOfRangeError,
   type ReadOptions,
   type ReadResult,
+  StoreFullError,
+  StoreRejectedError,
   StoreUnavailableError,
   type StreamPartition,
 } from "./keyed-store.ts";
@@ -53,7 +55,10 @@
 
 type RelayReply =
   | { readonly outcome: "done"; readonly value: unknown }
-  | { readonly outcome: "history_lost"; readonly message: string }
+  | {
+    readonly outcome: "history_lost" | "full" | "rejected";
+    readonly message: string;
+  }
   | {
     readonly outcome: "unavailable";
     readonly message: string;
@@ -64,7 +69,7 @@
   call: z.enum(["append", "read", "newest", "join", "leave"]),
 });
 const replySchema = z.looseObject({
-  outcome: z.enum(["done", "history_lost", "unavailable"]),
+  outcome: z.enum(["done", "history_lost", "full", "rejected", "unavailable"]),
 });
 
 const relayMessage = definePeerMessage<RelayCall, RelayReply>(
@@ -154,6 +159,8 @@
     try {
       return await callStore(this.#options.direct, call, signal);
     } catch (error) {
+      // A store that is full for this instance is full for its peers too.
+      if (error instanceof StoreFullError) throw error;
       if (signal?.aborted || !isUnavailable(error)) throw error;
       if (call.call === "append" && error.mayHaveTakenEffect) throw error;
       return await this.#relay(call, error);
@@ -198,6 +205,10 @@
         return reply.value as never;
       case "history_lost":
         throw new OffsetOutOfRangeError(reply.message);
+      case "full":
+        throw new StoreFullError(reply.message);
+      case "rejected":
+        throw new StoreRejectedError(reply.message);
       case "unavailable":
         throw new StoreUnavailableError(
           `relayed through ${peer}: ${reply.message}`,
@@ -219,6 +230,12 @@
       if (error instanceof OffsetOutOfRangeError) {
         return { outcome: "history_lost", message: error.message };
       }
+      if (error instanceof StoreFullError) {
+        return { outcome: "full", message: error.message };
+      }
+      if (error instanceof StoreRejectedError) {
+        return { outcome: "rejected", message: error.message };
+      }
       return {
         outcome: "unavailable",
         message: String(error),
