Needless records are removed from the store, and new jobs are refused before it is full

The owner of a partition removes jobs, their ends, groups and texts after their lifetime and a margin of a quarter of it, in one call, so that no reader sees a job without its results. Bodies of listed items go earlier the fuller the store is. Bodies that belong to no job are removed by the submission that failed, or found by the owner.

Each coordinator reports the live bytes of its partitions and what it has written within the history; the sum is the estimated volume. Above 0.75 of the capacity a new job gets 503 store_full before anything is written.

Ruled out: removal by every instance (each would write), following the bodies to count them (doubles their bytes), records of intent before the bodies (one more call for each job).

--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -12,7 +12,7 @@
 import type { ErrorAnswer } from "../gateway/caller-response.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
-import { malformedJob } from "../jobs/job-call-handler.ts";
+import { malformedJob } from "../jobs/job-answers.ts";
 import type { JobResponse } from "../jobs/job-response.ts";
 import { jobCallTimeoutMilliseconds } from "./constants.ts";
 import type { CoordinatorClient } from "./coordinator-client.ts";
--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -21,14 +21,26 @@
 import { JobAdmission } from "../jobs/job-admission.ts";
 import { JobCallHandler } from "../jobs/job-call-handler.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
+import {
+  orphanAgeShare,
+  retentionMarginShare,
+  submissionGapShare,
+} from "../jobs/constants.ts";
+import { OrphanBodies } from "../jobs/orphan-bodies.ts";
+import { RecordRemoval } from "../jobs/record-removal.ts";
+import { bodyGraceMilliseconds } from "../jobs/store-budget.ts";
+import { StoreCapacity } from "../jobs/store-capacity.ts";
 import { JobPartition, JobPartitions } from "../jobs/job-partition.ts";
 import { PartitionOwnership } from "../jobs/partition-ownership.ts";
 import { ProgressStore } from "../jobs/progress-store.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
+import { meterWrites, WriteMeter } from "../store/write-meter.ts";
 import {
   bodyStream,
+  defaultStoreCapacityBytes,
+  defaultStoreHistoryMilliseconds,
   jobStream,
   ownerGroup,
   progressStream,
@@ -49,6 +61,8 @@
   readonly peerReports: () => PeerReports;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
+  /** Called with the number of records that were removed from the store. */
+  readonly countRemovals: (family: "jobs" | "bodies", count: number) => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -59,6 +73,9 @@
   readonly #partitions: JobPartitions;
   readonly #bodies: ItemBodies;
   readonly #ownership: PartitionOwnership;
+  readonly #capacity: StoreCapacity;
+  readonly #removal: RecordRemoval;
+  readonly #orphans: OrphanBodies;
   readonly #progress: ProgressStore;
   readonly #executor: BatchExecutor;
   readonly #resultWriters = new Map<PartitionNumber, ResultWriter>();
@@ -66,7 +83,12 @@
 
   constructor(options: BatchWorkOptions) {
     this.#options = options;
-    const { settings, store, logger, clock } = options;
+    const { settings, logger, clock } = options;
+    const meter = new WriteMeter({
+      historyMilliseconds: this.#historyMilliseconds,
+      now: clock.monotonicNow,
+    });
+    const store = meterWrites(options.store, meter);
     this.#bodies = new ItemBodies({
       store,
       stream: bodyStream as StreamName,
@@ -82,7 +104,7 @@
           logger,
           now: clock.monotonicNow,
           isOwned: () => this.#ownership.isOwned(target.partition),
-          onChange: (jobs) => this.#executor.handleJobChanges(jobs),
+          onChange: (jobs) => this.#handleJobChanges(jobs),
         }),
     );
     this.#ownership = this.#createOwnership();
@@ -94,6 +116,9 @@
       logger,
     });
     this.#executor = this.#createExecutor();
+    this.#removal = this.#createRemoval(store);
+    this.#capacity = this.#createCapacity(meter);
+    this.#orphans = this.#createOrphans(store);
     this.calls = new JobCallHandler({
       partitions: this.#partitions,
       bodies: this.#bodies,
@@ -111,6 +136,10 @@
         logger,
       }),
       codec: options.jobCodec,
+      hasRoomFor: (bytes) => this.#capacity.hasRoomFor(bytes),
+      onBodiesOrphaned: (...orphans) => this.#orphans.add(...orphans),
+      submissionGapMilliseconds: settings.jobLifetimeMilliseconds *
+        submissionGapShare,
       now: clock.monotonicNow,
       wallNow: clock.wallNow,
       logger,
@@ -153,30 +182,90 @@
   /** The batch state that this instance reports to its peers. */
   report(): JobReport {
     return {
-      ownedPartitions: this.#ownership.ownedPartitions(),
+      ...this.#capacity.report(),
       ownerGeneration: this.#ownership.generation,
       waitingItems: this.#executor.waitingItems,
     };
   }
 
-  /** Drops finished jobs whose lifetime has passed from memory. */
-  removeExpiredJobs(): void {
-    const { settings, clock } = this.#options;
-    const now = clock.wallNow();
-    for (const partition of this.#partitions.all()) {
-      for (const state of [...partition.state.jobs()]) {
-        const { record } = state;
-        const isFinished = state.isEnded ||
-          state.finished.size === record.items.length;
-        const expiresAt = record.acceptedAt + settings.jobLifetimeMilliseconds;
-        if (isFinished && now > expiresAt) this.#dropJob(partition, record.job);
-      }
+  /** Estimated volume of the store, and the number of records of jobs and bodies in it. */
+  get storedVolume(): { readonly bytes: number; readonly liveKeys: number } {
+    const { volumeBytes, liveKeys } = this.#capacity;
+    return { bytes: volumeBytes, liveKeys };
+  }
+
+  /** Measures the store and removes needless records of the owned partitions. */
+  sweep(): void {
+    this.#capacity.refresh();
+    void this.#removal.sweep();
+    void this.#orphans.sweep();
+  }
+
+  #handleJobChanges(jobs: readonly JobId[]): void {
+    this.#executor.handleJobChanges(jobs);
+    for (const job of jobs) {
+      if (!this.#partitions.forJob(job).job(job)) this.#bodies.evict(job);
     }
   }
 
-  #dropJob(partition: JobPartition, job: JobId): void {
-    partition.state.removeJob(job);
-    this.#bodies.evict(job);
+  get #historyMilliseconds(): number {
+    return this.#options.settings.store.historyMilliseconds ??
+      defaultStoreHistoryMilliseconds;
+  }
+
+  #createRemoval(store: KeyedStore): RecordRemoval {
+    const { settings, clock, logger, countRemovals } = this.#options;
+    const lifetimeMilliseconds = settings.jobLifetimeMilliseconds;
+    return new RecordRemoval({
+      store,
+      bodyStream: bodyStream as StreamName,
+      partitions: this.#partitions,
+      isOwner: (partition) => this.#ownership.canStartItems(partition),
+      times: () => ({
+        lifetimeMilliseconds,
+        marginMilliseconds: lifetimeMilliseconds * retentionMarginShare,
+        orphanMilliseconds: lifetimeMilliseconds * orphanAgeShare,
+        bodyGraceMilliseconds: bodyGraceMilliseconds(
+          this.#capacity.fill,
+          lifetimeMilliseconds,
+        ),
+      }),
+      now: clock.monotonicNow,
+      wallNow: clock.wallNow,
+      onRemoved: countRemovals,
+      logger,
+    });
+  }
+
+  #createCapacity(meter: WriteMeter): StoreCapacity {
+    const { settings, clock, logger, peerReports } = this.#options;
+    return new StoreCapacity({
+      capacityBytes: settings.store.capacityBytes ?? defaultStoreCapacityBytes,
+      historyMilliseconds: this.#historyMilliseconds,
+      partitions: this.#partitions,
+      isOwned: (partition) => this.#ownership.isOwned(partition),
+      notesOf: (partition, job) => this.#removal.notesOf(partition, job),
+      meter,
+      peerVolumes: () =>
+        peerReports().recentReports().map((peer) => peer.report),
+      now: clock.monotonicNow,
+      wallNow: clock.wallNow,
+      logger,
+    });
+  }
+
+  #createOrphans(store: KeyedStore): OrphanBodies {
+    const { settings, clock, logger, countRemovals } = this.#options;
+    return new OrphanBodies({
+      store,
+      stream: bodyStream as StreamName,
+      partitions: this.#partitions,
+      isOwned: (partition) => this.#ownership.canStartItems(partition),
+      orphanMilliseconds: settings.jobLifetimeMilliseconds * orphanAgeShare,
+      now: clock.monotonicNow,
+      onRemoved: (count) => countRemovals("bodies", count),
+      logger,
+    });
   }
 
   #createOwnership(): PartitionOwnership {
--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -55,3 +55,7 @@
  * after the timeout, the next peer is asked.
  */
 export const displaceTimeoutMilliseconds = 60;
+/** Bytes that the store holds in total before it refuses writes, unless the settings tell others. */
+export const defaultStoreCapacityBytes = 400_000_000;
+/** How long the store keeps every record, unless the settings tell otherwise. */
+export const defaultStoreHistoryMilliseconds = 20_000;
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -64,6 +64,8 @@
   readonly removeMember: (member: Member) => void;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
+  /** Called with the number of records that were removed from the store. */
+  readonly countRemovals: (family: "jobs" | "bodies", count: number) => void;
 }
 
 /** What is known of the tokens that are left when this instance begins to apply limits. */
@@ -229,7 +231,7 @@
   sweep({ isStoreFailing }: { readonly isStoreFailing: boolean }): void {
     const { logger, removeMember } = this.#options;
     if (!this.#batch) return;
-    this.#batch.removeExpiredJobs();
+    this.#batch.sweep();
     if (isStoreFailing) return;
     this.#silentDependents.sweep();
     if (!this.#batch.ownsFirstPartition) return;
@@ -415,6 +417,7 @@
       jobCodec,
       peerReports: () => this.#reports,
       countRun: (outcome) => this.#options.countRun(outcome),
+      countRemovals: (...removed) => this.#options.countRemovals(...removed),
       clock,
       logger,
     });
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -233,6 +233,7 @@
       onVerdictsLoaded: () => this.#gateway.handleDocuments(),
       countServerCrash: () => metrics.countServerCrash(),
       countRun: (outcome) => metrics.countItemRun(outcome),
+      countRemovals: (...removed) => metrics.countRemovals(...removed),
       clock,
       logger,
     });
--- a/packages/entry/entry-metrics.ts
+++ b/packages/entry/entry-metrics.ts
@@ -43,6 +43,11 @@
     "Runs of batch items by outcome.",
     ["outcome"],
   );
+  readonly #removals = this.#createCounter(
+    "rosemaryrudder_removed_records_total",
+    "Records that this instance has removed from the store, by family.",
+    ["family"],
+  );
   readonly #serverCrashes = this.#createCounter(
     "rosemaryrudder_server_crashes_total",
     "Crashes of servers that this instance has noticed.",
@@ -100,6 +105,10 @@
     this.#itemRuns.inc({ outcome });
   }
 
+  countRemovals(family: string, count: number): void {
+    this.#removals.inc({ family }, count);
+  }
+
   countServerCrash(): void {
     this.#serverCrashes.inc();
   }
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -7,6 +7,14 @@
   readonly port: number;
 }
 
+export interface StoreSettings {
+  readonly partitions: number;
+  /** How long the store keeps every record, 20 s by default. */
+  readonly historyMilliseconds?: number;
+  /** Bytes that the store holds at most, 400 MB by default. */
+  readonly capacityBytes?: number;
+}
+
 export interface EntrySettings {
   readonly instance: InstanceId;
   /** Differs at each start of the process. */
@@ -20,7 +28,7 @@
   readonly metrics: ListenAddress | undefined;
   /** True if the whole fleet starts for the first time, so that no earlier state can exist. */
   readonly isFirstStart: boolean;
-  readonly store: ListenAddress & { readonly partitions: number };
+  readonly store: ListenAddress & StoreSettings;
   /** Largest number of instances that coordinate the others. */
   readonly maximumCoordinators?: number;
   /** Time between the request to stop and the forced termination of the process. */
--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -63,6 +63,16 @@
       help: "Partitions of the job stream that this instance owns.",
       read: () => coordination.batch?.report().ownedPartitions.length ?? 0,
     },
+    {
+      name: "rosemaryrudder_stored_bytes",
+      help: "Estimated volume of the whole store; 0 at a dependent.",
+      read: () => coordination.batch?.storedVolume.bytes ?? 0,
+    },
+    {
+      name: "rosemaryrudder_stored_keys",
+      help: "Records of jobs and bodies that the store holds.",
+      read: () => coordination.batch?.storedVolume.liveKeys ?? 0,
+    },
     {
       name: "rosemaryrudder_quarantined_parts",
       help: "Prompt parts whose requests are rejected, since servers crash.",
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -48,6 +48,10 @@
   readonly ownedPartitions: readonly PartitionNumber[];
   readonly ownerGeneration: number;
   readonly waitingItems: number;
+  /** Live bytes of the owned partitions that are older than the store's history. */
+  readonly storedBytes?: number | undefined;
+  /** Bytes that this instance has written to the store within its history. */
+  readonly writtenBytes?: number | undefined;
 }
 
 export interface PeerReportsOptions extends StatementListeners {
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -54,6 +54,9 @@
   readonly ownerGeneration: number;
   /** Number of items of batch jobs that wait for a server. */
   readonly waitingItems: number;
+  /** The parts of the stored volume that the sender knows; earlier versions report none. */
+  readonly storedBytes?: number | undefined;
+  readonly writtenBytes?: number | undefined;
   /** Answers to requests of the sender and its dependents that have begun since the last report. */
   readonly begun: BegunReport;
 }
@@ -75,6 +78,8 @@
   ownedPartitions: z.array(z.number()),
   ownerGeneration: z.number(),
   waitingItems: z.number(),
+  storedBytes: z.optional(z.number()),
+  writtenBytes: z.optional(z.number()),
   begun: z._default(begunReportSchema, { parts: [], counts: [] }),
 });
 
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -33,7 +33,7 @@
   maximumConcurrentRuns,
   resultDeliveryMilliseconds,
 } from "./constants.ts";
-import type { ItemBodies } from "./item-bodies.ts";
+import { BodyMissingError, type ItemBodies } from "./item-bodies.ts";
 import { collectReadyItems, maximumStarts } from "./ready-items.ts";
 import { RunEstimator } from "./run-estimate.ts";
 import { ItemRun, type RunOutcome } from "./item-run.ts";
@@ -272,6 +272,9 @@
           item: work.itemId,
           reason: String(error),
         });
+        if (error instanceof BodyMissingError) {
+          this.#giveUpAfterRetention(work, state, partition, error.message);
+        }
       },
     );
     return true;
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -99,22 +99,24 @@
 export const retentionMarginShare = 0.25;
 /**
  * Share of a job's lifetime after which records of a job that does not exist are removed: bodies
- * whose submission failed, or results that arrived after the removal. Longer than a submission may
- * take from its bodies to its job record (`maximumSubmissionGapMilliseconds`).
+ * whose submission failed, or results that arrived after the removal; 60 s at a lifetime of 120 s.
+ * Far longer than a submission may take from its bodies to its job record (`submissionGapShare`).
  */
 export const orphanAgeShare = 0.5;
-/** A job record is not written if the writing of its bodies began longer ago; they are written again. */
-export const maximumSubmissionGapMilliseconds = 15_000;
+/**
+ * Share of a job's lifetime after which the job record is not written any more, since the writing of
+ * its bodies began too long ago, as after a freeze of the process; they are written again.
+ */
+export const submissionGapShare = 0.125;
 /** Most records of one partition that are removed in one sweep, about 50 KB of removals. */
 export const maximumRemovalsPerSweep = 1_000;
 /** Pause of the removals of a partition after a failed one. */
 export const removalRetryMilliseconds = 5_000;
 /**
- * Interval at which the owner of a partition searches for bodies of jobs that do not exist, and the
- * shorter one while the store is fuller than `earlyBodyRemovalFill`. A search reads all live bodies.
+ * Interval at which the owner of a partition searches for bodies of jobs that do not exist, beside
+ * the search after its assignment. A search reads live bodies.
  */
 export const orphanSearchMilliseconds = 600_000;
-export const urgentOrphanSearchMilliseconds = 60_000;
 /**
  * Fill of the store, as a share of its capacity, from which bodies of listed items are removed before
  * their job, and from which they are removed at once. Bodies younger than the history take up room
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -11,22 +11,41 @@
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { JobCall, ReceivedRequest } from "../gateway/caller-request.ts";
 import type { ErrorAnswer } from "../gateway/caller-response.ts";
-import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
-import { StoreUnavailableError } from "../store/keyed-store.ts";
+import {
+  StoreFullError,
+  StoreRejectedError,
+  StoreUnavailableError,
+} from "../store/keyed-store.ts";
 import {
   defaultSubmitDeadlineMilliseconds,
   maximumResultBytes,
   submitDeadlineShare,
   writeRetryMilliseconds,
 } from "./constants.ts";
-import type { ItemBodies } from "./item-bodies.ts";
+import { BodyMissingError, type ItemBodies } from "./item-bodies.ts";
+import {
+  bodyRemoved,
+  jobTooLarge,
+  malformedJob,
+  outcomeUnknown,
+  storeFull,
+  storeUnavailable,
+  unknownItem,
+  unknownJob,
+} from "./job-answers.ts";
 import type { JobAdmission } from "./job-admission.ts";
 import type { JobCodec, SubmittedItem } from "./job-codec.ts";
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobResponse } from "./job-response.ts";
 import type { JobState } from "./partition-state.ts";
-import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
+import {
+  bodyKeys,
+  encodeRecord,
+  endKey,
+  jobKey,
+  type JobRecord,
+} from "./records.ts";
 import type { TokenDecision, TokenDemand } from "./waiting-tokens.ts";
 
 export interface JobCallHandlerOptions {
@@ -34,6 +53,16 @@
   readonly bodies: ItemBodies;
   readonly admission: Pick<JobAdmission, "reserve" | "release">;
   readonly codec: JobCodec;
+  /** Whether the store has room for the records of a new job. */
+  readonly hasRoomFor: (bytes: number) => boolean;
+  /** Called with the bodies of a job that may not have been recorded. */
+  readonly onBodiesOrphaned: (
+    partition: JobPartition,
+    job: JobId,
+    keys: readonly string[],
+  ) => void;
+  /** Longest time from the writing of the bodies to that of the job record. */
+  readonly submissionGapMilliseconds: number;
   readonly now: () => number;
   readonly wallNow: () => number;
   readonly logger: Logger;
@@ -143,6 +172,12 @@
       tokens: items.reduce((sum, { tokens }) => sum + tokens, 0),
       maximumTokens: route.maximumWaitingTokens,
     };
+    const bytes = items.reduce((sum, { body }) => sum + body.length, 0);
+    if (!partition.job(job) && !this.#options.hasRoomFor(bytes)) {
+      // As for waiting tokens, an earlier attempt may have written the job.
+      if (!await partition.catchUp()) return storeUnavailable;
+      if (!partition.job(job)) return storeFull;
+    }
     const decision = await this.#reserveTokens(demand);
     if (!decision) return storeUnavailable;
     if (!decision.isAdmitted) {
@@ -174,6 +209,14 @@
         response.sendJson(202, { id: job, total: record.items.length });
         return undefined;
       } catch (error) {
+        const keys = items.flatMap(({ body }, item) =>
+          bodyKeys(job, item, body.length)
+        );
+        this.#options.onBodiesOrphaned(partition, job, keys);
+        if (error instanceof StoreRejectedError && !mayHaveTakenEffect) {
+          this.#options.admission.release(demand);
+          return jobTooLarge;
+        }
         if (!(error instanceof StoreUnavailableError)) throw error;
         mayHaveTakenEffect ||= error.mayHaveTakenEffect;
         logger.warn("a job could not be written to the store", {
@@ -183,7 +226,7 @@
         });
         if (!mayHaveTakenEffect) {
           this.#options.admission.release(demand);
-          return storeUnavailable;
+          return error instanceof StoreFullError ? storeFull : storeUnavailable;
         }
         await delay(systemTimers, writeRetryMilliseconds);
       }
@@ -252,7 +295,8 @@
     received: ReceivedRequest,
     workspace: WorkspaceId | undefined,
   ): Promise<JobRecord> {
-    const { bodies, wallNow } = this.#options;
+    const { bodies, now, wallNow, submissionGapMilliseconds } = this.#options;
+    const startedAt = now();
     let bodyOffset: number;
     try {
       bodyOffset = await bodies.write(
@@ -262,12 +306,21 @@
       );
     } catch (error) {
       // Bodies without a job record never run, so it does not matter whether they were written.
-      if (!(error instanceof StoreUnavailableError)) throw error;
+      if (
+        !(error instanceof StoreUnavailableError) ||
+        error instanceof StoreFullError
+      ) throw error;
       throw new StoreUnavailableError(error.message, {
         mayHaveTakenEffect: false,
         cause: error,
       });
     }
+    // After a longer pause the bodies may have been removed as belonging to no job.
+    if (now() - startedAt > submissionGapMilliseconds) {
+      throw new StoreUnavailableError("writing the bodies took too long", {
+        mayHaveTakenEffect: false,
+      });
+    }
     const acceptedAt = wallNow();
     const record: JobRecord = {
       kind: "job",
@@ -349,7 +402,10 @@
         item: call.item,
         reason: String(error),
       });
-      return storeUnavailable;
+      const isNeeded = !found.isEnded && !found.finished.has(item);
+      return error instanceof BodyMissingError && !isNeeded
+        ? bodyRemoved
+        : storeUnavailable;
     }
   }
 
@@ -430,32 +486,3 @@
     const cancel = partition.onNextJobChange(job, finish);
   });
 }
-
-export function malformedJob(reason: string): ErrorAnswer {
-  return { status: 400, code: "malformed_job", message: reason };
-}
-
-const storeUnavailable: ErrorAnswer = {
-  status: 503,
-  code: "store_unavailable",
-  message: "the store does not answer; nothing was done",
-  retryAfterMilliseconds: defaultRetryAfterMilliseconds,
-};
-
-const outcomeUnknown: ErrorAnswer = {
-  status: 504,
-  code: "outcome_unknown",
-  message: "the store did not answer; the call may have taken effect",
-};
-
-const unknownJob: ErrorAnswer = {
-  status: 404,
-  code: "unknown_job",
-  message: "no such job",
-};
-
-const unknownItem: ErrorAnswer = {
-  status: 404,
-  code: "unknown_item",
-  message: "the job has no such item",
-};
--- /dev/null
+++ b/packages/jobs/orphan-bodies.ts
@@ -0,0 +1,130 @@
+/**
+ * Removes bodies whose job was never recorded: the submission failed or its instance died halfway.
+ * The owner of a partition searches for them after it was assigned and at long intervals, since a
+ * search reads values as well as keys. A failed submission reports its bodies itself.
+ */
+
+import type { JobId, PartitionNumber, StreamName } from "../common/ids.ts";
+import type { Logger } from "../common/logging.ts";
+import type { KeyedStore } from "../store/keyed-store.ts";
+import {
+  maximumRemovalsPerSweep,
+  orphanSearchMilliseconds,
+} from "./constants.ts";
+import type { JobPartition, JobPartitions } from "./job-partition.ts";
+import { jobOfBodyKey, keyAfterBodies } from "./records.ts";
+
+export interface OrphanBodiesOptions {
+  readonly store: KeyedStore;
+  readonly stream: StreamName;
+  readonly partitions: JobPartitions;
+  readonly isOwned: (partition: PartitionNumber) => boolean;
+  /** Age of the bodies before they are removed. */
+  readonly orphanMilliseconds: number;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
+  readonly onRemoved: (count: number) => void;
+  readonly logger: Logger;
+}
+
+interface OrphanCandidate {
+  readonly partition: JobPartition;
+  readonly keys: Set<string>;
+  readonly knownSince: number;
+}
+
+export class OrphanBodies {
+  readonly #options: OrphanBodiesOptions;
+  readonly #candidates = new Map<JobId, OrphanCandidate>();
+  readonly #nextSearchAt = new Map<PartitionNumber, number>();
+  #isBusy = false;
+
+  constructor(options: OrphanBodiesOptions) {
+    this.#options = options;
+  }
+
+  /** Adds bodies that may belong to no job; they are removed if none is recorded in time. */
+  add(partition: JobPartition, job: JobId, keys: Iterable<string>): void {
+    const candidate = this.#candidates.get(job) ??
+      { partition, keys: new Set(), knownSince: this.#options.now() };
+    this.#candidates.set(job, candidate);
+    for (const key of keys) candidate.keys.add(key);
+  }
+
+  /** Searches one partition if that is due, and removes bodies that have been candidates for long. */
+  async sweep(): Promise<void> {
+    if (this.#isBusy) return;
+    this.#isBusy = true;
+    try {
+      const partition = this.#nextToSearch();
+      if (partition) await this.#search(partition);
+      await this.#removeRipe();
+    } catch (error) {
+      this.#options.logger.warn("bodies without a job could not be removed", {
+        candidates: this.#candidates.size,
+        reason: String(error),
+      });
+    } finally {
+      this.#isBusy = false;
+    }
+  }
+
+  #nextToSearch(): JobPartition | undefined {
+    const { partitions, isOwned, now, orphanMilliseconds } = this.#options;
+    for (const partition of partitions.all()) {
+      const { number } = partition;
+      if (!isOwned(number)) this.#nextSearchAt.delete(number);
+      else if (!this.#nextSearchAt.has(number)) {
+        this.#nextSearchAt.set(number, now() + orphanMilliseconds);
+      } else if (
+        partition.isLoaded && now() >= this.#nextSearchAt.get(number)!
+      ) {
+        this.#nextSearchAt.set(number, now() + orphanSearchMilliseconds);
+        return partition;
+      }
+    }
+    return undefined;
+  }
+
+  /** Reads the keys of the bodies; those of a known job are passed over. */
+  async #search(partition: JobPartition): Promise<void> {
+    const { store, stream } = this.#options;
+    const target = { stream, partition: partition.number };
+    let after: string | undefined;
+    for (;;) {
+      const page = await store.readNewest(target, after);
+      for (const { key } of page.records) {
+        const job = jobOfBodyKey(key);
+        if (!partition.job(job)) this.add(partition, job, [key]);
+      }
+      const last = page.records.at(-1)?.key;
+      if (!page.hasMore || last === undefined) return;
+      const lastJob = jobOfBodyKey(last);
+      after = partition.job(lastJob) ? keyAfterBodies(lastJob) : last;
+    }
+  }
+
+  async #removeRipe(): Promise<void> {
+    const { store, stream, now, orphanMilliseconds, onRemoved, logger } =
+      this.#options;
+    const limit = now() - orphanMilliseconds;
+    for (const [job, { partition, keys, knownSince }] of this.#candidates) {
+      if (knownSince > limit) continue;
+      // A repeated submission may have recorded the job meanwhile.
+      if (!partition.job(job) && !await partition.catchUp()) return;
+      if (!partition.job(job)) {
+        const entries = [...keys].slice(0, maximumRemovalsPerSweep)
+          .map((key) => ({ key, value: undefined }));
+        await store.append({ stream, partition: partition.number }, entries);
+        onRemoved(entries.length);
+        logger.info("bodies without a job were removed", {
+          job,
+          partition: partition.number,
+          records: entries.length,
+        });
+        for (const { key } of entries) keys.delete(key);
+      } else keys.clear();
+      if (keys.size === 0) this.#candidates.delete(job);
+    }
+  }
+}
--- a/packages/jobs/record-index.ts
+++ b/packages/jobs/record-index.ts
@@ -3,9 +3,9 @@
  * one of each key, with its size and the jobs that it belongs to. The values are not kept.
  */
 
-import { Buffer } from "node:buffer";
 import type { JobId, Offset } from "../common/ids.ts";
-import type { KeyedEntry, KeyedRecord } from "../store/keyed-store.ts";
+import type { KeyedRecord } from "../store/keyed-store.ts";
+import { storedBytes } from "../store/write-meter.ts";
 
 export interface IndexedRecord {
   readonly offset: Offset;
@@ -18,14 +18,6 @@
   readonly isFromSnapshot: boolean;
 }
 
-/** Bytes that the store counts for a record in addition to its key and value. */
-const recordHeaderBytes = 5;
-
-/** Bytes that a record takes up in the store. */
-export function storedBytes({ key, value }: KeyedEntry): number {
-  return recordHeaderBytes + Buffer.byteLength(key) + (value?.length ?? 0);
-}
-
 export class RecordIndex {
   readonly #records = new Map<string, IndexedRecord>();
   readonly #keysOfJob = new Map<JobId, Set<string>>();
