--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -10,9 +10,9 @@
 export interface StoreSettings {
   readonly partitions: number;
   /** How long the store keeps every record, 20 s by default. */
-  readonly historyMilliseconds?: number;
+  readonly historyMilliseconds?: number | undefined;
   /** Bytes that the store holds at most, 400 MB by default. */
-  readonly capacityBytes?: number;
+  readonly capacityBytes?: number | undefined;
 }
 
 export interface EntrySettings {
--- a/packages/store/testing/memory-keyed-store.ts
+++ b/packages/store/testing/memory-keyed-store.ts
@@ -15,6 +15,7 @@
   OffsetOutOfRangeError,
   type ReadOptions,
   type ReadResult,
+  StoreFullError,
   StoreRejectedError,
   StoreUnavailableError,
   type StreamPartition,
@@ -41,7 +42,7 @@
   readonly #logs = new Map<string, PartitionLog>();
   readonly #groups = new Map<string, Group>();
   readonly #partitions: number;
-  readonly pageSize: number;
+  pageSize: number;
   /** Every member of a group is assigned all partitions, as around a hand-over gone wrong. */
   assignsAllToEach = false;
   /** Callers whose calls fail. */
@@ -52,6 +53,10 @@
   /** Delay before an append takes effect. */
   appendDelayMilliseconds = 0;
   appendCount = 0;
+  /** Appends are refused as by a store without room. */
+  isFull = false;
+  /** Appends that were refused since the store is full. */
+  fullAppends = 0;
   /** Appends that were rejected since a record is too large. */
   rejectedAppends = 0;
 
@@ -106,6 +111,10 @@
       this.rejectedAppends += 1;
       throw new StoreRejectedError("a record is too large");
     }
+    if (this.isFull) {
+      this.fullAppends += 1;
+      throw new StoreFullError("the store is full");
+    }
     const log = this.log(target);
     const first = log.records.length;
     this.appendCount += 1;
