A full store is asked rarely on every path that writes

Member records, verdicts and progress were retried at constant pauses of 0.15 to 1.5 s. While the store is full the pause now doubles up to 4 s; after other failures it stays as it was.

--- a/packages/entry/membership.ts
+++ b/packages/entry/membership.ts
@@ -19,6 +19,7 @@
 } from "../store/keyed-store.ts";
 import { relaxedFollowWaitMilliseconds } from "../store/constants.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
+import { retryPauseMilliseconds } from "../store/retry-pause.ts";
 import {
   memberReadPauseMilliseconds,
   membershipRetryMilliseconds,
@@ -115,7 +116,7 @@
     const { store, self, logger, members } = this.#options;
     if (this.#isRegistering) return;
     this.#isRegistering = true;
-    while (!this.#isStopped) {
+    for (let attempt = 1; !this.#isStopped; attempt++) {
       if (members.get(self.instance)?.incarnation === self.incarnation) break;
       try {
         await store.append(this.#target, [{
@@ -127,7 +128,13 @@
         logger.warn("the member record of this instance could not be written", {
           reason: String(error),
         });
-        await delay(systemTimers, membershipRetryMilliseconds);
+        await delay(
+          systemTimers,
+          retryPauseMilliseconds(error, {
+            attempt,
+            baseMilliseconds: membershipRetryMilliseconds,
+          }),
+        );
       }
     }
     this.#isRegistering = false;
--- a/packages/jobs/progress-store.ts
+++ b/packages/jobs/progress-store.ts
@@ -9,8 +9,13 @@
 import type { Logger } from "../common/logging.ts";
 import { delay, systemTimers } from "../common/timers.ts";
 import { decodeValue, encodeValue } from "../protocol/frames.ts";
-import type { KeyedEntry, KeyedStore } from "../store/keyed-store.ts";
+import {
+  type KeyedEntry,
+  type KeyedStore,
+  StoreFullError,
+} from "../store/keyed-store.ts";
 import { readNewestPages } from "../store/newest-pages.ts";
+import { retryPauseMilliseconds } from "../store/retry-pause.ts";
 import {
   maximumValueBytes,
   progressIntervalMilliseconds,
@@ -57,6 +62,9 @@
   readonly #options: ProgressStoreOptions;
   readonly #partitions = new Map<PartitionNumber, PartitionProgress>();
   #timer: NodeJS.Timeout | undefined;
+  /** Failed writes since the last successful one, which lengthen the pause before the next. */
+  #failedWrites = 0;
+  #pausedUntil = Number.NEGATIVE_INFINITY;
 
   constructor(options: ProgressStoreOptions) {
     this.#options = options;
@@ -64,6 +72,7 @@
 
   start(): void {
     this.#timer = setInterval(() => {
+      if (performance.now() < this.#pausedUntil) return;
       for (const partition of this.#options.ownedPartitions()) {
         if (this.isLoaded(partition)) void this.write(partition);
       }
@@ -163,12 +172,19 @@
           } else storedEventIds.set(key, lastEventId);
         }
       }
+      this.#failedWrites = 0;
     } catch (error) {
       logger.warn("the progress of items could not be written", {
         partition,
         items: entries.length,
         reason: String(error),
       });
+      if (!(error instanceof StoreFullError)) return;
+      this.#failedWrites += 1;
+      this.#pausedUntil = performance.now() + retryPauseMilliseconds(error, {
+        attempt: this.#failedWrites,
+        baseMilliseconds: progressIntervalMilliseconds,
+      });
     }
   }
 
--- a/packages/jobs/result-writer.ts
+++ b/packages/jobs/result-writer.ts
@@ -129,6 +129,7 @@
           retryPauseMilliseconds(error, {
             attempt,
             baseMilliseconds: writeRetryMilliseconds,
+            growthLimit: maximumBackoffFactor,
           }),
         );
       }
@@ -173,6 +174,8 @@
 }
 
 const flushPollMilliseconds = 10;
+/** Number of attempts after which the pause between two attempts stops growing. */
+const maximumBackoffFactor = 4;
 
 interface EncodedRecord {
   readonly record: BatchRecord;
--- a/packages/quarantine/verdict-store.ts
+++ b/packages/quarantine/verdict-store.ts
@@ -12,6 +12,7 @@
   KeyedStore,
   StreamPartition,
 } from "../store/keyed-store.ts";
+import { retryPauseMilliseconds } from "../store/retry-pause.ts";
 import { writeRetryMilliseconds } from "./constants.ts";
 import {
   claimEntry,
@@ -92,6 +93,7 @@
 
   async #writeAll(): Promise<void> {
     this.#isWriting = true;
+    let attempt = 0;
     while (this.#unwritten.size > 0 && !this.#isStopped) {
       const changes = [...this.#unwritten];
       try {
@@ -104,12 +106,20 @@
             this.#unwritten.delete(part);
           }
         }
+        attempt = 0;
       } catch (error) {
         this.#options.logger.warn("verdicts could not be written", {
           parts: changes.map(([part]) => part).join(" "),
           reason: String(error),
         });
-        await delay(systemTimers, writeRetryMilliseconds);
+        attempt += 1;
+        await delay(
+          systemTimers,
+          retryPauseMilliseconds(error, {
+            attempt,
+            baseMilliseconds: writeRetryMilliseconds,
+          }),
+        );
       }
     }
     this.#isWriting = false;
--- a/packages/store/retry-pause.ts
+++ b/packages/store/retry-pause.ts
@@ -1,29 +1,33 @@
 /**
- * The pause before a failed write to the store is retried. It grows with each attempt, and much
- * longer while the store is full: room comes only from removals and from the end of the history,
- * so that quick retries would only add calls.
+ * The pause before a failed write to the store is retried. While the store is full the pause doubles
+ * with each attempt: room comes only from removals and from the end of the history, so that quick
+ * retries would only add calls.
  */
 
 import { StoreFullError } from "./keyed-store.ts";
 
-/** Attempts after which the pause stops growing. */
-const maximumFactor = 4;
 /** Longest pause while the store is full. */
 const fullStorePauseMilliseconds = 4_000;
+/** Bounds the power of two; the pause has reached its maximum long before. */
+const maximumDoublings = 10;
+
+export interface RetryPauseOptions {
+  /** 1 after the first failure. */
+  readonly attempt: number;
+  readonly baseMilliseconds: number;
+  /** Multiple of the base up to which the pause grows after other failures; 1 for none. */
+  readonly growthLimit?: number | undefined;
+}
 
-/** `attempt` is 1 after the first failure. */
 export function retryPauseMilliseconds(
   error: unknown,
-  { attempt, baseMilliseconds }: {
-    readonly attempt: number;
-    readonly baseMilliseconds: number;
-  },
+  { attempt, baseMilliseconds, growthLimit = 1 }: RetryPauseOptions,
 ): number {
-  if (error instanceof StoreFullError) {
-    return Math.min(
-      baseMilliseconds * 2 ** Math.min(attempt, maximumFactor * 2),
-      fullStorePauseMilliseconds,
-    );
+  if (!(error instanceof StoreFullError)) {
+    return baseMilliseconds * Math.min(attempt, growthLimit);
   }
-  return baseMilliseconds * Math.min(attempt, maximumFactor);
+  return Math.min(
+    baseMilliseconds * 2 ** Math.min(attempt, maximumDoublings),
+    fullStorePauseMilliseconds,
+  );
 }
