A partition that was not read yet is not reported as empty

It now reports nothing for them, so that others count their own copies, and measures before it accepts a job.

--- a/packages/jobs/store-capacity.ts
+++ b/packages/jobs/store-capacity.ts
@@ -29,6 +29,9 @@
   readonly logger: Logger;
 }
 
+/** Greatest age of the measurement by which a job is accepted, as just after a start. */
+const measurementAgeMilliseconds = 1_000;
+
 interface PartitionVolume {
   /** Live bytes that are older than the history. */
   readonly storedBytes: number;
@@ -44,6 +47,7 @@
   readonly #options: StoreCapacityOptions;
   #volumes = new Map<PartitionNumber, PartitionVolume>();
   #expected: ExpectedResults = { openItems: 0, textBytes: defaultTextBytes };
+  #measuredAt = Number.NEGATIVE_INFINITY;
   #isRefusing = false;
 
   constructor(options: StoreCapacityOptions) {
@@ -52,7 +56,9 @@
 
   /** Measures the partitions anew; between two calls the writes are counted as they happen. */
   refresh(): void {
-    const partitions = this.#options.partitions.all();
+    this.#measuredAt = this.#options.now();
+    const partitions = this.#options.partitions.all()
+      .filter(({ isLoaded }) => isLoaded);
     this.#volumes = new Map(
       partitions.map((partition) => [
         partition.number,
@@ -87,16 +93,18 @@
     const ownedPartitions = partitions.all()
       .map(({ number }) => number)
       .filter(isOwned);
-    const storedBytes = ownedPartitions.reduce(
-      (sum, number) => sum + (this.#volumes.get(number)?.storedBytes ?? 0),
-      0,
-    );
+    const volumes = ownedPartitions.map((number) => this.#volumes.get(number));
+    // A partition that has not been read yet is better known to other instances.
+    const storedBytes = volumes.includes(undefined)
+      ? undefined
+      : volumes.reduce((sum, volume) => sum + volume!.storedBytes, 0);
     return { ownedPartitions, storedBytes, writtenBytes: meter.recentBytes };
   }
 
   /** Whether a new job may be accepted. */
   hasRoomFor(jobBytes: number): boolean {
-    const { capacityBytes, logger } = this.#options;
+    const { capacityBytes, logger, now } = this.#options;
+    if (now() - this.#measuredAt > measurementAgeMilliseconds) this.refresh();
     const { openItems, textBytes } = this.#expected;
     const demand = {
       volumeBytes: this.volumeBytes,
