--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -53,6 +53,8 @@
   readonly #options: JobPartitionOptions;
   readonly #follower: PartitionFollower;
   readonly #listeners = new Map<JobId, Set<() => void>>();
+  /** Offset up to which all records have been applied. */
+  #appliedUntil = 0 as Offset;
 
   constructor(options: JobPartitionOptions) {
     this.#options = options;
@@ -134,6 +136,9 @@
     position: Offset,
     isSnapshot: boolean,
   ): void {
+    // Of two snapshots that are read at once the older may arrive last, with keys that were removed.
+    if (isSnapshot && position < this.#appliedUntil) return;
+    if (position > this.#appliedUntil) this.#appliedUntil = position;
     const changed = new Set<JobId>();
     for (const record of records) {
       const jobs = record.value === undefined
