Only bodies that may be stored are removed after a failed submission, in one call

Every failed submission had its bodies removed a minute later, also if the store had refused the first write: after an outage that would have been one call for each of them. Bodies are now reported only if a write of them was confirmed or may have taken effect, all that are due in a partition are removed in one call, at most 1,000 are kept in memory, and their time counts from the last failure. An error while removals are planned no longer stops them for good.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -92,6 +92,7 @@
     this.#bodies = new ItemBodies({
       store,
       stream: bodyStream as StreamName,
+      onOrphaned: (...bodies) => this.#orphans.add(...bodies),
       logger,
     });
     this.#partitions = new JobPartitions(
@@ -137,7 +138,6 @@
       }),
       codec: options.jobCodec,
       hasRoomFor: (bytes) => this.#capacity.hasRoomFor(bytes),
-      onBodiesOrphaned: (...orphans) => this.#orphans.add(...orphans),
       submissionGapMilliseconds: settings.jobLifetimeMilliseconds *
         submissionGapShare,
       now: clock.monotonicNow,
--- a/packages/jobs/item-bodies.ts
+++ b/packages/jobs/item-bodies.ts
@@ -13,6 +13,7 @@
   type KeyedRecord,
   type KeyedStore,
   OffsetOutOfRangeError,
+  StoreUnavailableError,
   type StreamPartition,
 } from "../store/keyed-store.ts";
 import { readNewestPages } from "../store/newest-pages.ts";
@@ -28,6 +29,12 @@
 export interface ItemBodiesOptions {
   readonly store: KeyedStore;
   readonly stream: StreamName;
+  /** Called with the keys of bodies that were written, or may have been, and may belong to no job. */
+  readonly onOrphaned: (
+    partition: JobPartition,
+    job: JobId,
+    keys: readonly string[],
+  ) => void;
   readonly logger: Logger;
 }
 
@@ -60,17 +67,34 @@
     let first: Offset | undefined;
     const records = toEntries(job, bodies);
     const sizeOf = (entry: KeyedEntry) => entry.value?.length ?? 0;
-    for (const entries of chunkBySize(records, sizeOf)) {
-      const offset = await this.#options.store.append(
-        this.#target(partition),
-        entries,
-      );
-      first ??= offset;
+    try {
+      for (const entries of chunkBySize(records, sizeOf)) {
+        const offset = await this.#options.store.append(
+          this.#target(partition),
+          entries,
+        );
+        first ??= offset;
+      }
+    } catch (error) {
+      const mayHaveWritten = first !== undefined ||
+        !(error instanceof StoreUnavailableError) || error.mayHaveTakenEffect;
+      if (mayHaveWritten) this.reportOrphaned(partition, job, bodies);
+      throw error;
     }
     this.#addToCache(job, [...bodies]);
     return first ?? (0 as Offset);
   }
 
+  /** Has the bodies removed later unless their job is recorded. */
+  reportOrphaned(
+    partition: JobPartition,
+    job: JobId,
+    bodies: readonly Buffer[],
+  ): void {
+    const keys = toEntries(job, bodies).map(({ key }) => key);
+    this.#options.onOrphaned(partition, job, keys);
+  }
+
   /**
    * Returns the body of one item; rejects with BodyMissingError if the store does not hold it, and
    * with another error if it cannot be read.
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -39,13 +39,7 @@
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobResponse } from "./job-response.ts";
 import type { JobState } from "./partition-state.ts";
-import {
-  bodyKeys,
-  encodeRecord,
-  endKey,
-  jobKey,
-  type JobRecord,
-} from "./records.ts";
+import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
 import type { TokenDecision, TokenDemand } from "./waiting-tokens.ts";
 
 export interface JobCallHandlerOptions {
@@ -55,12 +49,6 @@
   readonly codec: JobCodec;
   /** Whether the store has room for the records of a new job. */
   readonly hasRoomFor: (bytes: number) => boolean;
-  /** Called with the bodies of a job that may not have been recorded. */
-  readonly onBodiesOrphaned: (
-    partition: JobPartition,
-    job: JobId,
-    keys: readonly string[],
-  ) => void;
   /** Longest time from the writing of the bodies to that of the job record. */
   readonly submissionGapMilliseconds: number;
   readonly now: () => number;
@@ -209,10 +197,6 @@
         response.sendJson(202, { id: job, total: record.items.length });
         return undefined;
       } catch (error) {
-        const keys = items.flatMap(({ body }, item) =>
-          bodyKeys(job, item, body.length)
-        );
-        this.#options.onBodiesOrphaned(partition, job, keys);
         if (error instanceof StoreRejectedError && !mayHaveTakenEffect) {
           this.#options.admission.release(demand);
           return jobTooLarge;
@@ -297,13 +281,10 @@
   ): Promise<JobRecord> {
     const { bodies, now, wallNow, submissionGapMilliseconds } = this.#options;
     const startedAt = now();
+    const contents = items.map((item) => item.body);
     let bodyOffset: number;
     try {
-      bodyOffset = await bodies.write(
-        partition,
-        job,
-        items.map((item) => item.body),
-      );
+      bodyOffset = await bodies.write(partition, job, contents);
     } catch (error) {
       // Bodies without a job record never run, so it does not matter whether they were written.
       if (
@@ -317,6 +298,7 @@
     }
     // After a longer pause the bodies may have been removed as belonging to no job.
     if (now() - startedAt > submissionGapMilliseconds) {
+      bodies.reportOrphaned(partition, job, contents);
       throw new StoreUnavailableError("writing the bodies took too long", {
         mayHaveTakenEffect: false,
       });
@@ -341,7 +323,14 @@
         bodyBytes: body.length,
       })),
     };
-    await partition.append([{ key: jobKey(job), value: encodeRecord(record) }]);
+    try {
+      await partition.append([
+        { key: jobKey(job), value: encodeRecord(record) },
+      ]);
+    } catch (error) {
+      bodies.reportOrphaned(partition, job, contents);
+      throw error;
+    }
     return record;
   }
 
--- a/packages/jobs/orphan-bodies.ts
+++ b/packages/jobs/orphan-bodies.ts
@@ -6,7 +6,7 @@
 
 import type { JobId, PartitionNumber, StreamName } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
-import type { KeyedStore } from "../store/keyed-store.ts";
+import type { KeyedEntry, KeyedStore } from "../store/keyed-store.ts";
 import {
   maximumRemovalsPerSweep,
   orphanSearchMilliseconds,
@@ -29,10 +29,13 @@
 
 interface OrphanCandidate {
   readonly partition: JobPartition;
-  readonly keys: Set<string>;
+  readonly keys: ReadonlySet<string>;
   readonly knownSince: number;
 }
 
+/** Bounds the memory after many failed submissions; the owner's search finds what goes beyond. */
+const maximumCandidates = 1_000;
+
 export class OrphanBodies {
   readonly #options: OrphanBodiesOptions;
   readonly #candidates = new Map<JobId, OrphanCandidate>();
@@ -45,10 +48,14 @@
 
   /** Adds bodies that may belong to no job; they are removed if none is recorded in time. */
   add(partition: JobPartition, job: JobId, keys: Iterable<string>): void {
-    const candidate = this.#candidates.get(job) ??
-      { partition, keys: new Set(), knownSince: this.#options.now() };
-    this.#candidates.set(job, candidate);
-    for (const key of keys) candidate.keys.add(key);
+    if (this.#candidates.size >= maximumCandidates) return;
+    const known = this.#candidates.get(job);
+    // Counted from the last failure, since a submission may be retried for long.
+    this.#candidates.set(job, {
+      partition,
+      keys: new Set([...known?.keys ?? [], ...keys]),
+      knownSince: this.#options.now(),
+    });
   }
 
   /** Searches one partition if that is due, and removes bodies that have been candidates for long. */
@@ -105,26 +112,43 @@
   }
 
   async #removeRipe(): Promise<void> {
-    const { store, stream, now, orphanMilliseconds, onRemoved, logger } =
-      this.#options;
-    const limit = now() - orphanMilliseconds;
-    for (const [job, { partition, keys, knownSince }] of this.#candidates) {
+    const limit = this.#options.now() - this.#options.orphanMilliseconds;
+    const ripe = new Map<JobPartition, JobId[]>();
+    for (const [job, { partition, knownSince }] of this.#candidates) {
       if (knownSince > limit) continue;
-      // A repeated submission may have recorded the job meanwhile.
-      if (!partition.job(job) && !await partition.catchUp()) return;
-      if (!partition.job(job)) {
-        const entries = [...keys].slice(0, maximumRemovalsPerSweep)
-          .map((key) => ({ key, value: undefined }));
-        await store.append({ stream, partition: partition.number }, entries);
-        onRemoved(entries.length);
-        logger.info("bodies without a job were removed", {
-          job,
-          partition: partition.number,
-          records: entries.length,
-        });
-        for (const { key } of entries) keys.delete(key);
-      } else keys.clear();
-      if (keys.size === 0) this.#candidates.delete(job);
+      ripe.set(partition, [...ripe.get(partition) ?? [], job]);
+    }
+    for (const [partition, jobs] of ripe) {
+      // A repeated submission may have recorded a job meanwhile.
+      if (await partition.catchUp()) await this.#removeOf(partition, jobs);
+    }
+  }
+
+  /** Removes the bodies of those jobs that do not exist, in one call. */
+  async #removeOf(
+    partition: JobPartition,
+    jobs: readonly JobId[],
+  ): Promise<void> {
+    const { store, stream, onRemoved, logger } = this.#options;
+    const entries: KeyedEntry[] = [];
+    const done: JobId[] = [];
+    for (const job of jobs) {
+      if (entries.length >= maximumRemovalsPerSweep) break;
+      done.push(job);
+      if (partition.job(job)) continue;
+      for (const key of this.#candidates.get(job)!.keys) {
+        entries.push({ key, value: undefined });
+      }
+    }
+    if (entries.length > 0) {
+      await store.append({ stream, partition: partition.number }, entries);
+      onRemoved(entries.length);
+      logger.info("bodies without a job were removed", {
+        partition: partition.number,
+        records: entries.length,
+        jobs: done.length,
+      });
     }
+    for (const job of done) this.#candidates.delete(job);
   }
 }
--- a/packages/jobs/record-removal.ts
+++ b/packages/jobs/record-removal.ts
@@ -16,6 +16,7 @@
   createNotes,
   type JobNotes,
   planRemovals,
+  type RemovalPlan,
   type RetentionTimes,
 } from "./retention.ts";
 
@@ -74,58 +75,69 @@
     partition: JobPartition,
     removal: PartitionRemoval,
   ): Promise<void> {
-    const { store, bodyStream, times, now, wallNow, onRemoved, logger } =
-      this.#options;
-    const { state, index, number } = partition;
+    const { now, logger } = this.#options;
     removal.isBusy = true;
-    for (const job of removal.notes.keys()) {
-      if (!state.job(job)) removal.notes.delete(job);
+    try {
+      await this.#carryOut(this.#plan(partition, removal), partition, removal);
+    } catch (error) {
+      removal.pausedUntil = now() + removalRetryMilliseconds;
+      logger.warn("needless records could not be removed from the store", {
+        partition: partition.number,
+        reason: String(error),
+      });
+    } finally {
+      removal.isBusy = false;
+    }
+  }
+
+  #plan(
+    { state, index }: JobPartition,
+    { notes }: PartitionRemoval,
+  ): RemovalPlan {
+    const { times, now, wallNow } = this.#options;
+    for (const job of notes.keys()) {
+      if (!state.job(job)) notes.delete(job);
     }
-    const { bodies, keys } = planRemovals({
+    return planRemovals({
       state,
       index,
-      notesOf: (job) => noted(removal.notes, job),
+      notesOf: (job) => noted(notes, job),
       times: times(),
       wallNow: wallNow(),
       now: now(),
       maximumKeys: maximumRemovalsPerSweep,
     });
-    try {
-      if (bodies.length > 0) {
-        const bodyKeys = bodies.flatMap((body) => body.keys);
-        await store.append(
-          { stream: bodyStream, partition: number },
-          bodyKeys.map(toRemoval),
-        );
-        for (const { job, item } of bodies) {
-          noted(removal.notes, job).removedBodies.add(item);
-        }
-        onRemoved("bodies", bodyKeys.length);
-      }
-      if (keys.length > 0) {
-        await partition.append(keys.map(toRemoval));
-        onRemoved("jobs", keys.length);
-        // Otherwise the next sweep would plan the same again.
-        partition.readNow();
-      }
-      if (bodies.length + keys.length > 0) {
-        logger.debug("needless records were removed from the store", {
-          partition: number,
-          bodies: bodies.length,
-          records: keys.length,
-        });
+  }
+
+  async #carryOut(
+    { bodies, keys }: RemovalPlan,
+    partition: JobPartition,
+    { notes }: PartitionRemoval,
+  ): Promise<void> {
+    const { store, bodyStream, onRemoved, logger } = this.#options;
+    if (bodies.length + keys.length === 0) return;
+    if (bodies.length > 0) {
+      const bodyKeys = bodies.flatMap((body) => body.keys);
+      await store.append(
+        { stream: bodyStream, partition: partition.number },
+        bodyKeys.map(toRemoval),
+      );
+      for (const { job, item } of bodies) {
+        noted(notes, job).removedBodies.add(item);
       }
-    } catch (error) {
-      removal.pausedUntil = now() + removalRetryMilliseconds;
-      logger.warn("needless records could not be removed from the store", {
-        partition: number,
-        bodies: bodies.length,
-        records: keys.length,
-        reason: String(error),
-      });
-    } finally {
-      removal.isBusy = false;
+      onRemoved("bodies", bodyKeys.length);
+    }
+    if (keys.length > 0) {
+      await partition.append(keys.map(toRemoval));
+      onRemoved("jobs", keys.length);
+      // Until the removals are read, the next sweep would plan them again.
+      partition.readNow();
     }
+    logger.debug("needless records were removed from the store", {
+      partition: partition.number,
+      bodies: bodies.length,
+      records: keys.length,
+    });
   }
 }
 
--- a/packages/jobs/retention.test.ts
+++ b/packages/jobs/retention.test.ts
@@ -348,6 +348,7 @@
     const bodies = new ItemBodies({
       store: bench.service.client("next"),
       stream: bodyStream,
+      onOrphaned: () => {},
       logger: silentLogger,
     });
     const body = await bodies.read(partition, record, 1);
