An item whose text exceeds the limit is given up at its retention time

A dead letter at the third such run came before the retention time of the job, where the item may still end as completed at a sound server; servers in trouble may send without end three times in a row. It is now run again until then, as other items without an end are.

--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -358,6 +358,7 @@
         headTimeoutMilliseconds: itemHeadTimeoutMilliseconds,
         bodyIdleTimeoutMilliseconds: itemIdleTimeoutMilliseconds,
       },
+      wallNow: this.#options.wallNow,
       onStatement: (...statement) =>
         this.#options.statements.record(upstream, ...statement),
       onBegin: () =>
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -20,7 +20,10 @@
  * that exceeds it may come from a server that sends without end, so that the item starts anew.
  */
 export const maximumItemTextBytes = 900_000;
-/** Runs that exceed it before the item is given up, since the text itself seems to be too large. */
+/**
+ * Runs that exceed it before the item may be given up, since the text itself seems to be too large.
+ * As for other items without an end, that is not before the retention time of the job.
+ */
 export const maximumOversizedRuns = 3;
 /** Largest total size of the item bodies that are cached in memory. */
 export const bodyCacheBytes = 6_000_000;
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -22,6 +22,8 @@
   lastEventId: number | undefined;
   /** Runs that were stopped since the text exceeded `maximumItemTextBytes`. */
   oversizedRuns: number;
+  /** Wall-clock time from which the item may be given up. */
+  readonly retainedUntil: number;
 }
 
 export type RunOutcome =
@@ -44,6 +46,7 @@
   readonly server: InstanceId;
   readonly output: PartialOutput;
   readonly attempt: AttemptOptions;
+  readonly wallNow: () => number;
   readonly onStatement: AttemptListener["onStatement"];
   /** Called when the first event arrives. */
   readonly onBegin: () => void;
@@ -136,9 +139,10 @@
     } else if (this.#textBytes > maximumItemTextBytes) {
       this.#discardOutput();
       output.oversizedRuns += 1;
-      if (output.oversizedRuns >= maximumOversizedRuns) {
-        this.#end({ kind: "impossible" });
-      } else this.#interrupt("the text of the item does not end", true);
+      const mayGiveUp = output.oversizedRuns >= maximumOversizedRuns &&
+        this.#options.wallNow() >= output.retainedUntil;
+      if (mayGiveUp) this.#end({ kind: "impossible" });
+      else this.#interrupt("the text of the item does not end", true);
     }
     return events.length > 0;
   }
--- a/packages/jobs/work-table.ts
+++ b/packages/jobs/work-table.ts
@@ -79,6 +79,7 @@
           eventData: earlier ? [earlier.text] : [],
           lastEventId: earlier?.lastEventId,
           oversizedRuns: 0,
+          retainedUntil: state.record.retainedUntil,
         },
         sharedPromptParts: undefined,
         run: undefined,
