--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -67,6 +67,8 @@
   readonly removeMember: (member: Member) => void;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
+  /** Called with the number of records that were removed from the store. */
+  readonly countRemovals: (family: "jobs" | "bodies", count: number) => void;
 }
 
 /** What is known of the tokens that are left when this instance begins to apply limits. */
@@ -240,7 +242,7 @@
   sweep({ isStoreFailing }: { readonly isStoreFailing: boolean }): void {
     const { logger, removeMember } = this.#options;
     if (!this.#batch) return;
-    this.#batch.removeExpiredJobs();
+    this.#batch.sweep();
     if (isStoreFailing) return;
     this.#silentDependents.sweep();
     if (!this.#batch.ownsFirstPartition) return;
@@ -427,6 +429,7 @@
       peerReports: () => this.#reports,
       configurationReadAt: this.#options.configurationReadAt,
       countRun: (outcome) => this.#options.countRun(outcome),
+      countRemovals: (...removed) => this.#options.countRemovals(...removed),
       clock,
       logger,
     });
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -31,6 +31,7 @@
   maximumConcurrentRuns,
   resultDeliveryMilliseconds,
 } from "./constants.ts";
+import { BodyMissingError } from "./item-bodies.ts";
 import { collectReadyItems, maximumStarts } from "./ready-items.ts";
 import { RunEstimator } from "./run-estimate.ts";
 import { ItemRun, type RunOutcome } from "./item-run.ts";
@@ -240,6 +241,9 @@
           item: work.itemId,
           reason: String(error),
         });
+        if (error instanceof BodyMissingError) {
+          this.#giveUpAfterRetention(work, state, partition, error.message);
+        }
       });
     return true;
   }
@@ -341,6 +345,7 @@
         headTimeoutMilliseconds: itemHeadTimeoutMilliseconds,
         bodyIdleTimeoutMilliseconds: itemIdleTimeoutMilliseconds,
       },
+      wallNow: this.#options.wallNow,
       onStatement: (...statement) =>
         this.#options.statements.record(upstream, ...statement),
       onConnectionRefused: () =>
--- a/packages/jobs/work-table.ts
+++ b/packages/jobs/work-table.ts
@@ -80,6 +80,8 @@
         output: {
           eventData: earlier ? [earlier.text] : [],
           lastEventId: earlier?.lastEventId,
+          oversizedRuns: 0,
+          retainedUntil: state.record.retainedUntil,
         },
         sharedPromptParts: undefined,
         run: undefined,
--- a/packages/store/relay-schemas.ts
+++ b/packages/store/relay-schemas.ts
@@ -45,7 +45,10 @@
 
 export const relayReplySchema = z.discriminatedUnion("outcome", [
   z.object({ outcome: z.literal("done"), value: z.unknown() }),
-  z.object({ outcome: z.literal("history_lost"), message: z.string() }),
+  z.object({
+    outcome: z.enum(["history_lost", "full", "rejected"]),
+    message: z.string(),
+  }),
   z.object({
     outcome: z.literal("unavailable"),
     message: z.string(),
