Pass on the own part of a prompt, and play mixes of causes of crashes

The quarantine sees only the parts that requests share, so that a request that crashes servers for a reason of its own is held against the other parts. The own part now reaches placement, reports of crashes and recorded answers, which do not use it yet. The played fleet has slots, rare parts, callers that repeat, requests with a cause of their own and a faulty server.

--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -51,6 +51,7 @@
   readonly limitedWorkspace: WireWorkspace | undefined;
   readonly requestId: string;
   readonly sharedPromptParts: readonly PromptPartId[];
+  readonly ownPromptPart?: PromptPartId | undefined;
 }
 
 const choiceFields = {
@@ -72,6 +73,7 @@
   })),
   requestId: z._default(z.string(), ""),
   sharedPromptParts: z._default(z.array(z.string()), []),
+  ownPromptPart: z.optional(z.string()),
 });
 
 const sendBudgetSchema = z.object({
--- a/packages/coordination/remote-placer.ts
+++ b/packages/coordination/remote-placer.ts
@@ -84,6 +84,7 @@
         },
         requestId: request.requestId,
         sharedPromptParts: request.sharedPromptParts,
+        ownPromptPart: request.ownPromptPart,
       }),
       (reply) => {
         if (reply.kind === "send") {
--- a/packages/gateway/caller-request.ts
+++ b/packages/gateway/caller-request.ts
@@ -33,6 +33,8 @@
    * which belongs to this request or its session alone.
    */
   readonly sharedPromptParts: readonly PromptPartId[];
+  /** The last part of the prompt; a repeated request has it again, under another id. */
+  readonly ownPromptPart?: PromptPartId | undefined;
   /** Headers to be passed on to the server, as alternating names and values. */
   readonly forwardedHeaders: readonly string[];
 }
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -118,6 +118,7 @@
       ...choice,
       requestId: request.id ?? "",
       sharedPromptParts: request.sharedPromptParts,
+      ownPromptPart: request.ownPromptPart,
       limitedWorkspace: this.#isAdmitted
         ? undefined
         : this.#options.limitedWorkspace,
@@ -288,7 +289,10 @@
     services.quarantine.recordBegin(
       received.request.sharedPromptParts,
       this.#service,
-      { isTrial: this.#choice?.isTrial ?? false },
+      {
+        isTrial: this.#choice?.isTrial ?? false,
+        ownPart: received.request.ownPromptPart,
+      },
     );
   }
 
@@ -345,13 +349,14 @@
     const { hasBegunAnswer } = this.#relay;
     attempt.cancel();
     this.#releaseAttempt();
-    const { id, sharedPromptParts } = received.request;
+    const { id, sharedPromptParts, ownPromptPart } = received.request;
     const examination = examineAttempt(services, {
       upstream: this.#upstream!,
       failure,
       suspect: hasBegunAnswer ? undefined : {
         request: id ?? "",
         sharedPromptParts,
+        ownPromptPart,
         runMilliseconds: services.now() - this.#attemptStart,
       },
     });
--- a/packages/gateway/placement.ts
+++ b/packages/gateway/placement.ts
@@ -38,6 +38,8 @@
   readonly limitedWorkspace: WorkspaceRule | undefined;
   /** Parts of the prompt by which the request may be suspected to crash servers. */
   readonly sharedPromptParts: readonly PromptPartId[];
+  /** The part that belongs to the request or its session alone. */
+  readonly ownPromptPart?: PromptPartId | undefined;
   readonly requestId: string;
 }
 
@@ -62,7 +64,10 @@
 
 /** Decides on requests by the parts of their prompts. */
 export interface PartJudge {
-  judge(parts: readonly PromptPartId[]): Judgement;
+  judge(
+    parts: readonly PromptPartId[],
+    ownPart?: PromptPartId,
+  ): Judgement;
   beginTrial(request: string, parts: readonly PromptPartId[]): void;
 }
 
@@ -151,7 +156,10 @@
     const { blackboard, now } = this.#options;
     this.#options.refreshLimits();
     const quarantine = this.#options.quarantine();
-    const judgement = quarantine.judge(request.sharedPromptParts);
+    const judgement = quarantine.judge(
+      request.sharedPromptParts,
+      request.ownPromptPart,
+    );
     if (judgement.kind === "undecided") {
       return { kind: "held", part: judgement.part };
     }
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -279,8 +279,15 @@
 
   #judge(work: ItemWork, item: JobItem, host: string): Judgement {
     const { jobCodec, quarantine } = this.#options;
-    work.sharedPromptParts ??= jobCodec.toRequest(item, host).sharedPromptParts;
-    return quarantine.judge(work.sharedPromptParts);
+    if (!work.promptParts) {
+      const { sharedPromptParts, ownPromptPart } = jobCodec.toRequest(
+        item,
+        host,
+      );
+      work.promptParts = { sharedPromptParts, ownPromptPart };
+    }
+    const { sharedPromptParts, ownPromptPart } = work.promptParts;
+    return quarantine.judge(sharedPromptParts, ownPromptPart);
   }
 
   /** Gives up an item that cannot be sent, but only after the job's retention time. */
@@ -361,7 +368,7 @@
         this.#options.quarantine.recordBegin(
           request.sharedPromptParts,
           upstream.service,
-          { isTrial: work.isTrial },
+          { isTrial: work.isTrial, ownPart: request.ownPromptPart },
         ),
       hasServerCrashed: () =>
         this.#options.crashDetector.examine(upstream, undefined),
--- a/packages/jobs/interruption.ts
+++ b/packages/jobs/interruption.ts
@@ -30,7 +30,8 @@
 ): Promise<void> {
   const suspect = hasBegun ? undefined : {
     request: work.itemId,
-    sharedPromptParts: work.sharedPromptParts ?? [],
+    sharedPromptParts: work.promptParts?.sharedPromptParts ?? [],
+    ownPromptPart: work.promptParts?.ownPromptPart,
     runMilliseconds: now() - work.runStartedAt,
   };
   const hasCrashed = isConnectionBroken &&
--- a/packages/jobs/work-table.ts
+++ b/packages/jobs/work-table.ts
@@ -1,11 +1,7 @@
 /** Holds the in-memory state of the unfinished items of the partitions that an instance owns. */
 
-import type {
-  InstanceId,
-  JobId,
-  PartitionNumber,
-  PromptPartId,
-} from "../common/ids.ts";
+import type { InstanceId, JobId, PartitionNumber } from "../common/ids.ts";
+import type { CallerRequest } from "../gateway/caller-request.ts";
 import type { ItemRun, PartialOutput } from "./item-run.ts";
 import type { JobState } from "./partition-state.ts";
 import type { ItemProgress } from "./progress-store.ts";
@@ -21,8 +17,10 @@
   /** Prompt tokens plus the largest number of output tokens. */
   readonly tokens: number;
   readonly output: PartialOutput;
-  /** Parts of the prompt that other requests may have too; undefined until they are needed. */
-  sharedPromptParts: readonly PromptPartId[] | undefined;
+  /** Parts of the prompt; undefined until they are needed. */
+  promptParts:
+    | Pick<CallerRequest, "sharedPromptParts" | "ownPromptPart">
+    | undefined;
   run: ItemRun | undefined;
   /** Its body is being read, and a slot of the chosen server is reserved for it. */
   isStarting: boolean;
@@ -79,7 +77,7 @@
           eventData: earlier ? [earlier.text] : [],
           lastEventId: earlier?.lastEventId,
         },
-        sharedPromptParts: undefined,
+        promptParts: undefined,
         run: undefined,
         isStarting: false,
         isTrial: false,
--- a/packages/quarantine/crash-evidence.ts
+++ b/packages/quarantine/crash-evidence.ts
@@ -21,6 +21,8 @@
 export interface CrashSuspect {
   readonly request: string;
   readonly sharedPromptParts: readonly PromptPartId[];
+  /** The part that belongs to the request or its session alone. */
+  readonly ownPromptPart?: PromptPartId | undefined;
   /** Time from the send of the request to the crash. */
   readonly runMilliseconds: number;
 }
--- a/packages/quarantine/messages.ts
+++ b/packages/quarantine/messages.ts
@@ -14,6 +14,7 @@
   suspects: z.array(z.object({
     request: z.string(),
     sharedPromptParts: partsSchema,
+    ownPromptPart: z.optional(z.string()),
     runMilliseconds: z.number(),
   })),
 });
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -116,7 +116,10 @@
   }
 
   /** Decides on a request with these shared parts. */
-  judge(parts: readonly PromptPartId[]): Judgement {
+  judge(
+    parts: readonly PromptPartId[],
+    _ownPart?: PromptPartId,
+  ): Judgement {
     const suspected = parts.filter((part) =>
       this.#verdicts.get(part) !== undefined ||
       this.#standing(part) !== "clear"
@@ -156,7 +159,10 @@
   recordBegin(
     parts: readonly PromptPartId[],
     service: UpstreamName,
-    { isTrial }: { readonly isTrial: boolean },
+    { isTrial }: {
+      readonly isTrial: boolean;
+      readonly ownPart?: PromptPartId | undefined;
+    },
   ): void {
     const { network, coordinators } = this.#options;
     this.addBegins({ parts, counts: [[service, 1]] }, { isRelayed: true });
--- a/packages/quarantine/testing/played-fleet.ts
+++ b/packages/quarantine/testing/played-fleet.ts
@@ -19,7 +19,10 @@
   type VirtualProcess,
 } from "../../protocol/testing/virtual-network.ts";
 import type { KeyedEntry, KeyedStore } from "../../store/keyed-store.ts";
-import { undecidedRetryMilliseconds } from "../constants.ts";
+import {
+  undecidedRetryMilliseconds,
+  undecidedWaitMilliseconds,
+} from "../constants.ts";
 import type { CrashSuspect } from "../crash-evidence.ts";
 import { Quarantine } from "../quarantine.ts";
 import { VerdictStore } from "../verdict-store.ts";
@@ -34,6 +37,19 @@
   readonly poisonedParts?: number;
   /** Crashes a second of single servers that no request causes. */
   readonly otherCrashesPerSecond?: number;
+  /**
+   * Share of the requests of each kind that crash servers for a reason of their own, which their
+   * callers repeat with them.
+   */
+  readonly deadlyShares?: readonly number[];
+  /** Crashes a second of one server that always ends again. */
+  readonly faultyServerCrashesPerSecond?: number;
+  /** Further parts, each of which is in few requests. */
+  readonly rareParts?: number;
+  /** Requests that a server runs at once; others wait there. */
+  readonly slots?: number;
+  /** How often a caller repeats a request that failed, under another id and at any instance. */
+  readonly repeats?: number;
   /** Times at which the share of the servers crashes at once. */
   readonly massCrashes?: readonly { at: number; share: number }[];
   /** Share of the messages that are lost, and of the crash reports that are sent twice. */
@@ -47,14 +63,18 @@
   readonly instance: PlayedInstance;
   readonly isTrial: boolean;
   readonly sentAt: number;
+  hasStarted: boolean;
   hasBegun: boolean;
 }
 
 interface Request {
   readonly id: string;
   readonly parts: readonly PromptPartId[];
+  readonly ownPart: PromptPartId;
   readonly isPoisoned: boolean;
+  readonly isDeadly: boolean;
   readonly arrivedAt: number;
+  readonly repeatsLeft: number;
   tries: number;
 }
 
@@ -72,10 +92,14 @@
 
 const beginMilliseconds = 60;
 const runMilliseconds = 700;
+const repeatMilliseconds = 600;
+/** Servers under which a request had ended after which it must not be sent again. */
+const crashesOfRequestAllowed = 3;
 const downMilliseconds = 3_000;
 const reportIntervalMilliseconds = 100;
 const storeMilliseconds = 10;
 const attempts = 3;
+const kinds = 2;
 const firstParts = 2;
 const secondParts = 30;
 
@@ -90,6 +114,14 @@
   readonly rejectedSound: Request[] = [];
   readonly answeredSound: Request[] = [];
   readonly arrivedSound: Request[] = [];
+  /** Attempts and calls without an answer and without a rejection. */
+  readonly failedSound: Request[] = [];
+  readonly rejectedDeadly: Request[] = [];
+  /** Sends of requests that had ended three servers before. */
+  forbiddenSends = 0;
+  serverCrashes = 0;
+  /** Servers that each request has ended, by the own part. */
+  readonly #endedServers = new Map<PromptPartId, number>();
   readonly #options: Required<PlayOptions>;
   readonly #random: SeededRandom;
   readonly #servers: Server[];
@@ -105,6 +137,11 @@
       poisonedShare: 0,
       poisonedParts: 1,
       otherCrashesPerSecond: 0,
+      deadlyShares: [],
+      faultyServerCrashesPerSecond: 0,
+      rareParts: 0,
+      slots: Number.POSITIVE_INFINITY,
+      repeats: 0,
       massCrashes: [],
       lostShare: 0,
       doubledShare: 0,
@@ -133,19 +170,17 @@
 
   async play(): Promise<void> {
     const { milliseconds, massCrashes, requestsPerSecond } = this.#options;
-    const { otherCrashesPerSecond } = this.#options;
-    for (
-      let at = 0;
-      at < milliseconds;
-      at += this.#random.nextArrivalMilliseconds(requestsPerSecond)
-    ) this.time.after(at, () => this.#arrive());
-    if (otherCrashesPerSecond > 0) {
-      for (
-        let at = 0;
-        at < milliseconds;
-        at += this.#random.nextArrivalMilliseconds(otherCrashesPerSecond)
-      ) this.time.after(at, () => this.#crash(this.#pick(this.#servers)));
-    }
+    const { otherCrashesPerSecond, faultyServerCrashesPerSecond } =
+      this.#options;
+    this.#schedule(requestsPerSecond, () => this.#arrive());
+    this.#schedule(
+      otherCrashesPerSecond,
+      () => this.#crash(this.#pick(this.#servers)),
+    );
+    this.#schedule(
+      faultyServerCrashesPerSecond,
+      () => this.#crash(this.#servers[0]!),
+    );
     for (const { at, share } of massCrashes) {
       this.time.after(at, () => {
         for (const server of this.#servers) {
@@ -159,6 +194,15 @@
     await this.time.runUntil(milliseconds);
   }
 
+  #schedule(ratePerSecond: number, act: () => void): void {
+    if (ratePerSecond === 0) return;
+    for (
+      let at = 0;
+      at < this.#options.milliseconds;
+      at += this.#random.nextArrivalMilliseconds(ratePerSecond)
+    ) this.time.after(at, act);
+  }
+
   /**
    * Sends of requests with a poisoned part later than the given time after the fifth crash under it:
    * the most for any part.
@@ -229,67 +273,132 @@
   }
 
   #arrive(): void {
-    const { poisonedShare, poisonedParts } = this.#options;
+    const { poisonedShare, poisonedParts, rareParts, repeats } = this.#options;
     const number = this.#nextRequest++;
     const pick = (name: string, count: number) =>
       `${name}${Math.floor(this.#random.next() * count)}` as PromptPartId;
     const isPoisoned = this.#random.next() < poisonedShare;
     const parts = [pick("first", firstParts), pick("second", secondParts)];
+    if (rareParts > 0) parts.push(pick("rare", rareParts));
     if (isPoisoned) parts.push(pick("poisoned", poisonedParts));
+    const kind = Math.floor(this.#random.next() * kinds);
+    const deadlyShare = this.#options.deadlyShares[kind] ?? 0;
     const request = {
       id: `r${number}`,
       parts,
+      ownPart: `own${number}` as PromptPartId,
       isPoisoned,
+      isDeadly: deadlyShare > 0 && this.#random.next() < deadlyShare,
       arrivedAt: this.time.monotonicNow(),
+      repeatsLeft: repeats,
       tries: 0,
     };
-    if (!isPoisoned) this.arrivedSound.push(request);
+    if (isSound(request)) this.arrivedSound.push(request);
     this.#place(request, this.#pick(this.instances));
   }
 
-  #place(request: Request, instance: PlayedInstance): void {
-    const judgement = instance.quarantine.judge(request.parts);
+  #place(
+    request: Request,
+    instance: PlayedInstance,
+    waitedMilliseconds = 0,
+  ): void {
+    const judgement = instance.quarantine.judge(request.parts, request.ownPart);
     if (judgement.kind === "rejected") {
       const rejected = request.isPoisoned
         ? this.rejectedPoisoned
+        : request.isDeadly
+        ? this.rejectedDeadly
         : this.rejectedSound;
       return void rejected.push(request);
     }
     if (judgement.kind === "undecided") {
+      if (waitedMilliseconds >= undecidedWaitMilliseconds) {
+        return this.#fail(request);
+      }
       this.time.after(
         undecidedRetryMilliseconds,
-        () => this.#place(request, instance),
+        () =>
+          this.#place(
+            request,
+            instance,
+            waitedMilliseconds + undecidedRetryMilliseconds,
+          ),
       );
       return;
     }
     const running = this.#servers.filter(({ isDown }) => !isDown);
-    if (running.length === 0) return;
+    if (running.length === 0) return this.#fail(request);
     const isTrial = judgement.kind === "trial";
     const server = isTrial
       ? running.reduce((least, other) =>
         other.runs.size < least.runs.size ? other : least
       )
-      : this.#pick(running);
+      : this.#pickByLoad(running);
     if (isTrial) instance.quarantine.beginTrial(request.id, judgement.parts);
     const sentAt = this.time.monotonicNow();
-    this.#run({ request, instance, isTrial, sentAt, hasBegun: false }, server);
+    this.#send({
+      request,
+      instance,
+      isTrial,
+      sentAt,
+      hasStarted: false,
+      hasBegun: false,
+    }, server);
   }
 
-  #run(run: Run, server: Server): void {
-    const { request, instance, isTrial } = run;
+  /** Has the caller repeat a request that was not answered. */
+  #fail(request: Request): void {
+    if (isSound(request)) this.failedSound.push(request);
+    if (request.repeatsLeft === 0) return;
+    const repeated = {
+      ...request,
+      id: `${request.id}-${request.repeatsLeft}`,
+      repeatsLeft: request.repeatsLeft - 1,
+      tries: 0,
+    };
+    this.time.after(
+      repeatMilliseconds * (0.5 + this.#random.next()),
+      () => this.#place(repeated, this.#pick(this.instances)),
+    );
+  }
+
+  #send(run: Run, server: Server): void {
+    const { request } = run;
     request.tries += 1;
     server.runs.add(run);
     if (request.isPoisoned) this.#record(this.poisonedSends, request);
+    const ended = this.#endedServers.get(request.ownPart) ?? 0;
+    if (ended >= crashesOfRequestAllowed) this.forbiddenSends += 1;
+    this.#startNext(server);
+  }
+
+  #startNext(server: Server): void {
+    const started = [...server.runs].filter(({ hasStarted }) => hasStarted);
+    const next = [...server.runs].find(({ hasStarted }) => !hasStarted);
+    if (!next || started.length >= this.#options.slots) return;
+    next.hasStarted = true;
+    this.#run(next, server);
+  }
+
+  #run(run: Run, server: Server): void {
+    const { request, instance, isTrial } = run;
     this.time.after(beginMilliseconds * (0.5 + this.#random.next()), () => {
       if (!server.runs.has(run)) return;
-      if (request.isPoisoned) {
-        this.#record(this.crashTimes, request);
+      if (request.isPoisoned) this.#record(this.crashTimes, request);
+      if (!isSound(request)) {
+        const ended = this.#endedServers.get(request.ownPart) ?? 0;
+        this.#endedServers.set(request.ownPart, ended + 1);
         return this.#crash(server);
       }
       run.hasBegun = true;
       this.answeredSound.push(request);
-      instance.quarantine.recordBegin(request.parts, this.service, { isTrial });
-      this.time.after(runMilliseconds, () => server.runs.delete(run));
+      instance.quarantine.recordBegin(request.parts, this.service, {
+        isTrial,
+        ownPart: request.ownPart,
+      });
+      this.time.after(runMilliseconds, () => {
+        if (server.runs.delete(run)) this.#startNext(server);
+      });
     });
   }
 
@@ -303,6 +412,7 @@
   #crash(server: Server): void {
     if (server.isDown) return;
     const { id, startedAt } = server;
+    this.serverCrashes += 1;
     const lost = [...server.runs].filter(({ hasBegun }) => !hasBegun);
     server.runs.clear();
     server.isDown = true;
@@ -313,6 +423,7 @@
       const suspects: CrashSuspect[] = own.map(({ request, sentAt }) => ({
         request: request.id,
         sharedPromptParts: request.parts,
+        ownPromptPart: request.ownPart,
         runMilliseconds: this.time.monotonicNow() - sentAt,
       }));
       if (suspects.length === 0) continue;
@@ -329,6 +440,7 @@
         }
         for (const { request } of own) {
           if (request.tries < attempts) this.#place(request, instance);
+          else this.#fail(request);
         }
       });
     }
@@ -348,7 +460,19 @@
     }
   }
 
+  /** The one of two servers with fewer requests; any server while none has a queue. */
+  #pickByLoad(servers: readonly Server[]): Server {
+    const server = this.#pick(servers);
+    if (server.runs.size < this.#options.slots) return server;
+    const other = this.#pick(servers);
+    return other.runs.size < server.runs.size ? other : server;
+  }
+
   #pick<Value>(values: readonly Value[]): Value {
     return values[Math.floor(this.#random.next() * values.length)]!;
   }
 }
+
+function isSound({ isPoisoned, isDeadly }: Request): boolean {
+  return !isPoisoned && !isDeadly;
+}
