Weigh what else explains a crash before a part is convicted (in progress)

Crashes count by how likely they are without the part: causes of single requests, a faulty server, several servers at once. Repeated crashes of one request no longer count for the parts that it shares, and a request is held or rejected by its own part.

--- a/packages/quarantine/crash-evidence.ts
+++ b/packages/quarantine/crash-evidence.ts
@@ -14,6 +14,12 @@
   maximumCrashes,
   maximumSuspectsOfCrash,
 } from "./constants.ts";
+import {
+  chancesWithout,
+  type Crash,
+  type CrashedRun,
+  isIn,
+} from "./crash-causes.ts";
 import type { PartCounts } from "./part-odds.ts";
 import { WindowCounter } from "./window-counter.ts";
 
@@ -21,7 +27,7 @@
 export interface CrashSuspect {
   readonly request: string;
   readonly sharedPromptParts: readonly PromptPartId[];
-  /** The part that belongs to the request or its session alone. */
+  /** The part that belongs to the request or its session alone; its repetition has it too. */
   readonly ownPromptPart?: PromptPartId | undefined;
   /** Time from the send of the request to the crash. */
   readonly runMilliseconds: number;
@@ -43,22 +49,6 @@
   readonly counts: readonly (readonly [UpstreamName, number])[];
 }
 
-interface CrashedRun {
-  readonly parts: readonly PromptPartId[];
-  /** Monotonic milliseconds. */
-  readonly sentAt: number;
-}
-
-interface Crash {
-  /** Monotonic milliseconds. */
-  readonly at: number;
-  readonly server: InstanceId;
-  readonly serverStartedAt: number;
-  readonly service: UpstreamName;
-  /** By the id of the request. */
-  readonly suspects: Map<string, CrashedRun>;
-}
-
 export class CrashEvidence {
   /** The oldest first. */
   readonly #crashes: Crash[] = [];
@@ -66,19 +56,24 @@
   readonly #crashesOfPart = new Map<PromptPartId, Set<Crash>>();
   /** When an answer to a request with the part last began, the least recent first. */
   readonly #begunAt = new Map<PromptPartId, number>();
+  /** Grows when the evidence for or against a part with crashes changes. */
+  #version = 0;
   readonly #begins = new Map<UpstreamName, WindowCounter>();
 
   /** Adds the suspects of a crash; repeated reports of one crash and suspect have no effect. */
   addCrash(report: CrashReport, now: number): void {
     const crash = this.#crashOf(report, now);
+    this.#version += 1;
     for (const suspect of report.suspects) {
       const { request, sharedPromptParts, runMilliseconds } = suspect;
       if (crash.suspects.size >= maximumSuspectsOfCrash) break;
+      const ownPart = ownPartOf(suspect);
       crash.suspects.set(request, {
         parts: sharedPromptParts,
+        ownPart,
         sentAt: now - runMilliseconds,
       });
-      for (const part of sharedPromptParts) {
+      for (const part of [...sharedPromptParts, ownPart]) {
         const crashes = this.#crashesOfPart.get(part) ?? new Set();
         this.#crashesOfPart.set(part, crashes.add(crash));
       }
@@ -94,7 +89,7 @@
       counter.add(count, now);
     }
     for (const part of parts) {
-      this.#crashesOfPart.delete(part);
+      if (this.#crashesOfPart.delete(part)) this.#version += 1;
       this.#begunAt.delete(part);
       this.#begunAt.set(part, now);
     }
@@ -106,9 +101,19 @@
 
   /** Forgets the crashes that count against the part. */
   clear(part: PromptPartId): void {
+    this.#version += 1;
     this.#crashesOfPart.delete(part);
   }
 
+  /** Changes when the evidence for or against a part with crashes changes. */
+  get version(): number {
+    return this.#version;
+  }
+
+  countCrashes(part: PromptPartId): number {
+    return this.#crashesOfPart.get(part)?.size ?? 0;
+  }
+
   /** True if a crash counts against the part; false for nearly all parts. */
   hasCrashes(part: PromptPartId): boolean {
     return this.#crashesOfPart.has(part);
@@ -138,10 +143,14 @@
       .filter((crash) => !isExplained(crash, isConvicted, part));
     const services = new Set(crashes.map(({ service }) => service));
     const requests = new Set(
-      crashes.flatMap((crash) => requestsWith(crash, part)),
+      crashes.flatMap(({ suspects }) =>
+        [...suspects.values()]
+          .filter((run) => isIn(run, part))
+          .map(({ ownPart }) => ownPart)
+      ),
     );
     return {
-      crashes: countEpisodes(crashes, part),
+      crashChances: this.#chancesWithout(part, crashes),
       requests: requests.size,
       isSingledOut: crashes.length > 0 &&
         this.alternativesOf(part).length === 0,
@@ -154,6 +163,21 @@
     };
   }
 
+  /** How likely each crash that counts against the part is if the part is sound. */
+  chancesOf(part: PromptPartId): number[] {
+    return this.#chancesWithout(part, [
+      ...this.#crashesOfPart.get(part) ?? [],
+    ]);
+  }
+
+  #chancesWithout(part: PromptPartId, crashes: readonly Crash[]): number[] {
+    return chancesWithout(part, crashes, {
+      crashesOf: (other) => this.#crashesOfPart.get(other),
+      hasBegunBefore: (other) => this.#begunAt.has(other),
+      crashes: this.#crashes,
+    });
+  }
+
   /**
    * Other parts that may have caused the crashes in place of the given one: those of the suspects on
    * which servers have never begun an answer. Empty if one of the crashes has no other explanation.
@@ -197,7 +221,7 @@
   #crashedRunsOf(part: PromptPartId): CrashedRun[] {
     return [...this.#crashesOfPart.get(part) ?? []]
       .flatMap(({ suspects }) => [...suspects.values()])
-      .filter(({ parts }) => parts.includes(part));
+      .filter((run) => isIn(run, part));
   }
 
   #crashOf(
@@ -217,7 +241,11 @@
       serverStartedAt,
       service,
       suspects: new Map(),
+      neighbors: this.#crashes.filter((other) =>
+        other.server !== server && now - other.at < crashEpisodeMilliseconds
+      ),
     };
+    for (const neighbor of crash.neighbors) neighbor.neighbors.push(crash);
     this.#crashes.push(crash);
     return crash;
   }
@@ -248,7 +276,11 @@
       if (!isOld && this.#crashes.length < maximumCrashes) return;
       this.#crashes.shift();
       const runs = [...oldest.suspects.values()];
-      for (const part of new Set(runs.flatMap(({ parts }) => parts))) {
+      const expired = runs.flatMap(({ parts, ownPart }) => [...parts, ownPart]);
+      for (const neighbor of oldest.neighbors) {
+        neighbor.neighbors.splice(neighbor.neighbors.indexOf(oldest), 1);
+      }
+      for (const part of new Set(expired)) {
         const crashes = this.#crashesOfPart.get(part);
         crashes?.delete(oldest);
         if (crashes?.size === 0) this.#crashesOfPart.delete(part);
@@ -268,27 +300,7 @@
   );
 }
 
-function requestsWith({ suspects }: Crash, part: PromptPartId): string[] {
-  return [...suspects]
-    .filter(([, { parts }]) => parts.includes(part))
-    .map(([request]) => request);
-}
-
-/** Counts the crashes under the part; those that happened together count once. */
-function countEpisodes(crashes: readonly Crash[], part: PromptPartId): number {
-  let episodes = 0;
-  let beganAt = Number.NEGATIVE_INFINITY;
-  for (
-    const { at, suspects } of crashes.toSorted((left, right) =>
-      left.at - right.at
-    )
-  ) {
-    const wasSentAfter = [...suspects.values()].some(({ parts, sentAt }) =>
-      sentAt > beganAt && parts.includes(part)
-    );
-    if (!wasSentAfter && at - beganAt < crashEpisodeMilliseconds) continue;
-    episodes += 1;
-    beganAt = at;
-  }
-  return episodes;
+/** A request without parts is known by its id. */
+function ownPartOf({ ownPromptPart, request }: CrashSuspect): PromptPartId {
+  return ownPromptPart ?? `request/${request}` as PromptPartId;
 }
--- a/packages/quarantine/part-odds.ts
+++ b/packages/quarantine/part-odds.ts
@@ -1,8 +1,8 @@
 /**
- * The odds that a prompt part crashes the servers that begin to answer on it, from plain counts. A
- * part that does so meets a crash in every run and never gets an answer. A harmless part meets one
- * by chance, as often as other runs do, so that each crash multiplies the odds by the inverse of
- * that rate.
+ * The odds that a prompt part crashes the servers that begin to answer on it. A part that does so
+ * meets a crash in every run and never gets an answer. A harmless part meets one as often as other
+ * runs do, or as something else explains the crash, so that each crash multiplies the odds by the
+ * inverse of the larger of these probabilities.
  */
 
 import {
@@ -10,7 +10,6 @@
   assumedRuns,
   begunBeforeFactor,
   convictionOdds,
-  crashesOfOneRequest,
   minimumCrashedRequests,
   minimumCrashRate,
   minimumOtherBegins,
@@ -22,9 +21,9 @@
 export interface PartCounts {
   /**
    * Separate times at which a server crashed while a request with the part had not been answered
-   * yet, since the last answer to such a request.
+   * yet, since the last answer to such a request: how likely each is if the part is sound.
    */
-  readonly crashes: number;
+  readonly crashChances: readonly number[];
   /** Different requests with the part among them. */
   readonly requests: number;
   /** One of the crashes has no other explanation. */
@@ -44,12 +43,20 @@
   readonly standing: PartStanding;
 }
 
+/** False if a part cannot be suspected, whatever explains its crashes. */
+export function mayBeSuspected(
+  { crashes, hasBegunBefore }: { crashes: number; hasBegunBefore: boolean },
+): boolean {
+  return priorOf(hasBegunBefore) * minimumCrashRate ** -crashes >=
+    suspicionOdds;
+}
+
 export function assessPart(counts: PartCounts): PartAssessment {
   const odds = oddsOf(counts);
   // If nothing is answered, every part looks alike, and the fault may be the service's.
   const isServiceSound = counts.otherBegins >= minimumOtherBegins;
   const hasEnoughRequests = counts.requests >= neededRequests(counts);
-  if (counts.crashes === 0 || odds < suspicionOdds) {
+  if (counts.crashChances.length === 0 || odds < suspicionOdds) {
     return { odds, standing: "clear" };
   }
   const isConvicted = odds >= convictionOdds && hasEnoughRequests &&
@@ -57,17 +64,22 @@
   return { odds, standing: isConvicted ? "convicted" : "suspected" };
 }
 
-function neededRequests({ isSingledOut, crashes }: PartCounts): number {
-  if (!isSingledOut) return minimumCrashedRequests;
-  return crashes >= crashesOfOneRequest ? 1 : minimumRequestsIfSingledOut;
+function neededRequests({ isSingledOut }: PartCounts): number {
+  return isSingledOut ? minimumRequestsIfSingledOut : minimumCrashedRequests;
 }
 
 function oddsOf(
-  { crashes, hasBegunBefore, otherCrashedRuns, otherBegins }: PartCounts,
+  { crashChances, hasBegunBefore, otherCrashedRuns, otherBegins }: PartCounts,
 ): number {
   const expectedRate = (otherCrashedRuns + assumedCrashedRuns) /
     (otherCrashedRuns + otherBegins + assumedRuns);
   const rate = Math.max(minimumCrashRate, expectedRate);
-  const prior = priorOdds * (hasBegunBefore ? begunBeforeFactor : 1);
-  return prior * rate ** -crashes;
+  return crashChances.reduce(
+    (odds, chance) => odds / Math.max(rate, chance),
+    priorOf(hasBegunBefore),
+  );
+}
+
+function priorOf(hasBegunBefore: boolean): number {
+  return priorOdds * (hasBegunBefore ? begunBeforeFactor : 1);
 }
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -21,9 +21,12 @@
 import type { KeyedRecord } from "../store/keyed-store.ts";
 import { BegunParts } from "./begun-parts.ts";
 import {
+  assessmentLifetimeMilliseconds,
   confirmationRetryMilliseconds,
   confirmationTimeoutMilliseconds,
   convictionDelayMilliseconds,
+  freshTrialMilliseconds,
+  maximumBegunParts,
   reportRetryMilliseconds,
   reportTimeoutMilliseconds,
   reportTries,
@@ -40,7 +43,12 @@
   crashMessage,
   trialMessage,
 } from "./messages.ts";
-import { assessPart, type PartAssessment } from "./part-odds.ts";
+import { judgeOwnPart, type OwnStanding } from "./own-parts.ts";
+import {
+  assessPart,
+  mayBeSuspected,
+  type PartAssessment,
+} from "./part-odds.ts";
 import { Trials } from "./trials.ts";
 import {
   type TrialClaim,
@@ -82,6 +90,11 @@
   readonly #verdicts = new VerdictTable();
   readonly #begunParts = new BegunParts();
   readonly #trials = new Trials();
+  /** The latest assessments, each with the version of its evidence and its time. */
+  readonly #assessments = new Map<
+    PromptPartId,
+    { assessment: PartAssessment; version: number; at: number }
+  >();
   readonly #usedClaims = new WeakSet<TrialClaim>();
   /** Parts about which the other coordinators are being asked. */
   readonly #confirming = new Set<PromptPartId>();
@@ -118,7 +131,40 @@
   /** Decides on a request with these shared parts. */
   judge(
     parts: readonly PromptPartId[],
-    _ownPart?: PromptPartId,
+    ownPart?: PromptPartId,
+  ): Judgement {
+    const now = this.#options.clock.monotonicNow();
+    const own = judgeOwnPart(this.#evidence, ownPart, now);
+    if (own.kind === "rejected") {
+      return { kind: "rejected", verdict: this.#ownVerdict(ownPart!, own) };
+    }
+    if (own.kind === "held") return { kind: "undecided", part: ownPart! };
+    const shared = this.#judgeShared(parts, own.kind !== "clear");
+    if (own.kind !== "trial") return shared;
+    if (shared.kind !== "clear" && shared.kind !== "trial") return shared;
+    const suspected = shared.kind === "trial" ? shared.parts : [];
+    return { kind: "trial", parts: [...suspected, ownPart!] };
+  }
+
+  #ownVerdict(
+    part: PromptPartId,
+    { crashes, odds, lastCrashAt }: Extract<OwnStanding, { kind: "rejected" }>,
+  ): Verdict {
+    const { clock } = this.#options;
+    return {
+      part,
+      alternatives: [],
+      crashes,
+      requests: 1,
+      odds: Math.round(odds),
+      decidedAt: clock.wallNow() - (clock.monotonicNow() - lastCrashAt),
+    };
+  }
+
+  /** `hasCrashed`: servers crashed under this very request. */
+  #judgeShared(
+    parts: readonly PromptPartId[],
+    hasCrashed: boolean,
   ): Judgement {
     const suspected = parts.filter((part) =>
       this.#verdicts.get(part) !== undefined ||
@@ -129,16 +175,26 @@
     const [leading] = suspected
       .filter((part) => this.#isRejected(part, parts)).sort();
     if (leading !== undefined) {
-      return this.#takeReleaseTrial(leading)
+      return !hasCrashed && this.#takeReleaseTrial(leading)
         ? { kind: "trial", parts: suspected }
         : { kind: "rejected", verdict: this.#verdicts.get(leading)! };
     }
-    const waitsFor = suspected.find((part) => this.#mustWait(part));
+    const waitsFor = suspected.find((part) =>
+      this.#mustWait(part) || hasCrashed && this.#prefersOthers(part)
+    );
     return waitsFor === undefined
       ? { kind: "trial", parts: suspected }
       : { kind: "undecided", part: waitsFor };
   }
 
+  /** True while a trial of the part is left to a request that has not crashed a server. */
+  #prefersOthers(part: PromptPartId): boolean {
+    const lastCrashAt = this.#evidence.crashTimes(part).at(-1);
+    const now = this.#options.clock.monotonicNow();
+    return lastCrashAt !== undefined &&
+      now - lastCrashAt < freshTrialMilliseconds;
+  }
+
   #isRejected(part: PromptPartId, parts: readonly PromptPartId[]): boolean {
     const alternatives = this.#verdicts.get(part)?.alternatives;
     return alternatives !== undefined &&
@@ -159,17 +215,24 @@
   recordBegin(
     parts: readonly PromptPartId[],
     service: UpstreamName,
-    { isTrial }: {
+    { isTrial, ownPart }: {
       readonly isTrial: boolean;
       readonly ownPart?: PromptPartId | undefined;
     },
   ): void {
     const { network, coordinators } = this.#options;
-    this.addBegins({ parts, counts: [[service, 1]] }, { isRelayed: true });
+    // Own parts are reported only if others may have counted a crash against them.
+    const cleared = ownPart && (isTrial || this.#evidence.hasCrashes(ownPart))
+      ? [...parts, ownPart]
+      : parts;
+    this.addBegins(
+      { parts: cleared, counts: [[service, 1]] },
+      { isRelayed: true },
+    );
     if (!isTrial) return;
     for (const coordinator of coordinators()) {
       // The answer itself is counted with the next report.
-      network.send(coordinator, begunMessage, { parts, counts: [] });
+      network.send(coordinator, begunMessage, { parts: cleared, counts: [] });
     }
   }
 
@@ -276,8 +339,10 @@
     const parts = new Set(
       report.suspects.flatMap(({ sharedPromptParts }) => sharedPromptParts),
     );
-    for (const { request, sharedPromptParts } of report.suspects) {
+    for (const suspect of report.suspects) {
+      const { request, sharedPromptParts, ownPromptPart } = suspect;
       this.#trials.end(request, sharedPromptParts);
+      if (ownPromptPart) this.#trials.end(request, [ownPromptPart]);
       this.#updateVerdicts(sharedPromptParts);
     }
     if (parts.size === 0) return;
@@ -305,13 +370,25 @@
 
   #assess(part: PromptPartId): PartAssessment {
     const now = this.#options.clock.monotonicNow();
+    const { version } = this.#evidence;
+    const known = this.#assessments.get(part);
+    const isCurrent = known?.version === version &&
+      now - known.at < assessmentLifetimeMilliseconds;
+    if (isCurrent) return known.assessment;
+    if (this.#assessments.size >= maximumBegunParts) this.#assessments.clear();
     const isConvicted = (other: PromptPartId) =>
       this.#verdicts.get(other) !== undefined;
-    return assessPart(this.#evidence.countsOf(part, isConvicted, now));
+    const assessment = assessPart(
+      this.#evidence.countsOf(part, isConvicted, now),
+    );
+    this.#assessments.set(part, { assessment, version, at: now });
+    return assessment;
   }
 
   #standing(part: PromptPartId): PartAssessment["standing"] {
-    return this.#evidence.hasCrashes(part)
+    const crashes = this.#evidence.countCrashes(part);
+    const hasBegunBefore = this.#evidence.lastBegunAt(part) !== undefined;
+    return crashes > 0 && mayBeSuspected({ crashes, hasBegunBefore })
       ? this.#assess(part).standing
       : "clear";
   }
@@ -388,7 +465,7 @@
     const verdict: Verdict = {
       part,
       alternatives: this.#evidence.alternativesOf(part),
-      crashes: counts.crashes,
+      crashes: counts.crashChances.length,
       requests: counts.requests,
       odds: Math.round(this.#assess(part).odds),
       decidedAt: clock.wallNow(),
