Find the fewest explanations of the crashes under a part

The chance of each crash without the part, multiplied, took the same request for the cause of several crashes and counted it anew for each. The crashes are now covered greedily by as few own parts as possible. Alternatives of a verdict are parts that were in most of the crashes.

--- a/packages/quarantine/constants.ts
+++ b/packages/quarantine/constants.ts
@@ -20,8 +20,9 @@
 export const maximumOwnChance = 0.95;
 /** Probability that a server crashes by itself while a request waits for its answer. */
 export const serverChance = 1 / 50;
-/** Probability of a common cause if another server crashes about the same time. */
-export const commonCauseChance = 1 / 2;
+/** Probability of a common cause for each other server that crashes about the same time. */
+export const commonCauseChance = 1 / 4;
+export const maximumCommonCauseChance = 3 / 4;
 /** Probability that a shared part which was in several crashes and never answered is the cause. */
 export const repeatedPartChance = 1 / 2;
 /** From these odds on, requests with a part are sent one at a time. */
--- a/packages/quarantine/crash-causes.test.ts
+++ b/packages/quarantine/crash-causes.test.ts
@@ -40,7 +40,7 @@
 
 /** Requests of one or two kinds that crash their servers, beside faults of the servers. */
 function ownCauses(seed: number): PlayOptions {
-  const random = new SeededRandom(seed);
+  const random = mixRandom(seed);
   const share = () => 0.01 + random.next() * 0.04;
   return {
     ...commonTraffic,
@@ -52,7 +52,7 @@
 
 /** A shared part that crashes servers, beside requests with a cause of their own. */
 function sharedAndOwnCauses(seed: number): PlayOptions {
-  const random = new SeededRandom(seed);
+  const random = mixRandom(seed);
   return {
     ...commonTraffic,
     seed,
@@ -62,6 +62,11 @@
   };
 }
 
+/** The first numbers of neighboring seeds are alike. */
+function mixRandom(seed: number): SeededRandom {
+  return new SeededRandom(Math.imul(seed, 0x9e3779b1));
+}
+
 function serverFaults(random: SeededRandom) {
   return {
     faultyServerCrashesPerSecond: random.next() < 0.3 ? 0.3 : 0,
--- a/packages/quarantine/crash-causes.ts
+++ b/packages/quarantine/crash-causes.ts
@@ -9,6 +9,7 @@
   baseRateWindowMilliseconds,
   commonCauseChance,
   crashEpisodeMilliseconds,
+  maximumCommonCauseChance,
   maximumOwnChance,
   ownPriorChance,
   repeatedPartChance,
@@ -42,76 +43,124 @@
   readonly crashes: readonly Crash[];
 }
 
-/** The probability of each of the crashes if the part is sound, those of one episode counted once. */
-export function chancesWithout(
+/** Crashes that something else than the part explains together, and how likely that is. */
+interface Explanation {
+  readonly crashes: readonly Crash[];
+  readonly chance: number;
+}
+
+/**
+ * The fewest explanations of the crashes if the part is sound, found greedily: each is the own part
+ * of a request that is in as many of them as possible. Returns how likely each is.
+ */
+export function explain(
   part: PromptPartId,
   crashes: readonly Crash[],
   context: CauseContext,
 ): number[] {
-  return separateCrashes(crashes, part).map((crash) =>
-    chanceWithout(part, crash, context)
-  );
+  const chances: number[] = [];
+  const unexplained = new Set(separateCrashes(crashes, part));
+  const candidates = candidatesOf(part, unexplained, context);
+  while (unexplained.size > 0) {
+    const best = explainNext(part, unexplained, candidates, context);
+    chances.push(best.chance);
+    for (const crash of best.crashes) unexplained.delete(crash);
+  }
+  return chances;
 }
 
-export function isIn(
-  { parts, ownPart }: CrashedRun,
+/** The crashes that may be due to each other part. */
+function candidatesOf(
   part: PromptPartId,
-): boolean {
-  return ownPart === part || parts.includes(part);
+  crashes: ReadonlySet<Crash>,
+  { crashesOf, hasBegunBefore }: CauseContext,
+): Map<PromptPartId, Set<Crash>> {
+  const candidates = new Map<PromptPartId, Set<Crash>>();
+  const add = (other: PromptPartId, crash: Crash) => {
+    if (other === part || !crashesOf(other)?.has(crash)) return;
+    const explained = candidates.get(other) ?? new Set();
+    candidates.set(other, explained.add(crash));
+  };
+  for (const crash of crashes) {
+    const runs = [...crash.suspects.values()];
+    // Shared parts in place of another shared one are named in the verdict instead.
+    const isOwn = runs.some(({ ownPart }) => ownPart === part);
+    for (const run of runs) {
+      add(run.ownPart, crash);
+      if (!isOwn || run.ownPart === part) continue;
+      for (const shared of run.parts) {
+        const isRepeated = (crashesOf(shared)?.size ?? 0) > 1;
+        if (isRepeated && !hasBegunBefore(shared)) add(shared, crash);
+      }
+    }
+  }
+  return candidates;
 }
 
-function chanceWithout(
+function explainNext(
   part: PromptPartId,
-  crash: Crash,
+  unexplained: ReadonlySet<Crash>,
+  candidates: ReadonlyMap<PromptPartId, ReadonlySet<Crash>>,
   context: CauseContext,
-): number {
-  let chanceOfNone = 1 - chanceOfServer(part, crash, context);
-  const runs = [...crash.suspects.values()];
-  const alternatives = new Set(
-    runs.map(({ ownPart }) => ownPart).filter((own) => own !== part),
-  );
-  for (const ownPart of alternatives) {
-    chanceOfNone *= 1 - chanceOfOwnPart(ownPart, part, crash, context);
+): Explanation {
+  let best: Explanation | undefined;
+  for (const [other, explained] of candidates) {
+    const crashes = [...explained].filter((crash) => unexplained.has(crash));
+    if (crashes.length === 0) continue;
+    const chance = chanceOf(other, part, crashes, context);
+    const isBetter = !best || crashes.length > best.crashes.length ||
+      crashes.length === best.crashes.length && chance > best.chance;
+    if (isBetter) best = { crashes, chance };
   }
-  // Shared parts in place of another shared one are named in the verdict instead.
-  const isOwn = runs.some(({ ownPart }) => ownPart === part);
-  if (isOwn && isUnderRepeatedPart(crash, part, context)) {
-    chanceOfNone *= 1 - repeatedPartChance;
-  }
-  return 1 - chanceOfNone;
+  const crashes = best?.crashes ?? [[...unexplained][0]!];
+  const ofServers = crashes.reduce(
+    (product, crash) => product * chanceOfServer(part, crash, context),
+    1,
+  );
+  return { crashes, chance: Math.min(1, (best?.chance ?? 0) + ofServers) };
 }
 
-/** Grows with the other crashes under the own part, each shared among the requests that it ended. */
-function chanceOfOwnPart(
-  ownPart: PromptPartId,
+/**
+ * How likely one of the requests that may explain the crashes does, given the other crashes under
+ * the own part, each of which is shared among the requests that it ended.
+ */
+function chanceOf(
+  other: PromptPartId,
   part: PromptPartId,
-  crash: Crash,
+  crashes: readonly Crash[],
   { crashesOf }: CauseContext,
 ): number {
-  const counted = crashesOf(ownPart);
+  const isShared = crashes.some(({ suspects }) =>
+    ![...suspects.values()].some(({ ownPart }) => ownPart === other)
+  );
+  if (isShared) return repeatedPartChance;
+  const liveRuns = (crash: Crash) =>
+    [...crash.suspects.values()]
+      .filter((run) => crashesOf(run.ownPart)?.has(crash)).length;
   const ofPart = crashesOf(part);
-  // The request has been answered since.
-  if (!counted?.has(crash)) return 0;
-  let chance = ownPriorChance;
-  for (const other of counted) {
-    if (other === crash) continue;
-    if (other.at > crash.at && ofPart?.has(other)) continue;
-    const suspects = [...other.suspects.values()]
-      .filter((run) => crashesOf(run.ownPart)?.has(other));
-    chance += 1 / Math.max(1, suspects.length);
+  let chance = ownPriorChance * Math.min(...crashes.map(liveRuns));
+  for (const crash of crashesOf(other) ?? []) {
+    if (!ofPart?.has(crash)) chance += 1 / Math.max(1, liveRuns(crash));
   }
   return Math.min(maximumOwnChance, chance);
 }
 
+export function isIn(
+  { parts, ownPart }: CrashedRun,
+  part: PromptPartId,
+): boolean {
+  return ownPart === part || parts.includes(part);
+}
+
 /** The server itself, which crashes more often than others, or a cause of several servers. */
 function chanceOfServer(
   part: PromptPartId,
   crash: Crash,
   { crashes, crashesOf }: CauseContext,
 ): number {
-  const isCorrelated = crash.neighbors.some((neighbor) =>
-    !wasSentBetween(neighbor, crash, part)
-  );
+  const neighbors =
+    crash.neighbors.filter((neighbor) => !wasSentBetween(neighbor, crash, part))
+      .length;
   const ofPart = crashesOf(part);
   let all = 0;
   let ofServer = 0;
@@ -123,7 +172,7 @@
   }
   return Math.max(
     serverChance,
-    isCorrelated ? commonCauseChance : 0,
+    Math.min(maximumCommonCauseChance, neighbors * commonCauseChance),
     // One crash of the server may be due to chance.
     Math.max(0, ofServer - 1) / (all + 1),
   );
@@ -141,20 +190,6 @@
   );
 }
 
-/** True if the crash has a shared part that was in other crashes too and was never answered. */
-function isUnderRepeatedPart(
-  crash: Crash,
-  ownPart: PromptPartId,
-  { crashesOf, hasBegunBefore }: CauseContext,
-): boolean {
-  return [...crash.suspects.values()].some((run) =>
-    run.ownPart !== ownPart &&
-    run.parts.some((shared) =>
-      !hasBegunBefore(shared) && (crashesOf(shared)?.size ?? 0) > 1
-    )
-  );
-}
-
 /** Leaves out crashes that happened together with an earlier one. */
 function separateCrashes(
   crashes: readonly Crash[],
--- a/packages/quarantine/crash-evidence.ts
+++ b/packages/quarantine/crash-evidence.ts
@@ -14,12 +14,7 @@
   maximumCrashes,
   maximumSuspectsOfCrash,
 } from "./constants.ts";
-import {
-  chancesWithout,
-  type Crash,
-  type CrashedRun,
-  isIn,
-} from "./crash-causes.ts";
+import { type Crash, type CrashedRun, explain, isIn } from "./crash-causes.ts";
 import type { PartCounts } from "./part-odds.ts";
 import { WindowCounter } from "./window-counter.ts";
 
@@ -150,7 +145,8 @@
       ),
     );
     return {
-      crashChances: this.#chancesWithout(part, crashes),
+      crashes: crashes.length,
+      explanations: this.#explain(part, crashes),
       requests: requests.size,
       isSingledOut: crashes.length > 0 &&
         this.alternativesOf(part).length === 0,
@@ -163,15 +159,15 @@
     };
   }
 
-  /** How likely each crash that counts against the part is if the part is sound. */
-  chancesOf(part: PromptPartId): number[] {
-    return this.#chancesWithout(part, [
+  /** The chances of what else explains the crashes that count against the part. */
+  explanationsOf(part: PromptPartId): number[] {
+    return this.#explain(part, [
       ...this.#crashesOfPart.get(part) ?? [],
     ]);
   }
 
-  #chancesWithout(part: PromptPartId, crashes: readonly Crash[]): number[] {
-    return chancesWithout(part, crashes, {
+  #explain(part: PromptPartId, crashes: readonly Crash[]): number[] {
+    return explain(part, crashes, {
       crashesOf: (other) => this.#crashesOfPart.get(other),
       hasBegunBefore: (other) => this.#begunAt.has(other),
       crashes: this.#crashes,
@@ -180,18 +176,28 @@
 
   /**
    * Other parts that may have caused the crashes in place of the given one: those of the suspects on
-   * which servers have never begun an answer. Empty if one of the crashes has no other explanation.
+   * which servers have never begun an answer, and that were in most of the crashes. Empty if one of
+   * the crashes has no other explanation.
    */
   alternativesOf(part: PromptPartId): PromptPartId[] {
-    const alternatives = new Set<PromptPartId>();
-    for (const { suspects } of this.#crashesOfPart.get(part) ?? []) {
-      const others = [...suspects.values()]
-        .flatMap(({ parts }) => parts)
-        .filter((other) => other !== part && !this.#begunAt.has(other));
-      if (others.length === 0) return [];
-      for (const other of others) alternatives.add(other);
+    const crashes = [...this.#crashesOfPart.get(part) ?? []];
+    const others = crashes.map(({ suspects }) =>
+      new Set(
+        [...suspects.values()].flatMap(({ parts }) => parts)
+          .filter((other) => other !== part && !this.#begunAt.has(other)),
+      )
+    );
+    const counts = new Map<PromptPartId, number>();
+    for (const other of others.flatMap((set) => [...set])) {
+      counts.set(other, (counts.get(other) ?? 0) + 1);
     }
-    return [...alternatives];
+    const alternatives = [...counts]
+      .filter(([, count]) => count * 2 > crashes.length)
+      .map(([other]) => other);
+    const isExplained = others.every((set) =>
+      alternatives.some((other) => set.has(other))
+    );
+    return isExplained ? alternatives : [];
   }
 
   /**
--- a/packages/quarantine/own-parts.ts
+++ b/packages/quarantine/own-parts.ts
@@ -39,7 +39,7 @@
   if (crashes < minimumCrashesOfRequest) return { kind: "repeated" };
   const lastCrashAt = times.at(-1)!;
   if (now - lastCrashAt < crashReportsMilliseconds) return { kind: "held" };
-  const odds = evidence.chancesOf(ownPart).reduce(
+  const odds = evidence.explanationsOf(ownPart).reduce(
     (product, chance) => product / chance,
     ownPriorChance / (1 - ownPriorChance),
   );
--- a/packages/quarantine/part-odds.ts
+++ b/packages/quarantine/part-odds.ts
@@ -1,8 +1,8 @@
 /**
  * The odds that a prompt part crashes the servers that begin to answer on it. A part that does so
- * meets a crash in every run and never gets an answer. A harmless part meets one as often as other
- * runs do, or as something else explains the crash, so that each crash multiplies the odds by the
- * inverse of the larger of these probabilities.
+ * meets a crash in every run and never gets an answer. If it is harmless, something else explains
+ * the crashes; each such explanation multiplies the odds by the inverse of its probability, which
+ * is at least the rate at which other runs meet crashes.
  */
 
 import {
@@ -21,9 +21,11 @@
 export interface PartCounts {
   /**
    * Separate times at which a server crashed while a request with the part had not been answered
-   * yet, since the last answer to such a request: how likely each is if the part is sound.
+   * yet, since the last answer to such a request.
    */
-  readonly crashChances: readonly number[];
+  readonly crashes: number;
+  /** What else explains these crashes: how likely each such explanation is. */
+  readonly explanations: readonly number[];
   /** Different requests with the part among them. */
   readonly requests: number;
   /** One of the crashes has no other explanation. */
@@ -56,7 +58,7 @@
   // If nothing is answered, every part looks alike, and the fault may be the service's.
   const isServiceSound = counts.otherBegins >= minimumOtherBegins;
   const hasEnoughRequests = counts.requests >= neededRequests(counts);
-  if (counts.crashChances.length === 0 || odds < suspicionOdds) {
+  if (counts.crashes === 0 || odds < suspicionOdds) {
     return { odds, standing: "clear" };
   }
   const isConvicted = odds >= convictionOdds && hasEnoughRequests &&
@@ -69,12 +71,12 @@
 }
 
 function oddsOf(
-  { crashChances, hasBegunBefore, otherCrashedRuns, otherBegins }: PartCounts,
+  { explanations, hasBegunBefore, otherCrashedRuns, otherBegins }: PartCounts,
 ): number {
   const expectedRate = (otherCrashedRuns + assumedCrashedRuns) /
     (otherCrashedRuns + otherBegins + assumedRuns);
   const rate = Math.max(minimumCrashRate, expectedRate);
-  return crashChances.reduce(
+  return explanations.reduce(
     (odds, chance) => odds / Math.max(rate, chance),
     priorOf(hasBegunBefore),
   );
--- a/packages/quarantine/quarantine.test.ts
+++ b/packages/quarantine/quarantine.test.ts
@@ -105,7 +105,8 @@
 test("a verdict ends by a trial that one instance of the fleet runs, three times at most", async () => {
   const fleet = await play({ seed: 5, poisonedShare: 0.1 });
   const part = "poisoned0" as PromptPartId;
-  let trials = 0;
+  // The first is due while requests still arrive.
+  let trials = fleet.releaseTrials;
   for (let hour = 0; hour < 24 * 3; hour++) {
     await fleet.time.runUntil(15_000 + hour * 3_600_000);
     for (let round = 0; round < 3; round++) {
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -465,7 +465,7 @@
     const verdict: Verdict = {
       part,
       alternatives: this.#evidence.alternativesOf(part),
-      crashes: counts.crashChances.length,
+      crashes: counts.crashes,
       requests: counts.requests,
       odds: Math.round(this.#assess(part).odds),
       decidedAt: clock.wallNow(),
--- a/packages/quarantine/testing/played-fleet.ts
+++ b/packages/quarantine/testing/played-fleet.ts
@@ -120,6 +120,8 @@
   /** Sends of requests that had ended three servers before. */
   forbiddenSends = 0;
   serverCrashes = 0;
+  /** Requests that were sent although a verdict rejects them. */
+  releaseTrials = 0;
   /** Servers that each request has ended, by the own part. */
   readonly #endedServers = new Map<PromptPartId, number>();
   readonly #options: Required<PlayOptions>;
@@ -329,6 +331,10 @@
     const running = this.#servers.filter(({ isDown }) => !isDown);
     if (running.length === 0) return this.#fail(request);
     const isTrial = judgement.kind === "trial";
+    const isRejected = instance.quarantine.verdicts.some((verdict) =>
+      verdict.alternatives.length === 0 && request.parts.includes(verdict.part)
+    );
+    if (isRejected) this.releaseTrials += 1;
     const server = isTrial
       ? running.reduce((least, other) =>
         other.runs.size < least.runs.size ? other : least
