Hold a request by its own part only where no shared part may be the cause

A request that crashed two servers was rejected by its own part although a part that it shares and that was never answered explains as much; it now goes on trial, and the next request tells the two apart.

--- a/packages/quarantine/constants.ts
+++ b/packages/quarantine/constants.ts
@@ -23,7 +23,7 @@
 /** Probability of a common cause for each other server that crashes about the same time. */
 export const commonCauseChance = 1 / 4;
 export const maximumCommonCauseChance = 3 / 4;
-/** Probability that a shared part which was in several crashes and never answered is the cause. */
+/** Probability that a shared part which was also in other crashes and never answered is the cause. */
 export const repeatedPartChance = 1 / 2;
 /** From these odds on, requests with a part are sent one at a time. */
 export const suspicionOdds = 1 / 100;
--- a/packages/quarantine/crash-causes.ts
+++ b/packages/quarantine/crash-causes.ts
@@ -12,6 +12,7 @@
   maximumCommonCauseChance,
   maximumOwnChance,
   ownPriorChance,
+  priorOdds,
   repeatedPartChance,
   serverChance,
 } from "./constants.ts";
@@ -87,10 +88,9 @@
     const isOwn = runs.some(({ ownPart }) => ownPart === part);
     for (const run of runs) {
       add(run.ownPart, crash);
-      if (!isOwn || run.ownPart === part) continue;
+      if (!isOwn) continue;
       for (const shared of run.parts) {
-        const isRepeated = (crashesOf(shared)?.size ?? 0) > 1;
-        if (isRepeated && !hasBegunBefore(shared)) add(shared, crash);
+        if (!hasBegunBefore(shared)) add(shared, crash);
       }
     }
   }
@@ -133,11 +133,13 @@
   const isShared = crashes.some(({ suspects }) =>
     ![...suspects.values()].some(({ ownPart }) => ownPart === other)
   );
-  if (isShared) return repeatedPartChance;
+  const ofPart = crashesOf(part);
+  const isElsewhere = [...crashesOf(other) ?? []]
+    .some((crash) => !ofPart?.has(crash));
+  if (isShared) return isElsewhere ? repeatedPartChance : priorOdds;
   const liveRuns = (crash: Crash) =>
     [...crash.suspects.values()]
       .filter((run) => crashesOf(run.ownPart)?.has(crash)).length;
-  const ofPart = crashesOf(part);
   let chance = ownPriorChance * Math.min(...crashes.map(liveRuns));
   for (const crash of crashesOf(other) ?? []) {
     if (!ofPart?.has(crash)) chance += 1 / Math.max(1, liveRuns(crash));
