--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -279,14 +279,9 @@
 
   #judge(work: ItemWork, item: JobItem, host: string): Judgement {
     const { jobCodec, quarantine } = this.#options;
-    if (!work.promptParts) {
-      const { sharedPromptParts, ownPromptPart } = jobCodec.toRequest(
-        item,
-        host,
-      );
-      work.promptParts = { sharedPromptParts, ownPromptPart };
-    }
-    const { sharedPromptParts, ownPromptPart } = work.promptParts;
+    const { sharedPromptParts, ownPromptPart } = work.promptParts ??
+      jobCodec.toRequest(item, host);
+    work.promptParts ??= { sharedPromptParts, ownPromptPart };
     return quarantine.judge(sharedPromptParts, ownPromptPart);
   }
 
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -15,21 +15,14 @@
   UpstreamName,
 } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
-import { delay, systemTimers, type Timers } from "../common/timers.ts";
-import type { PeerMessage } from "../protocol/peer-message.ts";
+import { systemTimers, type Timers } from "../common/timers.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedRecord } from "../store/keyed-store.ts";
 import { BegunParts } from "./begun-parts.ts";
 import {
-  assessmentLifetimeMilliseconds,
   confirmationRetryMilliseconds,
-  confirmationTimeoutMilliseconds,
   convictionDelayMilliseconds,
   freshTrialMilliseconds,
-  maximumBegunParts,
-  reportRetryMilliseconds,
-  reportTimeoutMilliseconds,
-  reportTries,
   trialTurnMilliseconds,
 } from "./constants.ts";
 import {
@@ -37,18 +30,16 @@
   CrashEvidence,
   type CrashReport,
 } from "./crash-evidence.ts";
+import { sendCrashReport } from "./crash-reports.ts";
 import {
   begunMessage,
   confirmationMessage,
   crashMessage,
   trialMessage,
 } from "./messages.ts";
+import { askForAnswers } from "./part-confirmation.ts";
 import { judgeOwnPart, type OwnStanding } from "./own-parts.ts";
-import {
-  assessPart,
-  mayBeSuspected,
-  type PartAssessment,
-} from "./part-odds.ts";
+import { PartStandings } from "./part-standings.ts";
 import { Trials } from "./trials.ts";
 import {
   type TrialClaim,
@@ -90,17 +81,18 @@
   readonly #verdicts = new VerdictTable();
   readonly #begunParts = new BegunParts();
   readonly #trials = new Trials();
-  /** The latest assessments, each with the version of its evidence and its time. */
-  readonly #assessments = new Map<
-    PromptPartId,
-    { assessment: PartAssessment; version: number; at: number }
-  >();
+  readonly #standings: PartStandings;
   readonly #usedClaims = new WeakSet<TrialClaim>();
   /** Parts about which the other coordinators are being asked. */
   readonly #confirming = new Set<PromptPartId>();
 
   constructor(options: QuarantineOptions) {
     this.#options = { timers: systemTimers, ...options };
+    this.#standings = new PartStandings({
+      evidence: this.#evidence,
+      isConvicted: (part) => this.#verdicts.get(part) !== undefined,
+      now: options.clock.monotonicNow,
+    });
     const { network } = options;
     network.handle(crashMessage, (report) => {
       this.#addCrash(report);
@@ -168,7 +160,7 @@
   ): Judgement {
     const suspected = parts.filter((part) =>
       this.#verdicts.get(part) !== undefined ||
-      this.#standing(part) !== "clear"
+      this.#standings.of(part) !== "clear"
     );
     if (suspected.length === 0) return clear;
     // One part is in charge of the trials for release, so that several parts share their number.
@@ -283,7 +275,7 @@
     });
     this.#addCrash(report);
     for (const coordinator of coordinators()) {
-      void this.#tell(coordinator, crashMessage, report);
+      void sendCrashReport(coordinator, report, this.#options);
     }
   }
 
@@ -368,36 +360,11 @@
     ).indexOf(instance);
   }
 
-  #assess(part: PromptPartId): PartAssessment {
-    const now = this.#options.clock.monotonicNow();
-    const { version } = this.#evidence;
-    const known = this.#assessments.get(part);
-    const isCurrent = known?.version === version &&
-      now - known.at < assessmentLifetimeMilliseconds;
-    if (isCurrent) return known.assessment;
-    if (this.#assessments.size >= maximumBegunParts) this.#assessments.clear();
-    const isConvicted = (other: PromptPartId) =>
-      this.#verdicts.get(other) !== undefined;
-    const assessment = assessPart(
-      this.#evidence.countsOf(part, isConvicted, now),
-    );
-    this.#assessments.set(part, { assessment, version, at: now });
-    return assessment;
-  }
-
-  #standing(part: PromptPartId): PartAssessment["standing"] {
-    const crashes = this.#evidence.countCrashes(part);
-    const hasBegunBefore = this.#evidence.lastBegunAt(part) !== undefined;
-    return crashes > 0 && mayBeSuspected({ crashes, hasBegunBefore })
-      ? this.#assess(part).standing
-      : "clear";
-  }
-
   #mustWait(part: PromptPartId): boolean {
     const now = this.#options.clock.monotonicNow();
     if (this.#trials.mustWait(part, now)) return true;
     return this.#verdicts.get(part) === undefined &&
-      this.#standing(part) === "convicted";
+      this.#standings.of(part) === "convicted";
   }
 
   async #convictIfDue(part: PromptPartId): Promise<void> {
@@ -423,36 +390,19 @@
     // A later crash has started its own delay.
     return lastCrashAt !== undefined &&
       clock.monotonicNow() - lastCrashAt >= convictionDelayMilliseconds &&
-      this.#assess(part).standing === "convicted";
+      this.#standings.assess(part).standing === "convicted";
   }
 
-  /**
-   * Asks the other coordinators for an answer to a request with the part since the first crash.
-   * Resolves to true if most of them reply and none knows of one.
-   */
+  /** Resolves to true if most coordinators reply and none knows of an answer on the part. */
   async #confirm(part: PromptPartId): Promise<boolean> {
-    const { network, coordinators, clock } = this.#options;
-    const others = coordinators();
-    const replies = await Promise.all(
-      others.map((coordinator) =>
-        network.request(coordinator, confirmationMessage, { part }, {
-          deadlineMilliseconds: confirmationTimeoutMilliseconds,
-        }).catch(() => undefined)
-      ),
-    );
+    const { isHeard, beganAt } = await askForAnswers(part, this.#options);
     const [firstCrashAt] = this.#evidence.crashTimes(part);
-    const now = clock.monotonicNow();
-    const hasBegun = replies.some((reply) =>
-      reply?.begunAgoMilliseconds !== undefined && firstCrashAt !== undefined &&
-      now - reply.begunAgoMilliseconds > firstCrashAt
-    );
+    const hasBegun = beganAt !== undefined && firstCrashAt !== undefined &&
+      beganAt > firstCrashAt;
     if (hasBegun) {
       this.addBegins({ parts: [part], counts: [] }, { isRelayed: false });
-      return false;
     }
-    // Both counts include this instance.
-    const heard = replies.filter((reply) => reply !== undefined).length + 1;
-    return heard * 2 > others.length + 1;
+    return isHeard && !hasBegun;
   }
 
   #convict(part: PromptPartId): void {
@@ -467,7 +417,7 @@
       alternatives: this.#evidence.alternativesOf(part),
       crashes: counts.crashes,
       requests: counts.requests,
-      odds: Math.round(this.#assess(part).odds),
+      odds: Math.round(this.#standings.assess(part).odds),
       decidedAt: clock.wallNow(),
     };
     logger.warn("a prompt part is quarantined since servers crash under it", {
@@ -545,28 +495,4 @@
     }
     return false;
   }
-
-  /** Sends a report to a coordinator, again after a failure. */
-  async #tell<Request>(
-    coordinator: InstanceId,
-    message: PeerMessage<Request, null>,
-    body: Request,
-  ): Promise<void> {
-    const { network, timers, logger } = this.#options;
-    for (let tries = 1; tries <= reportTries; tries++) {
-      try {
-        await network.request(coordinator, message, body, {
-          deadlineMilliseconds: reportTimeoutMilliseconds,
-        });
-        return;
-      } catch (error) {
-        logger.warn("a report of a crash was not received", {
-          coordinator,
-          tries,
-          reason: String(error),
-        });
-        await delay(timers, reportRetryMilliseconds);
-      }
-    }
-  }
 }
