Reject a request under which three servers crashed in any case

Where a shared part explains its crashes as well, such a request was held and never judged, so that a batch item with it was not given up at its retention time: 8 results were waited for in vain in poisoned-part.test.

--- a/packages/quarantine/own-parts.ts
+++ b/packages/quarantine/own-parts.ts
@@ -15,8 +15,7 @@
 
 /**
  * `repeated`: servers crashed under the request, which may go to a further one. `trial`: it goes to
- * the server with the fewest requests. `held`: it must not be sent, but is not shown to be the
- * cause, or reports of the last crash may be missing.
+ * the server with the fewest requests. `held`: reports of the last crash may be missing.
  */
 export type OwnStanding =
   | { readonly kind: "clear" | "repeated" | "trial" | "held" }
@@ -44,8 +43,8 @@
     ownPriorChance / (1 - ownPriorChance),
   );
   const mustStop = crashes >= maximumCrashesOfRequest;
-  if (odds >= (mustStop ? 1 : convictionOdds)) {
+  if (mustStop || odds >= convictionOdds) {
     return { kind: "rejected", crashes, odds, lastCrashAt };
   }
-  return { kind: mustStop ? "held" : "trial" };
+  return { kind: "trial" };
 }
