Hold a bystander of three crashes instead of rejecting it

Such a request is rejected only if its own part is the likelier cause; else it is held, which gives 503, and a batch item is given up at its retention time. Documents the own parts.

--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -240,9 +240,11 @@
       return false;
     }
     const judgement = this.#judge(work, item, state.record.host);
-    if (judgement.kind === "undecided") return false;
-    if (judgement.kind === "rejected") {
-      const { part, crashes } = judgement.verdict;
+    if (judgement.kind === "rejected" || judgement.kind === "undecided") {
+      const { part, crashes } = judgement.kind === "rejected"
+        ? judgement.verdict
+        : judgement;
+      if (crashes === undefined) return false;
       this.#giveUpAfterRetention(
         work,
         state,
--- a/packages/quarantine/own-parts.ts
+++ b/packages/quarantine/own-parts.ts
@@ -3,6 +3,7 @@
  * servers for a reason of its own is not tried on further ones, also if its caller repeats it.
  */
 
+import type { Clock } from "../common/clock.ts";
 import type { PromptPartId } from "../common/ids.ts";
 import {
   convictionOdds,
@@ -12,13 +13,16 @@
   ownPriorChance,
 } from "./constants.ts";
 import type { CrashEvidence } from "./crash-evidence.ts";
+import type { Verdict } from "./verdict-records.ts";
 
 /**
  * `repeated`: servers crashed under the request, which may go to a further one. `trial`: it goes to
- * the server with the fewest requests. `held`: reports of the last crash may be missing.
+ * the server with the fewest requests. `held`: reports of the last crash may be missing, or, with
+ * the number of crashes, it must not be sent again although something else may be the cause.
  */
 export type OwnStanding =
-  | { readonly kind: "clear" | "repeated" | "trial" | "held" }
+  | { readonly kind: "clear" | "repeated" | "trial" }
+  | { readonly kind: "held"; readonly crashes?: number }
   | {
     readonly kind: "rejected";
     readonly crashes: number;
@@ -43,8 +47,24 @@
     ownPriorChance / (1 - ownPriorChance),
   );
   const mustStop = crashes >= maximumCrashesOfRequest;
-  if (mustStop || odds >= convictionOdds) {
+  if (odds >= (mustStop ? 1 : convictionOdds)) {
     return { kind: "rejected", crashes, odds, lastCrashAt };
   }
-  return { kind: "trial" };
+  return mustStop ? { kind: "held", crashes } : { kind: "trial" };
+}
+
+/** The reason for the rejection of a request; it is not stored. */
+export function verdictOnOwnPart(
+  part: PromptPartId,
+  { crashes, odds, lastCrashAt }: Extract<OwnStanding, { kind: "rejected" }>,
+  clock: Clock,
+): Verdict {
+  return {
+    part,
+    alternatives: [],
+    crashes,
+    requests: 1,
+    odds: Math.round(odds),
+    decidedAt: clock.wallNow() - (clock.monotonicNow() - lastCrashAt),
+  };
 }
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -38,7 +38,7 @@
   trialMessage,
 } from "./messages.ts";
 import { askForAnswers } from "./part-confirmation.ts";
-import { judgeOwnPart, type OwnStanding } from "./own-parts.ts";
+import { judgeOwnPart, verdictOnOwnPart } from "./own-parts.ts";
 import { PartStandings } from "./part-standings.ts";
 import { Trials } from "./trials.ts";
 import {
@@ -53,8 +53,15 @@
   | { readonly kind: "clear" }
   /** The request may be sent, if no other with one of the parts is sent before its outcome. */
   | { readonly kind: "trial"; readonly parts: readonly PromptPartId[] }
-  /** Another request with a part of this one is on trial, or its verdict is due. */
-  | { readonly kind: "undecided"; readonly part: PromptPartId }
+  /**
+   * Another request with a part of this one is on trial, or its verdict is due. With a number of
+   * crashes, so many servers crashed under this very request that it must not be sent again.
+   */
+  | {
+    readonly kind: "undecided";
+    readonly part: PromptPartId;
+    readonly crashes?: number | undefined;
+  }
   | { readonly kind: "rejected"; readonly verdict: Verdict };
 
 export interface QuarantineOptions {
@@ -128,9 +135,14 @@
     const now = this.#options.clock.monotonicNow();
     const own = judgeOwnPart(this.#evidence, ownPart, now);
     if (own.kind === "rejected") {
-      return { kind: "rejected", verdict: this.#ownVerdict(ownPart!, own) };
+      return {
+        kind: "rejected",
+        verdict: verdictOnOwnPart(ownPart!, own, this.#options.clock),
+      };
+    }
+    if (own.kind === "held") {
+      return { kind: "undecided", part: ownPart!, crashes: own.crashes };
     }
-    if (own.kind === "held") return { kind: "undecided", part: ownPart! };
     const shared = this.#judgeShared(parts, own.kind !== "clear");
     if (own.kind !== "trial") return shared;
     if (shared.kind !== "clear" && shared.kind !== "trial") return shared;
@@ -138,21 +150,6 @@
     return { kind: "trial", parts: [...suspected, ownPart!] };
   }
 
-  #ownVerdict(
-    part: PromptPartId,
-    { crashes, odds, lastCrashAt }: Extract<OwnStanding, { kind: "rejected" }>,
-  ): Verdict {
-    const { clock } = this.#options;
-    return {
-      part,
-      alternatives: [],
-      crashes,
-      requests: 1,
-      odds: Math.round(odds),
-      decidedAt: clock.wallNow() - (clock.monotonicNow() - lastCrashAt),
-    };
-  }
-
   /** `hasCrashed`: servers crashed under this very request. */
   #judgeShared(
     parts: readonly PromptPartId[],
