--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -208,9 +208,11 @@
       return false;
     }
     const judgement = this.#judge(work, item, state.record.host);
-    if (judgement.kind === "undecided") return false;
-    if (judgement.kind === "rejected") {
-      const { part, crashes } = judgement.verdict;
+    if (judgement.kind === "rejected" || judgement.kind === "undecided") {
+      const { part, crashes } = judgement.kind === "rejected"
+        ? judgement.verdict
+        : judgement;
+      if (crashes === undefined) return false;
       this.#giveUpAfterRetention(
         work,
         state,
@@ -250,8 +252,10 @@
 
   #judge(work: ItemWork, item: JobItem, host: string): Judgement {
     const { jobCodec, quarantine } = this.#options;
-    work.sharedPromptParts ??= jobCodec.toRequest(item, host).sharedPromptParts;
-    return quarantine.judge(work.sharedPromptParts);
+    const { sharedPromptParts, ownPromptPart } = work.promptParts ??
+      jobCodec.toRequest(item, host);
+    work.promptParts ??= { sharedPromptParts, ownPromptPart };
+    return quarantine.judge(sharedPromptParts, ownPromptPart);
   }
 
   /** Gives up an item that cannot be sent, but only after the job's retention time. */
@@ -354,7 +358,7 @@
         this.#options.quarantine.recordBegin(
           request.sharedPromptParts,
           upstream.service,
-          { isTrial: work.isTrial },
+          { isTrial: work.isTrial, ownPart: request.ownPromptPart },
         ),
       hasServerCrashed: () =>
         this.#options.crashDetector.examine(upstream, undefined),
--- a/packages/quarantine/part-odds.ts
+++ b/packages/quarantine/part-odds.ts
@@ -1,8 +1,8 @@
 /**
- * The odds that a prompt part crashes the servers that begin to answer on it, from plain counts. A
- * part that does so meets a crash in every run and never gets an answer. A harmless part meets one
- * by chance, as often as other runs do, so that each crash multiplies the odds by the inverse of
- * that rate.
+ * The odds that a prompt part crashes the servers that begin to answer on it. A part that does so
+ * meets a crash in every run and never gets an answer. If it is harmless, something else explains
+ * the crashes; each such explanation multiplies the odds by the inverse of its probability, which
+ * is at least the rate at which other runs meet crashes.
  */
 
 import {
@@ -10,7 +10,6 @@
   assumedRuns,
   begunBeforeFactor,
   convictionOdds,
-  crashesOfOneRequest,
   minimumCrashedRequests,
   minimumCrashRate,
   minimumOtherBegins,
@@ -25,6 +24,8 @@
    * yet, since the last answer to such a request.
    */
   readonly crashes: number;
+  /** What else explains these crashes: how likely each such explanation is. */
+  readonly explanations: readonly number[];
   /** Different requests with the part among them. */
   readonly requests: number;
   /** One of the crashes has no other explanation. */
@@ -44,6 +45,14 @@
   readonly standing: PartStanding;
 }
 
+/** False if a part cannot be suspected, whatever explains its crashes. */
+export function mayBeSuspected(
+  { crashes, hasBegunBefore }: { crashes: number; hasBegunBefore: boolean },
+): boolean {
+  return priorOf(hasBegunBefore) * minimumCrashRate ** -crashes >=
+    suspicionOdds;
+}
+
 export function assessPart(counts: PartCounts): PartAssessment {
   const odds = oddsOf(counts);
   // If nothing is answered, every part looks alike, and the fault may be the service's.
@@ -57,17 +66,22 @@
   return { odds, standing: isConvicted ? "convicted" : "suspected" };
 }
 
-function neededRequests({ isSingledOut, crashes }: PartCounts): number {
-  if (!isSingledOut) return minimumCrashedRequests;
-  return crashes >= crashesOfOneRequest ? 1 : minimumRequestsIfSingledOut;
+function neededRequests({ isSingledOut }: PartCounts): number {
+  return isSingledOut ? minimumRequestsIfSingledOut : minimumCrashedRequests;
 }
 
 function oddsOf(
-  { crashes, hasBegunBefore, otherCrashedRuns, otherBegins }: PartCounts,
+  { explanations, hasBegunBefore, otherCrashedRuns, otherBegins }: PartCounts,
 ): number {
   const expectedRate = (otherCrashedRuns + assumedCrashedRuns) /
     (otherCrashedRuns + otherBegins + assumedRuns);
   const rate = Math.max(minimumCrashRate, expectedRate);
-  const prior = priorOdds * (hasBegunBefore ? begunBeforeFactor : 1);
-  return prior * rate ** -crashes;
+  return explanations.reduce(
+    (odds, chance) => odds / Math.max(rate, chance),
+    priorOf(hasBegunBefore),
+  );
+}
+
+function priorOf(hasBegunBefore: boolean): number {
+  return priorOdds * (hasBegunBefore ? begunBeforeFactor : 1);
 }
--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -15,18 +15,14 @@
   UpstreamName,
 } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
-import { delay, systemTimers, type Timers } from "../common/timers.ts";
-import type { PeerMessage } from "../protocol/peer-message.ts";
+import { systemTimers, type Timers } from "../common/timers.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedRecord } from "../store/keyed-store.ts";
 import { BegunParts } from "./begun-parts.ts";
 import {
   confirmationRetryMilliseconds,
-  confirmationTimeoutMilliseconds,
   convictionDelayMilliseconds,
-  reportRetryMilliseconds,
-  reportTimeoutMilliseconds,
-  reportTries,
+  freshTrialMilliseconds,
   trialTurnMilliseconds,
 } from "./constants.ts";
 import {
@@ -34,13 +30,16 @@
   CrashEvidence,
   type CrashReport,
 } from "./crash-evidence.ts";
+import { sendCrashReport } from "./crash-reports.ts";
 import {
   begunMessage,
   confirmationMessage,
   crashMessage,
   trialMessage,
 } from "./messages.ts";
-import { assessPart, type PartAssessment } from "./part-odds.ts";
+import { askForAnswers } from "./part-confirmation.ts";
+import { judgeOwnPart, verdictOnOwnPart } from "./own-parts.ts";
+import { PartStandings } from "./part-standings.ts";
 import { Trials } from "./trials.ts";
 import {
   type TrialClaim,
@@ -54,8 +53,15 @@
   | { readonly kind: "clear" }
   /** The request may be sent, if no other with one of the parts is sent before its outcome. */
   | { readonly kind: "trial"; readonly parts: readonly PromptPartId[] }
-  /** Another request with a part of this one is on trial, or its verdict is due. */
-  | { readonly kind: "undecided"; readonly part: PromptPartId }
+  /**
+   * Another request with a part of this one is on trial, or its verdict is due. With a number of
+   * crashes, so many servers crashed under this very request that it must not be sent again.
+   */
+  | {
+    readonly kind: "undecided";
+    readonly part: PromptPartId;
+    readonly crashes?: number | undefined;
+  }
   | { readonly kind: "rejected"; readonly verdict: Verdict };
 
 export interface QuarantineOptions {
@@ -82,12 +88,18 @@
   readonly #verdicts = new VerdictTable();
   readonly #begunParts = new BegunParts();
   readonly #trials = new Trials();
+  readonly #standings: PartStandings;
   readonly #usedClaims = new WeakSet<TrialClaim>();
   /** Parts about which the other coordinators are being asked. */
   readonly #confirming = new Set<PromptPartId>();
 
   constructor(options: QuarantineOptions) {
     this.#options = { timers: systemTimers, ...options };
+    this.#standings = new PartStandings({
+      evidence: this.#evidence,
+      isConvicted: (part) => this.#verdicts.get(part) !== undefined,
+      now: options.clock.monotonicNow,
+    });
     const { network } = options;
     network.handle(crashMessage, (report) => {
       this.#addCrash(report);
@@ -116,26 +128,62 @@
   }
 
   /** Decides on a request with these shared parts. */
-  judge(parts: readonly PromptPartId[]): Judgement {
+  judge(
+    parts: readonly PromptPartId[],
+    ownPart?: PromptPartId,
+  ): Judgement {
+    const now = this.#options.clock.monotonicNow();
+    const own = judgeOwnPart(this.#evidence, ownPart, now);
+    if (own.kind === "rejected") {
+      return {
+        kind: "rejected",
+        verdict: verdictOnOwnPart(ownPart!, own, this.#options.clock),
+      };
+    }
+    if (own.kind === "held") {
+      return { kind: "undecided", part: ownPart!, crashes: own.crashes };
+    }
+    const shared = this.#judgeShared(parts, own.kind !== "clear");
+    if (own.kind !== "trial") return shared;
+    if (shared.kind !== "clear" && shared.kind !== "trial") return shared;
+    const suspected = shared.kind === "trial" ? shared.parts : [];
+    return { kind: "trial", parts: [...suspected, ownPart!] };
+  }
+
+  /** `hasCrashed`: servers crashed under this very request. */
+  #judgeShared(
+    parts: readonly PromptPartId[],
+    hasCrashed: boolean,
+  ): Judgement {
     const suspected = parts.filter((part) =>
       this.#verdicts.get(part) !== undefined ||
-      this.#standing(part) !== "clear"
+      this.#standings.of(part) !== "clear"
     );
     if (suspected.length === 0) return clear;
     // One part is in charge of the trials for release, so that several parts share their number.
     const [leading] = suspected
       .filter((part) => this.#isRejected(part, parts)).sort();
     if (leading !== undefined) {
-      return this.#takeReleaseTrial(leading)
+      return !hasCrashed && this.#takeReleaseTrial(leading)
         ? { kind: "trial", parts: suspected }
         : { kind: "rejected", verdict: this.#verdicts.get(leading)! };
     }
-    const waitsFor = suspected.find((part) => this.#mustWait(part));
+    const waitsFor = suspected.find((part) =>
+      this.#mustWait(part) || hasCrashed && this.#prefersOthers(part)
+    );
     return waitsFor === undefined
       ? { kind: "trial", parts: suspected }
       : { kind: "undecided", part: waitsFor };
   }
 
+  /** True while a trial of the part is left to a request that has not crashed a server. */
+  #prefersOthers(part: PromptPartId): boolean {
+    const lastCrashAt = this.#evidence.crashTimes(part).at(-1);
+    const now = this.#options.clock.monotonicNow();
+    return lastCrashAt !== undefined &&
+      now - lastCrashAt < freshTrialMilliseconds;
+  }
+
   #isRejected(part: PromptPartId, parts: readonly PromptPartId[]): boolean {
     const alternatives = this.#verdicts.get(part)?.alternatives;
     return alternatives !== undefined &&
@@ -156,14 +204,24 @@
   recordBegin(
     parts: readonly PromptPartId[],
     service: UpstreamName,
-    { isTrial }: { readonly isTrial: boolean },
+    { isTrial, ownPart }: {
+      readonly isTrial: boolean;
+      readonly ownPart?: PromptPartId | undefined;
+    },
   ): void {
     const { network, coordinators } = this.#options;
-    this.addBegins({ parts, counts: [[service, 1]] }, { isRelayed: true });
+    // Own parts are reported only if others may have counted a crash against them.
+    const cleared = ownPart && (isTrial || this.#evidence.hasCrashes(ownPart))
+      ? [...parts, ownPart]
+      : parts;
+    this.addBegins(
+      { parts: cleared, counts: [[service, 1]] },
+      { isRelayed: true },
+    );
     if (!isTrial) return;
     for (const coordinator of coordinators()) {
       // The answer itself is counted with the next report.
-      network.send(coordinator, begunMessage, { parts, counts: [] });
+      network.send(coordinator, begunMessage, { parts: cleared, counts: [] });
     }
   }
 
@@ -214,7 +272,7 @@
     });
     this.#addCrash(report);
     for (const coordinator of coordinators()) {
-      void this.#tell(coordinator, crashMessage, report);
+      void sendCrashReport(coordinator, report, this.#options);
     }
   }
 
@@ -270,8 +328,10 @@
     const parts = new Set(
       report.suspects.flatMap(({ sharedPromptParts }) => sharedPromptParts),
     );
-    for (const { request, sharedPromptParts } of report.suspects) {
+    for (const suspect of report.suspects) {
+      const { request, sharedPromptParts, ownPromptPart } = suspect;
       this.#trials.end(request, sharedPromptParts);
+      if (ownPromptPart) this.#trials.end(request, [ownPromptPart]);
       this.#updateVerdicts(sharedPromptParts);
     }
     if (parts.size === 0) return;
@@ -297,24 +357,11 @@
     ).indexOf(instance);
   }
 
-  #assess(part: PromptPartId): PartAssessment {
-    const now = this.#options.clock.monotonicNow();
-    const isConvicted = (other: PromptPartId) =>
-      this.#verdicts.get(other) !== undefined;
-    return assessPart(this.#evidence.countsOf(part, isConvicted, now));
-  }
-
-  #standing(part: PromptPartId): PartAssessment["standing"] {
-    return this.#evidence.hasCrashes(part)
-      ? this.#assess(part).standing
-      : "clear";
-  }
-
   #mustWait(part: PromptPartId): boolean {
     const now = this.#options.clock.monotonicNow();
     if (this.#trials.mustWait(part, now)) return true;
     return this.#verdicts.get(part) === undefined &&
-      this.#standing(part) === "convicted";
+      this.#standings.of(part) === "convicted";
   }
 
   async #convictIfDue(part: PromptPartId): Promise<void> {
@@ -340,36 +387,19 @@
     // A later crash has started its own delay.
     return lastCrashAt !== undefined &&
       clock.monotonicNow() - lastCrashAt >= convictionDelayMilliseconds &&
-      this.#assess(part).standing === "convicted";
+      this.#standings.assess(part).standing === "convicted";
   }
 
-  /**
-   * Asks the other coordinators for an answer to a request with the part since the first crash.
-   * Resolves to true if most of them reply and none knows of one.
-   */
+  /** Resolves to true if most coordinators reply and none knows of an answer on the part. */
   async #confirm(part: PromptPartId): Promise<boolean> {
-    const { network, coordinators, clock } = this.#options;
-    const others = coordinators();
-    const replies = await Promise.all(
-      others.map((coordinator) =>
-        network.request(coordinator, confirmationMessage, { part }, {
-          deadlineMilliseconds: confirmationTimeoutMilliseconds,
-        }).catch(() => undefined)
-      ),
-    );
+    const { isHeard, beganAt } = await askForAnswers(part, this.#options);
     const [firstCrashAt] = this.#evidence.crashTimes(part);
-    const now = clock.monotonicNow();
-    const hasBegun = replies.some((reply) =>
-      reply?.begunAgoMilliseconds !== undefined && firstCrashAt !== undefined &&
-      now - reply.begunAgoMilliseconds > firstCrashAt
-    );
+    const hasBegun = beganAt !== undefined && firstCrashAt !== undefined &&
+      beganAt > firstCrashAt;
     if (hasBegun) {
       this.addBegins({ parts: [part], counts: [] }, { isRelayed: false });
-      return false;
     }
-    // Both counts include this instance.
-    const heard = replies.filter((reply) => reply !== undefined).length + 1;
-    return heard * 2 > others.length + 1;
+    return isHeard && !hasBegun;
   }
 
   #convict(part: PromptPartId): void {
@@ -384,7 +414,7 @@
       alternatives: this.#evidence.alternativesOf(part),
       crashes: counts.crashes,
       requests: counts.requests,
-      odds: Math.round(this.#assess(part).odds),
+      odds: Math.round(this.#standings.assess(part).odds),
       decidedAt: clock.wallNow(),
     };
     logger.warn("a prompt part is quarantined since servers crash under it", {
@@ -462,28 +492,4 @@
     }
     return false;
   }
-
-  /** Sends a report to a coordinator, again after a failure. */
-  async #tell<Request>(
-    coordinator: InstanceId,
-    message: PeerMessage<Request, null>,
-    body: Request,
-  ): Promise<void> {
-    const { network, timers, logger } = this.#options;
-    for (let tries = 1; tries <= reportTries; tries++) {
-      try {
-        await network.request(coordinator, message, body, {
-          deadlineMilliseconds: reportTimeoutMilliseconds,
-        });
-        return;
-      } catch (error) {
-        logger.warn("a report of a crash was not received", {
-          coordinator,
-          tries,
-          reason: String(error),
-        });
-        await delay(timers, reportRetryMilliseconds);
-      }
-    }
-  }
 }
