Learn the present speed of servers and weigh servers by it

Servers of a service differ in speed, and neighbors on their machines make some of them 2.5 times slower for about 600 ms. The choice of a server knew nothing of that but the load.

ServerSpeeds keeps for each server the work time as a multiple of the usual one of its service: a short memory of what answers show (pace of the events, time to the first event), one of what the server states, which counts the less the more it contradicts the answers, and a long-term mean. Without samples the value returns to the long-term mean within a second. The weight of a server is divided by it; within 18 % of the usual time the weights are those of before.

A concurrency limit (additive increase, multiplicative decrease) falls only if a full server does no more work than a half full one.

--- /dev/null
+++ b/packages/fleet/speed/server-speeds.ts
@@ -0,0 +1,356 @@
+/**
+ * How fast servers work at the moment, compared with their service, and how many requests each of
+ * them handles well. Both are learned from the answers to this instance, from what servers state,
+ * and from what other instances report.
+ */
+
+import type { InstanceId, UpstreamName } from "../../common/ids.ts";
+import {
+  crowdedShare,
+  crowdingMemory,
+  crowdingTolerance,
+  disagreementSmoothingFactor,
+  firstEventWeight,
+  lastingMemory,
+  lastingWeight,
+  limitDecrease,
+  limitIncrease,
+  limitRecoveryMilliseconds,
+  maximumRatio,
+  maximumReportedWeight,
+  measuredMemory,
+  minimumCheckWeight,
+  minimumCrowdingWeight,
+  minimumLimitShare,
+  minimumRatio,
+  negligibleDeviation,
+  notableWorkTime,
+  recoveredWorkTime,
+  statedMemory,
+  uncrowdedShare,
+  untrustedDisagreement,
+  usualWeight,
+} from "./constants.ts";
+import { DecayingMean } from "./decaying-mean.ts";
+import { ReferenceTime } from "./reference-time.ts";
+
+/** `measured`: by the answers of the server. `stated`: by the server itself. */
+export type SpeedSource = "measured" | "stated";
+
+/** What an instance has observed of a server since its last report. */
+export interface SpeedObservation {
+  readonly server: InstanceId;
+  readonly source: SpeedSource;
+  /** Mean time of work as a multiple of the usual time. */
+  readonly ratio: number;
+  /** Number of samples, by their weight. */
+  readonly weight: number;
+}
+
+/** A time that an answer took; undefined events for the time to the first one. */
+export interface AnswerTime {
+  readonly server: InstanceId;
+  readonly service: UpstreamName;
+  readonly kind: "first_event" | "online_pace" | "batch_pace";
+  readonly milliseconds: number;
+}
+
+export interface SpeedChange {
+  readonly server: InstanceId;
+  readonly workTime: number;
+  readonly isSlow: boolean;
+}
+
+export interface ServerSpeedsOptions {
+  /** Requests in flight at the server, from all instances. */
+  readonly requestsAt?: (server: InstanceId, now: number) => number;
+  readonly slotsOf?: (server: InstanceId) => number;
+  /** Called when a server becomes notably slow, or is so no longer. */
+  readonly onChange?: (change: SpeedChange) => void;
+}
+
+interface SpeedRecord {
+  readonly measured: DecayingMean;
+  readonly stated: DecayingMean;
+  readonly lasting: DecayingMean;
+  /** Work time with at most half of the slots in use, and with nearly all of them. */
+  readonly uncrowded: DecayingMean;
+  readonly crowded: DecayingMean;
+  /** Mean logarithmic difference between what the server states and what answers show. */
+  disagreement: number;
+  /** Undefined for all slots. */
+  limit: number | undefined;
+  limitUpdatedAt: number;
+  isSlow: boolean;
+  readonly unreported: Record<SpeedSource, UnreportedMean>;
+}
+
+interface UnreportedMean {
+  sum: number;
+  weight: number;
+  /** The last report named a deviation, whose end has to be reported too. */
+  wasDeviating: boolean;
+}
+
+const sources: readonly SpeedSource[] = ["measured", "stated"];
+
+export class ServerSpeeds {
+  readonly #options: Required<ServerSpeedsOptions>;
+  readonly #records = new Map<InstanceId, SpeedRecord>();
+  readonly #references = new Map<string, ReferenceTime>();
+  #changes = 0;
+
+  constructor(options: ServerSpeedsOptions = {}) {
+    this.#options = {
+      requestsAt: () => 0,
+      slotsOf: () => 0,
+      onChange: () => {},
+      ...options,
+    };
+  }
+
+  /** Number of times that a server became notably slow. */
+  get changes(): number {
+    return this.#changes;
+  }
+
+  /** Records the work time that a server states, in percent of the usual one. */
+  recordStated(server: InstanceId, percent: number, now: number): void {
+    this.#addOwn(server, "stated", percent / 100, 1, now);
+  }
+
+  recordAnswerTime(
+    { server, service, kind, milliseconds }: AnswerTime,
+    now: number,
+  ): void {
+    if (!(milliseconds > 0)) return;
+    const key = `${service}/${kind}`;
+    let reference = this.#references.get(key);
+    if (!reference) {
+      reference = new ReferenceTime();
+      this.#references.set(key, reference);
+    }
+    const ratio = reference.add(milliseconds);
+    if (ratio === undefined) return;
+    const weight = kind === "first_event" ? firstEventWeight : 1;
+    this.#addOwn(server, "measured", ratio, weight, now);
+  }
+
+  /** Records what another instance has observed; that of a dependent is passed on. */
+  recordReported(
+    observations: readonly SpeedObservation[],
+    now: number,
+    { isDependent }: { readonly isDependent: boolean },
+  ): void {
+    for (const { server, source, ratio, weight } of observations) {
+      const bounded = Math.min(weight, maximumReportedWeight);
+      if (!(bounded > 0)) continue;
+      if (isDependent) this.#addOwn(server, source, ratio, bounded, now);
+      else this.#add(server, source, ratio, bounded, now);
+    }
+  }
+
+  /**
+   * What this instance and its dependents have observed since the last call, of servers that
+   * deviate from the usual time or did so at the last call.
+   */
+  takeObservations(): SpeedObservation[] {
+    const observations: SpeedObservation[] = [];
+    for (const [server, { unreported }] of this.#records) {
+      for (const source of sources) {
+        const mean = unreported[source];
+        const { sum, weight } = mean;
+        if (weight === 0) continue;
+        const ratio = sum / weight;
+        const isDeviating = Math.abs(ratio - 1) > negligibleDeviation;
+        if (isDeviating || mean.wasDeviating) {
+          observations.push({ server, source, ratio, weight });
+        }
+        mean.wasDeviating = isDeviating;
+        mean.sum = 0;
+        mean.weight = 0;
+      }
+    }
+    return observations;
+  }
+
+  /**
+   * Expected time of work at the server, as a multiple of the usual time of its service; 1 unless
+   * it differs notably. Without samples it returns to the long-term mean within a second.
+   */
+  workTime(server: InstanceId, now: number): number {
+    const record = this.#records.get(server);
+    if (!record) return 1;
+    const workTime = expectedRatio(record, now);
+    return Math.abs(workTime - 1) <= negligibleDeviation ? 1 : workTime;
+  }
+
+  /** Number of requests that the server handles well at the same time, at most its slots. */
+  concurrencyLimit(server: InstanceId, slots: number, now: number): number {
+    const record = this.#records.get(server);
+    return record ? limitAt(record, slots, now) : slots;
+  }
+
+  /** Servers that are notably slow at present, with their expected work time. */
+  slowServers(now: number): { server: InstanceId; workTime: number }[] {
+    return [...this.#records.keys()]
+      .map((server) => ({ server, workTime: this.workTime(server, now) }))
+      .filter(({ workTime }) => workTime >= notableWorkTime);
+  }
+
+  /** Drops what is known of a server that has restarted. */
+  forget(server: InstanceId): void {
+    this.#records.delete(server);
+  }
+
+  /** Drops the records of servers that are no longer known. */
+  retain(isKnown: (id: InstanceId) => boolean): void {
+    for (const id of this.#records.keys()) {
+      if (!isKnown(id)) this.#records.delete(id);
+    }
+  }
+
+  #addOwn(
+    server: InstanceId,
+    source: SpeedSource,
+    ratio: number,
+    weight: number,
+    now: number,
+  ): void {
+    const bounded = boundRatio(source, ratio);
+    const record = this.#add(server, source, bounded, weight, now);
+    const mean = record.unreported[source];
+    mean.sum += bounded * weight;
+    mean.weight += weight;
+  }
+
+  #add(
+    server: InstanceId,
+    source: SpeedSource,
+    ratio: number,
+    weight: number,
+    now: number,
+  ): SpeedRecord {
+    const record = this.#recordOf(server);
+    const bounded = boundRatio(source, ratio);
+    record[source].add(bounded, weight, now);
+    if (source === "stated") {
+      checkStatement(record, bounded, now);
+    } else {
+      record.lasting.add(bounded, weight, now);
+      this.#updateLimit(server, record, bounded, weight, now);
+    }
+    this.#noteChange(server, record, now);
+    return record;
+  }
+
+  /**
+   * Additive increase, multiplicative decrease: the limit falls while work takes so much longer at
+   * a full server than at the same server with few requests that it hardly does more in all.
+   * Slowness that does not depend on the load lowers no limit, since the slots left idle by that
+   * would be missing elsewhere.
+   */
+  #updateLimit(
+    server: InstanceId,
+    record: SpeedRecord,
+    ratio: number,
+    weight: number,
+    now: number,
+  ): void {
+    const { requestsAt, slotsOf } = this.#options;
+    const slots = slotsOf(server);
+    if (slots === 0) return;
+    const requests = requestsAt(server, now);
+    const { crowded, uncrowded } = record;
+    if (requests <= slots * uncrowdedShare) {
+      return uncrowded.add(ratio, weight, now);
+    }
+    const limit = limitAt(record, slots, now);
+    if (requests < Math.min(limit, slots * crowdedShare)) return;
+    if (requests >= slots * crowdedShare) crowded.add(ratio, weight, now);
+    const isCrowded = uncrowded.weight(now) >= minimumCrowdingWeight &&
+      crowded.weight(now) >= minimumCrowdingWeight &&
+      crowded.value > uncrowded.value * crowdingTolerance;
+    const next = isCrowded ? limit * limitDecrease : limit + limitIncrease;
+    record.limit = Math.max(slots * minimumLimitShare, next);
+    record.limitUpdatedAt = now;
+  }
+
+  #noteChange(server: InstanceId, record: SpeedRecord, now: number): void {
+    const workTime = expectedRatio(record, now);
+    const isSlow = record.isSlow
+      ? workTime > recoveredWorkTime
+      : workTime >= notableWorkTime;
+    if (isSlow === record.isSlow) return;
+    record.isSlow = isSlow;
+    if (isSlow) this.#changes += 1;
+    this.#options.onChange({ server, workTime, isSlow });
+  }
+
+  #recordOf(server: InstanceId): SpeedRecord {
+    let record = this.#records.get(server);
+    if (!record) {
+      record = {
+        measured: new DecayingMean(measuredMemory),
+        stated: new DecayingMean(statedMemory),
+        lasting: new DecayingMean(lastingMemory),
+        uncrowded: new DecayingMean(crowdingMemory),
+        crowded: new DecayingMean(crowdingMemory),
+        disagreement: 0,
+        limit: undefined,
+        limitUpdatedAt: 0,
+        isSlow: false,
+        unreported: {
+          measured: { sum: 0, weight: 0, wasDeviating: false },
+          stated: { sum: 0, weight: 0, wasDeviating: false },
+        },
+      };
+      this.#records.set(server, record);
+    }
+    return record;
+  }
+}
+
+/** A server that states that it works faster than usual is not chosen more often for that. */
+function boundRatio(source: SpeedSource, ratio: number): number {
+  const minimum = source === "stated" ? 1 : minimumRatio;
+  return Math.max(minimum, Math.min(maximumRatio, ratio));
+}
+
+function expectedRatio(record: SpeedRecord, now: number): number {
+  const { measured, stated, lasting } = record;
+  const measuredWeight = measured.weight(now);
+  const statedWeight = stated.weight(now) * trustInStatements(record);
+  const samples = lasting.weight(now);
+  const lastingRatio = (lasting.value * samples + usualWeight) /
+    (samples + usualWeight);
+  return (measured.value * measuredWeight + stated.value * statedWeight +
+    lastingRatio * lastingWeight) /
+    (measuredWeight + statedWeight + lastingWeight);
+}
+
+function trustInStatements({ disagreement }: SpeedRecord): number {
+  return Math.max(0, 1 - disagreement / untrustedDisagreement);
+}
+
+/** Compares a statement with what answers show at the same time. */
+function checkStatement(
+  record: SpeedRecord,
+  ratio: number,
+  now: number,
+): void {
+  const { measured } = record;
+  if (measured.weight(now) < minimumCheckWeight) return;
+  const difference = Math.abs(
+    Math.log(ratio / Math.max(1, measured.value)),
+  );
+  record.disagreement += (difference - record.disagreement) *
+    disagreementSmoothingFactor;
+}
+
+function limitAt(record: SpeedRecord, slots: number, now: number): number {
+  const { limit, limitUpdatedAt } = record;
+  if (limit === undefined || limit >= slots) return slots;
+  const kept = Math.exp((limitUpdatedAt - now) / limitRecoveryMilliseconds);
+  return slots - (slots - limit) * kept;
+}
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -11,6 +11,8 @@
   healthWeightExponent,
   otherZoneWeight,
   queueExponent,
+  slotBeyondLimitShare,
+  workTimeExponent,
 } from "./constants.ts";
 
 export interface ServerCandidate {
@@ -28,6 +30,10 @@
   readonly failureShare: number;
   /** What is left of the limit that the server states; undefined if it states none. */
   readonly sendBudget?: SendBudget | undefined;
+  /** Expected time of work at the server as a multiple of the usual one; 1 if not given. */
+  readonly workTime?: number;
+  /** Requests that the server handles well at the same time; all slots if not given. */
+  readonly concurrencyLimit?: number;
 }
 
 /**
@@ -129,8 +135,8 @@
   pool: readonly ServerCandidate[],
   { durationMilliseconds, acceptableWaitMilliseconds, random }: ChoiceOptions,
 ): ServerChoice {
-  const waitOf = ({ online, slots }: ServerCandidate) =>
-    (online + 1 - slots) * durationMilliseconds / slots;
+  const waitOf = ({ online, slots, workTime = 1 }: ServerCandidate) =>
+    (online + 1 - slots) * durationMilliseconds * workTime / slots;
   const shortestWait = Math.min(...pool.map(waitOf));
   if (shortestWait > acceptableWaitMilliseconds) {
     return { kind: "full", expectedWaitMilliseconds: shortestWait };
@@ -142,7 +148,7 @@
         ? 0
         : Math.max(1, candidate.online + 1 - candidate.slots) **
             -queueExponent *
-          healthWeight(candidate),
+          healthWeight(candidate) * speedWeight(candidate),
     random,
   )!;
   return { kind: "send", server, displacesBatch: server.batch > 0 };
@@ -164,6 +170,7 @@
     (candidate) =>
       freeCapacity(candidate) ** freeCapacityExponent *
       healthWeight(candidate) *
+      speedWeight(candidate) *
       (candidate.isSameZone ? 1 : otherZoneWeight),
     random,
   );
@@ -192,6 +199,11 @@
   return (1 - failureShare) ** healthWeightExponent;
 }
 
+/** Factor that lowers the weight of a server whose work takes longer than usual at the moment. */
+export function speedWeight({ workTime = 1 }: ServerCandidate): number {
+  return workTime ** -workTimeExponent;
+}
+
 /** Unused slots of the server, without the `slotsKeptFree` that must stay unused. */
 export function freeSlots(
   { slots, online, batch }: Pick<
@@ -212,6 +224,20 @@
   const availableSlots = Math.max(0, candidate.slots - candidate.online);
   const free = freeSlots(candidate);
   const { sendBudget } = candidate;
-  if (sendBudget) return Math.min(free, sendBudget.allowance);
-  return free + (availableSlots - free) * displaceableSlotShare;
+  const capacity = sendBudget
+    ? Math.min(free, sendBudget.allowance)
+    : free + (availableSlots - free) * displaceableSlotShare;
+  return slotsWithinLimit(candidate, capacity);
+}
+
+/**
+ * Free slots beyond the concurrency limit count little, so that they are used once other servers
+ * have no room left, and still get some requests that show whether the limit has risen.
+ */
+export function slotsWithinLimit(
+  { slots, concurrencyLimit = slots }: ServerCandidate,
+  free: number,
+): number {
+  const within = Math.max(0, free - (slots - concurrencyLimit));
+  return within + (free - within) * slotBeyondLimitShare;
 }
