Observe the speed of servers in answers and share it in reports

Answers to online requests and batch runs are measured: the time to the first event where the server had a free slot, and the time per event over windows of three events. A window that a slow caller interrupts is discarded. The work time in the load header is recorded beside them.

Dependents report the observations since their last report to their coordinator, which passes them on to the other coordinators in its own report: four values for each server that deviates by more than 18 %, or did so in the report before. No message of its own is sent. Reports without the field are read as before.

Batch items are placed by the same weight and limit.

--- a/packages/coordination/coordinator-client.test.ts
+++ b/packages/coordination/coordinator-client.test.ts
@@ -58,6 +58,7 @@
       begun: { parts: [], counts: [] },
       serverLimits: [],
       leavingServers: [],
+      speeds: [],
       unsent: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -246,6 +246,7 @@
       begun: noBegunAnswers,
       serverLimits: [],
       leavingServers: [],
+      speeds: [],
       knownStatementChanges: noStatementChanges,
       unsent: [],
       configurationPosition: Number.MAX_SAFE_INTEGER as Offset,
--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -17,6 +17,7 @@
   encodeLeaving,
   encodeLimits,
 } from "../fleet/peers/statement-messages.ts";
+import { decodeSpeeds } from "../fleet/speed/speed-messages.ts";
 import type { LocalPlacer } from "../gateway/placement.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { PeerNetwork, PeerSender } from "../protocol/peer-network.ts";
@@ -147,6 +148,9 @@
       decodeLeaving(report.leavingServers),
       sender.instance,
     );
+    blackboard.speeds.recordReported(decodeSpeeds(report.speeds), now, {
+      isDependent: true,
+    });
     const { serverLimits, upstreams } = blackboard;
     for (const [server, count] of report.unsent) {
       for (let send = 0; send < count; send++) serverLimits.giveBack(server);
--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -44,6 +44,7 @@
       begun: { parts: [], counts: [] },
       serverLimits: [],
       leavingServers: [],
+      speeds: [],
       unsent: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -17,6 +17,10 @@
   type WireLimit,
   wireLimitsSchema,
 } from "../fleet/peers/statement-messages.ts";
+import {
+  type WireSpeed,
+  wireSpeedsSchema,
+} from "../fleet/speed/speed-messages.ts";
 import type { JobCall } from "../gateway/caller-request.ts";
 import type { WaitTolerance } from "../gateway/online-services.ts";
 import type { Placement, RoomReply } from "../gateway/placement.ts";
@@ -182,6 +186,8 @@
   readonly serverLimits: readonly WireLimit[];
   /** Servers that have stated that they leave. */
   readonly leavingServers: readonly WireLeaving[];
+  /** Work times of servers that deviate from the usual, observed since the last report. */
+  readonly speeds: readonly WireSpeed[];
   /** `statementChanges` of the receiver's last reply; -1 for none. */
   readonly knownStatementChanges: number;
   /** Server and number of granted requests that were not sent, since the last report. */
@@ -207,6 +213,7 @@
   begun: z._default(begunReportSchema, { parts: [], counts: [] }),
   serverLimits: wireLimitsSchema,
   leavingServers: wireLeavingSchema,
+  speeds: wireSpeedsSchema,
   knownStatementChanges: z._default(z.number(), -1),
   unsent: z._default(z.array(z.tuple([z.string(), z.number()])), []),
   configurationPosition: z.number(),
--- a/packages/entry/dependent-state.ts
+++ b/packages/entry/dependent-state.ts
@@ -9,6 +9,7 @@
   encodeLeaving,
   encodeLimits,
 } from "../fleet/peers/statement-messages.ts";
+import { encodeSpeeds } from "../fleet/speed/speed-messages.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 
 export interface DependentStateOptions {
@@ -25,7 +26,7 @@
   { blackboard, documents, quarantine, placer, isStoreFailing, clock }:
     DependentStateOptions,
 ): () => DependentState {
-  const { loads, health, serverLimits, upstreams } = blackboard;
+  const { loads, health, serverLimits, upstreams, speeds } = blackboard;
   let collectedAt = Number.NEGATIVE_INFINITY;
   return () => {
     const now = clock.monotonicNow();
@@ -41,6 +42,7 @@
       ),
       serverLimits: encodeLimits(limits),
       leavingServers: encodeLeaving(upstreams.leavingServers()),
+      speeds: encodeSpeeds(speeds.takeObservations()),
       unsent: placer().takeUnsent(),
       configurationPosition: documents.position("configuration"),
       serversPosition: documents.position("servers"),
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -199,9 +199,10 @@
           this.#listener.applyLimits();
           this.#coordination.announce();
         } else {
-          const { upstreams, health, serverLimits } = this.#blackboard;
+          const { upstreams, health, serverLimits, speeds } = this.#blackboard;
           this.#pools.retain((id) => upstreams.get(id) !== undefined);
           health.retain((id) => upstreams.get(id) !== undefined);
+          speeds.retain((id) => upstreams.get(id) !== undefined);
           serverLimits.retain((id) => upstreams.get(id) !== undefined);
           this.#coordination.crashControl.detector.retain((id) =>
             upstreams.get(id) !== undefined
--- a/packages/fleet/blackboard.ts
+++ b/packages/fleet/blackboard.ts
@@ -7,6 +7,7 @@
 import type { ConfigurationIndex } from "./configuration.ts";
 import { ServerLimits } from "./limits/server-limits.ts";
 import { LoadTable } from "./load-table.ts";
+import { ServerSpeeds } from "./speed/server-speeds.ts";
 import { UpstreamTable } from "./upstreams.ts";
 
 export class Blackboard {
@@ -14,6 +15,13 @@
   readonly loads = new LoadTable();
   readonly health = new ServerHealth();
   readonly serverLimits = new ServerLimits();
+  readonly speeds = new ServerSpeeds({
+    requestsAt: (server, now) => {
+      const { online, batch } = this.loads.estimate(server, now);
+      return online + batch;
+    },
+    slotsOf: (server) => this.upstreams.get(server)?.slots ?? 0,
+  });
   /** Undefined until a configuration is known. */
   configuration: ConfigurationIndex | undefined;
   /** The list of servers has been read at least once. */
--- a/packages/fleet/documents.ts
+++ b/packages/fleet/documents.ts
@@ -170,6 +170,7 @@
     blackboard.upstreams.set(server);
     if (known?.startedAtMilliseconds !== server.startedAtMilliseconds) {
       blackboard.health.forget(id);
+      blackboard.speeds.forget(id);
       blackboard.serverLimits.startLifetime(server);
     }
     if (known?.state !== server.state) {
--- a/packages/fleet/peers/peer-reports.test.ts
+++ b/packages/fleet/peers/peer-reports.test.ts
@@ -72,6 +72,7 @@
       uses: [],
       serverLimits: [],
       leavingServers: [],
+      speeds: [],
       serverUses: [],
     },
     { instance: peer, incarnation: "1" },
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -24,6 +24,7 @@
 import type { ServerUsage } from "../limits/server-limits.ts";
 import type { FleetView } from "../limits/shared-bucket.ts";
 import type { Quarantine } from "../../quarantine/quarantine.ts";
+import { decodeSpeeds, encodeSpeeds } from "../speed/speed-messages.ts";
 import type { DocumentPush } from "./document-push.ts";
 import {
   decodeLeaving,
@@ -277,6 +278,7 @@
       serverUses: this.#serverUsageSelection
         .select(blackboard.serverLimits.ownUsages(), now)
         .map(encodeServerUsage),
+      speeds: encodeSpeeds(blackboard.speeds.takeObservations()),
       ...jobReport(),
       begun: this.#options.quarantine.takeBegins(),
     };
@@ -338,6 +340,9 @@
     for (const [server, share] of report.faults) {
       blackboard.health.recordPeerFailureShare(server, share, now);
     }
+    blackboard.speeds.recordReported(decodeSpeeds(report.speeds), now, {
+      isDependent: false,
+    });
     limits().recordPeerUsages(
       sender.instance,
       sender.incarnation,
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -17,6 +17,7 @@
 import { definePeerMessage } from "../../protocol/peer-message.ts";
 import type { KeyedRecord } from "../../store/keyed-store.ts";
 import type { DocumentKind } from "../documents.ts";
+import { type WireSpeed, wireSpeedsSchema } from "../speed/speed-messages.ts";
 import {
   type WireLeaving,
   wireLeavingSchema,
@@ -49,6 +50,8 @@
   readonly leavingServers: readonly WireLeaving[];
   /** Usage of those limits by the sender and its dependents. */
   readonly serverUses: readonly WireServerUsage[];
+  /** Work times of servers that deviate from the usual, observed since the last report. */
+  readonly speeds: readonly WireSpeed[];
   readonly ownedPartitions: readonly PartitionNumber[];
   /** Generation of the group of owners that assigned the partitions. */
   readonly ownerGeneration: number;
@@ -72,6 +75,7 @@
   serverLimits: wireLimitsSchema,
   leavingServers: wireLeavingSchema,
   serverUses: wireServerUsagesSchema,
+  speeds: wireSpeedsSchema,
   ownedPartitions: z.array(z.number()),
   ownerGeneration: z.number(),
   waitingItems: z.number(),
--- a/packages/fleet/server-statements.ts
+++ b/packages/fleet/server-statements.ts
@@ -58,6 +58,13 @@
         evidence.statedAt,
       );
     }
+    if (statement.workTimePercent !== undefined) {
+      blackboard.speeds.recordStated(
+        server.id,
+        statement.workTimePercent,
+        evidence.statedAt,
+      );
+    }
     if (statement.isLeaving && blackboard.upstreams.markLeaving(server)) {
       logger.info(leavingMessage, {
         server: server.id,
--- a/packages/gateway/answer-relay.ts
+++ b/packages/gateway/answer-relay.ts
@@ -56,6 +56,11 @@
     return this.#lastEventId;
   }
 
+  /** Whole events that the present server has sent; 0 unless the answer is an event stream. */
+  get eventsOfAttempt(): number {
+    return this.#eventsOfAttempt;
+  }
+
   /** The present server has sent content of a successful answer. */
   get hasBegunAnswer(): boolean {
     return this.#hasContent && this.#head?.status === statusOk;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -271,6 +271,8 @@
       findServer: (id) => upstreams.get(id),
       poolOf: (server) => pools.poolOf(server),
       recordStatement: (...statement) => statements.record(...statement),
+      recordAnswerTime: (time, now) =>
+        blackboard.speeds.recordAnswerTime(time, now),
       recordFailure: (server) => health.addFailure(server, now()),
       recordSuccess: (server, duration) => {
         health.addSuccess(server, now());
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -6,6 +6,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { InstanceId, UpstreamName } from "../common/ids.ts";
+import { AnswerMeter } from "../fleet/speed/answer-meter.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import { AnswerRelay } from "./answer-relay.ts";
 import { examineAttempt } from "./attempt-examination.ts";
@@ -17,7 +18,7 @@
   minimumRemainingMilliseconds,
   rerouteAfterObjectives,
 } from "./constants.ts";
-import type { SendChoice } from "./choose-server.ts";
+import { freeSlots, type SendChoice } from "./choose-server.ts";
 import type { OnlineRequestOptions } from "./online-request-options.ts";
 import type { ChoiceRequest } from "./online-services.ts";
 import type { Placement } from "./placement.ts";
@@ -57,6 +58,7 @@
   readonly #wait: PlacementWait;
   #deadlineTimer: NodeJS.Timeout | undefined;
   #queueWatch: QueueWatch | undefined;
+  #meter: AnswerMeter | undefined;
 
   constructor(options: OnlineRequestOptions) {
     this.#options = options;
@@ -188,6 +190,13 @@
     this.#choice = choice;
     this.#attemptStart = services.now();
     this.#relay.startAttempt();
+    this.#meter = new AnswerMeter({
+      ...services,
+      server,
+      paceKind: "online_pace",
+      sentAt: freeSlots(choice.server) > 0 ? this.#attemptStart : undefined,
+      record: services.recordAnswerTime,
+    });
     const attempt = new ServerAttempt({
       pool: services.poolOf(server),
       method: request.method,
@@ -278,6 +287,7 @@
     const hadBegun = this.#relay.hasBegunAnswer;
     const result = this.#relay.add(chunk);
     if (!hadBegun && this.#relay.hasBegunAnswer) this.#recordBegin();
+    this.#meter?.update(this.#relay.eventsOfAttempt);
     if (typeof result === "boolean") return result;
     this.#handleFailure(attempt, result);
     return false;
@@ -296,6 +306,7 @@
   #pauseAttempt(): void {
     const attempt = this.#attempt;
     attempt?.pause();
+    this.#meter?.interrupt();
     this.#options.response.onDrain(() => attempt?.resume());
   }
 
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -7,6 +7,7 @@
   ServerStatement,
   StatementEvidence,
 } from "../fleet/server-statement.ts";
+import type { AnswerTime } from "../fleet/speed/server-speeds.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { ConnectionPool } from "../transport/connection-pool.ts";
 import type { CrashSuspect } from "../quarantine/crash-evidence.ts";
@@ -75,6 +76,8 @@
   recordFailure(server: InstanceId): void;
   /** Records a success and how long the server took for it. */
   recordSuccess(server: InstanceId, durationMilliseconds: number): void;
+  /** Records how long the server took for a part of an answer. */
+  recordAnswerTime(time: AnswerTime, now: number): void;
   /**
    * Finds out whether a server to which a connection broke has crashed, and reports the crash.
    * `suspect` is the request that was lost, unless its answer had begun.
--- a/packages/gateway/server-candidates.ts
+++ b/packages/gateway/server-candidates.ts
@@ -17,7 +17,7 @@
 }
 
 export function listCandidates(
-  { upstreams, loads, health, serverLimits }: Blackboard,
+  { upstreams, loads, health, serverLimits, speeds }: Blackboard,
   { service, zone, now, excluded, avoided }: CandidateQuery,
 ): ServerCandidate[] {
   const candidates: ServerCandidate[] = [];
@@ -34,6 +34,8 @@
         avoided?.has(server.id) === true,
       failureShare: health.failureShare(server.id, now),
       sendBudget: serverLimits.budgetOf(server, now),
+      workTime: speeds.workTime(server.id, now),
+      concurrencyLimit: speeds.concurrencyLimit(server.id, server.slots, now),
     });
   }
   return candidates;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -11,6 +11,7 @@
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { ServerStatements } from "../fleet/server-statements.ts";
+import { batchMeter } from "../fleet/speed/answer-meter.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { chooseService } from "../gateway/gateway.ts";
@@ -355,6 +356,7 @@
         headTimeoutMilliseconds: itemHeadTimeoutMilliseconds,
         bodyIdleTimeoutMilliseconds: itemIdleTimeoutMilliseconds,
       },
+      meter: batchMeter(upstream, blackboard.speeds, now),
       onStatement: (...statement) =>
         this.#options.statements.record(upstream, ...statement),
       onBegin: () =>
--- a/packages/jobs/choose-batch-server.ts
+++ b/packages/jobs/choose-batch-server.ts
@@ -9,6 +9,8 @@
   freeSlots,
   healthWeight,
   type ServerCandidate,
+  slotsWithinLimit,
+  speedWeight,
 } from "../gateway/choose-server.ts";
 import { negligibleFailureShare } from "../gateway/constants.ts";
 import { slotsKeptFree, urgentSlackMilliseconds } from "./constants.ts";
@@ -52,7 +54,7 @@
 ): number {
   const free = freeSlots(candidate, slotsKeptFree);
   const { sendBudget } = candidate;
-  if (!sendBudget) return free;
+  if (!sendBudget) return slotsWithinLimit(candidate, free);
   const { allowance, level, burst } = sendBudget;
   const sendsKept = slotsKeptFree > 0 ? (burst - 1) * sendShareKept : 0;
   return allowance < 1 || level < 1 + sendsKept ? 0 : Math.min(free, level);
@@ -70,7 +72,7 @@
     // Of two servers with equally many free slots, the one in the same zone is preferred.
     const score = free > 0
       ? (free + (candidate.isSameZone ? sameZoneBonus : 0)) *
-        healthWeight(candidate)
+        healthWeight(candidate) * speedWeight(candidate)
       : 0;
     if (score > bestScore) {
       best = candidate.id;
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -5,6 +5,7 @@
 
 import type { Buffer } from "node:buffer";
 import type { InstanceId } from "../common/ids.ts";
+import type { AnswerMeter } from "../fleet/speed/answer-meter.ts";
 import type { AnswerHead } from "../gateway/caller-request.ts";
 import { dataOf, EventSplitter } from "../gateway/event-splitter.ts";
 import {
@@ -43,6 +44,7 @@
   readonly output: PartialOutput;
   readonly attempt: AttemptOptions;
   readonly onStatement: AttemptListener["onStatement"];
+  readonly meter: AnswerMeter;
   /** Called when the first event arrives. */
   readonly onBegin: () => void;
   /** Resolves to true if the server has crashed; asked where only the connection ends an answer. */
@@ -62,6 +64,7 @@
   #status = 0;
   /** Characters of text that this run has received; a longer text than the store takes is unsound. */
   #receivedCharacters = 0;
+  #receivedEvents = 0;
   #hasBegun = false;
   #isOver = false;
 
@@ -105,6 +108,8 @@
     if (this.#isOver || this.#status !== statusOk) return false;
     const { output } = this.#options;
     const events = this.#splitter.push(chunk);
+    this.#receivedEvents += events.length;
+    this.#options.meter.update(this.#receivedEvents);
     if (!this.#hasBegun) {
       this.#hasBegun = true;
       this.#options.onBegin();
