Show the learned speed of servers in metrics and logs

Operators could not see why a server gets fewer requests. New gauges name the expected work time and the concurrency limit of servers that differ, at most 64 each, and their number; a counter holds slowdowns, brief and lasting.

--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -45,6 +45,7 @@
 import type { EntryMetrics } from "./entry-metrics.ts";
 import type { EntrySettings, ListenAddress } from "./entry-settings.ts";
 import { addInstanceGauges } from "./instance-gauges.ts";
+import { reportSpeedChange } from "./speed-changes.ts";
 import { leaveFleet } from "./leaving.ts";
 import { handleQuarantineRequest } from "./quarantine-endpoint.ts";
 import { Membership } from "./membership.ts";
@@ -98,6 +99,9 @@
       countMalformed: () => metrics.countMalformedStatement(),
       logger: options.logger,
     });
+    this.#blackboard.speeds.onChange((change) =>
+      reportSpeedChange(change, { metrics, logger: options.logger })
+    );
     this.#coordination = this.#createCoordination();
     this.#membership = this.#createMembership();
     this.#gateway = this.#createGateway();
--- a/packages/entry/entry-metrics.ts
+++ b/packages/entry/entry-metrics.ts
@@ -16,6 +16,13 @@
   readonly read: () => number;
 }
 
+/** A gauge with one value for each of some servers; `read` bounds their number. */
+export interface ServerGaugeDefinition {
+  readonly name: string;
+  readonly help: string;
+  readonly read: () => readonly (readonly [server: string, value: number])[];
+}
+
 export class EntryMetrics implements GatewayMetrics {
   readonly #registry = new RegistryClass();
   readonly #requests = this.#createCounter(
@@ -48,6 +55,11 @@
     "Crashes of servers that this instance has noticed.",
     [],
   );
+  readonly #serverSlowdowns = this.#createCounter(
+    "rosemaryrudder_server_slowdowns_total",
+    "Times that a server became notably slower than usual, by duration.",
+    ["duration"],
+  );
   readonly #malformedStatements = this.#createCounter(
     "rosemaryrudder_malformed_statements_total",
     "Headers with which servers state load, limit or leaving and that cannot be decoded.",
@@ -82,6 +94,19 @@
     });
   }
 
+  addServerGauge({ name, help, read }: ServerGaugeDefinition): void {
+    new GaugeClass({
+      name,
+      help,
+      labelNames: ["server"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const [server, value] of read()) this.set({ server }, value);
+      },
+    });
+  }
+
   countRefusal(code: string): void {
     this.#refusals.inc({ code });
   }
@@ -104,6 +129,10 @@
     this.#serverCrashes.inc();
   }
 
+  countServerSlowdown(duration: "brief" | "lasting"): void {
+    this.#serverSlowdowns.inc({ duration });
+  }
+
   countMalformedStatement(): void {
     this.#malformedStatements.inc();
   }
--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -16,6 +16,21 @@
   metrics: EntryMetrics,
   { blackboard, coordination, listener }: GaugeSources,
 ): void {
+  const deviations = () =>
+    blackboard.speeds.deviations(maximumServerValues, performance.now());
+  metrics.addServerGauge({
+    name: "rosemaryrudder_server_work_time",
+    help:
+      "Expected work time as a multiple of the usual one, of the servers that differ most.",
+    read: () => deviations().map(({ server, workTime }) => [server, workTime]),
+  });
+  metrics.addServerGauge({
+    name: "rosemaryrudder_server_concurrency_limit",
+    help: "Requests that a server handles well at once, where below its slots.",
+    read: () =>
+      deviations().filter((each) => each.concurrencyLimit < each.slots)
+        .map(({ server, concurrencyLimit }) => [server, concurrencyLimit]),
+  });
   const gauges: GaugeDefinition[] = [
     {
       name: "rosemaryrudder_ready",
@@ -43,6 +58,11 @@
         "Servers in the list that have stated in an answer that they leave.",
       read: () => blackboard.upstreams.leavingServers().length,
     },
+    {
+      name: "rosemaryrudder_deviating_servers",
+      help: "Servers that work slower or faster than usual at present.",
+      read: () => deviations().length,
+    },
     {
       name: "rosemaryrudder_active_requests",
       help: "Requests of callers that are being answered.",
@@ -91,3 +111,6 @@
   ];
   for (const gauge of gauges) metrics.addGauge(gauge);
 }
+
+/** Bound of the values of one gauge that has a value for each server. */
+const maximumServerValues = 64;
--- a/packages/fleet/speed/constants.ts
+++ b/packages/fleet/speed/constants.ts
@@ -56,6 +56,9 @@
 /** Events and time over which the pace of an answer is measured. */
 export const paceWindowEvents = 3;
 export const minimumPaceWindowMilliseconds = 60;
-/** Work time that is logged and counted as a change, and the time below which it has ended. */
-export const notableWorkTime = 1.8;
+/**
+ * Work time that is logged and counted as a change, and the one below which the change has ended.
+ * Neighbors that slow 15 % of the time down raise a long-term mean to 1.2 only.
+ */
+export const notableWorkTime = 1.6;
 export const recoveredWorkTime = 1.3;
--- a/packages/fleet/speed/server-speeds.test.ts
+++ b/packages/fleet/speed/server-speeds.test.ts
@@ -36,14 +36,18 @@
 
 test("a server that becomes slow is known within half a second, and so is its recovery", () => {
   const speeds = new ServerSpeeds();
+  const changes: boolean[] = [];
+  speeds.onChange(({ isSlow }) => changes.push(isSlow));
   observe(speeds, { from: 0, to: 3_000, factor: 1 });
   assert.equal(speeds.workTime(slow, 3_000), 1);
   observe(speeds, { from: 3_000, to: 3_500, factor: 2.5 });
   assert.ok(speeds.workTime(slow, 3_500) > 1.7);
   assert.equal(speeds.workTime(usual, 3_500), 1);
+  const deviating = speeds.deviations(10, 3_500).map(({ server }) => server);
+  assert.deepEqual(deviating, [slow]);
   observe(speeds, { from: 3_500, to: 4_300, factor: 1 });
   assert.equal(speeds.workTime(slow, 4_300), 1);
-  assert.equal(speeds.changes, 1);
+  assert.deepEqual(changes, [true, false]);
 });
 
 test("a server that is not observed any more gets requests again", () => {
--- a/packages/fleet/speed/server-speeds.ts
+++ b/packages/fleet/speed/server-speeds.ts
@@ -57,16 +57,25 @@
 
 export interface SpeedChange {
   readonly server: InstanceId;
+  /** Work time as a multiple of the usual one. */
   readonly workTime: number;
   readonly isSlow: boolean;
+  /** The change is one of the long-term mean, and not of the present work time only. */
+  readonly isLasting: boolean;
+}
+
+/** What is known of a server that differs from the others of its service. */
+export interface ServerDeviation {
+  readonly server: InstanceId;
+  readonly workTime: number;
+  readonly concurrencyLimit: number;
+  readonly slots: number;
 }
 
 export interface ServerSpeedsOptions {
   /** Requests in flight at the server, from all instances. */
   readonly requestsAt?: (server: InstanceId, now: number) => number;
   readonly slotsOf?: (server: InstanceId) => number;
-  /** Called when a server becomes notably slow, or is so no longer. */
-  readonly onChange?: (change: SpeedChange) => void;
 }
 
 interface SpeedRecord {
@@ -82,6 +91,7 @@
   limit: number | undefined;
   limitUpdatedAt: number;
   isSlow: boolean;
+  isLastinglySlow: boolean;
   readonly unreported: Record<SpeedSource, UnreportedMean>;
 }
 
@@ -98,20 +108,19 @@
   readonly #options: Required<ServerSpeedsOptions>;
   readonly #records = new Map<InstanceId, SpeedRecord>();
   readonly #references = new Map<string, ReferenceTime>();
-  #changes = 0;
+  #listener = (_: SpeedChange) => {};
 
   constructor(options: ServerSpeedsOptions = {}) {
     this.#options = {
       requestsAt: () => 0,
       slotsOf: () => 0,
-      onChange: () => {},
       ...options,
     };
   }
 
-  /** Number of times that a server became notably slow. */
-  get changes(): number {
-    return this.#changes;
+  /** Sets what is called when a server becomes notably slow, or is so no longer. */
+  onChange(listener: (change: SpeedChange) => void): void {
+    this.#listener = listener;
   }
 
   /** Records the work time that a server states, in percent of the usual one. */
@@ -191,11 +200,20 @@
     return record ? limitAt(record, slots, now) : slots;
   }
 
-  /** Servers that are notably slow at present, with their expected work time. */
-  slowServers(now: number): { server: InstanceId; workTime: number }[] {
+  /** Servers that differ at present, the slowest first; at most as many as given. */
+  deviations(maximum: number, now: number): ServerDeviation[] {
     return [...this.#records.keys()]
-      .map((server) => ({ server, workTime: this.workTime(server, now) }))
-      .filter(({ workTime }) => workTime >= notableWorkTime);
+      .map((server) => {
+        const slots = this.#options.slotsOf(server);
+        const concurrencyLimit = this.concurrencyLimit(server, slots, now);
+        const workTime = this.workTime(server, now);
+        return { server, workTime, concurrencyLimit, slots };
+      })
+      .filter(({ workTime, concurrencyLimit, slots }) =>
+        workTime !== 1 || concurrencyLimit < slots
+      )
+      .sort((left, right) => right.workTime - left.workTime)
+      .slice(0, maximum);
   }
 
   /** Drops what is known of a server that has restarted. */
@@ -278,13 +296,22 @@
 
   #noteChange(server: InstanceId, record: SpeedRecord, now: number): void {
     const workTime = expectedRatio(record, now);
-    const isSlow = record.isSlow
-      ? workTime > recoveredWorkTime
-      : workTime >= notableWorkTime;
-    if (isSlow === record.isSlow) return;
-    record.isSlow = isSlow;
-    if (isSlow) this.#changes += 1;
-    this.#options.onChange({ server, workTime, isSlow });
+    const isSlow = isNotable(workTime, record.isSlow);
+    if (isSlow !== record.isSlow) {
+      record.isSlow = isSlow;
+      this.#listener({ server, workTime, isSlow, isLasting: false });
+    }
+    const lasting = lastingRatio(record, now);
+    const isLastinglySlow = isNotable(lasting, record.isLastinglySlow);
+    if (isLastinglySlow !== record.isLastinglySlow) {
+      record.isLastinglySlow = isLastinglySlow;
+      this.#listener({
+        server,
+        workTime: lasting,
+        isSlow: isLastinglySlow,
+        isLasting: true,
+      });
+    }
   }
 
   #recordOf(server: InstanceId): SpeedRecord {
@@ -300,6 +327,7 @@
         limit: undefined,
         limitUpdatedAt: 0,
         isSlow: false,
+        isLastinglySlow: false,
         unreported: {
           measured: { sum: 0, weight: 0, wasDeviating: false },
           stated: { sum: 0, weight: 0, wasDeviating: false },
@@ -318,17 +346,26 @@
 }
 
 function expectedRatio(record: SpeedRecord, now: number): number {
-  const { measured, stated, lasting } = record;
+  const { measured, stated } = record;
   const measuredWeight = measured.weight(now);
   const statedWeight = stated.weight(now) * trustInStatements(record);
-  const samples = lasting.weight(now);
-  const lastingRatio = (lasting.value * samples + usualWeight) /
-    (samples + usualWeight);
   return (measured.value * measuredWeight + stated.value * statedWeight +
-    lastingRatio * lastingWeight) /
+    lastingRatio(record, now) * lastingWeight) /
     (measuredWeight + statedWeight + lastingWeight);
 }
 
+/** The long-term mean; the usual time while there are few samples. */
+function lastingRatio({ lasting }: SpeedRecord, now: number): number {
+  const samples = lasting.weight(now);
+  return (lasting.value * samples + usualWeight) / (samples + usualWeight);
+}
+
+function isNotable(workTime: number, wasNotable: boolean): boolean {
+  return wasNotable
+    ? workTime > recoveredWorkTime
+    : workTime >= notableWorkTime;
+}
+
 function trustInStatements({ disagreement }: SpeedRecord): number {
   return Math.max(0, 1 - disagreement / untrustedDisagreement);
 }
