Spread requests more evenly where servers differ in speed

The exponent of 2 stays where servers do not differ, so that choices there are those of before.

Tests server-speed, choose-, shared-servers: 36 passed.

--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -8,6 +8,7 @@
 import {
   displaceableSlotShare,
   freeCapacityExponent,
+  freeCapacityExponentOfUnequalServers,
   healthWeightExponent,
   otherZoneWeight,
   queueExponent,
@@ -165,10 +166,13 @@
   candidates: readonly ServerCandidate[],
   { random }: ChoiceOptions,
 ): ServerCandidate | undefined {
+  const exponent = candidates.some(({ workTime = 1 }) => workTime !== 1)
+    ? freeCapacityExponentOfUnequalServers
+    : freeCapacityExponent;
   return pickByWeight(
     candidates,
     (candidate) =>
-      freeCapacity(candidate) ** freeCapacityExponent *
+      freeCapacity(candidate) ** exponent *
       healthWeight(candidate) *
       speedWeight(candidate) *
       (candidate.isSameZone ? 1 : otherZoneWeight),
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -96,6 +96,11 @@
  * loads.
  */
 export const freeCapacityExponent = 2;
+/**
+ * The same where servers differ in speed. Their speed draws requests to the fast ones in addition,
+ * which instances with the same view would otherwise fill together.
+ */
+export const freeCapacityExponentOfUnequalServers = 1.5;
 /** A slot that a batch run occupies counts as this share of a free slot. */
 export const displaceableSlotShare = 0.5;
 /** In the weight of a server, its expected time of work is raised to the negative of this power. */
