--- a/packages/coordination/coordinator-client.test.ts
+++ b/packages/coordination/coordinator-client.test.ts
@@ -59,6 +59,7 @@
       serverLimits: [],
       leavingServers: [],
       coldServers: [],
+      speeds: [],
       unsent: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
--- a/packages/coordination/coordinator-client.ts
+++ b/packages/coordination/coordinator-client.ts
@@ -250,6 +250,7 @@
       serverLimits: [],
       leavingServers: [],
       coldServers: [],
+      speeds: [],
       knownStatementChanges: noStatementChanges,
       unsent: [],
       configurationPosition: Number.MAX_SAFE_INTEGER as Offset,
--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -49,6 +49,7 @@
       serverLimits: [],
       leavingServers: [],
       coldServers: [],
+      speeds: [],
       unsent: [],
       configurationPosition: 0 as Offset,
       serversPosition: 0 as Offset,
--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -20,6 +20,10 @@
   type WireLimit,
   wireLimitsSchema,
 } from "../fleet/peers/statement-messages.ts";
+import {
+  type WireSpeed,
+  wireSpeedsSchema,
+} from "../fleet/speed/speed-messages.ts";
 import type { JobCall } from "../gateway/caller-request.ts";
 import type { WaitTolerance } from "../gateway/online-services.ts";
 import type { Placement, RoomReply } from "../gateway/placement.ts";
@@ -195,6 +199,8 @@
   readonly leavingServers: readonly WireLeaving[];
   /** Servers that have refused a connection of the dependent since the last report. */
   readonly coldServers: readonly WireCold[];
+  /** Work times of servers, observed since the last report. */
+  readonly speeds: readonly WireSpeed[];
   /** `statementChanges` of the receiver's last reply; -1 for none. */
   readonly knownStatementChanges: number;
   /** Server and number of granted requests that were not sent, since the last report. */
@@ -221,6 +227,7 @@
   serverLimits: wireLimitsSchema,
   leavingServers: wireLeavingSchema,
   coldServers: wireColdSchema,
+  speeds: wireSpeedsSchema,
   knownStatementChanges: z._default(z.number(), -1),
   unsent: z._default(z.array(z.tuple([z.string(), countSchema])), []),
   configurationPosition: z.number(),
--- a/packages/entry/dependent-state.ts
+++ b/packages/entry/dependent-state.ts
@@ -10,6 +10,7 @@
   encodeLeaving,
   encodeLimits,
 } from "../fleet/peers/statement-messages.ts";
+import { encodeSpeeds } from "../fleet/speed/speed-messages.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 
 export interface DependentStateOptions {
@@ -26,7 +27,8 @@
   { blackboard, documents, quarantine, placer, isStoreFailing, clock }:
     DependentStateOptions,
 ): () => DependentState {
-  const { loads, health, serverLimits, upstreams, coldServers } = blackboard;
+  const { loads, health, serverLimits, upstreams } = blackboard;
+  const { coldServers, speeds } = blackboard;
   let collectedAt = Number.NEGATIVE_INFINITY;
   return () => {
     const now = clock.monotonicNow();
@@ -44,6 +46,7 @@
       serverLimits: encodeLimits(limits),
       leavingServers: encodeLeaving(upstreams.leavingServers()),
       coldServers: encodeCold(refused),
+      speeds: encodeSpeeds(speeds.takeAllObservations()),
       unsent: placer().takeUnsent(),
       configurationPosition: documents.position("configuration"),
       serversPosition: documents.position("servers"),
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -46,6 +46,7 @@
 import type { EntryMetrics } from "./entry-metrics.ts";
 import type { EntrySettings, ListenAddress } from "./entry-settings.ts";
 import { addInstanceGauges } from "./instance-gauges.ts";
+import { reportSpeedChange } from "./speed-changes.ts";
 import { leaveFleet } from "./leaving.ts";
 import { handleQuarantineRequest } from "./quarantine-endpoint.ts";
 import { Membership } from "./membership.ts";
@@ -105,6 +106,9 @@
       countMalformed: () => metrics.countMalformedStatement(),
       logger: options.logger,
     });
+    this.#blackboard.speeds.onChange((change) =>
+      reportSpeedChange(change, { metrics, logger: options.logger })
+    );
     this.#coordination = this.#createCoordination();
     this.#membership = this.#createMembership();
     this.#gateway = this.#createGateway();
@@ -212,10 +216,11 @@
           this.#coordination.announce();
           this.#coordination.batch?.stopEvacuatedRuns();
         } else {
-          const { upstreams, health, serverLimits, coldServers } =
+          const { upstreams, health, serverLimits, coldServers, speeds } =
             this.#blackboard;
           this.#pools.retain((id) => upstreams.get(id) !== undefined);
           health.retain((id) => upstreams.get(id) !== undefined);
+          speeds.retain((id) => upstreams.get(id) !== undefined);
           serverLimits.retain((id) => upstreams.get(id) !== undefined);
           coldServers.retain((id) => upstreams.get(id) !== undefined);
           this.#coordination.crashControl.detector.retain((id) =>
--- a/packages/fleet/blackboard.ts
+++ b/packages/fleet/blackboard.ts
@@ -12,6 +12,7 @@
 import { LoadTable } from "./load-table.ts";
 import type { RegionByZone } from "./regions.ts";
 import { SendRules } from "./send-rules.ts";
+import { ServerSpeeds } from "./speed/server-speeds.ts";
 import { UpstreamTable } from "./upstreams.ts";
 
 export class Blackboard {
@@ -23,6 +24,13 @@
   readonly coldServers: ColdServers;
   readonly sendRules: SendRules;
   readonly regionByZone: RegionByZone;
+  readonly speeds = new ServerSpeeds({
+    requestsAt: (server, now) => {
+      const { online, batch } = this.loads.estimate(server, now);
+      return online + batch;
+    },
+    slotsOf: (server) => this.upstreams.get(server)?.slots ?? 0,
+  });
   /** Undefined until a configuration is known. */
   configuration: ConfigurationIndex | undefined;
   /** The list of servers has been read at least once. */
--- a/packages/fleet/documents.ts
+++ b/packages/fleet/documents.ts
@@ -205,6 +205,7 @@
     if (change) logger.info(coldMessage, { ...change, offset: record.offset });
     if (known?.startedAtMilliseconds !== server.startedAtMilliseconds) {
       blackboard.health.forget(id);
+      blackboard.speeds.forget(id);
       blackboard.serverLimits.startLifetime(server);
     }
     if (known?.state !== server.state) {
--- a/packages/fleet/peers/peer-reports.test.ts
+++ b/packages/fleet/peers/peer-reports.test.ts
@@ -74,6 +74,7 @@
       serverLimits: [],
       leavingServers: [],
       coldServers: [],
+      speeds: [],
       serverUses: [],
     },
     { instance: peer, incarnation: "1" },
--- a/packages/fleet/peers/report.ts
+++ b/packages/fleet/peers/report.ts
@@ -18,6 +18,7 @@
 import { definePeerMessage } from "../../protocol/peer-message.ts";
 import type { KeyedRecord } from "../../store/keyed-store.ts";
 import type { DocumentKind } from "../documents.ts";
+import { type WireSpeed, wireSpeedsSchema } from "../speed/speed-messages.ts";
 import {
   type WireCold,
   wireColdSchema,
@@ -54,6 +55,8 @@
   readonly coldServers: readonly WireCold[];
   /** Usage of those limits by the sender and its dependents. */
   readonly serverUses: readonly WireServerUsage[];
+  /** Work times of servers that deviate or did so, observed since the last report. */
+  readonly speeds: readonly WireSpeed[];
   readonly ownedPartitions: readonly PartitionNumber[];
   /** Generation of the group of owners that assigned the partitions. */
   readonly ownerGeneration: number;
@@ -81,6 +84,7 @@
   leavingServers: wireLeavingSchema,
   coldServers: wireColdSchema,
   serverUses: wireServerUsagesSchema,
+  speeds: wireSpeedsSchema,
   ownedPartitions: z.array(z.number()),
   ownerGeneration: z.number(),
   waitingItems: z.number(),
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -334,6 +334,8 @@
       recordRefusedConnection: (server) =>
         statements.recordRefusedConnection(server),
       recordStatement: (...statement) => statements.record(...statement),
+      recordAnswerTime: (time, now) =>
+        blackboard.speeds.recordAnswerTime(time, now),
       recordFailure: (server) => health.addFailure(server, now()),
       recordSuccess: (server, duration) => {
         health.addSuccess(server, now());
--- a/packages/gateway/server-candidates.ts
+++ b/packages/gateway/server-candidates.ts
@@ -18,7 +18,7 @@
 }
 
 export function listCandidates(
-  { upstreams, loads, health, sendRules }: Blackboard,
+  { upstreams, loads, health, sendRules, speeds }: Blackboard,
   query: CandidateQuery,
 ): ServerCandidate[] {
   const { service, zone, now, excluded, avoided } = query;
@@ -38,6 +38,8 @@
         avoided?.has(server.id) === true,
       failureShare: health.failureShare(server.id, now),
       sendBudget: permission.sendBudget,
+      workTime: speeds.workTime(server.id, now),
+      concurrencyLimit: speeds.concurrencyLimit(server.id, server.slots, now),
     });
   }
   return candidates;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -10,6 +10,7 @@
 import type { RouteRule } from "../fleet/configuration.ts";
 import { allowedRegionsOf } from "../fleet/regions.ts";
 import { allowedTargets, type SendPurpose } from "../fleet/send-rules.ts";
+import { batchMeter } from "../fleet/speed/answer-meter.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import { chooseService } from "../gateway/gateway.ts";
 import { listCandidates } from "../gateway/server-candidates.ts";
@@ -350,6 +351,7 @@
         bodyIdleTimeoutMilliseconds: itemIdleTimeoutMilliseconds,
       },
       wallNow: this.#options.wallNow,
+      meter: batchMeter(upstream, blackboard.speeds, now),
       onStatement: (...statement) =>
         this.#options.statements.record(upstream, ...statement),
       onConnectionRefused: () =>
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -5,6 +5,7 @@
 
 import { Buffer } from "node:buffer";
 import type { InstanceId } from "../common/ids.ts";
+import type { AnswerMeter } from "../fleet/speed/answer-meter.ts";
 import type { AnswerHead } from "../gateway/caller-request.ts";
 import { dataOf, EventSplitter } from "../gateway/event-splitter.ts";
 import {
@@ -49,6 +50,7 @@
   readonly wallNow: () => number;
   readonly onStatement: AttemptListener["onStatement"];
   readonly onConnectionRefused: AttemptListener["onConnectionRefused"];
+  readonly meter: AnswerMeter;
   /** Called when the first event arrives. */
   readonly onBegin: () => void;
   /** Resolves to true if the server has crashed; asked where only the connection ends an answer. */
@@ -68,6 +70,7 @@
   #status = 0;
   /** Bytes of the whole text in UTF-8, those of earlier runs included. */
   #textBytes: number;
+  #receivedEvents = 0;
   #hasBegun = false;
   #isOver = false;
 
@@ -116,6 +119,8 @@
     if (this.#isOver || this.#status !== statusOk) return false;
     const { output } = this.#options;
     const events = this.#splitter.push(chunk);
+    this.#receivedEvents += events.length;
+    this.#options.meter.update(this.#receivedEvents);
     if (!this.#hasBegun) {
       this.#hasBegun = true;
       this.#options.onBegin();
