Check a conviction again when a timer fires early or the standing rises

Callers with a part that crashes servers got 503 instead of a final 400, and requests with the part were held for seconds: the check of a conviction ran once, 250 ms after the last crash. A timer may fire up to 0.9 ms early, so that the delay counted as not over and no other check followed; the standing also rises without a crash, by answers that begin on other parts.

A schedule keeps one check for each part until it is decided and checks again after the time that is left; a part that counts as convicted without a verdict starts a check when a request is judged.

Ruled out: a lost confirmation, which was retried already.

The tests of the poisoned part were not run on a quiet machine yet.

--- a/packages/quarantine/quarantine.ts
+++ b/packages/quarantine/quarantine.ts
@@ -18,9 +18,9 @@
 import { systemTimers, type Timers } from "../common/timers.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedRecord } from "../store/keyed-store.ts";
+import { ConvictionSchedule } from "./conviction-schedule.ts";
 import { BegunParts } from "./begun-parts.ts";
 import {
-  confirmationRetryMilliseconds,
   convictionDelayMilliseconds,
   freshTrialMilliseconds,
   trialTurnMilliseconds,
@@ -91,10 +91,17 @@
   readonly #standings: PartStandings;
   readonly #usedClaims = new WeakSet<TrialClaim>();
   /** Parts about which the other coordinators are being asked. */
-  readonly #confirming = new Set<PromptPartId>();
+  readonly #convictions: ConvictionSchedule;
 
   constructor(options: QuarantineOptions) {
     this.#options = { timers: systemTimers, ...options };
+    this.#convictions = new ConvictionSchedule({
+      waitOf: (part) => this.#convictionWait(part),
+      confirm: (part) => this.#confirm(part),
+      convict: (part) => this.#convict(part),
+      timers: this.#options.timers,
+      now: options.clock.monotonicNow,
+    });
     this.#standings = new PartStandings({
       evidence: this.#evidence,
       isConvicted: (part) => this.#verdicts.get(part) !== undefined,
@@ -321,7 +328,7 @@
   }
 
   #addCrash(report: CrashReport): void {
-    const { clock, timers, onCrash } = this.#options;
+    const { clock, onCrash } = this.#options;
     const now = clock.monotonicNow();
     onCrash(report);
     this.#evidence.addCrash(report, now);
@@ -340,12 +347,9 @@
       now + this.#turnOf(report) * trialTurnMilliseconds,
       now,
     );
-    timers.after(
-      convictionDelayMilliseconds,
-      () => {
-        for (const part of parts) void this.#convictIfDue(part);
-      },
-    );
+    for (const part of parts) {
+      this.#convictions.check(part, convictionDelayMilliseconds);
+    }
   }
 
   /** The place of this instance in the order in which the next trial may be started. */
@@ -360,34 +364,30 @@
   #mustWait(part: PromptPartId): boolean {
     const now = this.#options.clock.monotonicNow();
     if (this.#trials.mustWait(part, now)) return true;
-    return this.#verdicts.get(part) === undefined &&
-      this.#standings.of(part) === "convicted";
-  }
-
-  async #convictIfDue(part: PromptPartId): Promise<void> {
-    const { clock, timers } = this.#options;
-    if (!this.#isConvictionDue(part) || this.#confirming.has(part)) return;
-    this.#confirming.add(part);
-    const askedAt = clock.monotonicNow();
-    const isConfirmed = await this.#confirm(part);
-    this.#confirming.delete(part);
-    if (!this.#isConvictionDue(part)) return;
-    if (isConfirmed) return this.#convict(part);
-    const elapsed = clock.monotonicNow() - askedAt;
-    timers.after(
-      Math.max(0, confirmationRetryMilliseconds - elapsed),
-      () => void this.#convictIfDue(part),
-    );
+    if (
+      this.#verdicts.get(part) || this.#standings.of(part) !== "convicted"
+    ) return false;
+    // The standing also rises without a crash, by answers that begin on other parts.
+    this.#convictions.check(part, 0);
+    return true;
   }
 
-  #isConvictionDue(part: PromptPartId): boolean {
+  /**
+   * Time until the part may be convicted, which a timer that fires early or a later crash may have
+   * left; undefined if it is not to be convicted.
+   */
+  #convictionWait(part: PromptPartId): number | undefined {
     const { clock, decides } = this.#options;
-    if (!decides() || this.#verdicts.get(part)) return false;
+    if (!decides() || this.#verdicts.get(part)) return undefined;
     const lastCrashAt = this.#evidence.crashTimes(part).at(-1);
-    // A later crash has started its own delay.
-    return lastCrashAt !== undefined &&
-      clock.monotonicNow() - lastCrashAt >= convictionDelayMilliseconds &&
+    const isConvicted = lastCrashAt !== undefined &&
       this.#standings.assess(part).standing === "convicted";
+    return isConvicted
+      ? Math.max(
+        0,
+        lastCrashAt + convictionDelayMilliseconds - clock.monotonicNow(),
+      )
+      : undefined;
   }
 
   /** Resolves to true if most coordinators reply and none knows of an answer on the part. */
