Hold request bodies within a budget of the process

Request bodies were buffered without a common limit, connections were accepted without one, and 413 left its connection open. Bodies now reserve bytes in a budget that follows from memory_mb before their connection is read, chunks are copied into blocks, and bodies without progress are evicted under pressure. Answers that callers do not read are held in the same budget. Connections are limited by max_fds.

--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -11,7 +11,7 @@
 } from "node:http";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { DisposableStore } from "../common/disposable-store.ts";
-import type { Incarnation, StreamName } from "../common/ids.ts";
+import type { ClientId, Incarnation, StreamName } from "../common/ids.ts";
 import { listenOn } from "../common/listen.ts";
 import type { Logger } from "../common/logging.ts";
 import { Blackboard } from "../fleet/blackboard.ts";
@@ -28,6 +28,9 @@
 import { Gateway } from "../gateway/gateway.ts";
 import { ServerPools } from "../gateway/server-pools.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
+import { maximumOperatorConnections } from "../overload/constants.ts";
+import { OverloadControl } from "../overload/overload-control.ts";
+import { limitsOf, unknownMachineLimits } from "../overload/resource-limits.ts";
 import { TcpPeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 import {
@@ -66,6 +69,7 @@
   readonly #blackboard = new Blackboard({ initialDurationMilliseconds });
   readonly #members = new MemberTable();
   readonly #pools: ServerPools;
+  readonly #overload: OverloadControl;
   readonly #network: TcpPeerNetwork;
   readonly #documents: Documents;
   readonly #statements: ServerStatements;
@@ -83,6 +87,7 @@
     this.#options = { clock: systemClock, ...options };
     const { metrics } = options;
     this.#pools = new ServerPools(() => metrics.countConnection());
+    this.#overload = this.#createOverloadControl();
     this.#network = this.#createNetwork();
     this.#store = new RelayedStore({
       direct: options.store,
@@ -112,6 +117,7 @@
 
   async start(): Promise<void> {
     const { settings, logger } = this.#options;
+    this.#overload.start();
     await this.#network.listen();
     this.#membership.start();
     for (const follower of this.#followers) follower.start();
@@ -133,6 +139,7 @@
       blackboard: this.#blackboard,
       coordination: this.#coordination,
       listener: this.#listener,
+      overload: this.#overload,
     });
     await this.#listener.listen();
     await this.#listenForReadiness();
@@ -165,6 +172,7 @@
       this.#listener.close();
       await this.#pools.destroy();
       await this.#network.close();
+      await this.#overload.dispose();
       await this.#disposables.dispose();
     });
     return this.#leavePromise;
@@ -174,6 +182,17 @@
     return this.#options.settings.incarnation;
   }
 
+  #createOverloadControl(): OverloadControl {
+    const { settings, metrics, logger } = this.#options;
+    return new OverloadControl({
+      limits: settings.machine
+        ? limitsOf(settings.machine)
+        : unknownMachineLimits,
+      metrics,
+      logger,
+    });
+  }
+
   #createNetwork(): TcpPeerNetwork {
     const { settings, logger, clock } = this.#options;
     return new TcpPeerNetwork({
@@ -287,10 +306,20 @@
       limits: () => this.#blackboard.configuration?.configuration.limits,
       isLeaving: () => this.#blackboard.isLeaving,
       handle: (...args) => this.#gateway.handle(...args),
+      overload: this.#overload,
+      findClient: (message) => this.#findClient(message),
       logger,
     });
   }
 
+  #findClient(message: IncomingMessage): ClientId | undefined {
+    const key = this.#options.callerCodec.decodeApiKey(message);
+    if (key === undefined) return undefined;
+    const { configuration } = this.#blackboard;
+    const workspace = configuration?.workspaceOfKey(key);
+    return workspace && `workspace ${workspace.id}` as ClientId;
+  }
+
   #createFollowers(): PartitionFollower[] {
     const { documentCodec, logger } = this.#options;
     const sources = [
@@ -361,6 +390,7 @@
       request.resume();
       respond(request, response);
     });
+    server.maxConnections = maximumOperatorConnections;
     await listenOn(server, address);
     this.#disposables.add(() => {
       server.close();
--- a/packages/entry/entry-metrics.ts
+++ b/packages/entry/entry-metrics.ts
@@ -7,6 +7,8 @@
 import type { GatewayMetrics } from "../gateway/gateway-metrics.ts";
 import type { OnlineOutcome } from "../gateway/online-services.ts";
 import type { ReceivedRequest } from "../gateway/caller-request.ts";
+import type { EvictionReason, HoldingKind } from "../overload/held-bytes.ts";
+import type { OverloadMetrics } from "../overload/overload-control.ts";
 import { LatencyRecorder } from "../metrics/latency-recorder.ts";
 
 /** A gauge whose value is read whenever the metrics are rendered. */
@@ -16,7 +18,7 @@
   readonly read: () => number;
 }
 
-export class EntryMetrics implements GatewayMetrics {
+export class EntryMetrics implements GatewayMetrics, OverloadMetrics {
   readonly #registry = new RegistryClass();
   readonly #requests = this.#createCounter(
     "rosemaryrudder_requests_total",
@@ -58,6 +60,16 @@
     "Connections opened to servers.",
     [],
   );
+  readonly #evictions = this.#createCounter(
+    "rosemaryrudder_evictions_total",
+    "Bodies and answers that were given up, for lack of room or of progress.",
+    ["kind", "reason"],
+  );
+  readonly #closedConnections = this.#createCounter(
+    "rosemaryrudder_caller_connections_closed_total",
+    "Connections of callers that were evicted or refused at the limit.",
+    ["kind"],
+  );
   readonly #firstBytesLatency = new LatencyRecorder(
     "rosemaryrudder_first_bytes_seconds",
     "Time from the arrival of a request to the first bytes of its answer.",
@@ -112,6 +124,14 @@
     this.#serverConnections.inc();
   }
 
+  countEviction(kind: HoldingKind, reason: EvictionReason): void {
+    this.#evictions.inc({ kind, reason });
+  }
+
+  countClosedConnection(kind: "evicted" | "refused"): void {
+    this.#closedConnections.inc({ kind });
+  }
+
   recordFirstBytes(received: ReceivedRequest, workspace: string, now: number) {
     this.#firstBytesLatency.record(
       workspace,
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -1,5 +1,6 @@
 /** Settings of an entry instance, independent of the file or platform that they are read from. */
 
+import type { MachineResources } from "../overload/resource-limits.ts";
 import type { Incarnation, InstanceId, ZoneId } from "../common/ids.ts";
 
 export interface ListenAddress {
@@ -14,6 +15,8 @@
   readonly zone: ZoneId;
   /** Capacity of the machine relative to others; 1 for a usual one. */
   readonly capacity: number;
+  /** Undefined if several instances share one process, as in tests. */
+  readonly machine?: MachineResources;
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
   readonly peers: ListenAddress;
--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -3,6 +3,7 @@
 import process from "node:process";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { CallerListener } from "../gateway/caller-listener.ts";
+import type { OverloadControl } from "../overload/overload-control.ts";
 import type { Coordination } from "./coordination.ts";
 import type { EntryMetrics, GaugeDefinition } from "./entry-metrics.ts";
 
@@ -10,11 +11,12 @@
   readonly blackboard: Blackboard;
   readonly coordination: Coordination;
   readonly listener: CallerListener;
+  readonly overload: OverloadControl;
 }
 
 export function addInstanceGauges(
   metrics: EntryMetrics,
-  { blackboard, coordination, listener }: GaugeSources,
+  { blackboard, coordination, listener, overload }: GaugeSources,
 ): void {
   const gauges: GaugeDefinition[] = [
     {
@@ -83,6 +85,36 @@
       help: "Coordinators heard from recently, including this instance.",
       read: () => coordination.view().heard,
     },
+    {
+      name: "rosemaryrudder_held_bytes",
+      help: "Bytes that are held for callers, servers and peers.",
+      read: () => overload.heldBytes.state.heldBytes,
+    },
+    {
+      name: "rosemaryrudder_held_bytes_limit",
+      help: "Budget of held bytes.",
+      read: () => overload.heldBytes.state.limitBytes,
+    },
+    {
+      name: "rosemaryrudder_waiting_bodies",
+      help: "Bodies that are not read since the budget is exhausted.",
+      read: () => overload.heldBytes.state.waitingHoldings,
+    },
+    {
+      name: "rosemaryrudder_memory_tight",
+      help: "1 if the resident memory is close to that of the machine.",
+      read: () => overload.memory.isTight ? 1 : 0,
+    },
+    {
+      name: "rosemaryrudder_forced_collections",
+      help: "Garbage collections that high resident memory has caused.",
+      read: () => overload.memory.collections,
+    },
+    {
+      name: "rosemaryrudder_caller_connections",
+      help: "Open connections of callers.",
+      read: () => overload.connections.openConnections,
+    },
     {
       name: "rosemaryrudder_resident_memory_bytes",
       help: "Resident memory of the process.",
--- a/packages/gateway/caller-listener.ts
+++ b/packages/gateway/caller-listener.ts
@@ -13,7 +13,13 @@
 } from "node:http";
 import { listenOn } from "../common/listen.ts";
 import type { Logger } from "../common/logging.ts";
+import type { ClientId } from "../common/ids.ts";
 import type { CallerLimits } from "../fleet/configuration.ts";
+import { addressOf } from "../overload/connection-limit.ts";
+import { defaultIdleTimeoutMilliseconds } from "../overload/constants.ts";
+import type { Holding } from "../overload/held-bytes.ts";
+import type { OverloadControl } from "../overload/overload-control.ts";
+import { CallerBody } from "./caller-body.ts";
 import { CallerResponse, type ErrorAnswer } from "./caller-response.ts";
 
 /** `receivedAt` is in monotonic milliseconds, taken once the body is complete. */
@@ -32,6 +38,9 @@
   /** True during graceful shutdown. */
   readonly isLeaving: () => boolean;
   readonly handle: RequestHandler;
+  readonly overload: OverloadControl;
+  /** The client by its key; undefined if it has none that is known. */
+  readonly findClient: (message: IncomingMessage) => ClientId | undefined;
   readonly logger: Logger;
 }
 
@@ -56,7 +65,10 @@
       },
       (message, response) => this.#receive(message, response),
     );
+    // A body may take any time as long as it makes progress; see `CallerBody`.
     this.#server.requestTimeout = 0;
+    const { connections } = options.overload;
+    this.#server.on("connection", (socket) => connections.add(socket));
     this.applyLimits();
   }
 
@@ -94,49 +106,81 @@
   }
 
   #receive(message: IncomingMessage, nodeResponse: ServerResponse): void {
+    const { isLeaving, limits: currentLimits, overload, logger } =
+      this.#options;
+    const { socket } = message;
     const response = new CallerResponse({
       response: nodeResponse,
-      shouldClose: this.#options.isLeaving,
+      message,
+      shouldClose: isLeaving,
+      openHolding: () => this.#openHolding("response", message),
     });
-    const limits = this.#options.limits();
-    const maximumBodyBytes = limits?.maximumBodyBytes ??
-      defaultMaximumBodyBytes;
+    const limits = currentLimits();
     this.#active.add(response);
-    nodeResponse.once("close", () => this.#active.delete(response));
+    overload.connections.markActive(socket);
+    nodeResponse.once("close", () => {
+      this.#active.delete(response);
+      overload.connections.markIdle(socket);
+    });
+    message.on("error", (error) => {
+      logger.debug("a caller aborted its request", { reason: error.message });
+    });
     if (limits && headerBytes(message) > limits.maximumHeaderBytes) {
-      message.resume();
-      return response.fail({
+      return response.failAndClose({
         status: 431,
         code: "headers_too_large",
         message: `headers exceed ${limits.maximumHeaderBytes} bytes`,
       });
     }
-    const chunks: Buffer[] = [];
-    let size = 0;
-    message.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= maximumBodyBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      chunks.length = 0;
-      response.fail({
-        status: 413,
-        code: "body_too_large",
-        message: `the body exceeds ${maximumBodyBytes} bytes`,
-      });
-    });
-    message.on("end", () => {
-      if (size > maximumBodyBytes) return;
-      const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-      this.#options.handle(message, body, response, performance.now());
-    });
-    message.on("error", (error) => {
-      this.#options.logger.debug("a caller aborted its request", {
-        reason: error.message,
-      });
+    if (hasBody(message)) {
+      return this.#receiveBody(message, nodeResponse, response);
+    }
+    message.on("end", () => this.#handle(message, noBytes, response));
+    message.resume();
+  }
+
+  #receiveBody(
+    message: IncomingMessage,
+    nodeResponse: ServerResponse,
+    response: CallerResponse,
+  ): void {
+    const { overload } = this.#options;
+    const limits = this.#options.limits();
+    const body = new CallerBody({
+      message,
+      holding: this.#openHolding("request_body", message),
+      blocks: overload.blocks,
+      maximumBytes: limits?.maximumBodyBytes ?? defaultMaximumBodyBytes,
+      idleMilliseconds: limits?.idleTimeoutMilliseconds ??
+        defaultIdleTimeoutMilliseconds,
+      onReceived: (bytes) => overload.memory.recordReceived(bytes),
+      onComplete: (bytes) => this.#handle(message, bytes, response),
+      onFailure: (answer) => response.failAndClose(answer),
     });
+    nodeResponse.once("close", () => body.dispose());
+    body.start();
+  }
+
+  #handle(message: IncomingMessage, body: Buffer, response: CallerResponse) {
+    this.#options.handle(message, body, response, performance.now());
   }
+
+  #openHolding(
+    kind: "request_body" | "response",
+    message: IncomingMessage,
+  ): Holding {
+    const { overload, findClient } = this.#options;
+    const client = findClient(message) ?? addressOf(message.socket);
+    return overload.heldBytes.open({ kind, client });
+  }
+}
+
+const noBytes = Buffer.alloc(0);
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  const length = headers["content-length"];
+  return headers["transfer-encoding"] !== undefined ||
+    (length !== undefined && Number(length) > 0);
 }
 
 function headerBytes(message: IncomingMessage): number {
--- a/packages/gateway/caller-request.ts
+++ b/packages/gateway/caller-request.ts
@@ -80,6 +80,8 @@
 export interface CallerCodec {
   /** Returns the reason as a text if the request cannot be decoded. */
   decodeRequest(message: IncomingMessage): CallerRequest | string;
+  /** The API key, which is read before the rest of the request is decoded. */
+  decodeApiKey(message: IncomingMessage): string | undefined;
   /** Returns undefined if the request is no call on a batch job. */
   decodeJobCall(
     request: CallerRequest,
--- a/packages/gateway/caller-response.ts
+++ b/packages/gateway/caller-response.ts
@@ -4,7 +4,11 @@
  */
 
 import { Buffer } from "node:buffer";
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { smallHoldingBytes } from "../overload/constants.ts";
+import type { Holding } from "../overload/held-bytes.ts";
+import { lingerBytes, lingerMilliseconds } from "./constants.ts";
+import { overloadedError } from "./request-errors.ts";
 
 /** An error that the system itself answers, rather than a server. */
 export interface ErrorAnswer {
@@ -21,17 +25,23 @@
 
 export interface CallerResponseOptions {
   readonly response: ServerResponse;
+  readonly message: IncomingMessage;
+  /** Opens a holding for bytes that the caller does not read. */
+  readonly openHolding: () => Holding;
   /** True during graceful shutdown: the connection is closed after this answer. */
   readonly shouldClose: () => boolean;
 }
 
 export class CallerResponse {
+  readonly #options: CallerResponseOptions;
   readonly #response: ServerResponse;
-  readonly #shouldClose: () => boolean;
+  #holding: Holding | undefined;
+  /** The answer is complete, and the connection closes once the caller has had time to read it. */
+  #isClosing = false;
 
-  constructor({ response, shouldClose }: CallerResponseOptions) {
-    this.#response = response;
-    this.#shouldClose = shouldClose;
+  constructor(options: CallerResponseOptions) {
+    this.#options = options;
+    this.#response = options.response;
   }
 
   get hasBegun(): boolean {
@@ -39,7 +49,8 @@
   }
 
   get isOver(): boolean {
-    return this.#response.writableEnded || this.#response.destroyed;
+    return this.#isClosing || this.#response.writableEnded ||
+      this.#response.destroyed;
   }
 
   /** Calls the listener if the caller disconnects before the answer is complete. */
@@ -59,7 +70,9 @@
    * when it has caught up.
    */
   write(bytes: Buffer): boolean {
-    return this.#response.write(bytes);
+    const isDrained = this.#response.write(bytes);
+    if (!isDrained) this.#holdUnread();
+    return isDrained;
   }
 
   onDrain(listener: () => void): void {
@@ -77,15 +90,12 @@
     { retryAfterMilliseconds }: { retryAfterMilliseconds?: number } = {},
   ): void {
     if (this.isOver) return;
-    this.#addConnectionHeader();
-    if (retryAfterMilliseconds !== undefined) {
-      const seconds = retryAfterMilliseconds / 1_000;
-      this.#response.setHeader("retry-after", seconds.toFixed(2));
+    // Only answers to reads are large, so that nothing was done.
+    if (bytes.length > smallHoldingBytes && !this.#tryHold(bytes.length)) {
+      return this.failAndClose(overloadedError);
     }
-    this.#response.writeHead(status, {
-      "content-type": contentType,
-      "content-length": bytes.length,
-    });
+    this.#addConnectionHeader();
+    this.#writeWholeHead(status, contentType, bytes, retryAfterMilliseconds);
     this.#response.end(bytes);
   }
 
@@ -106,12 +116,90 @@
     );
   }
 
+  /**
+   * Sends the error although the request has not been read to its end, and closes the connection.
+   * What still arrives is dropped for a while: closing at once could reset the connection before
+   * the caller has read the answer.
+   */
+  failAndClose(answer: ErrorAnswer): void {
+    if (this.isOver) return;
+    if (this.hasBegun) return this.abort();
+    const { message } = this.#options;
+    const bytes = encodeErrorBody(answer);
+    this.#isClosing = true;
+    this.#response.setHeader("connection", "close");
+    this.#writeWholeHead(
+      answer.status,
+      "application/json",
+      bytes,
+      answer.retryAfterMilliseconds,
+    );
+    this.#response.write(bytes);
+    const end = () => {
+      clearTimeout(timer);
+      this.#response.end();
+    };
+    const timer = setTimeout(end, lingerMilliseconds);
+    let droppedBytes = 0;
+    message.on("data", (chunk: Buffer) => {
+      droppedBytes += chunk.length;
+      if (droppedBytes > lingerBytes) end();
+    });
+    message.once("close", end);
+    if (message.complete) end();
+  }
+
   abort(): void {
     this.#response.destroy();
   }
 
+  #tryHold(bytes: number): boolean {
+    this.#holding ??= this.#openHolding();
+    return this.#holding.tryGrow(bytes);
+  }
+
+  /** Holds what waits in the send buffer; under pressure a caller that reads nothing is cut off. */
+  #holdUnread(): void {
+    this.#holding ??= this.#openHolding();
+    const holding = this.#holding;
+    const unreadBytes = this.#response.writableLength;
+    holding.resize(unreadBytes);
+    this.#response.once("drain", () => {
+      holding.recordProgress(unreadBytes);
+      holding.resize(0);
+    });
+  }
+
+  #openHolding(): Holding {
+    const holding = this.#options.openHolding();
+    holding.track({
+      evict: () => this.abort(),
+      idleMilliseconds: Number.POSITIVE_INFINITY,
+    });
+    this.#response.once("close", () => holding.dispose());
+    return holding;
+  }
+
+  #writeWholeHead(
+    status: number,
+    contentType: string,
+    bytes: Buffer,
+    retryAfterMilliseconds: number | undefined,
+  ): void {
+    if (retryAfterMilliseconds !== undefined) {
+      const seconds = retryAfterMilliseconds / 1_000;
+      this.#response.setHeader("retry-after", seconds.toFixed(2));
+    }
+    this.#response.writeHead(status, {
+      "content-type": contentType,
+      "content-length": bytes.length,
+    });
+  }
+
   #addConnectionHeader(): void {
-    if (this.#shouldClose()) this.#response.setHeader("connection", "close");
+    if (this.#options.shouldClose()) {
+      this.#response.setHeader("connection", "close");
+    }
   }
 
   // `writeHead` ignores headers that were set before when it is given an array, so they are added.
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -130,3 +130,9 @@
 export const startWaitMilliseconds = 1_500;
 /** Requests that are held in that time; further ones are refused. */
 export const maximumRequestsHeldAtStart = 256;
+/**
+ * After an error that ends a request before its body, further bytes are dropped for this time and
+ * up to this size, so that a caller that is still sending can read the error.
+ */
+export const lingerMilliseconds = 1_000;
+export const lingerBytes = 2 * 1024 * 1024;
--- a/packages/gateway/request-errors.ts
+++ b/packages/gateway/request-errors.ts
@@ -40,6 +40,14 @@
   };
 }
 
+/** The instance holds as many bytes for others as its memory allows. */
+export const overloadedError: ErrorAnswer = {
+  status: 503,
+  code: "overloaded",
+  message: "the instance has no memory for the call; nothing was done",
+  retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+};
+
 /** The instance leaves and would not complete the request. */
 export const leavingError: ErrorAnswer = {
   status: 503,
