Hold calls on jobs, held answers and frames of peers in the budget

Bodies handed between instances, the copies that a submission makes and answers that are held back until they are complete were outside the budget. A submission reserves three times its body, a forwarded call twice, before anything is done; without room it gets 503, which is true. Large frames are copied to their place once, where each read copied all that had arrived before. A held answer without room is passed on as it arrives.

Ruled out: refusing a large frame by closing its connection, which also carries questions about placements of ordinary requests.

--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -7,6 +7,7 @@
 import { silentLogger } from "../common/logging.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { JobResponse } from "../jobs/job-response.ts";
+import { HeldBytes } from "../overload/held-bytes.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import { CoordinatorClient } from "./coordinator-client.ts";
 import { ForwardedJobCalls } from "./forwarded-job-calls.ts";
@@ -53,6 +54,7 @@
     logger: silentLogger,
   });
   const calls = new ForwardedJobCalls({
+    heldBytes: new HeldBytes({ limitBytes: 1_000_000 }),
     client,
     now: systemClock.monotonicNow,
     logger: silentLogger,
--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -12,6 +12,9 @@
 import type { ErrorAnswer } from "../gateway/caller-response.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
+import { overloadedError } from "../gateway/request-errors.ts";
+import { clientOfWorkspace } from "../overload/client-id.ts";
+import type { HeldBytes } from "../overload/held-bytes.ts";
 import { malformedJob } from "../jobs/job-call-handler.ts";
 import type { JobResponse } from "../jobs/job-response.ts";
 import { jobCallTimeoutMilliseconds } from "./constants.ts";
@@ -24,6 +27,7 @@
 
 export interface ForwardedJobCallsOptions {
   readonly client: CoordinatorClient;
+  readonly heldBytes: HeldBytes;
   /** Monotonic milliseconds. */
   readonly now: () => number;
   readonly logger: Logger;
@@ -65,7 +69,13 @@
     workspace: WorkspaceId | undefined,
     response: JobResponse,
   ): Promise<void> {
-    const { client, now, logger } = this.#options;
+    const { client, heldBytes, now, logger } = this.#options;
+    // The call is copied into a frame, which waits in the send buffer to the coordinator.
+    using holding = heldBytes.tryHold(
+      { kind: "job_call", client: clientOfWorkspace(workspace) },
+      body.length * frameCopies,
+    );
+    if (!holding) return response.fail(overloadedError);
     const waitMilliseconds = call?.kind === "results"
       ? call.waitMilliseconds
       : 0;
@@ -103,6 +113,9 @@
   }
 }
 
+/** Copies of its body that a forwarded call takes: the encoded value and its frame. */
+const frameCopies = 2;
+
 /** Whether the answer promises that the job does not run. */
 function isRefusal({ status }: ForwardedJobReply): boolean {
   return status === 429 || status === 503;
--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -25,6 +25,7 @@
 import { PartitionOwnership } from "../jobs/partition-ownership.ts";
 import { ProgressStore } from "../jobs/progress-store.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
+import type { HeldBytes } from "../overload/held-bytes.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 import {
@@ -42,6 +43,7 @@
   readonly blackboard: Blackboard;
   readonly network: PeerNetwork;
   readonly pools: ServerPools;
+  readonly heldBytes: HeldBytes;
   readonly crashControl: CrashControl;
   readonly statements: ServerStatements;
   readonly callerCodec: CallerCodec;
@@ -95,6 +97,7 @@
     });
     this.#executor = this.#createExecutor();
     this.calls = new JobCallHandler({
+      heldBytes: options.heldBytes,
       partitions: this.#partitions,
       bodies: this.#bodies,
       admission: new JobAdmission({
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -39,6 +39,7 @@
 import { LocalPlacer, type Placer } from "../gateway/placement.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
+import type { HeldBytes } from "../overload/held-bytes.ts";
 import { displaceBatch } from "./batch-displacement.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
@@ -61,6 +62,7 @@
   readonly jobCodec: JobCodec;
   /** Whether this instance cannot read the store at present. */
   readonly isStoreFailing: () => boolean;
+  readonly heldBytes: HeldBytes;
   readonly removeMember: (member: Member) => void;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
@@ -409,6 +411,7 @@
       blackboard: this.#options.blackboard,
       network: this.#options.network,
       pools: this.#options.pools,
+      heldBytes: this.#options.heldBytes,
       crashControl: this.crashControl,
       statements: this.#options.statements,
       callerCodec,
@@ -468,6 +471,7 @@
     const { clock, logger } = this.#options;
     const forwarded = new ForwardedJobCalls({
       client: this.#client,
+      heldBytes: this.#options.heldBytes,
       now: clock.monotonicNow,
       logger,
     });
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -28,6 +28,7 @@
 import { Gateway } from "../gateway/gateway.ts";
 import { ServerPools } from "../gateway/server-pools.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
+import { clientOfWorkspace } from "../overload/client-id.ts";
 import { maximumOperatorConnections } from "../overload/constants.ts";
 import { OverloadControl } from "../overload/overload-control.ts";
 import { limitsOf, unknownMachineLimits } from "../overload/resource-limits.ts";
@@ -200,6 +201,8 @@
       incarnation: settings.incarnation,
       host: settings.peers.host,
       port: settings.peers.port,
+      heldBytes: this.#overload.heldBytes,
+      maximumConnections: this.#overload.limits.peerConnections,
       clock,
       logger,
     });
@@ -238,6 +241,7 @@
       settings,
       blackboard: this.#blackboard,
       network: this.#network,
+      heldBytes: this.#overload.heldBytes,
       members: this.#members,
       documents: this.#documents,
       store: this.#store,
@@ -293,6 +297,7 @@
       quarantine: this.#coordination.crashControl.quarantine,
       crashDetector: this.#coordination.crashControl.detector,
       statements: this.#statements,
+      heldBytes: this.#overload.heldBytes,
       jobs: this.#coordination.jobCalls,
       metrics: this.#options.metrics,
       logger,
@@ -317,7 +322,7 @@
     if (key === undefined) return undefined;
     const { configuration } = this.#blackboard;
     const workspace = configuration?.workspaceOfKey(key);
-    return workspace && `workspace ${workspace.id}` as ClientId;
+    return workspace && clientOfWorkspace(workspace.id);
   }
 
   #createFollowers(): PartitionFollower[] {
--- a/packages/gateway/answer-relay.ts
+++ b/packages/gateway/answer-relay.ts
@@ -8,6 +8,7 @@
 import type { AnswerHead } from "./caller-request.ts";
 import type { CallerResponse } from "./caller-response.ts";
 import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
+import type { Holding } from "../overload/held-bytes.ts";
 import { HeldAnswer } from "./held-answer.ts";
 import type { AttemptFailure } from "./server-attempt.ts";
 
@@ -25,6 +26,8 @@
   readonly isRetryable: boolean;
   /** The last event that the caller has received already. */
   readonly lastEventId: number | undefined;
+  /** Opens a holding for an answer that is held until it is complete. */
+  readonly openHolding: () => Holding;
   /** Called before bytes are written to the caller. */
   readonly onWrite: () => void;
   /** Called when the caller reads too slowly. */
@@ -35,7 +38,7 @@
 
 export class AnswerRelay {
   readonly #options: AnswerRelayOptions;
-  readonly #held = new HeldAnswer();
+  readonly #held: HeldAnswer;
   #splitter = new EventSplitter();
   #mode: RelayMode = "direct";
   #head: AnswerHead | undefined;
@@ -45,6 +48,7 @@
 
   constructor(options: AnswerRelayOptions) {
     this.#options = options;
+    this.#held = new HeldAnswer(options.openHolding);
     this.#lastEventId = options.lastEventId;
   }
 
@@ -123,6 +127,11 @@
     return undefined;
   }
 
+  /** Forgets what is held; called when the request is over. */
+  dispose(): void {
+    this.#held.release();
+  }
+
   complete(): void {
     if (this.#mode === "held") this.#releaseHeld();
     this.#begin();
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -10,6 +10,8 @@
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { RouteRule, WorkspaceRule } from "../fleet/configuration.ts";
 import type { ServerStatements } from "../fleet/server-statements.ts";
+import { clientOfWorkspace } from "../overload/client-id.ts";
+import type { HeldBytes } from "../overload/held-bytes.ts";
 import type { CrashDetector } from "../quarantine/crash-detector.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import { CallerDeadlines } from "./caller-deadlines.ts";
@@ -62,6 +64,7 @@
   readonly quarantine: Quarantine;
   readonly crashDetector: CrashDetector;
   readonly statements: ServerStatements;
+  readonly heldBytes: HeldBytes;
   readonly jobs: JobCalls;
   readonly metrics: GatewayMetrics;
   readonly logger: Logger;
@@ -257,6 +260,11 @@
     const now = () => performance.now();
     const random = Math.random;
     return {
+      openAnswerHolding: (workspace) =>
+        this.#options.heldBytes.open({
+          kind: "server_answer",
+          client: clientOfWorkspace(workspace),
+        }),
       codec,
       logger,
       now,
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -72,6 +72,7 @@
       isStream: route.kind === "streaming",
       isRetryable: this.#isRetryable,
       lastEventId: received.request.lastEventId,
+      openHolding: () => services.openAnswerHolding(options.workspace?.id),
       onWrite: () => this.#recordFirstBytes(),
       onFull: () => this.#pauseAttempt(),
     });
@@ -460,6 +461,7 @@
 
   #close(): void {
     this.#isOver = true;
+    this.#relay.dispose();
     this.#options.onOver();
     clearTimeout(this.#deadlineTimer);
     this.#wait.cancel();
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -1,6 +1,6 @@
 /** The operations of the instance that an online request depends on. */
 
-import type { InstanceId, UpstreamName } from "../common/ids.ts";
+import type { InstanceId, UpstreamName, WorkspaceId } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
 import type {
@@ -9,6 +9,7 @@
 } from "../fleet/server-statement.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import type { ConnectionPool } from "../transport/connection-pool.ts";
+import type { Holding } from "../overload/held-bytes.ts";
 import type { CrashSuspect } from "../quarantine/crash-evidence.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { CallerCodec, ReceivedRequest } from "./caller-request.ts";
@@ -54,6 +55,8 @@
 }
 
 export interface OnlineServices {
+  /** Opens a holding for the answer of a server. */
+  openAnswerHolding(workspace: WorkspaceId | undefined): Holding;
   readonly codec: CallerCodec;
   readonly logger: Logger;
   /** Monotonic milliseconds. */
--- a/packages/jobs/constants.ts
+++ b/packages/jobs/constants.ts
@@ -17,6 +17,8 @@
 export const maximumResultBytes = 900_000;
 /** Largest total size of the item bodies that are cached in memory. */
 export const bodyCacheBytes = 6_000_000;
+/** Copies of its body that a submission takes: text, decoded bodies and records of the store. */
+export const submissionCopies = 3;
 /** Share of the caller's deadline during which the write of a submitted job is retried. */
 export const submitDeadlineShare = 0.8;
 /** Deadline of a submission whose caller sends none. */
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -13,10 +13,14 @@
 import type { ErrorAnswer } from "../gateway/caller-response.ts";
 import { defaultRetryAfterMilliseconds } from "../gateway/constants.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
+import { overloadedError } from "../gateway/request-errors.ts";
+import { clientOfWorkspace } from "../overload/client-id.ts";
+import type { HeldBytes } from "../overload/held-bytes.ts";
 import { StoreUnavailableError } from "../store/keyed-store.ts";
 import {
   defaultSubmitDeadlineMilliseconds,
   maximumResultBytes,
+  submissionCopies,
   submitDeadlineShare,
   writeRetryMilliseconds,
 } from "./constants.ts";
@@ -30,6 +34,7 @@
 import type { TokenDecision, TokenDemand } from "./waiting-tokens.ts";
 
 export interface JobCallHandlerOptions {
+  readonly heldBytes: HeldBytes;
   readonly partitions: JobPartitions;
   readonly bodies: ItemBodies;
   readonly admission: Pick<JobAdmission, "reserve" | "release">;
@@ -52,8 +57,14 @@
     workspace: WorkspaceId | undefined,
     response: JobResponse,
   ): void {
+    const holding = this.#options.heldBytes.tryHold(
+      { kind: "job_call", client: clientOfWorkspace(workspace) },
+      received.body.length * submissionCopies,
+    );
+    if (!holding) return response.fail(overloadedError);
     this.#reportOutcome(
-      this.#submit(received, route, workspace, response),
+      this.#submit(received, route, workspace, response)
+        .finally(() => holding.dispose()),
       received,
       response,
     );
--- a/packages/protocol/frames.ts
+++ b/packages/protocol/frames.ts
@@ -5,7 +5,11 @@
 import { Buffer } from "node:buffer";
 import { Decoder, Encoder } from "cbor-x";
 import { RosemaryrudderError } from "../common/errors.ts";
-import { frameHeaderBytes, maximumFrameBytes } from "./constants.ts";
+import {
+  frameHeaderBytes,
+  maximumFrameBytes,
+  smallFrameBytes,
+} from "./constants.ts";
 
 const encoder = new Encoder({ useRecords: false });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
@@ -43,7 +47,30 @@
 
 /** Reassembles frames from the bytes that arrive on a connection. */
 export class FrameReader {
+  readonly #reserve: (bytes: number) => boolean;
   #buffered: Buffer = Buffer.alloc(0);
+  /** A frame that is larger than one read; its bytes are copied to their place as they arrive. */
+  #largeFrame: Buffer | undefined;
+  #largeFrameBytes = 0;
+  #missingBytes = 0;
+
+  /**
+   * `reserve` is asked before a large frame is buffered. If it returns false, the reader waits: the
+   * connection is not to be read until `reserve` returns true and `push` is called again.
+   */
+  constructor({ reserve = () => true }: FrameReaderOptions = {}) {
+    this.#reserve = reserve;
+  }
+
+  /** Size of the frame for which `reserve` has returned false; 0 if the reader does not wait. */
+  get missingBytes(): number {
+    return this.#missingBytes;
+  }
+
+  /** A large frame is not complete yet. */
+  get isMidLargeFrame(): boolean {
+    return this.#largeFrame !== undefined;
+  }
 
   /** Adds bytes and returns the values of all frames that are now complete. */
   push(bytes: Uint8Array): unknown[] {
@@ -51,22 +78,52 @@
       ? Buffer.from(bytes)
       : Buffer.concat([this.#buffered, bytes]);
     const values: unknown[] = [];
-    let position = 0;
-    while (this.#buffered.length - position >= frameHeaderBytes) {
-      const length = this.#buffered.readUInt32BE(position);
-      if (length > maximumFrameBytes) {
-        throw new FrameError(
-          `a frame of ${length} bytes exceeds the limit of ${maximumFrameBytes}`,
-        );
-      }
-      const end = position + frameHeaderBytes + length;
-      if (this.#buffered.length < end) break;
+    while (this.#takeFrame(values));
+    return values;
+  }
+
+  /** Takes the next part of the buffered bytes; returns false if more bytes are needed. */
+  #takeFrame(values: unknown[]): boolean {
+    if (this.#largeFrame) return this.#continueLargeFrame(values);
+    if (this.#buffered.length < frameHeaderBytes) return false;
+    const length = this.#buffered.readUInt32BE();
+    if (length > maximumFrameBytes) {
+      throw new FrameError(
+        `a frame of ${length} bytes exceeds the limit of ${maximumFrameBytes}`,
+      );
+    }
+    const end = frameHeaderBytes + length;
+    if (this.#buffered.length >= end) {
       values.push(
-        decodeValue(this.#buffered.subarray(position + frameHeaderBytes, end)),
+        decodeValue(this.#buffered.subarray(frameHeaderBytes, end)),
       );
-      position = end;
+      this.#buffered = this.#buffered.subarray(end);
+      return true;
     }
-    this.#buffered = this.#buffered.subarray(position);
-    return values;
+    if (length <= smallFrameBytes) return false;
+    if (!this.#reserve(length)) {
+      this.#missingBytes = length;
+      return false;
+    }
+    this.#missingBytes = 0;
+    this.#largeFrame = Buffer.allocUnsafeSlow(length);
+    this.#largeFrameBytes = 0;
+    this.#buffered = this.#buffered.subarray(frameHeaderBytes);
+    return true;
   }
+
+  #continueLargeFrame(values: unknown[]): boolean {
+    const frame = this.#largeFrame!;
+    const copied = this.#buffered.copy(frame, this.#largeFrameBytes);
+    this.#largeFrameBytes += copied;
+    this.#buffered = this.#buffered.subarray(copied);
+    if (this.#largeFrameBytes < frame.length) return false;
+    this.#largeFrame = undefined;
+    values.push(decodeValue(frame));
+    return true;
+  }
+}
+
+export interface FrameReaderOptions {
+  readonly reserve?: (bytes: number) => boolean;
 }
--- a/packages/protocol/peer-network.ts
+++ b/packages/protocol/peer-network.ts
@@ -10,9 +10,12 @@
 import type { Incarnation, InstanceId } from "../common/ids.ts";
 import { listenOn } from "../common/listen.ts";
 import { type Logger, silentLogger } from "../common/logging.ts";
+import { HeldBytes } from "../overload/held-bytes.ts";
+import { unknownMachineLimits } from "../overload/resource-limits.ts";
 import { maximumQueuedBytes, protocolVersion } from "./constants.ts";
 import { type Envelope, envelopeSchema } from "./envelope.ts";
-import { encodeFrame, FrameReader } from "./frames.ts";
+import { encodeFrame } from "./frames.ts";
+import { IncomingFrames } from "./incoming-frames.ts";
 import { type PeerAddress, PeerConnection } from "./peer-connection.ts";
 import type { PeerMessage } from "./peer-message.ts";
 
@@ -54,6 +57,9 @@
   dialAddress?: (address: PeerAddress) => PeerAddress;
   clock?: Clock;
   logger?: Logger;
+  /** Budget of the process, in which large frames are reserved. */
+  heldBytes?: HeldBytes;
+  maximumConnections?: number;
 }
 
 interface RegisteredHandler {
@@ -79,6 +85,8 @@
       dialAddress: (address) => address,
       clock: systemClock,
       logger: silentLogger,
+      heldBytes: new HeldBytes({ limitBytes: unknownMachineLimits.heldBytes }),
+      maximumConnections: unknownMachineLimits.peerConnections,
       ...options,
     };
     this.#incarnation = options.incarnation;
@@ -87,6 +95,7 @@
   /** Starts the listener and returns its port. */
   listen(): Promise<number> {
     const server = createServer((socket) => this.#accept(socket));
+    server.maxConnections = this.#options.maximumConnections;
     this.#server = server;
     return listenOn(server, this.#options);
   }
@@ -207,7 +216,6 @@
   #accept(socket: Socket): void {
     this.#incomingSockets.add(socket);
     socket.setNoDelay(true);
-    const reader = new FrameReader();
     let sender: PeerSender | undefined;
     const handleEnvelope = (envelope: Envelope) => {
       if (envelope.kind === "hello") {
@@ -221,20 +229,21 @@
         void this.#dispatch(socket, envelope, sender);
       }
     };
-    socket.on("data", (bytes) => {
-      this.bytesReceived += bytes.length;
-      try {
-        for (const value of reader.push(bytes)) {
-          handleEnvelope(envelopeSchema.parse(value));
-        }
-      } catch (error) {
+    const frames = new IncomingFrames({
+      socket,
+      heldBytes: this.#options.heldBytes,
+      onValue: (value) => handleEnvelope(envelopeSchema.parse(value)),
+      onFailure: (error) =>
         this.#options.logger.warn("a peer sent a frame that cannot be read", {
           peer: sender?.instance ?? "unknown",
           reason: String(error),
-        });
-        socket.destroy();
-      }
+        }),
+    });
+    socket.on("data", (bytes) => {
+      this.bytesReceived += bytes.length;
+      frames.push(bytes);
     });
+    socket.on("close", () => frames.dispose());
     socket.on("error", () => socket.destroy());
     socket.on("close", () => this.#incomingSockets.delete(socket));
   }
--- a/packages/protocol/protocol.test.ts
+++ b/packages/protocol/protocol.test.ts
@@ -61,6 +61,19 @@
   );
 });
 
+test("a large frame waits for its reservation and is then read without a gap", () => {
+  let hasRoom = false;
+  const reader = new FrameReader({ reserve: () => hasRoom });
+  const values = ["x".repeat(200_000), "next"];
+  const bytes = Buffer.concat(values.map((value) => encodeFrame(value)));
+  assert.deepEqual(reader.push(bytes.subarray(0, 70_000)), []);
+  assert.ok(reader.missingBytes >= 200_000);
+  hasRoom = true;
+  assert.deepEqual(reader.push(Buffer.alloc(0)), []);
+  assert.equal(reader.missingBytes, 0);
+  assert.deepEqual(reader.push(bytes.subarray(70_000)), values);
+});
+
 test("random bytes give values or a FrameError, never another exception", () => {
   fc.assert(
     fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
