--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -25,7 +25,8 @@
 import { PartitionOwnership } from "../jobs/partition-ownership.ts";
 import { ProgressStore } from "../jobs/progress-store.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
-import type { HeldBytes } from "../overload/held-bytes.ts";
+import { jobsClient } from "../overload/client-id.ts";
+import type { HeldBytes, Holding } from "../overload/held-bytes.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 import {
@@ -60,6 +61,7 @@
   readonly #options: BatchWorkOptions;
   readonly #partitions: JobPartitions;
   readonly #bodies: ItemBodies;
+  readonly #cacheHolding: Holding;
   readonly #ownership: PartitionOwnership;
   readonly #progress: ProgressStore;
   readonly #executor: BatchExecutor;
@@ -69,7 +71,12 @@
   constructor(options: BatchWorkOptions) {
     this.#options = options;
     const { settings, store, logger, clock } = options;
+    const cacheHolding = this.#cacheHolding = options.heldBytes.open({
+      kind: "job_bodies",
+      client: jobsClient,
+    });
     this.#bodies = new ItemBodies({
+      onCachedBytes: (bytes) => cacheHolding.resize(bytes),
       store,
       stream: bodyStream as StreamName,
       logger,
@@ -146,6 +153,7 @@
   /** Stops reading the partitions; called last during a graceful shutdown. */
   stop(): void {
     for (const partition of this.#partitions.all()) partition.stop();
+    this.#cacheHolding.dispose();
   }
 
   /** Displaces one batch run of this instance at the server; returns false if it has none. */
@@ -236,6 +244,11 @@
       callerCodec,
       jobCodec,
       pools,
+      openOutputHolding: () =>
+        this.#options.heldBytes.open({
+          kind: "item_output",
+          client: jobsClient,
+        }),
       quarantine: this.#options.crashControl.quarantine,
       crashDetector: this.#options.crashControl.detector,
       statements: this.#options.statements,
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -15,6 +15,7 @@
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import { chooseService } from "../gateway/gateway.ts";
 import { listCandidates } from "../gateway/server-candidates.ts";
+import type { Holding } from "../overload/held-bytes.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import {
   chooseBatchServer,
@@ -63,6 +64,7 @@
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
   readonly pools: ServerPools;
+  readonly openOutputHolding: () => Holding;
   readonly quarantine: Quarantine;
   readonly crashDetector: CrashDetector;
   readonly statements: ServerStatements;
@@ -339,6 +341,7 @@
     const run: ItemRun = new ItemRun({
       server,
       output: work.output,
+      holding: this.#options.openOutputHolding(),
       attempt: {
         pool: pools.poolOf(upstream),
         method: request.method,
--- a/packages/jobs/item-bodies.ts
+++ b/packages/jobs/item-bodies.ts
@@ -27,6 +27,8 @@
 export interface ItemBodiesOptions {
   readonly store: KeyedStore;
   readonly stream: StreamName;
+  /** Called with the size of the cache after each change. */
+  readonly onCachedBytes: (bytes: number) => void;
   readonly logger: Logger;
 }
 
@@ -79,6 +81,7 @@
     if (!bodies) return;
     this.#cache.delete(job);
     this.#cachedBytes -= sizeOf(bodies);
+    this.#options.onCachedBytes(this.#cachedBytes);
   }
 
   #load(partition: JobPartition, record: JobRecord): Promise<Buffer[]> {
@@ -154,6 +157,7 @@
     if (this.#cache.has(job)) return;
     this.#cache.set(job, bodies);
     this.#cachedBytes += sizeOf(bodies);
+    this.#options.onCachedBytes(this.#cachedBytes);
     for (const oldest of this.#cache.keys()) {
       if (this.#cachedBytes <= bodyCacheBytes || oldest === job) break;
       this.evict(oldest);
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -13,6 +13,7 @@
   type AttemptOptions,
   ServerAttempt,
 } from "../gateway/server-attempt.ts";
+import type { Holding } from "../overload/held-bytes.ts";
 import { maximumValueBytes } from "./constants.ts";
 
 /** What all runs of an item have received so far. */
@@ -41,6 +42,8 @@
 export interface ItemRunOptions {
   readonly server: InstanceId;
   readonly output: PartialOutput;
+  /** Holds what the run receives until its end. */
+  readonly holding: Holding;
   readonly attempt: AttemptOptions;
   readonly onStatement: AttemptListener["onStatement"];
   /** Called when the first event arrives. */
@@ -125,6 +128,7 @@
       output.eventData.push(data);
       this.#receivedCharacters += data.length;
     }
+    this.#options.holding.resize(this.#receivedCharacters);
     if (this.#splitter.isOversized) {
       this.#interrupt("an event of the stream does not end", true);
     } else if (this.#receivedCharacters > maximumValueBytes) {
@@ -194,6 +198,7 @@
     if (this.#isOver) return;
     this.#isOver = true;
     this.#attempt.cancel();
+    this.#options.holding.dispose();
     this.#options.onEnd(outcome);
   }
 }
--- a/packages/overload/client-id.ts
+++ b/packages/overload/client-id.ts
@@ -9,5 +9,7 @@
   return `workspace ${workspace ?? "unknown"}` as ClientId;
 }
 
+/** Batch jobs that this instance runs. */
+export const jobsClient = "jobs" as ClientId;
 /** Instances that hand calls to this one. */
 export const peerClient = "peers" as ClientId;
--- a/packages/overload/held-bytes.ts
+++ b/packages/overload/held-bytes.ts
@@ -11,7 +11,7 @@
   maximumWaitMilliseconds,
   sweepIntervalMilliseconds,
 } from "./constants.ts";
-import { chooseEviction, mayGrow } from "./holding-rules.ts";
+import { chooseEviction, largestClientOf, mayGrow } from "./holding-rules.ts";
 
 /** What the bytes are; one large holding of each kind may always grow. */
 export type HoldingKind =
@@ -19,6 +19,8 @@
   | "response"
   | "server_answer"
   | "job_call"
+  | "job_bodies"
+  | "item_output"
   | "peer_frame";
 
 /** `no_room`: the budget is exhausted. `stalled`: no progress for too long. */
@@ -42,7 +44,10 @@
   readonly now?: () => number;
   readonly isMemoryTight?: () => boolean;
   /** Called when a holding cannot grow although none could the last time that all could. */
-  readonly onExhausted?: (state: HeldBytesState) => void;
+  readonly onExhausted?: (
+    state: HeldBytesState,
+    largestClient: ClientId | undefined,
+  ) => void;
   readonly onEviction?: (kind: HoldingKind, reason: EvictionReason) => void;
 }
 
@@ -229,7 +234,7 @@
   #reportExhausted(): void {
     if (this.#isExhausted) return;
     this.#isExhausted = true;
-    this.#options.onExhausted(this.state);
+    this.#options.onExhausted(this.state, largestClientOf(this.#tracked));
   }
 }
 
--- a/packages/overload/holding-rules.ts
+++ b/packages/overload/holding-rules.ts
@@ -62,10 +62,7 @@
   { candidates, now, requester, limitBytes }: EvictionQuestion<Candidate>,
 ): Candidate | undefined {
   const all = [...candidates].filter(({ bytes }) => bytes > 0);
-  const bytesByClient = new Map<ClientId, number>();
-  for (const { client, bytes } of all) {
-    bytesByClient.set(client, (bytesByClient.get(client) ?? 0) + bytes);
-  }
+  const bytesByClient = sumByClient(all);
   const bytesOf = (client: ClientId) => bytesByClient.get(client) ?? 0;
   const compare = (left: Candidate, right: Candidate) =>
     bytesOf(right.client) - bytesOf(left.client) ||
@@ -84,6 +81,24 @@
   return firstOf(excessive, compare);
 }
 
+/** The client that holds most; undefined if there is none. */
+export function largestClientOf(
+  candidates: Iterable<EvictionCandidate>,
+): ClientId | undefined {
+  const sums = [...sumByClient(candidates)];
+  return firstOf(sums, ([, left], [, right]) => right - left)?.[0];
+}
+
+function sumByClient(
+  candidates: Iterable<EvictionCandidate>,
+): Map<ClientId, number> {
+  const sums = new Map<ClientId, number>();
+  for (const { client, bytes } of candidates) {
+    sums.set(client, (sums.get(client) ?? 0) + bytes);
+  }
+  return sums;
+}
+
 /** The first element in the given order, without sorting all. */
 function firstOf<Item>(
   items: readonly Item[],
--- a/packages/overload/overload-control.ts
+++ b/packages/overload/overload-control.ts
@@ -41,8 +41,11 @@
     this.heldBytes = new HeldBytes({
       limitBytes: limits.heldBytes,
       isMemoryTight: () => this.memory.isTight,
-      onExhausted: (state) =>
-        logger.warn("the budget of held bytes is exhausted", { ...state }),
+      onExhausted: (state, largestClient) =>
+        logger.warn("the budget of held bytes is exhausted", {
+          ...state,
+          largestClient: largestClient ?? null,
+        }),
       onEviction: (kind, reason) => metrics.countEviction(kind, reason),
     });
     this.connections = new ConnectionLimit({
