Ask for addresses of connections only when the limit is reached

The address of each new connection took a system call, and measuring the resident memory ten times a second up to a millisecond each. Addresses are now counted when the limit of connections is reached, which then closes a sixty-fourth of them at once, and the memory is measured once a second beside each 4 MiB received.

--- a/packages/overload/connection-limit.ts
+++ b/packages/overload/connection-limit.ts
@@ -1,12 +1,15 @@
 /**
- * Limits the open connections of callers. At the limit a new connection takes the place of one
- * that is not in use, of the address that has most: first of one that has sent no request for a
+ * Limits the open connections of callers. At the limit a new connection takes the place of some
+ * that are not in use, of the address that has most: first of one that has sent no request for a
  * while, then of one that is idle after its answers. If all are in use, the new one is refused.
  */
 
 import type { Socket } from "node:net";
 import type { ClientId } from "../common/ids.ts";
-import { newConnectionGraceMilliseconds } from "./constants.ts";
+import {
+  evictedConnectionShare,
+  newConnectionGraceMilliseconds,
+} from "./constants.ts";
 
 export interface ConnectionLimitOptions {
   readonly maximumConnections: number;
@@ -17,14 +20,6 @@
   readonly onClose?: (kind: "evicted" | "refused") => void;
 }
 
-interface AddressConnections {
-  total: number;
-  /** Connections without a request so far, oldest first, and since when. */
-  readonly fresh: Map<Socket, number>;
-  /** Connections without a request at present, the longest idle first. */
-  readonly idle: Set<Socket>;
-}
-
 /** A caller whose address is not known any more, since it has disconnected. */
 export const unknownAddress = "unknown" as ClientId;
 
@@ -34,10 +29,11 @@
 
 export class ConnectionLimit {
   readonly #options: Required<ConnectionLimitOptions>;
-  readonly #addresses = new Map<ClientId, AddressConnections>();
-  /** The address of each open connection, which a closed socket no longer tells. */
-  readonly #owners = new WeakMap<Socket, ClientId>();
-  #open = 0;
+  readonly #open = new Set<Socket>();
+  /** Connections without a request so far, oldest first, and since when. */
+  readonly #fresh = new Map<Socket, number>();
+  /** Connections without a request at present, the longest idle first. */
+  readonly #idle = new Set<Socket>();
 
   constructor(options: ConnectionLimitOptions) {
     this.#options = {
@@ -48,78 +44,79 @@
   }
 
   get openConnections(): number {
-    return this.#open;
+    return this.#open.size;
   }
 
   /** Called for each new connection, which is closed if there is no room for it. */
   add(socket: Socket): void {
     const { maximumConnections, evictStalled, onClose, now } = this.#options;
-    if (this.#open >= maximumConnections) {
-      const victim = this.#chooseVictim();
-      if (!victim) {
-        onClose("refused");
-        socket.destroy();
-        evictStalled();
-        return;
-      }
-      onClose("evicted");
-      victim.destroy();
-      this.#remove(victim);
-    }
-    const address = addressOf(socket);
-    let connections = this.#addresses.get(address);
-    if (!connections) {
-      connections = { total: 0, fresh: new Map(), idle: new Set() };
-      this.#addresses.set(address, connections);
+    if (this.#open.size >= maximumConnections && !this.#makeRoom()) {
+      onClose("refused");
+      socket.destroy();
+      evictStalled();
+      return;
     }
-    connections.total += 1;
-    connections.fresh.set(socket, now());
-    this.#open += 1;
-    this.#owners.set(socket, address);
+    this.#open.add(socket);
+    this.#fresh.set(socket, now());
     socket.once("close", () => this.#remove(socket));
   }
 
   /** Called when a request has arrived on the connection. */
   markActive(socket: Socket): void {
-    const connections = this.#connectionsOf(socket);
-    connections?.fresh.delete(socket);
-    connections?.idle.delete(socket);
+    this.#fresh.delete(socket);
+    this.#idle.delete(socket);
   }
 
   /** Called when the answer is complete. */
   markIdle(socket: Socket): void {
-    this.#connectionsOf(socket)?.idle.add(socket);
+    if (this.#open.has(socket)) this.#idle.add(socket);
   }
 
-  #connectionsOf(socket: Socket): AddressConnections | undefined {
-    const address = this.#owners.get(socket);
-    return address === undefined ? undefined : this.#addresses.get(address);
+  /**
+   * Closes a few connections, since the addresses are counted for each choice: to ask for the
+   * address of every new connection takes a system call. Returns false if all are in use.
+   */
+  #makeRoom(): boolean {
+    const address = this.#largestUnusedAddress();
+    if (address === undefined) return false;
+    const isOfAddress = (socket: Socket) => addressOf(socket) === address;
+    const { maximumConnections, onClose, now } = this.#options;
+    const knownSince = now() - newConnectionGraceMilliseconds;
+    const fresh = [...this.#fresh].filter(([socket]) => isOfAddress(socket));
+    const victims = [
+      ...fresh.filter(([, since]) => since <= knownSince),
+      ...[...this.#idle].filter(isOfAddress).map((socket) => [socket] as const),
+      ...fresh.filter(([, since]) => since > knownSince),
+    ];
+    const count = Math.ceil(maximumConnections * evictedConnectionShare);
+    for (const [socket] of victims.slice(0, count)) {
+      onClose("evicted");
+      this.#remove(socket);
+      socket.destroy();
+    }
+    return true;
   }
 
-  #chooseVictim(): Socket | undefined {
-    const unused = [...this.#addresses.values()].filter(({ fresh, idle }) =>
-      fresh.size + idle.size > 0
-    );
-    if (unused.length === 0) return undefined;
-    const { fresh, idle } = unused.reduce((most, next) =>
-      next.total > most.total ? next : most
-    );
-    const [oldest, since] = fresh.entries().next().value ?? [undefined, 0];
-    const isOld = this.#options.now() - since >= newConnectionGraceMilliseconds;
-    if (oldest && isOld) return oldest;
-    const [longestIdle] = idle;
-    return longestIdle ?? oldest;
+  /** The address with most connections among those that have an unused one. */
+  #largestUnusedAddress(): ClientId | undefined {
+    const totals = new Map<ClientId, number>();
+    for (const socket of this.#open) {
+      const address = addressOf(socket);
+      totals.set(address, (totals.get(address) ?? 0) + 1);
+    }
+    let largest: ClientId | undefined;
+    for (const socket of [...this.#fresh.keys(), ...this.#idle]) {
+      const address = addressOf(socket);
+      if (!largest || totals.get(address)! > totals.get(largest)!) {
+        largest = address;
+      }
+    }
+    return largest;
   }
 
   #remove(socket: Socket): void {
-    const address = this.#owners.get(socket);
-    const connections = this.#connectionsOf(socket);
-    if (address === undefined || !connections) return;
-    this.#owners.delete(socket);
-    this.#open -= 1;
-    connections.total -= 1;
-    connections.fresh.delete(socket);
-    connections.idle.delete(socket);
-    if (connections.total === 0) this.#addresses.delete(address);
+    this.#open.delete(socket);
+    this.#fresh.delete(socket);
+    this.#idle.delete(socket);
   }
 }
--- a/packages/overload/constants.ts
+++ b/packages/overload/constants.ts
@@ -15,9 +15,12 @@
 export const tightResidentShare = 0.76;
 /** Buffers that are not held for others are collected as garbage above this size. */
 export const collectedGarbageBytes = 12 * 1024 * 1024;
-/** Resident memory is measured after so many received bytes, and at this interval. */
+/**
+ * Resident memory is measured after so many received bytes, and at this interval; a measurement
+ * takes up to a millisecond.
+ */
 export const measuredReceivedBytes = 4 * 1024 * 1024;
-export const measureIntervalMilliseconds = 100;
+export const measureIntervalMilliseconds = 1_000;
 /** Shortest pause between two forced garbage collections, each of which takes 10 to 20 ms. */
 export const collectionPauseMilliseconds = 50;
 
@@ -59,5 +62,7 @@
 export const connectionBytes = 20_000;
 /** A new connection is given this time to send a request before it may be evicted for others. */
 export const newConnectionGraceMilliseconds = 1_000;
+/** Share of the connections that are closed at once when the limit is reached. */
+export const evictedConnectionShare = 1 / 64;
 /** Connections to the metrics and readiness listeners. */
 export const maximumOperatorConnections = 32;
