--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -35,6 +35,8 @@
 import { PartitionOwnership } from "../jobs/partition-ownership.ts";
 import { ProgressStore } from "../jobs/progress-store.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
+import { jobsClient } from "../overload/client-id.ts";
+import type { HeldBytes, Holding } from "../overload/held-bytes.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 import { meterWrites, WriteMeter } from "../store/write-meter.ts";
@@ -55,6 +57,7 @@
   readonly blackboard: Blackboard;
   readonly network: PeerNetwork;
   readonly pools: ServerPools;
+  readonly heldBytes: HeldBytes;
   readonly crashControl: CrashControl;
   readonly statements: ServerStatements;
   readonly callerCodec: CallerCodec;
@@ -75,6 +78,7 @@
   readonly #options: BatchWorkOptions;
   readonly #partitions: JobPartitions;
   readonly #bodies: ItemBodies;
+  readonly #cacheHolding: Holding;
   readonly #ownership: PartitionOwnership;
   readonly #capacity: StoreCapacity;
   readonly #removal: RecordRemoval;
@@ -92,7 +96,12 @@
       now: clock.monotonicNow,
     });
     const store = meterWrites(options.store, meter);
+    const cacheHolding = this.#cacheHolding = options.heldBytes.open({
+      kind: "job_bodies",
+      client: jobsClient,
+    });
     this.#bodies = new ItemBodies({
+      onCachedBytes: (bytes) => cacheHolding.resize(bytes),
       store,
       stream: bodyStream as StreamName,
       onOrphaned: (...bodies) => this.#orphans.add(...bodies),
@@ -124,6 +133,7 @@
     this.#capacity = this.#createCapacity(meter);
     this.#orphans = this.#createOrphans(store);
     this.calls = new JobCallHandler({
+      heldBytes: options.heldBytes,
       partitions: this.#partitions,
       bodies: this.#bodies,
       admission: new JobAdmission({
@@ -175,6 +185,7 @@
   /** Stops reading the partitions; called last during a graceful shutdown. */
   stop(): void {
     for (const partition of this.#partitions.all()) partition.stop();
+    this.#cacheHolding.dispose();
   }
 
   /** Displaces one batch run of this instance at the server; returns false if it has none. */
@@ -334,6 +345,11 @@
       callerCodec,
       jobCodec,
       pools,
+      openOutputHolding: () =>
+        this.#options.heldBytes.open({
+          kind: "item_output",
+          client: jobsClient,
+        }),
       quarantine: this.#options.crashControl.quarantine,
       crashDetector: this.#options.crashControl.detector,
       statements: this.#options.statements,
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -40,6 +40,7 @@
 import { LocalPlacer, type Placer } from "../gateway/placement.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
+import type { HeldBytes } from "../overload/held-bytes.ts";
 import { displaceBatch } from "./batch-displacement.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
@@ -64,6 +65,7 @@
   readonly isStoreFailing: () => boolean;
   /** See `BatchExecutorOptions`. */
   readonly configurationReadAt: () => number;
+  readonly heldBytes: HeldBytes;
   readonly removeMember: (member: Member) => void;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
@@ -422,6 +424,7 @@
       blackboard: this.#options.blackboard,
       network: this.#options.network,
       pools: this.#options.pools,
+      heldBytes: this.#options.heldBytes,
       crashControl: this.crashControl,
       statements: this.#options.statements,
       callerCodec,
@@ -490,6 +493,7 @@
           workspace,
           blackboard,
         ),
+      heldBytes: this.#options.heldBytes,
       now: clock.monotonicNow,
       logger,
     });
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -11,7 +11,7 @@
 } from "node:http";
 import { type Clock, systemClock } from "../common/clock.ts";
 import { DisposableStore } from "../common/disposable-store.ts";
-import type { Incarnation, StreamName } from "../common/ids.ts";
+import type { ClientId, Incarnation, StreamName } from "../common/ids.ts";
 import { listenOn } from "../common/listen.ts";
 import type { Logger } from "../common/logging.ts";
 import { Blackboard } from "../fleet/blackboard.ts";
@@ -29,6 +29,10 @@
 import { Gateway } from "../gateway/gateway.ts";
 import { ServerPools } from "../gateway/server-pools.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
+import { clientOfWorkspace } from "../overload/client-id.ts";
+import { maximumOperatorConnections } from "../overload/constants.ts";
+import { OverloadControl } from "../overload/overload-control.ts";
+import { limitsOf, unknownMachineLimits } from "../overload/resource-limits.ts";
 import { TcpPeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 import {
@@ -68,6 +72,7 @@
   readonly #blackboard: Blackboard;
   readonly #members = new MemberTable();
   readonly #pools: ServerPools;
+  readonly #overload: OverloadControl;
   readonly #network: TcpPeerNetwork;
   readonly #documents: Documents;
   readonly #statements: ServerStatements;
@@ -91,6 +96,7 @@
       regionByZone: settings.regionByZone,
     });
     this.#pools = new ServerPools(() => metrics.countConnection());
+    this.#overload = this.#createOverloadControl();
     this.#network = this.#createNetwork();
     this.#store = new RelayedStore({
       direct: options.store,
@@ -127,6 +133,7 @@
 
   async start(): Promise<void> {
     const { settings, logger } = this.#options;
+    this.#overload.start();
     await this.#network.listen();
     this.#membership.start();
     for (const follower of this.#followers) follower.start();
@@ -148,6 +155,7 @@
       blackboard: this.#blackboard,
       coordination: this.#coordination,
       listener: this.#listener,
+      overload: this.#overload,
     });
     await this.#listener.listen();
     await this.#listenForReadiness();
@@ -180,6 +188,7 @@
       this.#listener.close();
       await this.#pools.destroy();
       await this.#network.close();
+      await this.#overload.dispose();
       await this.#disposables.dispose();
     });
     return this.#leavePromise;
@@ -189,6 +198,17 @@
     return this.#options.settings.incarnation;
   }
 
+  #createOverloadControl(): OverloadControl {
+    const { settings, metrics, logger } = this.#options;
+    return new OverloadControl({
+      limits: settings.machine
+        ? limitsOf(settings.machine)
+        : unknownMachineLimits,
+      metrics,
+      logger,
+    });
+  }
+
   #createNetwork(): TcpPeerNetwork {
     const { settings, logger, clock } = this.#options;
     return new TcpPeerNetwork({
@@ -196,6 +216,8 @@
       incarnation: settings.incarnation,
       host: settings.peers.host,
       port: settings.peers.port,
+      heldBytes: this.#overload.heldBytes,
+      maximumConnections: this.#overload.limits.peerConnections,
       clock,
       logger,
     });
@@ -239,6 +261,7 @@
       settings,
       blackboard: this.#blackboard,
       network: this.#network,
+      heldBytes: this.#overload.heldBytes,
       members: this.#members,
       documents: this.#documents,
       store: this.#store,
@@ -296,6 +319,7 @@
       quarantine: this.#coordination.crashControl.quarantine,
       crashDetector: this.#coordination.crashControl.detector,
       statements: this.#statements,
+      heldBytes: this.#overload.heldBytes,
       jobs: this.#coordination.jobCalls,
       metrics: this.#options.metrics,
       logger,
@@ -309,10 +333,20 @@
       limits: () => this.#blackboard.configuration?.configuration.limits,
       isLeaving: () => this.#blackboard.isLeaving,
       handle: (...args) => this.#gateway.handle(...args),
+      overload: this.#overload,
+      findClient: (message) => this.#findClient(message),
       logger,
     });
   }
 
+  #findClient(message: IncomingMessage): ClientId | undefined {
+    const key = this.#options.callerCodec.decodeApiKey(message);
+    if (key === undefined) return undefined;
+    const { configuration } = this.#blackboard;
+    const workspace = configuration?.workspaceOfKey(key);
+    return workspace && clientOfWorkspace(workspace.id);
+  }
+
   #createFollower(kind: DocumentKind): PartitionFollower {
     const { documentCodec, logger } = this.#options;
     return new PartitionFollower({
@@ -388,6 +422,7 @@
         response.end();
       }
     });
+    server.maxConnections = maximumOperatorConnections;
     await listenOn(server, address);
     this.#disposables.add(() => {
       server.close();
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -2,6 +2,7 @@
 
 import type { ColdBounds } from "../fleet/cold/cold-rate.ts";
 import type { RegionByZone } from "../fleet/regions.ts";
+import type { MachineResources } from "../overload/resource-limits.ts";
 import type { Incarnation, InstanceId, ZoneId } from "../common/ids.ts";
 
 export interface ListenAddress {
@@ -24,6 +25,8 @@
   readonly zone: ZoneId;
   /** Capacity of the machine relative to others; 1 for a usual one. */
   readonly capacity: number;
+  /** Undefined if several instances share one process, as in tests. */
+  readonly machine?: MachineResources;
   readonly callers: ListenAddress;
   readonly readiness: ListenAddress;
   readonly peers: ListenAddress;
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -80,6 +80,7 @@
       hasNoBody: received.request.method === "HEAD",
       isRetryable: this.#isRetryable,
       lastEventId: received.request.lastEventId,
+      openHolding: () => services.openAnswerHolding(options.workspace?.id),
       onWrite: () => this.#recordFirstBytes(),
       onFull: () => this.#pauseAttempt(),
     });
@@ -487,6 +488,7 @@
 
   #close(): void {
     this.#isOver = true;
+    this.#relay.dispose();
     this.#options.onOver();
     clearTimeout(this.#deadlineTimer);
     this.#wait.cancel();
--- a/packages/jobs/batch-executor-options.ts
+++ b/packages/jobs/batch-executor-options.ts
@@ -8,6 +8,7 @@
 import type { ServerPools } from "../gateway/server-pools.ts";
 import type { CrashDetector } from "../quarantine/crash-detector.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
+import type { Holding } from "../overload/held-bytes.ts";
 import type { ItemBodies } from "./item-bodies.ts";
 import type { JobCodec } from "./job-codec.ts";
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
@@ -33,6 +34,7 @@
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
   readonly pools: ServerPools;
+  readonly openOutputHolding: () => Holding;
   readonly quarantine: Quarantine;
   readonly crashDetector: CrashDetector;
   readonly statements: ServerStatements;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -334,6 +334,7 @@
     const run: ItemRun = new ItemRun({
       server,
       output: work.output,
+      holding: this.#options.openOutputHolding(),
       attempt: {
         pool: pools.poolOf(upstream),
         method: request.method,
--- a/packages/jobs/item-bodies.ts
+++ b/packages/jobs/item-bodies.ts
@@ -35,6 +35,8 @@
     job: JobId,
     keys: readonly string[],
   ) => void;
+  /** Called with the size of the cache after each change. */
+  readonly onCachedBytes: (bytes: number) => void;
   readonly logger: Logger;
 }
 
@@ -120,6 +122,7 @@
     if (!bodies) return;
     this.#cache.delete(job);
     this.#cachedBytes -= sizeOf(bodies);
+    this.#options.onCachedBytes(this.#cachedBytes);
   }
 
   /** Loads the bodies of a job in one of two ways; concurrent calls share one load. */
@@ -195,6 +198,7 @@
     this.evict(job);
     this.#cache.set(job, bodies);
     this.#cachedBytes += sizeOf(bodies);
+    this.#options.onCachedBytes(this.#cachedBytes);
     for (const oldest of this.#cache.keys()) {
       if (this.#cachedBytes <= bodyCacheBytes || oldest === job) break;
       this.evict(oldest);
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -14,6 +14,7 @@
   type AttemptOptions,
   ServerAttempt,
 } from "../gateway/server-attempt.ts";
+import type { Holding } from "../overload/held-bytes.ts";
 import { maximumItemTextBytes, maximumOversizedRuns } from "./constants.ts";
 
 /** What all runs of an item have received so far. */
@@ -46,6 +47,8 @@
 export interface ItemRunOptions {
   readonly server: InstanceId;
   readonly output: PartialOutput;
+  /** Holds what the run receives until its end. */
+  readonly holding: Holding;
   readonly attempt: AttemptOptions;
   readonly wallNow: () => number;
   readonly onStatement: AttemptListener["onStatement"];
@@ -141,6 +144,7 @@
       output.eventData.push(data);
       this.#textBytes += Buffer.byteLength(data);
     }
+    this.#options.holding.resize(this.#textBytes);
     if (this.#splitter.isOversized) {
       this.#interrupt("an event of the stream does not end", true);
     } else if (this.#textBytes > maximumItemTextBytes) {
@@ -214,6 +218,7 @@
     if (this.#isOver) return;
     this.#isOver = true;
     this.#attempt.cancel();
+    this.#options.holding.dispose();
     this.#options.onEnd(outcome);
   }
 }
--- a/packages/jobs/job-call-handler.test.ts
+++ b/packages/jobs/job-call-handler.test.ts
@@ -6,6 +6,7 @@
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { ReceivedRequest } from "../gateway/caller-request.ts";
 import type { JobAccess } from "../gateway/gateway.ts";
+import { HeldBytes } from "../overload/held-bytes.ts";
 import {
   JobCallHandler,
   type JobCallHandlerOptions,
@@ -65,10 +66,12 @@
 // Guards against an id that fits in no key of the store and fails after its tokens were reserved.
 test("a job whose id is too long is refused as malformed", async () => {
   const handler = new JobCallHandler({
+    heldBytes: new HeldBytes({ limitBytes: 1 }),
     logger: silentLogger,
   } as unknown as JobCallHandlerOptions);
   const received = {
     request: { id: "\u00e9".repeat(121), path: "/" },
+    body: Buffer.alloc(0),
   } as unknown as ReceivedRequest;
   const status = await new Promise<number>((resolve) =>
     handler.submit(
