--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -11,8 +11,6 @@
 import { ForwardedJobCalls } from "../coordination/forwarded-job-calls.ts";
 import { serveJobCalls } from "../coordination/job-call-service.ts";
 import { RemotePlacer } from "../coordination/remote-placer.ts";
-import type { Documents } from "../fleet/documents.ts";
-import type { ServerStatements } from "../fleet/server-statements.ts";
 import {
   FleetLimits,
   type FleetLimitsOptions,
@@ -27,52 +25,24 @@
   decodeLeaving,
   decodeLimits,
 } from "../fleet/peers/statement-messages.ts";
-import type { Member, MemberTable } from "../fleet/peers/members.ts";
+import type { Member } from "../fleet/peers/members.ts";
 import { isAllowedInstance } from "../fleet/regions.ts";
-import {
-  type JobReport,
-  PeerReports,
-  type ReportNetwork,
-} from "../fleet/peers/peer-reports.ts";
+import { type JobReport, PeerReports } from "../fleet/peers/peer-reports.ts";
 import { displaceMessage } from "../fleet/peers/report.ts";
-import type { CallerCodec } from "../gateway/caller-request.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
 import { LocalPlacer, type Placer } from "../gateway/placement.ts";
-import type { ServerPools } from "../gateway/server-pools.ts";
-import type { JobCodec } from "../jobs/job-codec.ts";
-import type { HeldBytes } from "../overload/held-bytes.ts";
 import { displaceBatch } from "./batch-displacement.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
   coordinatorWarmUpMilliseconds,
   memberSilenceTimeoutMilliseconds,
 } from "./constants.ts";
-import { CrashControl, type CrashControlOptions } from "./crash-control.ts";
+import type { CoordinationOptions } from "./coordination-options.ts";
+import { CrashControl } from "./crash-control.ts";
 import { CoordinationRole } from "./coordination-role.ts";
 import { createDependentState } from "./dependent-state.ts";
 import { SilentDependents } from "./silent-dependents.ts";
 
-export interface CoordinationOptions
-  extends Omit<CrashControlOptions, "coordinators" | "isCoordinator"> {
-  readonly network: ReportNetwork;
-  readonly members: MemberTable;
-  readonly documents: Documents;
-  readonly statements: ServerStatements;
-  readonly pools: ServerPools;
-  readonly callerCodec: CallerCodec;
-  readonly jobCodec: JobCodec;
-  /** Whether this instance cannot read the store at present. */
-  readonly isStoreFailing: () => boolean;
-  /** See `BatchExecutorOptions`. */
-  readonly configurationReadAt: () => number;
-  readonly heldBytes: HeldBytes;
-  readonly removeMember: (member: Member) => void;
-  /** Called at the end of each item run. */
-  readonly countRun: (outcome: string) => void;
-  /** Called with the number of records that were removed from the store. */
-  readonly countRemovals: (family: "jobs" | "bodies", count: number) => void;
-}
-
 /** What is known of the tokens that are left when this instance begins to apply limits. */
 type LimitsStart =
   & { readonly startsFull: boolean }
--- a/packages/gateway/attempt-rules.ts
+++ b/packages/gateway/attempt-rules.ts
@@ -11,6 +11,7 @@
   minimumBodyIdleTimeoutMilliseconds,
   minimumHeadTimeoutMilliseconds,
 } from "./constants.ts";
+import type { ChoiceRequest } from "./online-services.ts";
 import type { AttemptFailure, AttemptOptions } from "./server-attempt.ts";
 
 export type AttemptTimeouts = Pick<
@@ -93,3 +94,36 @@
   }
   return undefined;
 }
+
+/** True if requests of the route may be sent again although they may have run. */
+export function mayRunAgain(
+  { kind, isResumable }: Pick<RouteRule, "kind" | "isResumable">,
+): boolean {
+  return kind === "idempotent" || (kind === "streaming" && isResumable);
+}
+
+/** The server crashed while only the end of the connection could end its answer. */
+export const crashBeforeEndFailure: AttemptFailure = {
+  verdict: "ran",
+  reason: "the server crashed before the end of its answer",
+  isServerFault: true,
+  isConnectionBroken: true,
+};
+
+/** A request moves on. A server with a free slot should have begun; a full one is only busy. */
+export function roomElsewhereFailure(isServerIdle: boolean): AttemptFailure {
+  return {
+    verdict: "unknown",
+    reason: "the server has not begun to answer and another has a free slot",
+    isServerFault: isServerIdle,
+  };
+}
+
+/** How long a request may wait for a slot, by what its caller still gains from an answer. */
+export function waitToleranceOf(
+  possibleRuns: number,
+  isLikelyRetry: boolean,
+): ChoiceRequest["waitTolerance"] {
+  if (possibleRuns > 0) return "any";
+  return isLikelyRetry ? "late" : "in_time";
+}
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -10,8 +10,15 @@
 import { AnswerMeter } from "../fleet/speed/answer-meter.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
 import { AnswerRelay } from "./answer-relay.ts";
-import { examineAttempt } from "./attempt-examination.ts";
-import { attemptTimeouts, failureOfHead } from "./attempt-rules.ts";
+import { examineAttempt, logFailedAttempt } from "./attempt-examination.ts";
+import {
+  attemptTimeouts,
+  crashBeforeEndFailure,
+  failureOfHead,
+  mayRunAgain,
+  roomElsewhereFailure,
+  waitToleranceOf,
+} from "./attempt-rules.ts";
 import type { AnswerHead } from "./caller-request.ts";
 import type { ErrorAnswer } from "./caller-response.ts";
 import {
@@ -108,9 +115,7 @@
 
   /** True if the request may be sent again although it may have run. */
   get #isRetryable(): boolean {
-    const { route } = this.#options;
-    return route.kind === "idempotent" ||
-      (route.kind === "streaming" && route.isResumable);
+    return mayRunAgain(this.#options.route);
   }
 
   #tryNextServer(): void {
@@ -246,11 +251,7 @@
       service: this.#service,
       excluded: this.#excluded,
       objectiveMilliseconds: route.latencyObjectiveMilliseconds,
-      waitTolerance: this.#possibleRuns > 0
-        ? "any"
-        : isLikelyRetry
-        ? "late"
-        : "in_time",
+      waitTolerance: waitToleranceOf(this.#possibleRuns, isLikelyRetry),
     };
   }
 
@@ -266,13 +267,7 @@
         this.#mayMove ? { ...this.#choiceRequest(), server } : undefined,
       onRoomRequested: () => this.#displacementRequests += 1,
       onRoomElsewhere: ({ isServerIdle }) =>
-        this.#handleFailure(attempt, {
-          verdict: "unknown",
-          reason:
-            "the server has not begun to answer and another has a free slot",
-          // A server with a free slot should have begun; a full one is only busy.
-          isServerFault: isServerIdle,
-        }),
+        this.#handleFailure(attempt, roomElsewhereFailure(isServerIdle)),
     });
     this.#queueWatch.start();
   }
@@ -342,12 +337,7 @@
       .then((hasCrashed) => {
         if (attempt !== this.#attempt || this.#isOver) return;
         if (!hasCrashed) return this.#complete();
-        this.#handleFailure(attempt, {
-          verdict: "ran",
-          reason: "the server crashed before the end of its answer",
-          isServerFault: true,
-          isConnectionBroken: true,
-        });
+        this.#handleFailure(attempt, crashBeforeEndFailure);
       }).catch((error) => this.#handleError(error));
   }
 
@@ -367,7 +357,7 @@
   #handleFailure(attempt: ServerAttempt, failure: AttemptFailure): void {
     if (attempt !== this.#attempt || this.#isOver) return;
     const { services, received, response } = this.#options;
-    const server = this.#server!;
+    const runMilliseconds = services.now() - this.#attemptStart;
     const { hasBegunAnswer } = this.#relay;
     attempt.cancel();
     this.#releaseAttempt();
@@ -379,28 +369,22 @@
         request: id ?? "",
         sharedPromptParts,
         ownPromptPart,
-        runMilliseconds: services.now() - this.#attemptStart,
+        runMilliseconds,
       },
     });
-    this.#excluded.add(server);
+    this.#excluded.add(this.#server!);
     if (failure.verdict === "not_run") this.#refusals += 1;
     else this.#possibleRuns += 1;
     const mayRetry = failure.verdict === "not_run" || this.#isRetryable;
-    services.logger.info("an attempt failed", {
-      request: received.request.id ?? null,
-      server,
-      verdict: failure.verdict,
-      reason: failure.reason,
+    logFailedAttempt(services.logger, {
+      request: received.request,
+      upstream: this.#upstream!,
+      failure,
+      relay: this.#relay,
       repeats: mayRetry,
-      lastEvent: this.#relay.lastEventId ?? null,
-      status: this.#relay.head?.status ?? null,
-      hasBegun: hasBegunAnswer,
-      milliseconds: Math.round(services.now() - this.#attemptStart),
-      promptParts: received.request.sharedPromptParts.join(" "),
+      milliseconds: runMilliseconds,
     });
-    if (!mayRetry) {
-      return this.#fail(serverFailedError);
-    }
+    if (!mayRetry) return this.#fail(serverFailedError);
     if (this.#relay.isCommitted) {
       response.abort();
       return this.#finish("broken_off");
