Start no item from a copy that is older than the lease of its partition

A new owner of a partition ended the pause between two reads, but not a read in progress, and started items as soon as it had ever read the partition. A read that was sent on a connection which has gone silent ends after 7.2 s, so that the new owner ran items of jobs that had been ended in the meantime.

Each assignment now begins a lease, which carries the generation of the group (the fencing token) and the time at which the assignment arrived. Items start only once the copy is complete up to that time. The new owner reads the partition by a call of its own and repeats it if it fails. A lease that may have expired before it was renewed counts as a new one; while the store cannot be reached, an owner continues as before. An item whose body has been read is checked again before it is sent.

Ruled out: ending the read in progress, since it may have been answered by the store before the assignment, and stopping runs of a lease that expires, which an outage of the store would do to all items.

Cost: one read for each assigned partition and for each renewal after an expiry.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -194,10 +194,18 @@
       },
       onPartitionsAssigned: (partitions) => {
         for (const partition of partitions) {
-          this.#partitions.get(partition)?.readNow();
           void this.#progress.load(partition);
         }
       },
+      onLeaseAcquired: (number, lease) => {
+        const partition = this.#partitions.get(number);
+        void partition?.catchUpWhile(() =>
+          this.#ownership.leaseOf(number) === lease &&
+          partition.completeUntil < lease.acquiredAt
+        );
+      },
+      copyCompleteUntil: (number) =>
+        this.#partitions.get(number)?.completeUntil ?? Number.NEGATIVE_INFINITY,
       isClaimedByPeer: (partition, generation) =>
         peerReports().recentReports().some(({ report }) =>
           report.ownerGeneration > generation &&
@@ -224,7 +232,6 @@
       canStartItems: (partition) =>
         this.#progress.isLoaded(partition) &&
         this.#ownership.canStartItems(partition),
-      isOwned: (partition) => this.#ownership.isOwned(partition),
       waitingItemsOfPeers: () =>
         peerReports().recentReports().reduce(
           (sum, { report }) => sum + report.waitingItems,
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -57,7 +57,6 @@
   readonly progress: ProgressStore;
   /** Whether new runs of items of the partition may be started. */
   readonly canStartItems: (partition: PartitionNumber) => boolean;
-  readonly isOwned: (partition: PartitionNumber) => boolean;
   /** Number of items that wait at all other owners together. */
   readonly waitingItemsOfPeers: () => number;
   readonly callerCodec: CallerCodec;
@@ -328,7 +327,7 @@
     work.isStarting = false;
     const upstream = blackboard.upstreams.get(server);
     const canStillRun = this.#workTable.has(work) && !this.#isStopped &&
-      !state.isEnded && this.#options.isOwned(work.partition);
+      !state.isEnded && this.#options.canStartItems(work.partition);
     if (!canStillRun || upstream?.state !== "ready") {
       return this.#withdraw(server);
     }
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -6,6 +6,7 @@
 import { hashNumber } from "../common/hashing.ts";
 import type { JobId, PartitionNumber, StreamName } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import { delay, systemTimers } from "../common/timers.ts";
 import type {
   KeyedEntry,
   KeyedRecord,
@@ -13,6 +14,7 @@
   StreamPartition,
 } from "../store/keyed-store.ts";
 import {
+  followRetryMilliseconds,
   followWaitMilliseconds,
   relaxedFollowWaitMilliseconds,
 } from "../store/constants.ts";
@@ -80,6 +82,23 @@
     this.#follower.skipPause();
   }
 
+  /**
+   * Everything written before this time is in the state; see `PartitionFollower.completeUntil`.
+   */
+  get completeUntil(): number {
+    return this.#follower.completeUntil;
+  }
+
+  /**
+   * Reads up to the end of the partition by a read that is sent now, since one that is already in
+   * progress may be stuck or have been answered before. Repeats failed reads while `isNeeded`.
+   */
+  async catchUpWhile(isNeeded: () => boolean): Promise<void> {
+    while (isNeeded() && !await this.#follower.catchUp()) {
+      await delay(systemTimers, followRetryMilliseconds);
+    }
+  }
+
   /**
    * Reads up to the present end of the partition, unless the last such read is at most
    * `maximumCopyAgeMilliseconds` old; returns false if the read fails.
--- a/packages/jobs/partition-ownership.ts
+++ b/packages/jobs/partition-ownership.ts
@@ -2,6 +2,10 @@
  * Tracks which job partitions this instance owns, as the store assigns them to the members of
  * the owner group. Before a revoked partition is given up, the progress of its items is written;
  * only the next join tells the store that another instance may take the partition over.
+ *
+ * An assignment begins a lease. No item is started under a lease before the local copy of the
+ * partition contains everything that was written before the lease began, since an earlier owner
+ * may have run items, or callers may have ended jobs, that an older copy does not show.
  */
 
 import type { Clock } from "../common/clock.ts";
@@ -13,6 +17,13 @@
 } from "../fleet/constants.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 
+export interface PartitionLease {
+  /** Generation of the group in which the partition was assigned; the fencing token. */
+  readonly generation: number;
+  /** When the assignment arrived; monotonic milliseconds. */
+  readonly acquiredAt: number;
+}
+
 export interface PartitionOwnershipOptions {
   readonly store: KeyedStore;
   readonly instance: InstanceId;
@@ -27,6 +38,13 @@
   readonly onPartitionsAssigned: (
     partitions: readonly PartitionNumber[],
   ) => void;
+  /** Called at the start of each lease, that is also for a partition whose lease had expired. */
+  readonly onLeaseAcquired: (
+    partition: PartitionNumber,
+    lease: PartitionLease,
+  ) => void;
+  /** The local copy contains everything written before this time; monotonic milliseconds. */
+  readonly copyCompleteUntil: (partition: PartitionNumber) => number;
   /** Whether a peer reports that it owns the partition in a later generation. */
   readonly isClaimedByPeer: (
     partition: PartitionNumber,
@@ -38,7 +56,7 @@
 
 export class PartitionOwnership {
   readonly #options: PartitionOwnershipOptions;
-  #owned = new Set<PartitionNumber>();
+  #leases = new Map<PartitionNumber, PartitionLease>();
   #generation = 0;
   #leaseUntil = Number.NEGATIVE_INFINITY;
   #isStopped = false;
@@ -54,21 +72,29 @@
   }
 
   ownedPartitions(): PartitionNumber[] {
-    return [...this.#owned];
+    return [...this.#leases.keys()];
   }
 
   isOwned(partition: PartitionNumber): boolean {
-    return this.#owned.has(partition);
+    return this.#leases.has(partition);
+  }
+
+  /** The lease on an owned partition, which another one replaces when it has expired. */
+  leaseOf(partition: PartitionNumber): PartitionLease | undefined {
+    return this.#leases.get(partition);
   }
 
   /**
    * Whether new runs of items may be started. After the lease has expired, as in an outage of the
    * store, this stays true while the instance hears its peers and none of them claims the
-   * partition.
+   * partition. It is false until the copy of the partition is complete up to the start of the lease.
    */
   canStartItems(partition: PartitionNumber): boolean {
-    if (!this.#owned.has(partition) || this.#isStopped) return false;
-    const { clock, isClaimedByPeer, hasPeerContact } = this.#options;
+    const lease = this.#leases.get(partition);
+    if (!lease || this.#isStopped) return false;
+    const { clock, isClaimedByPeer, hasPeerContact, copyCompleteUntil } =
+      this.#options;
+    if (copyCompleteUntil(partition) < lease.acquiredAt) return false;
     if (clock.monotonicNow() < this.#leaseUntil) return true;
     return hasPeerContact() && !isClaimedByPeer(partition, this.#generation);
   }
@@ -84,7 +110,7 @@
     const { store, group, instance, logger, onPartitionsRevoked } =
       this.#options;
     await onPartitionsRevoked(this.ownedPartitions());
-    this.#owned = new Set();
+    this.#leases = new Map();
     try {
       await store.leave(group, instance);
     } catch (error) {
@@ -106,10 +132,15 @@
         leaseMilliseconds: ownerLeaseMilliseconds,
         generation: this.#generation,
       });
+      const acquiredAt = clock.monotonicNow();
+      const hasExpired = acquiredAt >= this.#leaseUntil;
       this.#leaseUntil = sentAt + ownerLeaseMilliseconds;
       this.#updateJoinStatus(undefined);
       const isNewGeneration = assignment.generation !== this.#generation;
-      await this.#applyAssignment(assignment.partitions);
+      await this.#applyAssignment(assignment.partitions, {
+        lease: { generation: assignment.generation, acquiredAt },
+        hasExpired,
+      });
       this.#generation = assignment.generation;
       // Joining again at once tells the store that revoked partitions have been given up.
       if (isNewGeneration) pause = 0;
@@ -121,24 +152,41 @@
     this.#timer = setTimeout(() => void this.#join(), pause);
   }
 
+  /** `hasExpired`: the leases may have expired before, so that the partitions had other owners. */
   async #applyAssignment(
     partitions: readonly PartitionNumber[],
+    { lease, hasExpired }: {
+      readonly lease: PartitionLease;
+      readonly hasExpired: boolean;
+    },
   ): Promise<void> {
-    const { logger, onPartitionsRevoked, onPartitionsAssigned } = this.#options;
-    const next = new Set(partitions);
-    const revoked = this.ownedPartitions().filter((partition) =>
-      !next.has(partition)
+    const {
+      logger,
+      onPartitionsRevoked,
+      onPartitionsAssigned,
+      onLeaseAcquired,
+    } = this.#options;
+    if (this.#isStopped) return;
+    const previous = this.#leases;
+    this.#leases = new Map(
+      partitions.map((partition) => [
+        partition,
+        hasExpired ? lease : previous.get(partition) ?? lease,
+      ]),
     );
-    const assigned = partitions.filter((partition) =>
-      !this.#owned.has(partition)
+    for (const [partition, held] of this.#leases) {
+      if (held === lease) onLeaseAcquired(partition, lease);
+    }
+    const revoked = [...previous.keys()].filter((partition) =>
+      !this.#leases.has(partition)
     );
-    if (this.#isStopped || revoked.length + assigned.length === 0) return;
-    this.#owned = next;
+    const assigned = partitions.filter((partition) => !previous.has(partition));
+    if (revoked.length + assigned.length === 0) return;
     logger.info("the owned partitions have changed", {
       owned: partitions.join(","),
       won: assigned.join(","),
       lost: revoked.join(","),
-      generation: this.#generation,
+      generation: lease.generation,
     });
     if (revoked.length > 0) await onPartitionsRevoked(revoked);
     if (assigned.length > 0) onPartitionsAssigned(assigned);
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -174,7 +174,8 @@
       .sort((left, right) => left.offset - right.offset);
     this.#options.onRecords(snapshot, snapshotEnd, true);
     if (snapshotEnd > (this.#nextOffset ?? -1)) this.#nextOffset = snapshotEnd;
-    this.#advanceCompleteUntil(sentAt);
+    // A record that is left out may have replaced one that was written before `sentAt`.
+    if (snapshot.length === records.length) this.#advanceCompleteUntil(sentAt);
   }
 
   async #readNext(from: Offset): Promise<void> {
--- a/packages/store/testing/memory-keyed-store.ts
+++ b/packages/store/testing/memory-keyed-store.ts
@@ -41,6 +41,8 @@
   assignsAllToEach = false;
   /** Callers whose calls fail. */
   readonly refusedCallers = new Set<string>();
+  /** Callers whose long polls get no response, as on silent connections. */
+  readonly callersWithSilentPolls = new Set<string>();
   isDown = false;
   /** Number of appends that take effect but fail as if their response had been lost. */
   appendResponsesToDrop = 0;
@@ -181,8 +183,11 @@
     await this.#checkAccess();
     const log = this.#service.log(target);
     if (from < log.firstOffset) throw new OffsetOutOfRangeError("dropped");
-    if (log.records.length <= from && waitMilliseconds > 0) {
-      await waitFor(log, waitMilliseconds, signal);
+    const isSilent = () =>
+      this.#service.callersWithSilentPolls.has(this.#caller) &&
+      !signal?.aborted;
+    if (waitMilliseconds > 0 && (log.records.length <= from || isSilent())) {
+      do await waitFor(log, waitMilliseconds, signal); while (isSilent());
       this.#service.checkAvailable(this.#caller);
       if (from < log.firstOffset) throw new OffsetOutOfRangeError("dropped");
     }
