Notice silent connections to the store, servers and peers within one bound

A long poll on a connection that had gone silent failed only after its wait and the timeout of the call (2.4 s, or 7.2 s for the longer polls), and the next call could use another silent connection of the pool, so that an old configuration stayed in force for up to 4.3 s.

One set of time limits is now derived from the tightest bound of the settings on a change (config_apply_ms, drain_ms, cancel_ms). A call to the store that may be repeated and is late by 15 % of the bound is repeated on a connection opened for it. If the repetition is answered first, later calls use new connections only; unless others of that age have carried data meanwhile, the calls on them are repeated at once, and connections to servers and idle ones to peers are replaced, too. A slow store does not answer the repetition either, so that it costs one call in an interval. Appends are never repeated. Connections to a server are replaced, without a request, when an answer is late and no other arrives. Peers that owe replies or acknowledgements are given up after 1 s instead of 1.5 s. The wait of the long polls of documents and owned partitions falls from 1.2 to 1 s.

Ruled out: TCP keep-alive, which is set on these connections and does not show it; a periodic check, which costs calls and tests one connection only.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -27,6 +27,7 @@
 import { ResultWriter } from "../jobs/result-writer.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
+import { deriveConnectionTimings } from "../transport/connection-timings.ts";
 import {
   bodyStream,
   jobStream,
@@ -81,6 +82,7 @@
           target,
           logger,
           now: clock.monotonicNow,
+          timings: deriveConnectionTimings(settings.reactionMilliseconds),
           isOwned: () => this.#ownership.isOwned(target.partition),
           onChange: (jobs) => this.#executor.handleJobChanges(jobs),
         }),
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -39,6 +39,7 @@
 import { LocalPlacer, type Placer } from "../gateway/placement.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
 import type { JobCodec } from "../jobs/job-codec.ts";
+import { deriveConnectionTimings } from "../transport/connection-timings.ts";
 import { displaceBatch } from "./batch-displacement.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
@@ -437,6 +438,9 @@
       quarantine: this.crashControl.quarantine,
       ...this.#options.statements.listeners({ isDependent: false }),
       isStoreFailing: () => this.#options.isStoreFailing(),
+      timings: deriveConnectionTimings(
+        this.#options.settings.reactionMilliseconds,
+      ),
       clock,
       logger,
     });
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -30,10 +30,11 @@
 import type { JobCodec } from "../jobs/job-codec.ts";
 import { TcpPeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
+import { relaxedFollowWaitMilliseconds } from "../store/constants.ts";
 import {
-  followWaitMilliseconds,
-  relaxedFollowWaitMilliseconds,
-} from "../store/constants.ts";
+  type ConnectionTimings,
+  deriveConnectionTimings,
+} from "../transport/connection-timings.ts";
 import { RelayedStore } from "../store/relayed-store.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
 import {
@@ -65,6 +66,7 @@
   readonly #disposables = new DisposableStore();
   readonly #blackboard = new Blackboard({ initialDurationMilliseconds });
   readonly #members = new MemberTable();
+  readonly #timings: ConnectionTimings;
   readonly #pools: ServerPools;
   readonly #network: TcpPeerNetwork;
   readonly #documents: Documents;
@@ -82,7 +84,14 @@
   constructor(options: EntryInstanceOptions) {
     this.#options = { clock: systemClock, ...options };
     const { metrics } = options;
-    this.#pools = new ServerPools(() => metrics.countConnection());
+    this.#timings = deriveConnectionTimings(
+      options.settings.reactionMilliseconds,
+    );
+    this.#pools = new ServerPools({
+      onConnect: () => metrics.countConnection(),
+      onRenewal: () => metrics.countConnectionRenewal("server"),
+      timings: this.#timings,
+    });
     this.#network = this.#createNetwork();
     this.#store = new RelayedStore({
       direct: options.store,
@@ -170,6 +179,15 @@
     return this.#leavePromise;
   }
 
+  /**
+   * Makes all later requests to servers and peers use new connections. Called when the connections to
+   * the store have gone silent, since the others may have as well and show it only to a request.
+   */
+  renewConnections(): void {
+    this.#pools.renew();
+    this.#network.renewIdleConnections();
+  }
+
   get #incarnation(): Incarnation {
     return this.#options.settings.incarnation;
   }
@@ -181,6 +199,7 @@
       incarnation: settings.incarnation,
       host: settings.peers.host,
       port: settings.peers.port,
+      timings: this.#timings,
       clock,
       logger,
     });
@@ -307,7 +326,7 @@
         // Dependents also receive the documents from their coordinator.
         waitMilliseconds: () =>
           this.#coordination.isCoordinator
-            ? followWaitMilliseconds
+            ? this.#timings.pollWaitMilliseconds
             : relaxedFollowWaitMilliseconds,
         onFailure: (beganAt) => {
           const lastAt = this.#options.clock.monotonicNow();
--- a/packages/entry/entry-metrics.ts
+++ b/packages/entry/entry-metrics.ts
@@ -58,6 +58,11 @@
     "Connections opened to servers.",
     [],
   );
+  readonly #connectionRenewals = this.#createCounter(
+    "rosemaryrudder_connection_renewals_total",
+    "Replacements of connections that no longer answered, by kind of the other end.",
+    ["target"],
+  );
   readonly #firstBytesLatency = new LatencyRecorder(
     "rosemaryrudder_first_bytes_seconds",
     "Time from the arrival of a request to the first bytes of its answer.",
@@ -112,6 +117,10 @@
     this.#serverConnections.inc();
   }
 
+  countConnectionRenewal(target: "store" | "server"): void {
+    this.#connectionRenewals.inc({ target });
+  }
+
   recordFirstBytes(received: ReceivedRequest, workspace: string, now: number) {
     this.#firstBytesLatency.record(
       workspace,
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -33,4 +33,9 @@
   readonly limitSlackRequests: number;
   /** How long a finished job stays readable, counted from the time it was accepted. */
   readonly jobLifetimeMilliseconds: number;
+  /**
+   * Shortest time within which a change in the store must take effect at every instance; see
+   * `ConnectionTimings`.
+   */
+  readonly reactionMilliseconds?: number;
 }
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -24,6 +24,10 @@
 import type { ServerUsage } from "../limits/server-limits.ts";
 import type { FleetView } from "../limits/shared-bucket.ts";
 import type { Quarantine } from "../../quarantine/quarantine.ts";
+import {
+  type ConnectionTimings,
+  deriveConnectionTimings,
+} from "../../transport/connection-timings.ts";
 import type { DocumentPush } from "./document-push.ts";
 import {
   decodeLeaving,
@@ -61,6 +65,7 @@
   readonly jobReport: () => JobReport;
   readonly quarantine: Pick<Quarantine, "takeBegins" | "addBegins">;
   readonly isStoreFailing: () => boolean;
+  readonly timings?: ConnectionTimings;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -80,7 +85,7 @@
 }
 
 export class PeerReports {
-  readonly #options: PeerReportsOptions;
+  readonly #options: Required<PeerReportsOptions>;
   readonly #peers = new Map<InstanceId, PeerState>();
   /** Starts at the wall-clock time, so that sequences of a later incarnation are higher. */
   #sequence: number;
@@ -100,7 +105,7 @@
   #isStopped = true;
 
   constructor(options: PeerReportsOptions) {
-    this.#options = options;
+    this.#options = { timings: deriveConnectionTimings(), ...options };
     this.#sequence = options.clock.wallNow();
     const { network } = options;
     network.handle(reportMessage, (report, sender) => {
@@ -228,14 +233,14 @@
     now: number,
     isUrgent: boolean,
   ): void {
-    const { network } = this.#options;
+    const { network, timings } = this.#options;
     const state = this.#stateOf(member.instance, now);
     const isSilent = now - state.lastHeardAt > peerSilenceTimeoutMilliseconds;
     if (
       isSilent && !isUrgent &&
       now - state.lastSentAt < silentPeerReportIntervalMilliseconds
     ) return;
-    if (now - state.acknowledgedAt > peerSilenceTimeoutMilliseconds) {
+    if (now - state.acknowledgedAt > timings.checkIntervalMilliseconds) {
       state.acknowledgedAt = now;
       network.reconnect(member.instance);
     }
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -8,7 +8,7 @@
   StatementEvidence,
 } from "../fleet/server-statement.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
-import type { ConnectionPool } from "../transport/connection-pool.ts";
+import type { RequestDispatcher } from "../transport/renewable-pool.ts";
 import type { CrashSuspect } from "../quarantine/crash-evidence.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { CallerCodec, ReceivedRequest } from "./caller-request.ts";
@@ -64,7 +64,7 @@
   readonly sendQueue: SendQueue;
   chooseService(route: RouteRule): UpstreamName;
   findServer(id: InstanceId): UpstreamServer | undefined;
-  poolOf(server: UpstreamServer): ConnectionPool;
+  poolOf(server: UpstreamServer): RequestDispatcher;
   /** Records what a server states about itself in the head of an answer. */
   recordStatement(
     server: UpstreamServer,
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -11,10 +11,10 @@
   StatementEvidence,
 } from "../fleet/server-statement.ts";
 import {
-  type ConnectionPool,
   isConnectionFailing,
   type ResponseController,
 } from "../transport/connection-pool.ts";
+import type { RequestDispatcher } from "../transport/renewable-pool.ts";
 import type { AnswerHead } from "./caller-request.ts";
 import {
   connectionWaitMilliseconds,
@@ -44,7 +44,7 @@
 }
 
 export interface AttemptOptions {
-  readonly pool: ConnectionPool;
+  readonly pool: RequestDispatcher;
   readonly method: string;
   readonly target: string;
   readonly headers: string[];
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -15,10 +15,13 @@
 } from "../store/keyed-store.ts";
 import {
   followRetryMilliseconds,
-  followWaitMilliseconds,
   relaxedFollowWaitMilliseconds,
 } from "../store/constants.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
+import {
+  type ConnectionTimings,
+  deriveConnectionTimings,
+} from "../transport/connection-timings.ts";
 import {
   maximumCopyAgeMilliseconds,
   nonOwnerReadPauseMilliseconds,
@@ -34,6 +37,7 @@
   /** Whether this instance owns the partition; the owner reads without a pause. */
   readonly isOwned: () => boolean;
   readonly onChange: (jobs: readonly JobId[]) => void;
+  readonly timings?: ConnectionTimings;
 }
 
 export class JobPartition {
@@ -45,6 +49,7 @@
 
   constructor(options: JobPartitionOptions) {
     this.#options = options;
+    const { timings = deriveConnectionTimings() } = options;
     this.target = options.target;
     this.#follower = new PartitionFollower({
       store: options.store,
@@ -55,7 +60,7 @@
         options.isOwned() ? 0 : nonOwnerReadPauseMilliseconds,
       waitMilliseconds: () =>
         options.isOwned()
-          ? followWaitMilliseconds
+          ? timings.pollWaitMilliseconds
           : relaxedFollowWaitMilliseconds,
     });
   }
--- a/packages/protocol/constants.ts
+++ b/packages/protocol/constants.ts
@@ -10,5 +10,3 @@
 export const maximumQueuedBytes = 4 * 1024 * 1024;
 export const connectTimeoutMilliseconds = 1_000;
 export const reconnectDelayMilliseconds = 100;
-/** A connection is replaced if a request on it times out and it was silent for longer than this. */
-export const silentConnectionMilliseconds = 1_500;
--- a/packages/protocol/peer-connection.ts
+++ b/packages/protocol/peer-connection.ts
@@ -11,7 +11,6 @@
   connectTimeoutMilliseconds,
   maximumQueuedBytes,
   reconnectDelayMilliseconds,
-  silentConnectionMilliseconds,
 } from "./constants.ts";
 import { type Envelope, envelopeSchema } from "./envelope.ts";
 import { encodeFrame, FrameReader } from "./frames.ts";
@@ -24,6 +23,11 @@
 export interface PeerConnectionOptions {
   address: PeerAddress;
   hello: Envelope;
+  /**
+   * The connection is replaced if a request on it times out and nothing has arrived on it for
+   * longer than this.
+   */
+  silenceTimeoutMilliseconds: number;
   clock: Clock;
   logger: Logger;
   onBytesSent?: (bytes: number) => void;
@@ -87,6 +91,11 @@
     });
   }
 
+  /** True while no request waits for a reply, so that closing the connection loses none. */
+  get isIdle(): boolean {
+    return this.#pendingRequests.size === 0;
+  }
+
   close(): void {
     this.#isClosed = true;
     this.#dropSocket(this.#socket, "closed");
@@ -162,7 +171,7 @@
     );
     const silentMilliseconds = this.#options.clock.monotonicNow() -
       this.#lastReceivedAt;
-    if (silentMilliseconds > silentConnectionMilliseconds) {
+    if (silentMilliseconds > this.#options.silenceTimeoutMilliseconds) {
       this.#dropSocket(this.#socket, "silent");
     }
   }
--- a/packages/protocol/peer-network.ts
+++ b/packages/protocol/peer-network.ts
@@ -10,6 +10,10 @@
 import type { Incarnation, InstanceId } from "../common/ids.ts";
 import { listenOn } from "../common/listen.ts";
 import { type Logger, silentLogger } from "../common/logging.ts";
+import {
+  type ConnectionTimings,
+  deriveConnectionTimings,
+} from "../transport/connection-timings.ts";
 import { maximumQueuedBytes, protocolVersion } from "./constants.ts";
 import { type Envelope, envelopeSchema } from "./envelope.ts";
 import { encodeFrame, FrameReader } from "./frames.ts";
@@ -52,6 +56,7 @@
   port?: number;
   /** Maps an advertised address to the one to dial, such as that of a fault proxy. */
   dialAddress?: (address: PeerAddress) => PeerAddress;
+  timings?: ConnectionTimings;
   clock?: Clock;
   logger?: Logger;
 }
@@ -77,6 +82,7 @@
       host: "127.0.0.1",
       port: 0,
       dialAddress: (address) => address,
+      timings: deriveConnectionTimings(),
       clock: systemClock,
       logger: silentLogger,
       ...options,
@@ -121,6 +127,13 @@
     this.#connections.delete(instance);
   }
 
+  /** Replaces the connections on which no reply is awaited, since they may have gone silent. */
+  renewIdleConnections(): void {
+    for (const [instance, connection] of this.#connections) {
+      if (connection.isIdle) this.reconnect(instance);
+    }
+  }
+
   send<Request, Reply>(
     instance: InstanceId,
     message: PeerMessage<Request, Reply>,
@@ -195,6 +208,8 @@
         instance: this.#options.instance,
         incarnation: this.#incarnation,
       },
+      silenceTimeoutMilliseconds:
+        this.#options.timings.checkIntervalMilliseconds,
       clock: this.#options.clock,
       logger: this.#options.logger,
       onBytesSent: (bytes) => this.bytesSent += bytes,
--- a/packages/store/constants.ts
+++ b/packages/store/constants.ts
@@ -1,13 +1,9 @@
 /** Timeouts and pauses of calls to the store. */
 
 /**
- * How long a read waits for a new record (long poll). This bounds how long a silent connection
- * goes unnoticed, which must stay below the 2 s in which a document change must be in force.
- */
-export const followWaitMilliseconds = 1_200;
-/**
- * The same for partitions whose changes also arrive another way or are not urgent. The longer wait
- * keeps the calls of a large fleet within the rates of the store.
+ * How long a read waits for a new record (long poll) of a partition whose changes also arrive
+ * another way or are not urgent; for the others see `ConnectionTimings`. The longer wait keeps the
+ * calls of a large fleet within the rates of the store.
  */
 export const relaxedFollowWaitMilliseconds = 6_000;
 /** Pause after a failed read, which limits the number of calls during an outage of the store. */
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -7,10 +7,10 @@
 import { type Clock, systemClock } from "../common/clock.ts";
 import type { Offset } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import { deriveConnectionTimings } from "../transport/connection-timings.ts";
 import {
   emptyReadPauseMilliseconds,
   followRetryMilliseconds,
-  followWaitMilliseconds,
 } from "./constants.ts";
 import {
   type KeyedRecord,
@@ -56,7 +56,7 @@
   constructor(options: PartitionFollowerOptions) {
     this.#options = {
       pauseMilliseconds: () => 0,
-      waitMilliseconds: () => followWaitMilliseconds,
+      waitMilliseconds: () => deriveConnectionTimings().pollWaitMilliseconds,
       onFailure: () => {},
       clock: systemClock,
       ...options,
--- a/packages/transport/http-call.ts
+++ b/packages/transport/http-call.ts
@@ -6,7 +6,8 @@
 import { Buffer } from "node:buffer";
 import { RosemaryrudderError } from "../common/errors.ts";
 import type { Verdict } from "../common/verdict.ts";
-import type { ConnectionPool, ResponseController } from "./connection-pool.ts";
+import type { ResponseController } from "./connection-pool.ts";
+import type { RequestDispatcher } from "./renewable-pool.ts";
 
 export interface HttpCall {
   readonly method: "GET" | "POST" | "PUT" | "DELETE";
@@ -15,6 +16,8 @@
   readonly body?: Uint8Array | string;
   readonly timeoutMilliseconds: number;
   readonly signal?: AbortSignal | undefined;
+  /** Called when the head of the response has arrived. */
+  readonly onResponseStart?: () => void;
 }
 
 export interface HttpResponse {
@@ -34,7 +37,7 @@
 }
 
 export function callHttp(
-  pool: ConnectionPool,
+  pool: RequestDispatcher,
   call: HttpCall,
 ): Promise<HttpResponse> {
   return new Promise((resolve, reject) => {
@@ -78,6 +81,7 @@
       onResponseStart: (_, statusCode, responseHeaders) => {
         status = statusCode;
         headers = responseHeaders;
+        call.onResponseStart?.();
       },
       onResponseData: (_, chunk) => {
         chunks.push(chunk);
