Suspect connections to a server later than those to the store, test peers

Answers of servers begin later than responses of the store, since a server runs and queues requests, so that on a machine at a load of 28 connections were replaced for late answers alone. The time limit for servers is now 30 % of the bound (600 ms), which is still before the head timeout of 800 ms.

--- a/packages/gateway/server-pool.ts
+++ b/packages/gateway/server-pool.ts
@@ -52,7 +52,7 @@
         const sentAt = clock.monotonicNow();
         lateTimer = setTimeout(
           () => this.#handleLate(generation, sentAt),
-          timings.suspicionMilliseconds,
+          timings.serverSuspicionMilliseconds,
         );
         handler.onRequestStart?.(...request);
       },
--- a/packages/protocol/protocol.test.ts
+++ b/packages/protocol/protocol.test.ts
@@ -2,11 +2,12 @@
 
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
-import { connect } from "node:net";
+import { connect, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import fc from "fast-check";
 import { z } from "zod";
 import { brandAs, type Incarnation, type InstanceId } from "../common/ids.ts";
+import { deriveConnectionTimings } from "../transport/connection-timings.ts";
 import { encodeFrame, FrameError, FrameReader } from "./frames.ts";
 import { definePeerMessage } from "./peer-message.ts";
 import { TcpPeerNetwork } from "./peer-network.ts";
@@ -28,6 +29,58 @@
   return { left, right, rightPort };
 }
 
+/** A network that reaches a peer through connections that can go silent. */
+async function createSilentPair() {
+  const { left, right, rightPort } = await createPair();
+  right.handle(echoMessage, (body) => body);
+  const forwarded = new Set<Socket>();
+  const proxy = createServer((socket) => {
+    const target = connect(rightPort, "127.0.0.1");
+    forwarded.add(target);
+    socket.pipe(target).pipe(socket);
+    for (const end of [socket, target]) end.on("error", () => end.destroy());
+  });
+  await new Promise<void>((resolve) => proxy.listen(0, "127.0.0.1", resolve));
+  const { port } = proxy.address() as { port: number };
+  left.setPeers(new Map([[second, { host: "127.0.0.1", port }]]));
+  return {
+    ask: (deadlineMilliseconds: number) =>
+      left.request(second, echoMessage, { text: "hello" }, {
+        deadlineMilliseconds,
+      }),
+    renewIdleConnections: () => left.renewIdleConnections(),
+    silenceOpenConnections: () => {
+      for (const target of forwarded) target.unpipe();
+    },
+    close: async () => {
+      await left.close();
+      await right.close();
+      for (const target of forwarded) target.destroy();
+      proxy.close();
+    },
+  };
+}
+
+test("a connection that has gone silent is replaced once its requests have had no reply for the check interval", async () => {
+  const pair = await createSilentPair();
+  await pair.ask(2_000);
+  pair.silenceOpenConnections();
+  const { checkIntervalMilliseconds } = deriveConnectionTimings();
+  await assert.rejects(pair.ask(checkIntervalMilliseconds + 50));
+  await new Promise((resolve) => setTimeout(resolve, 150));
+  assert.deepEqual(await pair.ask(2_000), { text: "hello" });
+  await pair.close();
+});
+
+test("connections without open requests are replaced at once when others were found silent", async () => {
+  const pair = await createSilentPair();
+  await pair.ask(2_000);
+  pair.silenceOpenConnections();
+  pair.renewIdleConnections();
+  assert.deepEqual(await pair.ask(2_000), { text: "hello" });
+  await pair.close();
+});
+
 test("frames split at any byte are reassembled", () => {
   fc.assert(
     fc.property(
--- a/packages/transport/connection-timings.ts
+++ b/packages/transport/connection-timings.ts
@@ -12,6 +12,11 @@
    * a call is suspected. Responses of the store take about 4 ms.
    */
   readonly suspicionMilliseconds: number;
+  /**
+   * The same for the answer of a server to a request, which begins later since a server runs the
+   * request and may queue it.
+   */
+  readonly serverSuspicionMilliseconds: number;
   /**
    * Interval in which a peer or a server must be heard while it owes responses, and in which a
    * suspicion that was not confirmed is not checked again.
@@ -30,6 +35,7 @@
  */
 const pollWaitShare = 0.5;
 const suspicionShare = 0.15;
+const serverSuspicionShare = 0.3;
 const checkIntervalShare = 0.5;
 
 export function deriveConnectionTimings(
@@ -42,6 +48,7 @@
   return {
     pollWaitMilliseconds: Math.round(reaction * pollWaitShare),
     suspicionMilliseconds: Math.round(reaction * suspicionShare),
+    serverSuspicionMilliseconds: Math.round(reaction * serverSuspicionShare),
     checkIntervalMilliseconds: Math.round(reaction * checkIntervalShare),
   };
 }
