--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -40,6 +40,7 @@
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 import { meterWrites, WriteMeter } from "../store/write-meter.ts";
+import { deriveConnectionTimings } from "../transport/connection-timings.ts";
 import {
   bodyStream,
   defaultStoreCapacityBytes,
@@ -116,6 +117,7 @@
           target,
           logger,
           now: clock.monotonicNow,
+          timings: deriveConnectionTimings(settings.reactionMilliseconds),
           isOwned: () => this.#ownership.isOwned(target.partition),
           onChange: (jobs) => this.#handleJobChanges(jobs),
         }),
@@ -305,10 +307,18 @@
       },
       onPartitionsAssigned: (partitions) => {
         for (const partition of partitions) {
-          this.#partitions.get(partition)?.readNow();
           void this.#progress.load(partition);
         }
       },
+      onLeaseAcquired: (number, lease) => {
+        const partition = this.#partitions.get(number);
+        void partition?.catchUpWhile(() =>
+          this.#ownership.leaseOf(number) === lease &&
+          partition.completeUntil < lease.acquiredAt
+        );
+      },
+      copyCompleteUntil: (number) =>
+        this.#partitions.get(number)?.completeUntil ?? Number.NEGATIVE_INFINITY,
       isClaimedByPeer: (partition, generation) =>
         peerReports().recentReports().some(({ report }) =>
           report.ownerGeneration > generation &&
@@ -335,7 +345,6 @@
       canStartItems: (partition) =>
         this.#progress.isLoaded(partition) &&
         this.#ownership.canStartItems(partition),
-      isOwned: (partition) => this.#ownership.isOwned(partition),
       configurationReadAt: this.#options.configurationReadAt,
       waitingItemsOfPeers: () =>
         peerReports().recentReports().reduce(
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -31,6 +31,7 @@
 import { displaceMessage } from "../fleet/peers/report.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
 import { LocalPlacer, type Placer } from "../gateway/placement.ts";
+import { deriveConnectionTimings } from "../transport/connection-timings.ts";
 import { displaceBatch } from "./batch-displacement.ts";
 import { BatchWork } from "./batch-work.ts";
 import {
@@ -425,6 +426,9 @@
       quarantine: this.crashControl.quarantine,
       ...this.#options.statements.listeners({ isDependent: false }),
       isStoreFailing: () => this.#options.isStoreFailing(),
+      timings: deriveConnectionTimings(
+        this.#options.settings.reactionMilliseconds,
+      ),
       clock,
       logger,
     });
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -35,10 +35,11 @@
 import { limitsOf, unknownMachineLimits } from "../overload/resource-limits.ts";
 import { TcpPeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
+import { relaxedFollowWaitMilliseconds } from "../store/constants.ts";
 import {
-  followWaitMilliseconds,
-  relaxedFollowWaitMilliseconds,
-} from "../store/constants.ts";
+  type ConnectionTimings,
+  deriveConnectionTimings,
+} from "../transport/connection-timings.ts";
 import { RelayedStore } from "../store/relayed-store.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
 import {
@@ -71,6 +72,7 @@
   readonly #disposables = new DisposableStore();
   readonly #blackboard: Blackboard;
   readonly #members = new MemberTable();
+  readonly #timings: ConnectionTimings;
   readonly #pools: ServerPools;
   readonly #overload: OverloadControl;
   readonly #network: TcpPeerNetwork;
@@ -95,7 +97,12 @@
       coldBounds: settings.coldBounds,
       regionByZone: settings.regionByZone,
     });
-    this.#pools = new ServerPools(() => metrics.countConnection());
+    this.#timings = deriveConnectionTimings(settings.reactionMilliseconds);
+    this.#pools = new ServerPools({
+      onConnect: () => metrics.countConnection(),
+      onRenewal: () => metrics.countConnectionRenewal("server"),
+      timings: this.#timings,
+    });
     this.#overload = this.#createOverloadControl();
     this.#network = this.#createNetwork();
     this.#store = new RelayedStore({
@@ -194,6 +201,15 @@
     return this.#leavePromise;
   }
 
+  /**
+   * Makes all later requests to servers and peers use new connections. Called when the connections to
+   * the store have gone silent, since the others may have as well and show it only to a request.
+   */
+  renewConnections(): void {
+    this.#pools.renew();
+    this.#network.renewIdleConnections();
+  }
+
   get #incarnation(): Incarnation {
     return this.#options.settings.incarnation;
   }
@@ -218,6 +234,7 @@
       port: settings.peers.port,
       heldBytes: this.#overload.heldBytes,
       maximumConnections: this.#overload.limits.peerConnections,
+      timings: this.#timings,
       clock,
       logger,
     });
@@ -360,7 +377,7 @@
       // Dependents also receive the documents from their coordinator.
       waitMilliseconds: () =>
         this.#coordination.isCoordinator
-          ? followWaitMilliseconds
+          ? this.#timings.pollWaitMilliseconds
           : relaxedFollowWaitMilliseconds,
       onFailure: (beganAt) => {
         const lastAt = this.#options.clock.monotonicNow();
--- a/packages/entry/entry-metrics.ts
+++ b/packages/entry/entry-metrics.ts
@@ -92,6 +92,11 @@
     "Connections of callers that were evicted or refused at the limit.",
     ["kind"],
   );
+  readonly #connectionRenewals = this.#createCounter(
+    "rosemaryrudder_connection_renewals_total",
+    "Replacements of connections that no longer answered, by kind of the other end.",
+    ["target"],
+  );
   readonly #firstBytesLatency = new LatencyRecorder(
     "rosemaryrudder_first_bytes_seconds",
     "Time from the arrival of a request to the first bytes of its answer.",
@@ -179,6 +184,10 @@
     this.#closedConnections.inc({ kind });
   }
 
+  countConnectionRenewal(target: "store" | "server"): void {
+    this.#connectionRenewals.inc({ target });
+  }
+
   recordFirstBytes(received: ReceivedRequest, workspace: string, now: number) {
     this.#firstBytesLatency.record(
       workspace,
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -25,6 +25,10 @@
 import type { FleetView } from "../limits/shared-bucket.ts";
 import type { Quarantine } from "../../quarantine/quarantine.ts";
 import { decodeSpeeds, encodeSpeeds } from "../speed/speed-messages.ts";
+import {
+  type ConnectionTimings,
+  deriveConnectionTimings,
+} from "../../transport/connection-timings.ts";
 import type { DocumentPush } from "./document-push.ts";
 import {
   decodeCold,
@@ -68,6 +72,7 @@
   readonly jobReport: () => JobReport;
   readonly quarantine: Pick<Quarantine, "takeBegins" | "addBegins">;
   readonly isStoreFailing: () => boolean;
+  readonly timings?: ConnectionTimings;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -87,7 +92,7 @@
 }
 
 export class PeerReports {
-  readonly #options: PeerReportsOptions;
+  readonly #options: Required<PeerReportsOptions>;
   readonly #peers = new Map<InstanceId, PeerState>();
   /** Starts at the wall-clock time, so that sequences of a later incarnation are higher. */
   #sequence: number;
@@ -107,7 +112,7 @@
   #isStopped = true;
 
   constructor(options: PeerReportsOptions) {
-    this.#options = options;
+    this.#options = { timings: deriveConnectionTimings(), ...options };
     this.#sequence = options.clock.wallNow();
     const { network } = options;
     network.handle(reportMessage, (report, sender) => {
@@ -235,14 +240,14 @@
     now: number,
     isUrgent: boolean,
   ): void {
-    const { network } = this.#options;
+    const { network, timings } = this.#options;
     const state = this.#stateOf(member.instance, now);
     const isSilent = now - state.lastHeardAt > peerSilenceTimeoutMilliseconds;
     if (
       isSilent && !isUrgent &&
       now - state.lastSentAt < silentPeerReportIntervalMilliseconds
     ) return;
-    if (now - state.acknowledgedAt > peerSilenceTimeoutMilliseconds) {
+    if (now - state.acknowledgedAt > timings.checkIntervalMilliseconds) {
       state.acknowledgedAt = now;
       network.reconnect(member.instance);
     }
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -10,8 +10,8 @@
 import type { SendPurpose } from "../fleet/send-rules.ts";
 import type { AnswerTime } from "../fleet/speed/server-speeds.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
-import type { ConnectionPool } from "../transport/connection-pool.ts";
 import type { Holding } from "../overload/held-bytes.ts";
+import type { RequestDispatcher } from "../transport/renewable-pool.ts";
 import type { CrashSuspect } from "../quarantine/crash-evidence.ts";
 import type { Quarantine } from "../quarantine/quarantine.ts";
 import type { CallerCodec, ReceivedRequest } from "./caller-request.ts";
@@ -76,7 +76,7 @@
     server: UpstreamServer,
     purpose: SendPurpose,
   ): string | undefined;
-  poolOf(server: UpstreamServer): ConnectionPool;
+  poolOf(server: UpstreamServer): RequestDispatcher;
   /** Records what a server states about itself in the head of an answer. */
   recordStatement(
     server: UpstreamServer,
--- a/packages/jobs/batch-executor-options.ts
+++ b/packages/jobs/batch-executor-options.ts
@@ -23,7 +23,6 @@
   readonly progress: ProgressStore;
   /** Whether new runs of items of the partition may be started. */
   readonly canStartItems: (partition: PartitionNumber) => boolean;
-  readonly isOwned: (partition: PartitionNumber) => boolean;
   /**
    * When the last read that reached the end of the configuration's stream was sent, in monotonic
    * milliseconds.
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -320,7 +320,7 @@
     work.isStarting = false;
     const upstream = blackboard.upstreams.get(server);
     const canStillRun = this.#workTable.has(work) && !this.#isStopped &&
-      !state.isEnded && this.#options.isOwned(work.partition);
+      !state.isEnded && this.#options.canStartItems(work.partition);
     if (
       !canStillRun || !upstream ||
       blackboard.sendRules.check(upstream, now(), purpose).kind === "refused"
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -11,6 +11,7 @@
   StreamName,
 } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import { delay, systemTimers } from "../common/timers.ts";
 import type {
   KeyedEntry,
   KeyedRecord,
@@ -18,10 +19,14 @@
   StreamPartition,
 } from "../store/keyed-store.ts";
 import {
-  followWaitMilliseconds,
+  followRetryMilliseconds,
   relaxedFollowWaitMilliseconds,
 } from "../store/constants.ts";
 import { PartitionFollower } from "../store/partition-follower.ts";
+import {
+  type ConnectionTimings,
+  deriveConnectionTimings,
+} from "../transport/connection-timings.ts";
 import {
   maximumCopyAgeMilliseconds,
   nonOwnerReadPauseMilliseconds,
@@ -44,6 +49,7 @@
   /** Whether this instance owns the partition; the owner reads without a pause. */
   readonly isOwned: () => boolean;
   readonly onChange: (jobs: readonly JobId[]) => void;
+  readonly timings?: ConnectionTimings;
 }
 
 export class JobPartition {
@@ -58,6 +64,7 @@
 
   constructor(options: JobPartitionOptions) {
     this.#options = options;
+    const { timings = deriveConnectionTimings() } = options;
     this.target = options.target;
     this.#follower = new PartitionFollower({
       store: options.store,
@@ -69,7 +76,7 @@
         options.isOwned() ? 0 : nonOwnerReadPauseMilliseconds,
       waitMilliseconds: () =>
         options.isOwned()
-          ? followWaitMilliseconds
+          ? timings.pollWaitMilliseconds
           : relaxedFollowWaitMilliseconds,
     });
   }
@@ -96,6 +103,23 @@
     this.#follower.skipPause();
   }
 
+  /**
+   * Everything written before this time is in the state; see `PartitionFollower.completeUntil`.
+   */
+  get completeUntil(): number {
+    return this.#follower.completeUntil;
+  }
+
+  /**
+   * Reads up to the end of the partition by a read that is sent now, since one that is already in
+   * progress may be stuck or have been answered before. Repeats failed reads while `isNeeded`.
+   */
+  async catchUpWhile(isNeeded: () => boolean): Promise<void> {
+    while (isNeeded() && !await this.#follower.catchUp()) {
+      await delay(systemTimers, followRetryMilliseconds);
+    }
+  }
+
   /**
    * Reads up to the present end of the partition, unless the last such read is at most
    * `maximumCopyAgeMilliseconds` old; returns false if the read fails.
--- a/packages/protocol/peer-network.ts
+++ b/packages/protocol/peer-network.ts
@@ -13,6 +13,10 @@
 import { type Logger, silentLogger } from "../common/logging.ts";
 import { HeldBytes } from "../overload/held-bytes.ts";
 import { unknownMachineLimits } from "../overload/resource-limits.ts";
+import {
+  type ConnectionTimings,
+  deriveConnectionTimings,
+} from "../transport/connection-timings.ts";
 import { maximumQueuedBytes, protocolVersion } from "./constants.ts";
 import { type Envelope, envelopeSchema } from "./envelope.ts";
 import { encodeFrame, FrameError } from "./frames.ts";
@@ -56,6 +60,7 @@
   port?: number;
   /** Maps an advertised address to the one to dial, such as that of a fault proxy. */
   dialAddress?: (address: PeerAddress) => PeerAddress;
+  timings?: ConnectionTimings;
   clock?: Clock;
   logger?: Logger;
   /** Budget of the process, in which large frames are reserved. */
@@ -84,6 +89,7 @@
       host: "127.0.0.1",
       port: 0,
       dialAddress: (address) => address,
+      timings: deriveConnectionTimings(),
       clock: systemClock,
       logger: silentLogger,
       heldBytes: new HeldBytes({ limitBytes: unknownMachineLimits.heldBytes }),
@@ -131,6 +137,13 @@
     this.#connections.delete(instance);
   }
 
+  /** Replaces the connections on which no reply is awaited, since they may have gone silent. */
+  renewIdleConnections(): void {
+    for (const [instance, connection] of this.#connections) {
+      if (connection.isIdle) this.reconnect(instance);
+    }
+  }
+
   send<Request, Reply>(
     instance: InstanceId,
     message: PeerMessage<Request, Reply>,
@@ -205,6 +218,8 @@
         instance: this.#options.instance,
         incarnation: this.#incarnation,
       },
+      silenceTimeoutMilliseconds:
+        this.#options.timings.checkIntervalMilliseconds,
       clock: this.#options.clock,
       logger: this.#options.logger,
       onBytesSent: (bytes) => this.bytesSent += bytes,
