Compute the work time of a server once for the decisions of 25 ms

A work time is used again for 25 ms, and dependents report observations every 60 ms at most. Ruled out by the model test: 150 ms between reports, with which servers that do less when crowded are found too late, and longer windows of events, which alone pass but fail with the longer interval.

--- a/packages/entry/dependent-state.ts
+++ b/packages/entry/dependent-state.ts
@@ -46,7 +46,7 @@
       serverLimits: encodeLimits(limits),
       leavingServers: encodeLeaving(upstreams.leavingServers()),
       coldServers: encodeCold(refused),
-      speeds: encodeSpeeds(speeds.takeAllObservations()),
+      speeds: encodeSpeeds(speeds.takeAllObservations(now)),
       unsent: placer().takeUnsent(),
       configurationPosition: documents.position("configuration"),
       serversPosition: documents.position("servers"),
--- a/packages/fleet/speed/constants.ts
+++ b/packages/fleet/speed/constants.ts
@@ -62,3 +62,7 @@
  */
 export const notableWorkTime = 1.6;
 export const recoveredWorkTime = 1.3;
+/** Interval at which a dependent reports what it has observed; each report is checked and decoded. */
+export const observationIntervalMilliseconds = 60;
+/** Age up to which a computed work time is used again. Servers change within hundreds of ms. */
+export const workTimeLifetimeMilliseconds = 25;
--- a/packages/fleet/speed/server-speeds.test.ts
+++ b/packages/fleet/speed/server-speeds.test.ts
@@ -96,7 +96,7 @@
   assert.deepEqual(report(3_500), [slow]);
   assert.ok(peer.workTime(slow, 3_500) > 1.7);
   // What a coordinator reports is not passed on, so that no observation goes in circles.
-  assert.deepEqual(peer.takeAllObservations(), []);
+  assert.deepEqual(peer.takeAllObservations(0), []);
   observe(speeds, { from: 3_500, to: 4_000, factor: 1 });
   assert.deepEqual(report(4_000), [slow]);
   assert.equal(peer.workTime(slow, 4_000), 1);
--- a/packages/fleet/speed/server-speeds.ts
+++ b/packages/fleet/speed/server-speeds.ts
@@ -25,11 +25,13 @@
   minimumRatio,
   negligibleDeviation,
   notableWorkTime,
+  observationIntervalMilliseconds,
   recoveredWorkTime,
   statedMemory,
   uncrowdedShare,
   untrustedDisagreement,
   usualWeight,
+  workTimeLifetimeMilliseconds,
 } from "./constants.ts";
 import { DecayingMean } from "./decaying-mean.ts";
 import { ReferenceTime } from "./reference-time.ts";
@@ -92,6 +94,9 @@
   limitUpdatedAt: number;
   isSlow: boolean;
   isLastinglySlow: boolean;
+  /** The work time that was last computed, and when. */
+  workTime: number;
+  workTimeAt: number;
   readonly unreported: Record<SpeedSource, UnreportedMean>;
 }
 
@@ -108,6 +113,7 @@
   readonly #options: Required<ServerSpeedsOptions>;
   readonly #records = new Map<InstanceId, SpeedRecord>();
   readonly #references = new Map<string, ReferenceTime>();
+  #takenAt = Number.NEGATIVE_INFINITY;
   #listener = (_: SpeedChange) => {};
 
   constructor(options: ServerSpeedsOptions = {}) {
@@ -163,8 +169,14 @@
     }
   }
 
-  /** All that this instance has observed since the last call, for its coordinator. */
-  takeAllObservations(): SpeedObservation[] {
+  /**
+   * All that this instance has observed since it was last taken, for its coordinator; nothing
+   * before `observationIntervalMilliseconds` have passed, since reports follow each change of the
+   * loads.
+   */
+  takeAllObservations(now: number): SpeedObservation[] {
+    if (now - this.#takenAt < observationIntervalMilliseconds) return [];
+    this.#takenAt = now;
     return this.#takeObservations(() => true);
   }
 
@@ -206,13 +218,22 @@
 
   /**
    * Expected time of work at the server, as a multiple of the usual time of its service; 1 unless
-   * it differs notably. Without samples it returns to the long-term mean within a second.
+   * it differs notably. Without samples it returns to the long-term mean within a second. It is
+   * computed at most once in `workTimeLifetimeMilliseconds`, since each decision asks it of all
+   * servers.
    */
   workTime(server: InstanceId, now: number): number {
     const record = this.#records.get(server);
     if (!record) return 1;
+    if (now - record.workTimeAt < workTimeLifetimeMilliseconds) {
+      return record.workTime;
+    }
     const workTime = expectedRatio(record, now);
-    return Math.abs(workTime - 1) <= negligibleDeviation ? 1 : workTime;
+    record.workTimeAt = now;
+    record.workTime = Math.abs(workTime - 1) <= negligibleDeviation
+      ? 1
+      : workTime;
+    return record.workTime;
   }
 
   /** Number of requests that the server handles well at the same time, at most its slots. */
@@ -347,6 +368,8 @@
         limitUpdatedAt: 0,
         isSlow: false,
         isLastinglySlow: false,
+        workTime: 1,
+        workTimeAt: Number.NEGATIVE_INFINITY,
         unreported: {
           measured: { sum: 0, weight: 0, wasDeviating: false },
           stated: { sum: 0, weight: 0, wasDeviating: false },
--- a/packages/gateway/server-speed.test.ts
+++ b/packages/gateway/server-speed.test.ts
@@ -84,7 +84,7 @@
 function report(observers: readonly ServerSpeeds[], now: number): void {
   for (let index = coordinators; index < instances; index++) {
     observers[index % coordinators]!.recordReported(
-      observers[index]!.takeAllObservations(),
+      observers[index]!.takeAllObservations(now),
       now,
       { isDependent: true },
     );
