--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -96,6 +96,7 @@
       initialDurationMilliseconds,
       coldBounds: settings.coldBounds,
       regionByZone: settings.regionByZone,
+      learnsServerSpeeds: settings.learnsServerSpeeds,
     });
     this.#timings = deriveConnectionTimings(settings.reactionMilliseconds);
     this.#pools = new ServerPools({
--- a/packages/entry/entry-settings.ts
+++ b/packages/entry/entry-settings.ts
@@ -55,4 +55,6 @@
    * `ConnectionTimings`.
    */
   readonly reactionMilliseconds?: number;
+  /** Whether the speed of servers is learned from their answers; false if not set. */
+  readonly learnsServerSpeeds?: boolean;
 }
--- a/packages/fleet/blackboard.ts
+++ b/packages/fleet/blackboard.ts
@@ -24,12 +24,14 @@
   readonly coldServers: ColdServers;
   readonly sendRules: SendRules;
   readonly regionByZone: RegionByZone;
+  readonly learnsServerSpeeds: boolean;
   readonly speeds = new ServerSpeeds({
     requestsAt: (server, now) => {
       const { online, batch } = this.loads.estimate(server, now);
       return online + batch;
     },
     slotsOf: (server) => this.upstreams.get(server)?.slots ?? 0,
+    isMeasured: () => this.learnsServerSpeeds,
   });
   /** Undefined until a configuration is known. */
   configuration: ConfigurationIndex | undefined;
@@ -45,8 +47,14 @@
   requestDurationMilliseconds: number;
 
   constructor(
-    { initialDurationMilliseconds, coldBounds, regionByZone = new Map() }: {
+    {
+      initialDurationMilliseconds,
+      coldBounds,
+      regionByZone = new Map(),
+      learnsServerSpeeds = false,
+    }: {
       readonly initialDurationMilliseconds: number;
+      readonly learnsServerSpeeds?: boolean | undefined;
       readonly coldBounds?: ColdBounds | undefined;
       readonly regionByZone?: RegionByZone | undefined;
     },
@@ -57,6 +65,7 @@
       policyOf: (service) => this.configuration?.service(service)?.cold,
     });
     this.regionByZone = regionByZone;
+    this.learnsServerSpeeds = learnsServerSpeeds;
     this.sendRules = new SendRules(this);
   }
 
--- a/packages/fleet/server-statements.ts
+++ b/packages/fleet/server-statements.ts
@@ -63,7 +63,9 @@
         evidence.statedAt,
       );
     }
-    if (statement.workTimePercent !== undefined) {
+    if (
+      statement.workTimePercent !== undefined && blackboard.learnsServerSpeeds
+    ) {
       blackboard.speeds.recordStated(
         server.id,
         statement.workTimePercent,
--- a/packages/fleet/speed/server-speeds.ts
+++ b/packages/fleet/speed/server-speeds.ts
@@ -78,6 +78,8 @@
   /** Requests in flight at the server, from all instances. */
   readonly requestsAt?: (server: InstanceId, now: number) => number;
   readonly slotsOf?: (server: InstanceId) => number;
+  /** Whether answers are measured. */
+  readonly isMeasured?: () => boolean;
 }
 
 interface SpeedRecord {
@@ -120,6 +122,7 @@
     this.#options = {
       requestsAt: () => 0,
       slotsOf: () => 0,
+      isMeasured: () => true,
       ...options,
     };
   }
@@ -138,7 +141,7 @@
     { server, service, kind, milliseconds }: AnswerTime,
     now: number,
   ): void {
-    if (!(milliseconds > 0)) return;
+    if (!(milliseconds > 0) || !this.#options.isMeasured()) return;
     const key = `${service}/${kind}`;
     let reference = this.#references.get(key);
     if (!reference) {
--- a/packages/gateway/event-splitter.ts
+++ b/packages/gateway/event-splitter.ts
@@ -15,7 +15,8 @@
 }
 
 const lineFeed = 0x0a;
-const idPattern = /^\d+$/;
+/** Only a line feed ends a line here, as it ends an event. */
+const idPattern = /(?:^|\n)id: ?(\d+)\r?(?:\n|$)/;
 
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0);
@@ -68,9 +69,8 @@
 }
 
 function idOf(bytes: Buffer): number | undefined {
-  const id = valuesOf(bytes.toString("latin1"), "id")
-    .find((value) => idPattern.test(value));
-  return id === undefined ? undefined : Number(id);
+  const match = idPattern.exec(bytes.toString("latin1"));
+  return match ? Number(match[1]) : undefined;
 }
 
 /** The data of an event; several lines are joined by line feeds. */
--- a/packages/overload/constants.ts
+++ b/packages/overload/constants.ts
@@ -51,10 +51,13 @@
  */
 export const defaultIdleTimeoutMilliseconds = 15_000;
 
-/** Share of the descriptors that is kept for the store, peers, operators and files. */
-export const reservedDescriptorShare = 1 / 8;
+/**
+ * Share of the descriptors that is kept for the store, peers, operators and files. Half of it is
+ * for peers: in a fleet of 390 instances all others may ask the same coordinator for a while.
+ */
+export const reservedDescriptorShare = 1 / 3;
 export const minimumReservedDescriptors = 64;
-export const maximumReservedDescriptors = 512;
+export const maximumReservedDescriptors = 1_400;
 /** A caller's connection and the one to the server that answers it. */
 export const descriptorsPerCaller = 2;
 /** Share of the memory for the connections of callers, and what an open one takes. */
