Measure no answers while the speed of servers is not learned

Learning is off by default, but each request and each run of an item still made a meter that read the clock at every event and threw the result away. The meter is made only where learning is on; nothing else changes.

Ruled out: a check inside the meter, which keeps the work per event.

--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -342,8 +342,9 @@
       recordRefusedConnection: (server) =>
         statements.recordRefusedConnection(server),
       recordStatement: (...statement) => statements.record(...statement),
-      recordAnswerTime: (time, now) =>
-        blackboard.speeds.recordAnswerTime(time, now),
+      recordAnswerTime: blackboard.learnsServerSpeeds
+        ? (time, now) => blackboard.speeds.recordAnswerTime(time, now)
+        : undefined,
       recordFailure: (server) => health.addFailure(server, now()),
       recordSuccess: (server, duration) => {
         health.addSuccess(server, now());
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -205,7 +205,7 @@
     this.#choice = choice;
     this.#attemptStart = services.now();
     this.#relay.startAttempt();
-    this.#meter = new AnswerMeter({
+    this.#meter = services.recordAnswerTime && new AnswerMeter({
       ...services,
       server,
       paceKind: "online_pace",
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -89,7 +89,10 @@
   /** Records a success and how long the server took for it. */
   recordSuccess(server: InstanceId, durationMilliseconds: number): void;
   /** Records how long the server took for a part of an answer. */
-  recordAnswerTime(time: AnswerTime, now: number): void;
+  /** Undefined if the speed of servers is not learned, so that answers need not be measured. */
+  readonly recordAnswerTime:
+    | ((time: AnswerTime, now: number) => void)
+    | undefined;
   /**
    * Finds out whether a server to which a connection broke has crashed, and reports the crash.
    * `suspect` is the request that was lost, unless its answer had begun.
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -352,7 +352,9 @@
         bodyIdleTimeoutMilliseconds: itemIdleTimeoutMilliseconds,
       },
       wallNow: this.#options.wallNow,
-      meter: batchMeter(upstream, blackboard.speeds, now),
+      meter: blackboard.learnsServerSpeeds
+        ? batchMeter(upstream, blackboard.speeds, now)
+        : undefined,
       onStatement: (...statement) =>
         this.#options.statements.record(upstream, ...statement),
       onConnectionRefused: () =>
--- a/packages/jobs/item-run.ts
+++ b/packages/jobs/item-run.ts
@@ -53,7 +53,7 @@
   readonly wallNow: () => number;
   readonly onStatement: AttemptListener["onStatement"];
   readonly onConnectionRefused: AttemptListener["onConnectionRefused"];
-  readonly meter: AnswerMeter;
+  readonly meter: AnswerMeter | undefined;
   /** Called when the first event arrives. */
   readonly onBegin: () => void;
   /** Resolves to true if the server has crashed; asked where only the connection ends an answer. */
@@ -123,7 +123,7 @@
     const { output } = this.#options;
     const events = this.#splitter.push(chunk);
     this.#receivedEvents += events.length;
-    this.#options.meter.update(this.#receivedEvents);
+    this.#options.meter?.update(this.#receivedEvents);
     if (!this.#hasBegun) {
       this.#hasBegun = true;
       this.#options.onBegin();
