Let the operators' tool take commands from other folders

The check of a configuration needs the wire names, which only platform/ knows, and packages/ does not import platform/. The program therefore takes further commands from its entry point. The differences of two values are returned as data besides their lines. The version is read from the nearest package.json, since code compiled under dist/platform-tests is deeper than two folders.

Weighed: loading platform/ from packages/operator by a computed path, which hides the dependency from the compiler.

--- a/packages/common/program.ts
+++ b/packages/common/program.ts
@@ -3,7 +3,7 @@
  * and sets the exit status.
  */
 
-import { readFileSync } from "node:fs";
+import { existsSync, readFileSync } from "node:fs";
 import process from "node:process";
 import { z } from "zod";
 import { readCommandLine } from "./command-line.ts";
@@ -97,9 +97,14 @@
   process.stdin.resume();
 }
 
-/** Reads the version from the package.json two folders above the compiled module's folder. */
+/** Reads the version from the package.json in the nearest folder above the compiled module. */
 export function readVersion(): string {
-  const file = new URL("../../package.json", import.meta.url);
-  return (JSON.parse(readFileSync(file, "utf8")) as { version: string })
-    .version;
+  let folder = new URL("./", import.meta.url);
+  while (!existsSync(new URL("package.json", folder))) {
+    const parent = new URL("../", folder);
+    if (parent.href === folder.href) throw new Error("package.json is missing");
+    folder = parent;
+  }
+  const text = readFileSync(new URL("package.json", folder), "utf8");
+  return (JSON.parse(text) as { version: string }).version;
 }
--- a/packages/operator/difference.ts
+++ b/packages/operator/difference.ts
@@ -3,25 +3,38 @@
 /** Fields that identify the items of a list, so that items are not matched by their index. */
 const identifyingFields = ["id", "name"] as const;
 
+/** A changed value; `before` or `after` is undefined if the value was added or removed. */
+export interface Difference {
+  readonly path: string;
+  readonly before: unknown;
+  readonly after: unknown;
+}
+
 /** Returns lines that begin with `+`, `-` or `~`; none if the values are equal. */
 export function describeDifferences(
   before: unknown,
   after: unknown,
-  path = "",
 ): string[] {
+  return findDifferences(before, after).map((difference) => {
+    const { path, before, after } = difference;
+    if (before === undefined) return `+ ${path}: ${show(after)}`;
+    if (after === undefined) return `- ${path}: ${show(before)}`;
+    return `~ ${path}: ${show(before)} -> ${show(after)}`;
+  });
+}
+
+export function findDifferences(
+  before: unknown,
+  after: unknown,
+  path = "",
+): Difference[] {
   if (JSON.stringify(before) === JSON.stringify(after)) return [];
-  if (before === undefined) return [`+ ${path}: ${show(after)}`];
-  if (after === undefined) return [`- ${path}: ${show(before)}`];
   const left = fieldsOf(before);
   const right = fieldsOf(after);
-  if (!left || !right) return [`~ ${path}: ${show(before)} -> ${show(after)}`];
+  if (!left || !right) return [{ path, before, after }];
   const names = [...new Set([...left.keys(), ...right.keys()])];
   return names.flatMap((name) =>
-    describeDifferences(
-      left.get(name),
-      right.get(name),
-      joinPath(path, name),
-    )
+    findDifferences(left.get(name), right.get(name), joinPath(path, name))
   );
 }
 
--- a/packages/operator/main.ts
+++ b/packages/operator/main.ts
@@ -1,13 +1,6 @@
 #!/usr/bin/env node
-/** Entry point of the program `rosemaryrudder`, the operators' tool. */
+/** Entry point of the operators' tool without the commands that need the platform's adapter. */
 
-import process from "node:process";
-import { exitWithError } from "../common/program.ts";
-import { programName } from "./constants.ts";
-import { runOperatorProgram } from "./program.ts";
+import { runOperatorProcess } from "./program.ts";
 
-try {
-  process.exitCode = await runOperatorProgram({ args: process.argv.slice(2) });
-} catch (error) {
-  exitWithError(programName, error);
-}
+await runOperatorProcess();
--- a/packages/operator/program.ts
+++ b/packages/operator/program.ts
@@ -5,7 +5,7 @@
 import { UsageError } from "../common/command-line.ts";
 import { ValidationError } from "../common/errors.ts";
 import { brandAs, type SectionName } from "../common/ids.ts";
-import { readVersion } from "../common/program.ts";
+import { exitWithError, readVersion } from "../common/program.ts";
 import { HttpLogClient, type LogClient } from "../log/log-client.ts";
 import type { Command, CommandContext } from "./command.ts";
 import { diffCommand } from "./commands/diff.ts";
@@ -54,10 +54,24 @@
   print?: (line: string) => void;
   /** Creates the client of the log; tests replace it with a log in memory. */
   connect?: (baseUrl: string) => LogClient;
+  /** Commands in addition to those of this package. */
+  furtherCommands?: readonly Command[];
 }
 
 type GlobalFlags = OperatorFlags & { section?: string };
 
+/** Runs the command that the process was started with, and sets the exit status. */
+export async function runOperatorProcess(
+  furtherCommands: readonly Command[] = [],
+): Promise<void> {
+  try {
+    const args = process.argv.slice(2);
+    process.exitCode = await runOperatorProgram({ args, furtherCommands });
+  } catch (error) {
+    exitWithError(programName, error);
+  }
+}
+
 /**
  * Runs a command and returns its exit status. Problems of the document file are printed; all
  * other errors are thrown.
@@ -102,7 +116,8 @@
     }
   };
   try {
-    await createParser(options.args, run).parseAsync();
+    const all = [...commands, ...options.furtherCommands ?? []];
+    await createParser(options.args, all, run).parseAsync();
     return status;
   } finally {
     for (const client of openedClients) await (client as HttpLogClient).close();
@@ -111,7 +126,11 @@
 
 type RunCommand = (command: Command, flags: GlobalFlags) => Promise<void>;
 
-function createParser(args: readonly string[], run: RunCommand): Argv {
+function createParser(
+  args: readonly string[],
+  available: readonly Command[],
+  run: RunCommand,
+): Argv {
   const parser = yargs([...args])
     .scriptName(programName)
     .usage(
@@ -153,12 +172,12 @@
     .fail((message, error) => {
       throw error ?? new UsageError(message);
     });
-  for (const command of commands) {
+  for (const command of available) {
     if (!groupOf(command)) addCommand(parser, command, command.usage, run);
   }
   for (const [group, description] of Object.entries(commandGroups)) {
     parser.command(group, description, (nested) => {
-      for (const command of commands) {
+      for (const command of available) {
         if (groupOf(command) !== group) continue;
         const usage = command.usage.slice(group.length + 1);
         addCommand(nested, command, usage, run);
