--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -9,8 +9,8 @@
 import { isAbsolute, join, relative } from "node:path";
 
 const maximumParallelFiles = 4;
-/** Output folder of the compiled tests of the platform's adapter. */
-const platformFolder = "dist/platform-tests/platform";
+/** Output folder of the adapter of the platform and its tests. */
+const platformFolder = "dist/platform/platform";
 
 function findTestFiles(folder) {
   return readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
