Relay bodies of items only through peers of their regions

Cause: an instance that the store turns away makes its calls through the first peer that can reach the store. The relay knew nothing of the records of a call, so that bodies with allowed regions passed through instances of other regions.

A call of the store now states the regions in which its records may be handled, and the relay leaves out peers elsewhere. Without a peer that is left, the call is made directly and fails as if no peer were reachable. The bodies of a job are written, read and cached together, so that a job is handled only where all of its items may be; a search for bodies without a job may return those of any job and is relayed only through a region that all rules allow. The regions are not sent to the peer, and no call of the store is added. Where the configuration names no region, one field of it is compared per call.

Ruled out: regions derived by the relay from the keys of the records, which would have to know the records of jobs.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -32,6 +32,7 @@
 import { bodyGraceMilliseconds } from "../jobs/store-budget.ts";
 import { StoreCapacity } from "../jobs/store-capacity.ts";
 import { JobPartition, JobPartitions } from "../jobs/job-partition.ts";
+import { JobRegions } from "../jobs/job-regions.ts";
 import { PartitionOwnership } from "../jobs/partition-ownership.ts";
 import { ProgressStore } from "../jobs/progress-store.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
@@ -78,6 +79,7 @@
   readonly calls: JobCallHandler;
   readonly #options: BatchWorkOptions;
   readonly #partitions: JobPartitions;
+  readonly #regions: JobRegions;
   readonly #bodies: ItemBodies;
   readonly #cacheHolding: Holding;
   readonly #ownership: PartitionOwnership;
@@ -101,7 +103,9 @@
       kind: "job_bodies",
       client: jobsClient,
     });
+    this.#regions = new JobRegions(options);
     this.#bodies = new ItemBodies({
+      regions: this.#regions,
       onCachedBytes: (bytes) => cacheHolding.resize(bytes),
       store,
       stream: bodyStream as StreamName,
@@ -138,6 +142,7 @@
       heldBytes: options.heldBytes,
       partitions: this.#partitions,
       bodies: this.#bodies,
+      regions: this.#regions,
       admission: new JobAdmission({
         instance: settings.instance,
         network: options.network,
@@ -285,6 +290,8 @@
       stream: bodyStream as StreamName,
       partitions: this.#partitions,
       isOwned: (partition) => this.#ownership.canStartItems(partition),
+      commonRegions: () =>
+        this.#options.blackboard.configuration?.commonRegions,
       orphanMilliseconds: settings.jobLifetimeMilliseconds * orphanAgeShare,
       now: clock.monotonicNow,
       onRemoved: (count) => countRemovals("bodies", count),
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -26,7 +26,7 @@
   decodeLimits,
 } from "../fleet/peers/statement-messages.ts";
 import type { Member } from "../fleet/peers/members.ts";
-import { isAllowedInstance } from "../fleet/regions.ts";
+import { isAllowedInstance, isAllowedZone } from "../fleet/regions.ts";
 import { type JobReport, PeerReports } from "../fleet/peers/peer-reports.ts";
 import { displaceMessage } from "../fleet/peers/report.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
@@ -194,8 +194,19 @@
     this.#role.handleChange({ isSettled });
   }
 
-  /** Peers that can reach the store, those in the same zone first. */
-  relayPeers(): InstanceId[] {
+  /** Peers that can reach the store, of the allowed regions, those in the same zone first. */
+  relayPeers(allowedRegions: readonly string[] | undefined): InstanceId[] {
+    const peers = this.#storeRelays();
+    if (!allowedRegions) return peers;
+    const { members, blackboard } = this.#options;
+    return peers.filter((instance) => {
+      const zone = members.get(instance)?.zone;
+      return zone !== undefined &&
+        isAllowedZone(zone, allowedRegions, blackboard.regionByZone);
+    });
+  }
+
+  #storeRelays(): InstanceId[] {
     if (!this.#role.isCoordinator) return this.#client.storeRelays();
     const { zone } = this.#options.settings;
     const isSameZone = (instance: InstanceId) =>
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -109,7 +109,8 @@
     this.#store = new RelayedStore({
       direct: options.store,
       network: this.#network,
-      relayPeers: () => this.#coordination.relayPeers(),
+      relayPeers: (allowedRegions) =>
+        this.#coordination.relayPeers(allowedRegions),
       logger: options.logger,
     });
     this.#documents = this.#createDocuments();
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -6,6 +6,7 @@
 
 import type { RouteId, UpstreamName, WorkspaceId } from "../common/ids.ts";
 import type { ColdPolicy } from "./cold/cold-rate.ts";
+import { commonRegionsOf } from "./regions.ts";
 
 /** What may be done with a request of the route after a failed attempt. */
 export type RouteKind = "idempotent" | "non_idempotent" | "streaming" | "batch";
@@ -87,6 +88,8 @@
 
 export class ConfigurationIndex {
   readonly configuration: FleetConfiguration;
+  /** See `commonRegionsOf`; undefined means that there is nothing to check anywhere. */
+  readonly commonRegions: readonly string[] | undefined;
   readonly #routesByHost = new Map<string, RouteRule[]>();
   readonly #workspacesByKey = new Map<string, WorkspaceRule>();
   readonly #workspaces = new Map<WorkspaceId, WorkspaceRule>();
@@ -94,6 +97,7 @@
 
   constructor(configuration: FleetConfiguration) {
     this.configuration = configuration;
+    this.commonRegions = commonRegionsOf(configuration);
     for (const route of configuration.routes) {
       const routes = this.#routesByHost.get(route.host) ?? [];
       routes.push(route);
--- a/packages/fleet/regions.ts
+++ b/packages/fleet/regions.ts
@@ -6,6 +6,7 @@
 import type { RouteId, WorkspaceId } from "../common/ids.ts";
 import type {
   ConfigurationIndex,
+  FleetConfiguration,
   RouteRule,
   WorkspaceRule,
 } from "./configuration.ts";
@@ -17,10 +18,30 @@
   route: Pick<RouteRule, "allowedRegions"> | undefined,
   workspace: Pick<WorkspaceRule, "allowedRegions"> | undefined,
 ): readonly string[] | undefined {
-  const ofRoute = route?.allowedRegions;
-  const ofWorkspace = workspace?.allowedRegions;
-  if (!ofRoute || !ofWorkspace) return ofRoute ?? ofWorkspace;
-  return ofRoute.filter((region) => ofWorkspace.includes(region));
+  return intersectRegions(route?.allowedRegions, workspace?.allowedRegions);
+}
+
+/** The regions that both allow, in the order of the first; undefined allows all. */
+export function intersectRegions(
+  left: readonly string[] | undefined,
+  right: readonly string[] | undefined,
+): readonly string[] | undefined {
+  if (!left || !right) return left ?? right;
+  return left.filter((region) => right.includes(region));
+}
+
+/** The regions that all routes and workspaces allow; undefined if none of them names any. */
+export function commonRegionsOf(
+  { routes, workspaces = [] }: Pick<
+    FleetConfiguration,
+    "routes" | "workspaces"
+  >,
+): readonly string[] | undefined {
+  let common: readonly string[] | undefined;
+  for (const { allowedRegions } of [...routes, ...workspaces]) {
+    common = intersectRegions(common, allowedRegions);
+  }
+  return common;
 }
 
 export function isAllowedZone(
--- a/packages/jobs/item-bodies.test.ts
+++ b/packages/jobs/item-bodies.test.ts
@@ -26,6 +26,7 @@
           : Promise.resolve(0 as Offset),
     } as unknown as KeyedStore,
     stream: "bodies" as StreamName,
+    regions: { allowedFor: () => undefined },
     onCachedBytes: () => {},
     onOrphaned: (_partition, _job, keys) => orphaned.push(...keys),
     logger: silentLogger,
--- a/packages/jobs/item-bodies.ts
+++ b/packages/jobs/item-bodies.ts
@@ -13,6 +13,7 @@
   type KeyedRecord,
   type KeyedStore,
   OffsetOutOfRangeError,
+  type RelayRules,
   StoreUnavailableError,
   type StreamPartition,
 } from "../store/keyed-store.ts";
@@ -24,11 +25,13 @@
   maximumValueBytes,
 } from "./constants.ts";
 import type { JobPartition } from "./job-partition.ts";
+import type { JobRegions } from "./job-regions.ts";
 import { bodyKeys, type JobRecord, keyBeforeBodies } from "./records.ts";
 
 export interface ItemBodiesOptions {
   readonly store: KeyedStore;
   readonly stream: StreamName;
+  readonly regions: Pick<JobRegions, "allowedFor">;
   /** Called with the keys of bodies that were written, or may have been, and may belong to no job. */
   readonly onOrphaned: (
     partition: JobPartition,
@@ -65,6 +68,7 @@
     partition: JobPartition,
     job: JobId,
     bodies: readonly Buffer[],
+    rules: RelayRules = {},
   ): Promise<Offset> {
     let first: Offset | undefined;
     const records = toEntries(job, bodies);
@@ -74,6 +78,7 @@
         const offset = await this.#options.store.append(
           this.#target(partition),
           entries,
+          rules,
         );
         first ??= offset;
       }
@@ -164,6 +169,7 @@
     try {
       const result = await this.#options.store.read(target, {
         from: record.bodyOffset as Offset,
+        allowedRegions: this.#options.regions.allowedFor(record),
         maximumBytes: Math.min(total, maximumAppendBytes / 2),
       });
       return [...result.records];
@@ -180,7 +186,9 @@
   ): Promise<KeyedRecord[]> {
     const prefix = keyBeforeBodies(record.job);
     const records: KeyedRecord[] = [];
-    const pages = readNewestPages(this.#options.store, target, prefix);
+    const { store, regions } = this.#options;
+    const allowedRegions = regions.allowedFor(record);
+    const pages = readNewestPages(store, target, prefix, { allowedRegions });
     for await (const page of pages) {
       for (const found of page.records) {
         if (found.key.startsWith(prefix)) records.push(found);
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -42,6 +42,7 @@
 import type { JobAdmission } from "./job-admission.ts";
 import type { JobCodec, SubmittedItem } from "./job-codec.ts";
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
+import type { JobRegions } from "./job-regions.ts";
 import type { JobResponse } from "./job-response.ts";
 import type { JobState } from "./partition-state.ts";
 import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
@@ -51,6 +52,7 @@
   readonly heldBytes: HeldBytes;
   readonly partitions: JobPartitions;
   readonly bodies: ItemBodies;
+  readonly regions: Pick<JobRegions, "allowedFor">;
   readonly admission: Pick<JobAdmission, "reserve" | "release">;
   readonly codec: JobCodec;
   /** Whether the store has room for the records of a new job. */
@@ -293,12 +295,20 @@
     received: ReceivedRequest,
     workspace: WorkspaceId | undefined,
   ): Promise<JobRecord> {
-    const { bodies, now, wallNow, submissionGapMilliseconds } = this.#options;
+    const { bodies, regions, now, wallNow, submissionGapMilliseconds } =
+      this.#options;
     const startedAt = now();
     const contents = items.map((item) => item.body);
     let bodyOffset: number;
     try {
-      bodyOffset = await bodies.write(partition, job, contents);
+      bodyOffset = await bodies.write(partition, job, contents, {
+        allowedRegions: regions.allowedFor({
+          host: received.request.host,
+          route: route.id,
+          workspace,
+          items,
+        }),
+      });
     } catch (error) {
       // Bodies without a job record never run, so it does not matter whether they were written.
       if (
--- /dev/null
+++ b/packages/jobs/job-regions.ts
@@ -0,0 +1,66 @@
+/**
+ * The regions in which the bodies of a job may be handled. The bodies of a job are read and cached
+ * together, so that a job is handled only where all of its items may be.
+ */
+
+import type { Blackboard } from "../fleet/blackboard.ts";
+import type { ConfigurationIndex } from "../fleet/configuration.ts";
+import { allowedRegionsOf, intersectRegions } from "../fleet/regions.ts";
+import { findItemRoute } from "./item-route.ts";
+import type { JobItem, JobRecord } from "./records.ts";
+
+/** What the regions of a job depend on, besides the configuration. */
+export type RegionalJob = Pick<JobRecord, "host" | "route" | "workspace"> & {
+  readonly items: readonly Pick<JobItem, "path">[];
+};
+
+export interface JobRegionsOptions {
+  readonly blackboard: Pick<Blackboard, "configuration">;
+}
+
+interface FoundRegions {
+  readonly configuration: ConfigurationIndex;
+  readonly regions: readonly string[] | undefined;
+}
+
+export class JobRegions {
+  readonly #options: JobRegionsOptions;
+  /** A job may have thousands of items, whose routes are looked up once per configuration. */
+  readonly #found = new WeakMap<RegionalJob, FoundRegions>();
+
+  constructor(options: JobRegionsOptions) {
+    this.#options = options;
+  }
+
+  /** Undefined if the job may be handled anywhere; empty if it may be handled nowhere. */
+  allowedFor(job: RegionalJob): readonly string[] | undefined {
+    const { configuration } = this.#options.blackboard;
+    if (!configuration?.commonRegions) return undefined;
+    const known = this.#found.get(job);
+    if (known?.configuration === configuration) return known.regions;
+    const regions = findRegions(job, configuration);
+    this.#found.set(job, { configuration, regions });
+    return regions;
+  }
+}
+
+function findRegions(
+  job: RegionalJob,
+  configuration: ConfigurationIndex,
+): readonly string[] | undefined {
+  const submissionRoute = configuration.configuration.routes.find(({ id }) =>
+    id === job.route
+  );
+  let regions = allowedRegionsOf(
+    submissionRoute,
+    job.workspace === undefined
+      ? undefined
+      : configuration.workspace(job.workspace),
+  );
+  for (const item of job.items) {
+    const found = findItemRoute(configuration, job, item);
+    if (found.kind !== "route") continue;
+    regions = intersectRegions(regions, found.route.allowedRegions);
+  }
+  return regions;
+}
--- a/packages/jobs/orphan-bodies.ts
+++ b/packages/jobs/orphan-bodies.ts
@@ -19,6 +19,8 @@
   readonly stream: StreamName;
   readonly partitions: JobPartitions;
   readonly isOwned: (partition: PartitionNumber) => boolean;
+  /** The regions that all routes and workspaces allow; undefined if none of them names any. */
+  readonly commonRegions: () => readonly string[] | undefined;
   /** Age of the bodies before they are removed. */
   readonly orphanMilliseconds: number;
   /** Monotonic milliseconds. */
@@ -95,11 +97,13 @@
 
   /** Reads the keys of the bodies; those of a known job are passed over. */
   async #search(partition: JobPartition): Promise<void> {
-    const { store, stream } = this.#options;
+    const { store, stream, commonRegions } = this.#options;
+    // The page may hold bodies of any job.
+    const rules = { allowedRegions: commonRegions() };
     const target = { stream, partition: partition.number };
     let after: string | undefined;
     for (;;) {
-      const page = await store.readNewest(target, after);
+      const page = await store.readNewest(target, after, rules);
       for (const { key } of page.records) {
         const job = jobOfBodyKey(key);
         if (!partition.job(job)) this.add(partition, job, [key]);
--- a/packages/jobs/retention.test.ts
+++ b/packages/jobs/retention.test.ts
@@ -129,6 +129,7 @@
       ...options,
       stream: bodyStream,
       isOwned: () => true,
+      commonRegions: () => undefined,
       orphanMilliseconds,
     });
     const partition = partitions.all()[0]!;
@@ -348,6 +349,7 @@
     const bodies = new ItemBodies({
       store: bench.service.client("next"),
       stream: bodyStream,
+      regions: { allowedFor: () => undefined },
       onCachedBytes: () => {},
       onOrphaned: () => {},
       logger: silentLogger,
--- a/packages/store/keyed-store.ts
+++ b/packages/store/keyed-store.ts
@@ -44,7 +44,13 @@
   readonly hasMore: boolean;
 }
 
-export interface ReadOptions {
+/** Which peers may make a call for this instance. */
+export interface RelayRules {
+  /** Regions in which the records of the call may be handled; undefined for all. */
+  readonly allowedRegions?: readonly string[] | undefined;
+}
+
+export interface ReadOptions extends RelayRules {
   readonly from: Offset;
   /** How long the store may wait for a record before it responds (long poll). */
   readonly waitMilliseconds?: number;
@@ -72,11 +78,16 @@
   append(
     target: StreamPartition,
     entries: readonly KeyedEntry[],
+    rules?: RelayRules,
   ): Promise<Offset>;
   /** Reads records from an offset on; throws OffsetOutOfRangeError if they were dropped. */
   read(target: StreamPartition, options: ReadOptions): Promise<ReadResult>;
   /** Reads one page of the newest records of each key, in key order, after `afterKey`. */
-  readNewest(target: StreamPartition, afterKey?: string): Promise<NewestPage>;
+  readNewest(
+    target: StreamPartition,
+    afterKey?: string,
+    rules?: RelayRules,
+  ): Promise<NewestPage>;
   /** Joins a group that distributes the partitions of a stream, or renews the lease in it. */
   join(request: GroupRequest): Promise<GroupAssignment>;
   leave(group: string, member: InstanceId): Promise<void>;
--- a/packages/store/newest-pages.ts
+++ b/packages/store/newest-pages.ts
@@ -1,15 +1,21 @@
 /** Reads the newest record of each key of a partition, page by page in key order. */
 
-import type { KeyedStore, NewestPage, StreamPartition } from "./keyed-store.ts";
+import type {
+  KeyedStore,
+  NewestPage,
+  RelayRules,
+  StreamPartition,
+} from "./keyed-store.ts";
 
 export async function* readNewestPages(
   store: KeyedStore,
   target: StreamPartition,
   afterKey?: string,
+  rules: RelayRules = {},
 ): AsyncGenerator<NewestPage> {
   let after = afterKey;
   for (;;) {
-    const page = await store.readNewest(target, after);
+    const page = await store.readNewest(target, after, rules);
     yield page;
     after = page.records.at(-1)?.key;
     if (!page.hasMore || after === undefined) return;
--- a/packages/store/relayed-store.ts
+++ b/packages/store/relayed-store.ts
@@ -23,6 +23,7 @@
   OffsetOutOfRangeError,
   type ReadOptions,
   type ReadResult,
+  type RelayRules,
   StoreFullError,
   StoreRejectedError,
   StoreUnavailableError,
@@ -43,7 +44,7 @@
   | {
     readonly call: "read";
     readonly target: StreamPartition;
-    readonly options: Omit<ReadOptions, "signal">;
+    readonly options: Omit<ReadOptions, "signal" | "allowedRegions">;
   }
   | {
     readonly call: "newest";
@@ -78,8 +79,10 @@
 export interface RelayedStoreOptions {
   readonly direct: KeyedStore;
   readonly network: PeerNetwork;
-  /** Peers that can reach the store, the preferred one first. */
-  readonly relayPeers: () => readonly InstanceId[];
+  /** Peers that can reach the store and are in one of the regions, the preferred one first. */
+  readonly relayPeers: (
+    allowedRegions: readonly string[] | undefined,
+  ) => readonly InstanceId[];
   readonly logger: Logger;
 }
 
@@ -103,28 +106,30 @@
   append(
     target: StreamPartition,
     entries: readonly KeyedEntry[],
+    rules: RelayRules = {},
   ): Promise<Offset> {
-    return this.#callWithFallback({
-      call: "append",
-      target,
-      entries,
-    }) as Promise<Offset>;
+    const call: RelayCall = { call: "append", target, entries };
+    return this.#callWithFallback(call, rules) as Promise<Offset>;
   }
 
   read(
     target: StreamPartition,
-    { signal, ...options }: ReadOptions,
+    { signal, allowedRegions, ...options }: ReadOptions,
   ): Promise<ReadResult> {
     const call: RelayCall = { call: "read", target, options };
-    return this.#callWithFallback(call, signal) as Promise<ReadResult>;
+    return this.#callWithFallback(call, {
+      signal,
+      allowedRegions,
+    }) as Promise<ReadResult>;
   }
 
-  readNewest(target: StreamPartition, afterKey?: string): Promise<NewestPage> {
-    return this.#callWithFallback({
-      call: "newest",
-      target,
-      afterKey,
-    }) as Promise<NewestPage>;
+  readNewest(
+    target: StreamPartition,
+    afterKey?: string,
+    rules: RelayRules = {},
+  ): Promise<NewestPage> {
+    const call: RelayCall = { call: "newest", target, afterKey };
+    return this.#callWithFallback(call, rules) as Promise<NewestPage>;
   }
 
   async join(request: GroupRequest): Promise<GroupAssignment> {
@@ -148,10 +153,14 @@
 
   async #callWithFallback(
     call: RelayCall,
-    signal?: AbortSignal,
+    { signal, allowedRegions }: Pick<
+      ReadOptions,
+      "signal" | "allowedRegions"
+    > = {},
   ): Promise<unknown> {
-    if (this.#isDirectFailing && this.#options.relayPeers().length > 0) {
-      return await this.#relay(call, undefined);
+    const { relayPeers } = this.#options;
+    if (this.#isDirectFailing && relayPeers(allowedRegions).length > 0) {
+      return await this.#relay(call, undefined, allowedRegions);
     }
     try {
       return await callStore(this.#options.direct, call, signal);
@@ -160,7 +169,7 @@
       if (error instanceof StoreFullError) throw error;
       if (signal?.aborted || !isUnavailable(error)) throw error;
       if (call.call === "append" && error.mayHaveTakenEffect) throw error;
-      return await this.#relay(call, error);
+      return await this.#relay(call, error, allowedRegions);
     }
   }
 
@@ -168,9 +177,10 @@
   async #relay(
     call: RelayCall,
     failure: StoreUnavailableError | undefined,
+    allowedRegions?: readonly string[],
   ): Promise<never> {
     const { network, relayPeers } = this.#options;
-    const [peer] = relayPeers();
+    const [peer] = relayPeers(allowedRegions);
     const mayHaveTakenEffect = failure?.mayHaveTakenEffect ?? false;
     if (!peer) {
       throw failure ??
@@ -253,7 +263,7 @@
     if (failure) {
       logger.warn("the store does not serve this instance", {
         reason: failure.message,
-        helpers: relayPeers().length,
+        helpers: relayPeers(undefined).length,
       });
     } else logger.info("the store serves this instance again");
   }
--- a/packages/store/testing/memory-keyed-store.ts
+++ b/packages/store/testing/memory-keyed-store.ts
@@ -21,6 +21,8 @@
   type StreamPartition,
 } from "../keyed-store.ts";
 
+const silencePollMilliseconds = 20;
+
 interface PartitionLog {
   records: KeyedRecord[];
   /** Offset of the first record that can still be read. */
@@ -49,6 +51,9 @@
   readonly refusedCallers = new Set<string>();
   /** Callers whose long polls get no response, as on silent connections. */
   readonly callersWithSilentPolls = new Set<string>();
+  /** Callers whose calls get no response until they are removed from this set. */
+  readonly silencedCallers = new Set<string>();
+  readonly #callersByStream = new Map<string, Set<string>>();
   isDown = false;
   /** Number of appends that take effect but fail as if their response had been lost. */
   appendResponsesToDrop = 0;
@@ -91,6 +96,29 @@
     return log;
   }
 
+  /** Callers that have read the stream or written values to it themselves. */
+  callersOf(stream: string): string[] {
+    return [...this.#callersByStream.get(stream) ?? []].sort();
+  }
+
+  recordCaller(stream: string, caller: string): void {
+    const callers = this.#callersByStream.get(stream) ?? new Set();
+    this.#callersByStream.set(stream, callers.add(caller));
+  }
+
+  /** Names of the groups that were ever joined. */
+  groupNames(): string[] {
+    return [...this.#groups.keys()];
+  }
+
+  /** The caller gets no responses any more, and its leases expire. */
+  silence(caller: string): void {
+    this.silencedCallers.add(caller);
+    for (const group of this.#groups.keys()) {
+      this.leave(group, caller as InstanceId);
+    }
+  }
+
   /** Bytes of the newest record of each key of a stream. */
   liveBytes(stream: string): number {
     let bytes = 0;
@@ -210,6 +238,9 @@
         setTimeout(resolve, appendDelayMilliseconds)
       );
     }
+    if (entries.some(({ value }) => value !== undefined)) {
+      this.#service.recordCaller(target.stream, this.#caller);
+    }
     return this.#service.append(target, entries);
   }
 
@@ -218,6 +249,7 @@
     { from, waitMilliseconds = 0, signal }: ReadOptions,
   ): Promise<ReadResult> {
     await this.#checkAccess();
+    this.#service.recordCaller(target.stream, this.#caller);
     const log = this.#service.log(target);
     if (from < log.firstOffset) throw new OffsetOutOfRangeError("dropped");
     const isSilent = () =>
@@ -237,6 +269,7 @@
     afterKey?: string,
   ): Promise<NewestPage> {
     await this.#checkAccess();
+    this.#service.recordCaller(target.stream, this.#caller);
     const log = this.#service.log(target);
     const all = [...log.newest.values()]
       .filter((record) => afterKey === undefined || record.key > afterKey)
@@ -260,6 +293,11 @@
 
   async #checkAccess(): Promise<void> {
     await new Promise((resolve) => setImmediate(resolve));
+    while (this.#service.silencedCallers.has(this.#caller)) {
+      await new Promise((resolve) =>
+        setTimeout(resolve, silencePollMilliseconds)
+      );
+    }
     this.#service.checkAvailable(this.#caller);
   }
 }
--- a/packages/store/write-meter.ts
+++ b/packages/store/write-meter.ts
@@ -9,7 +9,6 @@
   type KeyedStore,
   StoreRejectedError,
   StoreUnavailableError,
-  type StreamPartition,
 } from "./keyed-store.ts";
 
 /** Bytes that the store counts for a record in addition to its key and value. */
@@ -77,8 +76,8 @@
 /** Returns a store whose writes are counted. */
 export function meterWrites(store: KeyedStore, meter: WriteMeter): KeyedStore {
   return {
-    append: (target: StreamPartition, entries: readonly KeyedEntry[]) =>
-      meter.measure(entries, () => store.append(target, entries)),
+    append: (target, entries, rules) =>
+      meter.measure(entries, () => store.append(target, entries, rules)),
     read: (...call) => store.read(...call),
     readNewest: (...call) => store.readNewest(...call),
     join: (...call) => store.join(...call),
