Run items with allowed regions at owners in these regions

Cause: the store assigns the partitions of the jobs to instances regardless of their regions, and the owner of a partition reads the bodies of all of its items.

The instances of a region now share the partitions once more in a group of owners of their own, and a job is run by the owner in its first allowed region with a live coordinator. The owner in the whole fleet passes such jobs over; if no allowed region has a coordinator it takes them, but checks before it reads a body, so that they wait and end as the items of a service without servers. A new configuration stops the runs that are no longer the executor's. Leases, the catch-up before the first start and the first result of an item counting are as before. The group is joined only while a route or workspace names regions, and the region of the instance is known.

Ownership, progress and executor of one group moved from BatchWork to OwnedWork, of which there are two at most. Bodies without a job are searched for by an instance in a region that all rules allow. A job whose items have no region in common is refused when it is submitted.

Ruled out: a handoff of each run by the owner to a coordinator in an allowed region, which would need messages for start, progress, end and cancellation of a run; records of progress for a region's owners, since owners in several regions would remove each other's from the one stream. A run that another instance takes over thus begins anew.

Before: in the new test the instance in the other region had read bodies and, with another test, run the items. After: neither.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -16,7 +16,6 @@
 import type { ServerStatements } from "../fleet/server-statements.ts";
 import type { CallerCodec } from "../gateway/caller-request.ts";
 import type { ServerPools } from "../gateway/server-pools.ts";
-import { BatchExecutor } from "../jobs/batch-executor.ts";
 import { cancelEvacuatedRuns } from "../jobs/evacuated-runs.ts";
 import { ItemBodies } from "../jobs/item-bodies.ts";
 import { JobAdmission } from "../jobs/job-admission.ts";
@@ -33,9 +32,8 @@
 import { StoreCapacity } from "../jobs/store-capacity.ts";
 import { JobPartition, JobPartitions } from "../jobs/job-partition.ts";
 import { JobRegions } from "../jobs/job-regions.ts";
-import { PartitionOwnership } from "../jobs/partition-ownership.ts";
-import { ProgressStore } from "../jobs/progress-store.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
+import type { ItemWork } from "../jobs/work-table.ts";
 import { jobsClient } from "../overload/client-id.ts";
 import type { HeldBytes, Holding } from "../overload/held-bytes.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
@@ -47,11 +45,10 @@
   defaultStoreCapacityBytes,
   defaultStoreHistoryMilliseconds,
   jobStream,
-  ownerGroup,
-  progressStream,
 } from "./constants.ts";
 import type { CrashControl } from "./crash-control.ts";
 import type { EntrySettings } from "./entry-settings.ts";
+import { OwnedWork } from "./owned-work.ts";
 
 export interface BatchWorkOptions {
   readonly settings: EntrySettings;
@@ -65,6 +62,8 @@
   readonly callerCodec: CallerCodec;
   readonly jobCodec: JobCodec;
   readonly peerReports: () => PeerReports;
+  /** See `JobRegionsOptions`. */
+  readonly liveZones: () => readonly string[];
   /** See `BatchExecutorOptions`. */
   readonly configurationReadAt: () => number;
   /** Called at the end of each item run. */
@@ -82,14 +81,15 @@
   readonly #regions: JobRegions;
   readonly #bodies: ItemBodies;
   readonly #cacheHolding: Holding;
-  readonly #ownership: PartitionOwnership;
+  readonly #store: KeyedStore;
+  readonly #work: OwnedWork;
   readonly #capacity: StoreCapacity;
   readonly #removal: RecordRemoval;
   readonly #orphans: OrphanBodies;
-  readonly #progress: ProgressStore;
-  readonly #executor: BatchExecutor;
   readonly #resultWriters = new Map<PartitionNumber, ResultWriter>();
   #nextGroupNumber = 0;
+  #regionalWork: OwnedWork | undefined;
+  #isRunning = false;
 
   constructor(options: BatchWorkOptions) {
     this.#options = options;
@@ -98,12 +98,12 @@
       historyMilliseconds: this.#historyMilliseconds,
       now: clock.monotonicNow,
     });
-    const store = meterWrites(options.store, meter);
+    const store = this.#store = meterWrites(options.store, meter);
     const cacheHolding = this.#cacheHolding = options.heldBytes.open({
       kind: "job_bodies",
       client: jobsClient,
     });
-    this.#regions = new JobRegions(options);
+    this.#regions = new JobRegions({ ...options, zone: settings.zone });
     this.#bodies = new ItemBodies({
       regions: this.#regions,
       onCachedBytes: (bytes) => cacheHolding.resize(bytes),
@@ -122,19 +122,14 @@
           logger,
           now: clock.monotonicNow,
           timings: deriveConnectionTimings(settings.reactionMilliseconds),
-          isOwned: () => this.#ownership.isOwned(target.partition),
+          isOwned: () =>
+            this.#works().some(({ ownership }) =>
+              ownership.isOwned(target.partition)
+            ),
           onChange: (jobs) => this.#handleJobChanges(jobs),
         }),
     );
-    this.#ownership = this.#createOwnership();
-    this.#progress = new ProgressStore({
-      store,
-      stream: progressStream as StreamName,
-      ownedPartitions: () => this.#ownership.ownedPartitions(),
-      progressOf: (partition) => this.#executor.progressOf(partition),
-      logger,
-    });
-    this.#executor = this.#createExecutor();
+    this.#work = this.#createOwnedWork();
     this.#removal = this.#createRemoval(store);
     this.#capacity = this.#createCapacity(meter);
     this.#orphans = this.#createOrphans(store);
@@ -168,25 +163,28 @@
 
   /** True if this instance owns partition 0 and may start new work for it. */
   get ownsFirstPartition(): boolean {
-    return this.#ownership.canStartItems(0 as PartitionNumber);
+    return this.#work.ownership.canStartItems(0 as PartitionNumber);
   }
 
   start(): void {
     for (const partition of this.#partitions.all()) partition.start();
-    this.#ownership.start();
-    this.#progress.start();
-    this.#executor.start();
+    this.#isRunning = true;
+    this.#work.start();
+    this.#updateRegionalWork();
   }
 
   /** Gives up all owned partitions and stops running items. */
   async leave(): Promise<void> {
-    await this.#ownership.leave();
-    this.#progress.stop();
-    this.#executor.stop();
+    this.#isRunning = false;
+    await Promise.all(this.#works().map((work) => work.leave()));
+  }
+
+  #runningWork(): ItemWork[] {
+    return this.#works().flatMap(({ executor }) => executor.runningWork());
   }
 
   get runningItems(): number {
-    return this.#executor.runningWork().length;
+    return this.#runningWork().length;
   }
 
   /** Stops reading the partitions; called last during a graceful shutdown. */
@@ -197,23 +195,26 @@
 
   /** Displaces one batch run of this instance at the server; returns false if it has none. */
   displace(server: InstanceId): boolean {
-    return this.#executor.displace(server);
+    return this.#works().some(({ executor }) => executor.displace(server));
   }
 
-  /** Called when a zone may have been evacuated. */
-  stopEvacuatedRuns(): void {
+  /** Called when the rules of routes and workspaces or the evacuated zones may have changed. */
+  handleConfiguration(): void {
+    this.#updateRegionalWork();
     const { clock, blackboard, logger } = this.#options;
     const now = clock.monotonicNow();
-    const running = this.#executor.runningWork();
-    cancelEvacuatedRuns(running, { blackboard, now, logger });
+    cancelEvacuatedRuns(this.#runningWork(), { blackboard, now, logger });
   }
 
   /** The batch state that this instance reports to its peers. */
   report(): JobReport {
     return {
       ...this.#capacity.report(),
-      ownerGeneration: this.#ownership.generation,
-      waitingItems: this.#executor.waitingItems,
+      ownerGeneration: this.#work.ownership.generation,
+      waitingItems: this.#works().reduce(
+        (sum, { executor }) => sum + executor.waitingItems,
+        0,
+      ),
     };
   }
 
@@ -231,7 +232,7 @@
   }
 
   #handleJobChanges(jobs: readonly JobId[]): void {
-    this.#executor.handleJobChanges(jobs);
+    for (const { executor } of this.#works()) executor.handleJobChanges(jobs);
     for (const job of jobs) {
       if (!this.#partitions.forJob(job).job(job)) this.#bodies.evict(job);
     }
@@ -249,7 +250,7 @@
       store,
       bodyStream: bodyStream as StreamName,
       partitions: this.#partitions,
-      isOwner: (partition) => this.#ownership.canStartItems(partition),
+      isOwner: (partition) => this.#work.ownership.canStartItems(partition),
       times: () => ({
         lifetimeMilliseconds,
         marginMilliseconds: lifetimeMilliseconds * retentionMarginShare,
@@ -272,7 +273,7 @@
       capacityBytes: settings.store.capacityBytes ?? defaultStoreCapacityBytes,
       historyMilliseconds: this.#historyMilliseconds,
       partitions: this.#partitions,
-      isOwned: (partition) => this.#ownership.isOwned(partition),
+      isOwned: (partition) => this.#work.ownership.isOwned(partition),
       notesOf: (partition, job) => this.#removal.notesOf(partition, job),
       meter,
       peerVolumes: () =>
@@ -289,7 +290,7 @@
       store,
       stream: bodyStream as StreamName,
       partitions: this.#partitions,
-      isOwned: (partition) => this.#ownership.canStartItems(partition),
+      isOwned: (partition) => this.#readsAnyBodies(partition),
       commonRegions: () =>
         this.#options.blackboard.configuration?.commonRegions,
       orphanMilliseconds: settings.jobLifetimeMilliseconds * orphanAgeShare,
@@ -299,82 +300,57 @@
     });
   }
 
-  #createOwnership(): PartitionOwnership {
-    const { settings, store, clock, logger, peerReports } = this.#options;
-    return new PartitionOwnership({
-      store,
-      instance: settings.instance,
-      group: ownerGroup,
-      stream: jobStream as StreamName,
-      clock,
-      logger,
-      onPartitionsRevoked: async (partitions) => {
-        await this.#executor.release(partitions);
-        for (const partition of partitions) this.#progress.unload(partition);
-      },
-      onPartitionsAssigned: (partitions) => {
-        for (const partition of partitions) {
-          void this.#progress.load(partition);
-        }
-      },
-      onLeaseAcquired: (number, lease) => {
-        const partition = this.#partitions.get(number);
-        void partition?.catchUpWhile(() =>
-          this.#ownership.leaseOf(number) === lease &&
-          partition.completeUntil < lease.acquiredAt
-        );
-      },
-      copyCompleteUntil: (number) =>
-        this.#partitions.get(number)?.completeUntil ?? Number.NEGATIVE_INFINITY,
-      isClaimedByPeer: (partition, generation) =>
-        peerReports().recentReports().some(({ report }) =>
-          report.ownerGeneration > generation &&
-          report.ownedPartitions.includes(partition)
-        ),
-      hasPeerContact: () => {
-        // Both counts include this instance.
-        const { heard, members } = peerReports().view();
-        return heard > 1 || members === 1;
-      },
-    });
-  }
-
-  #createExecutor(): BatchExecutor {
-    const { settings, blackboard, pools, callerCodec, jobCodec, peerReports } =
-      this.#options;
-    const { clock, logger } = this.#options;
-    return new BatchExecutor({
-      blackboard,
+  #createOwnedWork(region?: string): OwnedWork {
+    const work: OwnedWork = new OwnedWork({
+      ...this.#options,
+      region,
+      store: this.#store,
       partitions: this.#partitions,
       bodies: this.#bodies,
+      regions: this.#regions,
       writerOf: (partition) => this.#resultWriterOf(partition),
-      progress: this.#progress,
-      canStartItems: (partition) =>
-        this.#progress.isLoaded(partition) &&
-        this.#ownership.canStartItems(partition),
-      configurationReadAt: this.#options.configurationReadAt,
-      waitingItemsOfPeers: () =>
-        peerReports().recentReports().reduce(
-          (sum, { report }) => sum + report.waitingItems,
-          0,
-        ),
-      callerCodec,
-      jobCodec,
-      pools,
-      openOutputHolding: () =>
-        this.#options.heldBytes.open({
-          kind: "item_output",
-          client: jobsClient,
-        }),
-      quarantine: this.#options.crashControl.quarantine,
-      crashDetector: this.#options.crashControl.detector,
-      statements: this.#options.statements,
-      zone: settings.zone,
-      now: clock.monotonicNow,
-      wallNow: clock.wallNow,
-      countRun: this.#options.countRun,
-      logger,
+      otherWork: () => this.#works().find((other) => other !== work),
     });
+    return work;
+  }
+
+  /** The work on any partitions, and that on jobs of the region of this instance if there is any. */
+  #works(): OwnedWork[] {
+    return this.#regionalWork ? [this.#work, this.#regionalWork] : [this.#work];
+  }
+
+  /** Joins the owners of this instance's region while any route or workspace names regions. */
+  #updateRegionalWork(): void {
+    const { settings, blackboard, logger } = this.#options;
+    const region = blackboard.regionByZone.get(settings.zone);
+    const isNeeded = this.#isRunning && region !== undefined &&
+      blackboard.configuration?.commonRegions !== undefined;
+    if (isNeeded === (this.#regionalWork !== undefined)) return;
+    if (isNeeded) {
+      this.#regionalWork = this.#createOwnedWork(region);
+      this.#regionalWork.start();
+      return;
+    }
+    const ended = this.#regionalWork;
+    this.#regionalWork = undefined;
+    ended?.leave().catch((error) =>
+      logger.error("the work of a region could not be ended", {
+        region: region ?? null,
+        reason: String(error),
+      })
+    );
+  }
+
+  /** Whether this instance may read bodies of any job of the partition for the whole fleet. */
+  #readsAnyBodies(partition: PartitionNumber): boolean {
+    const { settings, blackboard } = this.#options;
+    if (!blackboard.configuration) return false;
+    const { commonRegions } = blackboard.configuration;
+    if (!commonRegions) return this.#work.ownership.canStartItems(partition);
+    const region = this.#regions.firstLive(commonRegions);
+    return region !== undefined &&
+      region === blackboard.regionByZone.get(settings.zone) &&
+      this.#regionalWork?.ownership.canStartItems(partition) === true;
   }
 
   #resultWriterOf(partition: JobPartition): ResultWriter {
--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -1,5 +1,7 @@
 /** Timeouts and intervals of an entry instance, and the names of its streams in the store. */
 
+import { ownerLeaseMilliseconds } from "../fleet/constants.ts";
+
 /**
  * How long a leaving instance accepts connections after it has reported that it is not ready. The
  * platform checks readiness once per second and removes an instance after two failed checks.
@@ -20,6 +22,12 @@
 export const membershipRetryMilliseconds = 300;
 /** The owner of partition 0 removes a member from which no report has come for this long. */
 export const memberSilenceTimeoutMilliseconds = 20_000;
+/**
+ * Items with several allowed regions are run in the first one with a coordinator that was heard
+ * within this time. It is twice the lease of an owner, so that an instance which is cut off has
+ * ceased to start items before another region does.
+ */
+export const regionSilenceMilliseconds = 2 * ownerLeaseMilliseconds;
 /**
  * A new coordinator decides for others once it hears most other coordinators, and after this time in
  * any case, since they may all be unreachable.
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -8,7 +8,6 @@
 import type { InstanceId } from "../common/ids.ts";
 import { CoordinatorClient } from "../coordination/coordinator-client.ts";
 import { CoordinatorService } from "../coordination/coordinator-service.ts";
-import { ForwardedJobCalls } from "../coordination/forwarded-job-calls.ts";
 import { serveJobCalls } from "../coordination/job-call-service.ts";
 import { RemotePlacer } from "../coordination/remote-placer.ts";
 import {
@@ -26,7 +25,7 @@
   decodeLimits,
 } from "../fleet/peers/statement-messages.ts";
 import type { Member } from "../fleet/peers/members.ts";
-import { isAllowedInstance, isAllowedZone } from "../fleet/regions.ts";
+import { isAllowedZone } from "../fleet/regions.ts";
 import { type JobReport, PeerReports } from "../fleet/peers/peer-reports.ts";
 import { displaceMessage } from "../fleet/peers/report.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
@@ -37,11 +36,13 @@
 import {
   coordinatorWarmUpMilliseconds,
   memberSilenceTimeoutMilliseconds,
+  regionSilenceMilliseconds,
 } from "./constants.ts";
 import type { CoordinationOptions } from "./coordination-options.ts";
 import { CrashControl } from "./crash-control.ts";
 import { CoordinationRole } from "./coordination-role.ts";
 import { createDependentState } from "./dependent-state.ts";
+import { createJobCalls } from "./job-calls.ts";
 import { SilentDependents } from "./silent-dependents.ts";
 
 /** What is known of the tokens that are left when this instance begins to apply limits. */
@@ -114,7 +115,11 @@
     this.#service = this.#createService();
     this.#silentDependents = this.#createSilentDependents();
     this.placer = this.#createPlacer();
-    this.jobCalls = this.#createJobCalls();
+    this.jobCalls = createJobCalls({
+      ...options,
+      client: this.#client,
+      batch: () => this.#batch,
+    });
   }
 
   /** True while this instance coordinates others, or may do so. */
@@ -412,6 +417,7 @@
       callerCodec,
       jobCodec,
       peerReports: () => this.#reports,
+      liveZones: () => this.#liveZones(),
       configurationReadAt: this.#options.configurationReadAt,
       countRun: (outcome) => this.#options.countRun(outcome),
       countRemovals: (...removed) => this.#options.countRemovals(...removed),
@@ -420,6 +426,16 @@
     });
   }
 
+  #liveZones(): string[] {
+    const silent = new Set(
+      this.#reports.silentMembers(regionSilenceMilliseconds)
+        .map(({ instance }) => instance),
+    );
+    return this.#coordinators
+      .filter(({ instance }) => !silent.has(instance))
+      .map(({ zone }) => zone);
+  }
+
   #createReports(): PeerReports {
     const { clock, logger } = this.#options;
     const network = this.#options.network;
@@ -466,28 +482,6 @@
       makeRoom: (server) => current().makeRoom(server),
     };
   }
-
-  #createJobCalls(): JobCalls {
-    const { clock, logger, members, blackboard } = this.#options;
-    const forwarded = new ForwardedJobCalls({
-      client: this.#client,
-      isAllowedInstance: (instance, routeId, workspace) =>
-        isAllowedInstance(
-          members.get(instance),
-          routeId,
-          workspace,
-          blackboard,
-        ),
-      heldBytes: this.#options.heldBytes,
-      now: clock.monotonicNow,
-      logger,
-    });
-    const current = () => this.#batch?.calls ?? forwarded;
-    return {
-      submit: (...call) => current().submit(...call),
-      handle: (...call) => current().handle(...call),
-    };
-  }
 }
 
 const noJobs: JobReport = {
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -255,7 +255,7 @@
         if (kind === "configuration") {
           this.#listener.applyLimits();
           this.#coordination.announce();
-          this.#coordination.batch?.stopEvacuatedRuns();
+          this.#coordination.batch?.handleConfiguration();
         } else {
           const { upstreams, health, serverLimits, coldServers, speeds } =
             this.#blackboard;
--- a/packages/jobs/batch-executor.ts
+++ b/packages/jobs/batch-executor.ts
@@ -8,7 +8,6 @@
 import type { InstanceId, JobId, PartitionNumber } from "../common/ids.ts";
 import { delay, systemTimers } from "../common/timers.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
-import { allowedRegionsOf } from "../fleet/regions.ts";
 import { allowedTargets, type SendPurpose } from "../fleet/send-rules.ts";
 import { batchMeter } from "../fleet/speed/answer-meter.ts";
 import type { UpstreamServer } from "../fleet/upstreams.ts";
@@ -38,7 +37,7 @@
 import { ItemRun, type RunOutcome } from "./item-run.ts";
 import type { Judgement } from "../quarantine/quarantine.ts";
 import { recordInterruption } from "./interruption.ts";
-import { findItemRoute, isRemovalCertain } from "./item-route.ts";
+import { findItemRoute, isRemovalCertain, itemPurpose } from "./item-route.ts";
 import type { JobPartition } from "./job-partition.ts";
 import type { JobState } from "./partition-state.ts";
 import type { ItemProgress } from "./progress-store.ts";
@@ -155,10 +154,11 @@
     const time = now();
     ready.sort((left, right) => this.#compareUrgency(left, right, time));
     // Checked only once: runs start after their bodies have been read, so none starts in the loop.
-    if (this.#workTable.running().length >= maximumConcurrentRuns) return;
+    const runs = this.runningWork().length + this.#options.otherRuns();
+    if (runs >= maximumConcurrentRuns) return;
     let startsLeft = maximumStarts(blackboard, {
       ready: ready.length,
-      waitingAtPeers: this.#options.waitingItemsOfPeers(),
+      waitingAtPeers: this.#options.waitingItemsElsewhere(),
       now: time,
     });
     for (const work of ready) {
@@ -222,7 +222,13 @@
       );
       return false;
     }
-    const purpose = this.#purposeOf(found.route, state);
+    // Without a live instance in its regions, the item waits as without servers.
+    if (!this.#options.regions.mayHandle(state.record)) return false;
+    const purpose = itemPurpose(
+      blackboard.configuration!,
+      state.record,
+      found.route,
+    );
     const server = this.#chooseServer(work, found.route, time, purpose);
     if (!server) return false;
     if (judgement.kind === "trial") {
@@ -273,14 +279,6 @@
     this.#recordResult(work, partition, "dead_letter", reason);
   }
 
-  #purposeOf(route: RouteRule, { record }: JobState): SendPurpose {
-    const workspace = record.workspace === undefined
-      ? undefined
-      : this.#options.blackboard.configuration!.workspace(record.workspace);
-    const allowedRegions = allowedRegionsOf(route, workspace);
-    return { isBatch: true, allowedRegions };
-  }
-
   #chooseServer(
     work: ItemWork,
     route: RouteRule,
@@ -320,7 +318,8 @@
     work.isStarting = false;
     const upstream = blackboard.upstreams.get(server);
     const canStillRun = this.#workTable.has(work) && !this.#isStopped &&
-      !state.isEnded && this.#options.canStartItems(work.partition);
+      !state.isEnded && this.#options.canStartItems(work.partition) &&
+      this.#options.takesJob(state.record);
     if (
       !canStillRun || !upstream ||
       blackboard.sendRules.check(upstream, now(), purpose).kind === "refused"
--- a/packages/jobs/item-route.ts
+++ b/packages/jobs/item-route.ts
@@ -4,6 +4,8 @@
  */
 
 import type { ConfigurationIndex, RouteRule } from "../fleet/configuration.ts";
+import { allowedRegionsOf } from "../fleet/regions.ts";
+import type { SendPurpose } from "../fleet/send-rules.ts";
 import type { JobItem, JobRecord } from "./records.ts";
 import type { ItemWork } from "./work-table.ts";
 
@@ -48,3 +50,15 @@
   return work.routeMissingSince !== undefined &&
     readAt > work.routeMissingSince;
 }
+
+/** What the permission to send an item of the job by the route depends on. */
+export function itemPurpose(
+  configuration: ConfigurationIndex,
+  { workspace }: Pick<JobRecord, "workspace">,
+  route: RouteRule,
+): SendPurpose {
+  const rule = workspace === undefined
+    ? undefined
+    : configuration.workspace(workspace);
+  return { isBatch: true, allowedRegions: allowedRegionsOf(route, rule) };
+}
--- a/packages/jobs/job-answers.ts
+++ b/packages/jobs/job-answers.ts
@@ -28,6 +28,14 @@
   message: "the store does not take the records of the job; no part of it runs",
 };
 
+export const noCommonRegion: ErrorAnswer = {
+  status: 503,
+  code: "no_allowed_server",
+  message:
+    "no region is allowed for all items of the job; no part of the job runs",
+  retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+};
+
 export const bodyRemoved: ErrorAnswer = {
   status: 410,
   code: "item_body_removed",
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -16,6 +16,7 @@
 import { clientOfWorkspace } from "../overload/client-id.ts";
 import type { HeldBytes } from "../overload/held-bytes.ts";
 import {
+  type RelayRules,
   StoreFullError,
   StoreRejectedError,
   StoreUnavailableError,
@@ -23,7 +24,6 @@
 import {
   defaultSubmitDeadlineMilliseconds,
   maximumJobIdBytes,
-  maximumResultBytes,
   submissionCopies,
   submitDeadlineShare,
   writeRetryMilliseconds,
@@ -33,6 +33,7 @@
   bodyRemoved,
   jobTooLarge,
   malformedJob,
+  noCommonRegion,
   outcomeUnknown,
   storeFull,
   storeUnavailable,
@@ -44,6 +45,7 @@
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobRegions } from "./job-regions.ts";
 import type { JobResponse } from "./job-response.ts";
+import { pageOf, waitForChange } from "./job-results.ts";
 import type { JobState } from "./partition-state.ts";
 import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
 import type { TokenDecision, TokenDemand } from "./waiting-tokens.ts";
@@ -52,7 +54,7 @@
   readonly heldBytes: HeldBytes;
   readonly partitions: JobPartitions;
   readonly bodies: ItemBodies;
-  readonly regions: Pick<JobRegions, "allowedFor">;
+  readonly regions: Pick<JobRegions, "allowedFor" | "mayHandle">;
   readonly admission: Pick<JobAdmission, "reserve" | "release">;
   readonly codec: JobCodec;
   /** Whether the store has room for the records of a new job. */
@@ -158,7 +160,7 @@
     workspace: WorkspaceId | undefined,
     response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
-    const { partitions, codec, now, logger } = this.#options;
+    const { partitions, codec, regions, now, logger } = this.#options;
     const job = received.request.id as unknown as JobId;
     if (Buffer.byteLength(job) > maximumJobIdBytes) {
       return malformedJob(`the id exceeds ${maximumJobIdBytes} bytes`);
@@ -177,10 +179,21 @@
       maximumTokens: route.maximumWaitingTokens,
     };
     const bytes = items.reduce((sum, { body }) => sum + body.length, 0);
-    if (!partition.job(job) && !this.#options.hasRoomFor(bytes)) {
+    const allowedRegions = regions.allowedFor({
+      host: received.request.host,
+      route: route.id,
+      workspace,
+      items,
+    });
+    const refusal = allowedRegions?.length === 0
+      ? noCommonRegion
+      : this.#options.hasRoomFor(bytes)
+      ? undefined
+      : storeFull;
+    if (refusal && !partition.job(job)) {
       // As for waiting tokens, an earlier attempt may have written the job.
       if (!await partition.catchUp()) return storeUnavailable;
-      if (!partition.job(job)) return storeFull;
+      if (!partition.job(job)) return refusal;
     }
     const decision = await this.#reserveTokens(demand);
     if (!decision) return storeUnavailable;
@@ -202,7 +215,7 @@
           items,
           route,
           received,
-          workspace,
+          { workspace, allowedRegions },
         );
         logger.info("a job was accepted", {
           job,
@@ -293,7 +306,7 @@
     items: readonly SubmittedItem[],
     route: RouteRule,
     received: ReceivedRequest,
-    workspace: WorkspaceId | undefined,
+    { workspace, allowedRegions }: RelayRules & Pick<JobRecord, "workspace">,
   ): Promise<JobRecord> {
     const { bodies, regions, now, wallNow, submissionGapMilliseconds } =
       this.#options;
@@ -302,12 +315,7 @@
     let bodyOffset: number;
     try {
       bodyOffset = await bodies.write(partition, job, contents, {
-        allowedRegions: regions.allowedFor({
-          host: received.request.host,
-          route: route.id,
-          workspace,
-          items,
-        }),
+        allowedRegions,
       });
     } catch (error) {
       // Bodies without a job record never run, so it does not matter whether they were written.
@@ -355,6 +363,7 @@
       bodies.reportOrphaned(partition, job, contents);
       throw error;
     }
+    if (!regions.mayHandle(record)) bodies.evict(job);
     return record;
   }
 
@@ -476,32 +485,3 @@
     return state;
   }
 }
-
-/** Returns the results from a position on, up to `maximumResultBytes`, but at least one if any. */
-function pageOf(state: JobState, after: number) {
-  const page = [];
-  let bytes = 0;
-  for (const result of state.results.slice(after)) {
-    bytes += Buffer.byteLength(result.text);
-    if (page.length > 0 && bytes > maximumResultBytes) break;
-    page.push(result);
-  }
-  return page;
-}
-
-/** Resolves at the next change of the job or after the time limit. */
-function waitForChange(
-  partition: JobPartition,
-  job: JobId,
-  milliseconds: number,
-): Promise<void> {
-  return new Promise((resolve) => {
-    const finish = () => {
-      clearTimeout(timer);
-      cancel();
-      resolve();
-    };
-    const timer = setTimeout(finish, Math.max(0, milliseconds));
-    const cancel = partition.onNextJobChange(job, finish);
-  });
-}
--- a/packages/jobs/job-regions.ts
+++ b/packages/jobs/job-regions.ts
@@ -5,7 +5,11 @@
 
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { ConfigurationIndex } from "../fleet/configuration.ts";
-import { allowedRegionsOf, intersectRegions } from "../fleet/regions.ts";
+import {
+  allowedRegionsOf,
+  intersectRegions,
+  isAllowedZone,
+} from "../fleet/regions.ts";
 import { findItemRoute } from "./item-route.ts";
 import type { JobItem, JobRecord } from "./records.ts";
 
@@ -15,7 +19,11 @@
 };
 
 export interface JobRegionsOptions {
-  readonly blackboard: Pick<Blackboard, "configuration">;
+  readonly blackboard: Pick<Blackboard, "configuration" | "regionByZone">;
+  /** The zone of this instance. */
+  readonly zone: string;
+  /** Zones in which there is a coordinator that is not silent. */
+  readonly liveZones: () => readonly string[];
 }
 
 interface FoundRegions {
@@ -42,6 +50,30 @@
     this.#found.set(job, { configuration, regions });
     return regions;
   }
+
+  /** Whether this instance may read and send bodies of the job. */
+  mayHandle(job: RegionalJob): boolean {
+    const { blackboard, zone } = this.#options;
+    return isAllowedZone(zone, this.allowedFor(job), blackboard.regionByZone);
+  }
+
+  /**
+   * The region whose owners run the job; undefined if the owner of its partition in the whole fleet
+   * decides on it, which runs it only if it may.
+   */
+  runningRegion(job: RegionalJob): string | undefined {
+    const allowedRegions = this.allowedFor(job);
+    return allowedRegions && this.firstLive(allowedRegions);
+  }
+
+  /** The first region in which a coordinator is alive, so that the owners agree on one. */
+  firstLive(regions: readonly string[]): string | undefined {
+    const { blackboard, liveZones } = this.#options;
+    const live = new Set(
+      liveZones().map((zone) => blackboard.regionByZone.get(zone)),
+    );
+    return regions.find((region) => live.has(region));
+  }
 }
 
 function findRegions(
--- a/packages/jobs/ready-items.ts
+++ b/packages/jobs/ready-items.ts
@@ -6,14 +6,16 @@
 import { slotsKeptFree } from "./constants.ts";
 import type { JobPartitions } from "./job-partition.ts";
 import type { ProgressStore } from "./progress-store.ts";
+import type { JobRecord } from "./records.ts";
 import type { ItemWork, WorkTable } from "./work-table.ts";
 
 export interface ReadyItemsOptions {
   readonly partitions: JobPartitions;
-  readonly progress: ProgressStore;
+  readonly progress: Pick<ProgressStore, "get">;
   readonly workTable: WorkTable;
   /** Whether new runs of items of the partition may be started. */
   readonly canStartItems: (partition: PartitionNumber) => boolean;
+  readonly takesJob: (job: JobRecord) => boolean;
   /** Monotonic milliseconds. */
   readonly now: number;
   /** Wall-clock milliseconds. */
@@ -21,7 +23,7 @@
 }
 
 export function collectReadyItems(
-  { partitions, progress, workTable, canStartItems, now, wallNow }:
+  { partitions, progress, workTable, canStartItems, takesJob, now, wallNow }:
     ReadyItemsOptions,
 ): ItemWork[] {
   const ready: ItemWork[] = [];
@@ -30,6 +32,12 @@
     for (const state of partition.state.jobs()) {
       if (state.isEnded) continue;
       if (state.finished.size === state.record.items.length) continue;
+      if (!takesJob(state.record)) {
+        for (const work of workTable.ofJob(state.record.job)) {
+          work.run?.cancel();
+        }
+        continue;
+      }
       for (const [item, { id, tokens }] of state.record.items.entries()) {
         if (state.finished.has(item)) continue;
         const work = workTable.getOrCreate(partition.number, state, item, id, {
