Hand bodies of items to callers only at instances of their regions

Cause: a caller may read the body of an item at any instance. A coordinator read it from the store whatever its region, and passed it to a dependent in any.

The coordinator now checks its own zone, and that of an instance that forwarded the call, against the regions of the job, after it has found the job; elsewhere the read gets 503 other_region. A zone that is not known is in no region. Where nothing has allowed regions one field is compared.

Ruled out: forwarding the read to a coordinator of the regions, since the body would pass through the instance in the other region (tried, not kept).

Before: in the new test the read at the instance in the other region got 200. After: 503, and 200 at those of the regions, coordinators and dependents alike. Tests run: region-handoffs 9 of 9, dist/coordination 18 of 18, dist/jobs 54 of 54, dist/gateway 52 of 52, platform/dependents 5 of 5, batch 10 of 10, allowed-regions 3 of 3.

--- a/packages/coordination/job-call-service.ts
+++ b/packages/coordination/job-call-service.ts
@@ -1,7 +1,7 @@
 /** Answers, at a coordinator, the calls on batch jobs that dependents forward. */
 
 import { Buffer } from "node:buffer";
-import type { RequestId } from "../common/ids.ts";
+import type { InstanceId, RequestId } from "../common/ids.ts";
 import type { Blackboard } from "../fleet/blackboard.ts";
 import type { CallerRequest } from "../gateway/caller-request.ts";
 import {
@@ -23,16 +23,26 @@
   readonly blackboard: Blackboard;
   /** Undefined while this instance holds no jobs. */
   readonly calls: () => JobCalls | undefined;
+  /** Zone of an instance; undefined if it is no member. */
+  readonly zoneOf: (instance: InstanceId) => string | undefined;
   /** Monotonic milliseconds. */
   readonly now: () => number;
 }
 
 export function serveJobCalls(options: JobCallServiceOptions): void {
-  options.network.handle(jobCallMessage, (call) => answer(call, options));
+  options.network.handle(
+    jobCallMessage,
+    (call, { instance }) =>
+      answer(call, options.zoneOf(instance) ?? unknownZone, options),
+  );
 }
 
+/** Is in no region. */
+const unknownZone = "";
+
 function answer(
   forwarded: ForwardedJobCall,
+  forwarderZone: string,
   { blackboard, calls, now }: JobCallServiceOptions,
 ): Promise<ForwardedJobReply> {
   return new Promise((resolve) => {
@@ -49,7 +59,7 @@
     if (call) {
       const isKeyMissing = routeId === undefined && workspace === undefined &&
         configuration.requiresApiKey;
-      const access = { workspace, routeId, host, isKeyMissing };
+      const access = { workspace, routeId, host, isKeyMissing, forwarderZone };
       return handler.handle(call, received, access, response);
     }
     const route = configuration.configuration.routes.find(({ id }) =>
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -360,6 +360,7 @@
       network: this.#options.network,
       blackboard: this.#options.blackboard,
       calls: () => this.#batch?.calls,
+      zoneOf: (instance) => this.#options.members.get(instance)?.zone,
       now: clock.monotonicNow,
     });
     return new CoordinatorService({
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -51,6 +51,8 @@
   readonly host: string;
   /** The configuration requires an API key and the caller has shown no valid one. */
   readonly isKeyMissing: boolean;
+  /** Zone of the instance that forwards the call and gets the answer, if it is another one. */
+  readonly forwarderZone?: string | undefined;
 }
 
 /** Handles the calls on batch jobs after route and API key have been checked. */
--- a/packages/jobs/job-answers.ts
+++ b/packages/jobs/job-answers.ts
@@ -36,6 +36,14 @@
   retryAfterMilliseconds: defaultRetryAfterMilliseconds,
 };
 
+export const otherRegion: ErrorAnswer = {
+  status: 503,
+  code: "other_region",
+  message:
+    "the instance is in a region in which the body may not be handled; ask another one",
+  retryAfterMilliseconds: defaultRetryAfterMilliseconds,
+};
+
 export const bodyRemoved: ErrorAnswer = {
   status: 410,
   code: "item_body_removed",
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -34,6 +34,7 @@
   jobTooLarge,
   malformedJob,
   noCommonRegion,
+  otherRegion,
   outcomeUnknown,
   storeFull,
   storeUnavailable,
@@ -405,9 +406,13 @@
     access: JobAccess,
     response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
-    const { partitions, bodies, logger } = this.#options;
+    const { partitions, bodies, regions, logger } = this.#options;
     const found = await this.#findJob(call.job, access);
     if ("status" in found) return found;
+    const mayHandOver = regions.mayHandle(found.record) &&
+      (access.forwarderZone === undefined ||
+        regions.mayHandle(found.record, access.forwarderZone));
+    if (!mayHandOver) return otherRegion;
     const item = found.record.items.findIndex(({ id }) => id === call.item);
     if (item < 0) return unknownItem;
     try {
--- a/packages/jobs/job-regions.ts
+++ b/packages/jobs/job-regions.ts
@@ -51,9 +51,9 @@
     return regions;
   }
 
-  /** Whether this instance may read and send bodies of the job. */
-  mayHandle(job: RegionalJob): boolean {
-    const { blackboard, zone } = this.#options;
+  /** Whether an instance in the zone, or else this one, may read and send bodies of the job. */
+  mayHandle(job: RegionalJob, zone = this.#options.zone): boolean {
+    const { blackboard } = this.#options;
     return isAllowedZone(zone, this.allowedFor(job), blackboard.regionByZone);
   }
 
