Name the groups of owners of regions without a slash

The pages of the project do not say which characters the name of a group may hold; a hyphen is the safer choice beside the name in use.

--- a/packages/entry/owned-work.ts
+++ b/packages/entry/owned-work.ts
@@ -72,7 +72,7 @@
     return new PartitionOwnership({
       store,
       instance: settings.instance,
-      group: region === undefined ? ownerGroup : `${ownerGroup}/${region}`,
+      group: region === undefined ? ownerGroup : `${ownerGroup}-${region}`,
       stream: jobStream as StreamName,
       clock,
       logger,
