--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -109,7 +109,8 @@
     this.#store = new RelayedStore({
       direct: options.store,
       network: this.#network,
-      relayPeers: () => this.#coordination.relayPeers(),
+      relayPeers: (allowedRegions) =>
+        this.#coordination.relayPeers(allowedRegions),
       logger: options.logger,
     });
     this.#documents = this.#createDocuments();
@@ -254,7 +255,7 @@
         if (kind === "configuration") {
           this.#listener.applyLimits();
           this.#coordination.announce();
-          this.#coordination.batch?.stopEvacuatedRuns();
+          this.#coordination.batch?.handleConfiguration();
         } else {
           const { upstreams, health, serverLimits, coldServers, speeds } =
             this.#blackboard;
