Charge bytes that have to be kept without refusing them

The budget of held bytes left out responses of the store, results of jobs and replies of coordinators. Records that an owner needs and results that were computed cannot be refused, so the budget gets kinds that are charged but always kept.

Text is not in buffers. The memory guard compares held bytes with buffers to find garbage, so the state tells the bytes in buffers apart.

A holding shares the functions of its budget with all others instead of having six of its own, since one is opened for each request with a body.

--- a/packages/overload/client-id.ts
+++ b/packages/overload/client-id.ts
@@ -13,3 +13,5 @@
 export const jobsClient = "jobs" as ClientId;
 /** Instances that hand calls to this one. */
 export const peerClient = "peers" as ClientId;
+/** Responses of the store. */
+export const storeClient = "store" as ClientId;
--- a/packages/overload/constants.ts
+++ b/packages/overload/constants.ts
@@ -16,7 +16,7 @@
 /** Buffers that are not held for others are collected as garbage above this size. */
 export const collectedGarbageBytes = 12 * 1024 * 1024;
 /**
- * Resident memory is measured after so many received bytes, and at this interval; a measurement
+ * Resident memory is measured after so many received or held bytes, and at this interval; a measurement
  * takes up to a millisecond.
  */
 export const measuredReceivedBytes = 4 * 1024 * 1024;
@@ -26,8 +26,17 @@
 
 /** Largest holding that counts as small: what one read of a socket delivers. */
 export const smallHoldingBytes = 64 * 1024;
+/** Answers up to this size, which nearly all are, are not held. */
+export const uncountedAnswerBytes = 4 * 1024;
+/**
+ * What a request takes that waits for an earlier answer on its connection: the message, its state,
+ * and a small answer. A caller can send hundreds of requests in one read of its connection.
+ */
+export const waitingRequestBytes = 8 * 1024;
 /** Share of the budget that is kept for small holdings. */
 export const smallHoldingsShare = 1 / 8;
+/** Largest share of the budget that bytes which have to be kept take from all others. */
+export const maximumKeptShare = 3 / 4;
 /** A client is asked to give up bytes to others only above this share of the budget. */
 export const protectedClientShare = 1 / 4;
 /** Bytes that each received chunk is charged beyond its content. */
--- a/packages/overload/held-bytes.ts
+++ b/packages/overload/held-bytes.ts
@@ -11,7 +11,12 @@
   maximumWaitMilliseconds,
   sweepIntervalMilliseconds,
 } from "./constants.ts";
-import { chooseEviction, largestClientOf, mayGrow } from "./holding-rules.ts";
+import {
+  chooseEviction,
+  countedBytes,
+  largestClientOf,
+  mayGrow,
+} from "./holding-rules.ts";
 
 /** What the bytes are; one large holding of each kind may always grow. */
 export type HoldingKind =
@@ -20,8 +25,25 @@
   | "server_answer"
   | "job_call"
   | "job_bodies"
+  | "body_load"
   | "item_output"
-  | "peer_frame";
+  | "job_results"
+  | "store_response"
+  | "peer_frame"
+  | "peer_reply";
+
+/** Kinds that are charged but not refused: what they hold is needed, or has been computed. */
+const keptKinds: ReadonlySet<HoldingKind> = new Set([
+  "job_bodies",
+  "item_output",
+  "job_results",
+  "store_response",
+]);
+/** Kinds that are held as text rather than in buffers. */
+const textKinds: ReadonlySet<HoldingKind> = new Set([
+  "item_output",
+  "job_results",
+]);
 
 /** `no_room`: the budget is exhausted. `stalled`: no progress for too long. */
 export type EvictionReason = "no_room" | "stalled";
@@ -53,6 +75,10 @@
 
 export interface HeldBytesState {
   readonly heldBytes: number;
+  /** Those of them that are not refused. */
+  readonly keptBytes: number;
+  /** Those of them that are in buffers; the others are text. */
+  readonly bufferBytes: number;
   readonly limitBytes: number;
   readonly waitingHoldings: number;
   readonly isMemoryTight: boolean;
@@ -67,7 +93,11 @@
   readonly #waiting = new Set<Holding>();
   /** The holding of each kind that may grow although the budget is exhausted. */
   readonly #leaders = new Map<HoldingKind, Holding>();
+  /** Shared by all holdings, since one is opened for each request with a body. */
+  readonly #holdingBudget: HoldingBudget;
   #heldBytes = 0;
+  #keptBytes = 0;
+  #textBytes = 0;
   #isExhausted = false;
 
   constructor(options: HeldBytesOptions) {
@@ -78,11 +108,28 @@
       onEviction: () => {},
       ...options,
     };
+    this.#holdingBudget = {
+      now: this.#options.now,
+      tryGrow: (holding, bytes) => this.#tryGrow(holding, bytes),
+      change: (holding, bytes) => {
+        this.#heldBytes += bytes;
+        if (holding.isKept) this.#keptBytes += bytes;
+        if (holding.isText) this.#textBytes += bytes;
+      },
+      setTracked: (holding, isTracked) => {
+        if (isTracked) this.#tracked.add(holding);
+        else if (this.#tracked.delete(holding)) this.#waiting.delete(holding);
+      },
+      wait: (holding) => this.#wait(holding),
+      remove: (holding) => this.#remove(holding),
+    };
   }
 
   get state(): HeldBytesState {
     return {
       heldBytes: this.#heldBytes,
+      keptBytes: this.#keptBytes,
+      bufferBytes: this.#heldBytes - this.#textBytes,
       limitBytes: this.#options.limitBytes,
       waitingHoldings: this.#waiting.size,
       isMemoryTight: this.#options.isMemoryTight(),
@@ -102,17 +149,7 @@
 
   /** Opens a holding without bytes. */
   open(options: HoldingOptions): Holding {
-    return new Holding(options, {
-      now: this.#options.now,
-      tryGrow: (holding, bytes) => this.#tryGrow(holding, bytes),
-      change: (bytes) => this.#heldBytes += bytes,
-      setTracked: (holding, isTracked) => {
-        if (isTracked) this.#tracked.add(holding);
-        else if (this.#tracked.delete(holding)) this.#waiting.delete(holding);
-      },
-      wait: (holding) => this.#wait(holding),
-      remove: (holding) => this.#remove(holding),
-    });
+    return new Holding(options, this.#holdingBudget);
   }
 
   /** Opens a holding with bytes; undefined if the budget has no room for them. */
@@ -166,9 +203,14 @@
   }
 
   #hasRoom(holding: Holding, bytes: number): boolean {
+    const { limitBytes } = this.#options;
     return mayGrow({
-      limitBytes: this.#options.limitBytes,
-      heldBytes: this.#heldBytes,
+      limitBytes,
+      heldBytes: countedBytes({
+        limitBytes,
+        heldBytes: this.#heldBytes,
+        keptBytes: this.#keptBytes,
+      }),
       ownBytes: holding.bytes,
       requestedBytes: bytes,
       isMemoryTight: this.#options.isMemoryTight(),
@@ -242,7 +284,7 @@
 interface HoldingBudget {
   readonly now: () => number;
   readonly tryGrow: (holding: Holding, bytes: number) => boolean;
-  readonly change: (bytes: number) => void;
+  readonly change: (holding: Holding, bytes: number) => void;
   readonly setTracked: (holding: Holding, isTracked: boolean) => void;
   readonly wait: (holding: Holding) => void;
   readonly remove: (holding: Holding) => void;
@@ -252,6 +294,8 @@
 export class Holding implements Disposable {
   readonly kind: HoldingKind;
   readonly client: ClientId;
+  readonly isKept: boolean;
+  readonly isText: boolean;
   readonly #budget: HoldingBudget;
   #bytes = 0;
   #tracking: TrackingOptions | undefined;
@@ -267,6 +311,8 @@
   constructor({ kind, client }: HoldingOptions, budget: HoldingBudget) {
     this.kind = kind;
     this.client = client;
+    this.isKept = keptKinds.has(kind);
+    this.isText = textKinds.has(kind);
     this.#budget = budget;
   }
 
@@ -290,10 +336,15 @@
     return true;
   }
 
+  /** Reserves further bytes that have to be kept even if the budget has no room for them. */
+  grow(bytes: number): void {
+    if (!this.tryGrow(bytes)) this.resize(this.#bytes + bytes);
+  }
+
   /** Sets the size without asking, for bytes that are already buffered. */
   resize(bytes: number): void {
     if (this.#isDisposed) return;
-    this.#budget.change(bytes - this.#bytes);
+    this.#budget.change(this, bytes - this.#bytes);
     this.#bytes = bytes;
   }
 
--- a/packages/overload/holding-rules.ts
+++ b/packages/overload/holding-rules.ts
@@ -2,6 +2,7 @@
 
 import type { ClientId } from "../common/ids.ts";
 import {
+  maximumKeptShare,
   protectedClientShare,
   smallHoldingBytes,
   smallHoldingsShare,
@@ -30,6 +31,23 @@
   return heldBytes + requestedBytes <= limit;
 }
 
+export interface HeldSums {
+  readonly limitBytes: number;
+  readonly heldBytes: number;
+  /** Those of them that are not refused. */
+  readonly keptBytes: number;
+}
+
+/**
+ * The bytes that count against the budget. Bytes that have to be kept leave a share of it to others:
+ * without that, the results of jobs could keep all requests from being read until they expire.
+ */
+export function countedBytes(
+  { limitBytes, heldBytes, keptBytes }: HeldSums,
+): number {
+  return heldBytes - Math.max(0, keptBytes - limitBytes * maximumKeptShare);
+}
+
 export interface EvictionCandidate {
   readonly client: ClientId;
   readonly bytes: number;
--- a/packages/overload/memory-guard.ts
+++ b/packages/overload/memory-guard.ts
@@ -18,7 +18,7 @@
 export interface MemoryGuardOptions {
   readonly collectionResidentBytes: number;
   readonly tightResidentBytes: number;
-  /** The budget of held bytes, and how many are held at present. */
+  /** The budget of held bytes, and how many are held in buffers at present. */
   readonly heldBytesLimit: number;
   readonly heldBytes: () => number;
   readonly memoryUsage?: () => MemoryUse;
@@ -69,7 +69,7 @@
     return this.#disposables.dispose();
   }
 
-  /** Called for bytes that were read from callers, each of which becomes garbage. */
+  /** Called for bytes that were read, or held for callers; all of them become garbage. */
   recordReceived(bytes: number): void {
     this.#receivedBytes += bytes;
     if (this.#receivedBytes >= measuredReceivedBytes) this.measure();
--- a/packages/overload/overload-control.ts
+++ b/packages/overload/overload-control.ts
@@ -3,6 +3,7 @@
 import { DisposableStore } from "../common/disposable-store.ts";
 import type { Logger } from "../common/logging.ts";
 import { BlockPool } from "./body-buffer.ts";
+import { storeClient } from "./client-id.ts";
 import { ConnectionLimit } from "./connection-limit.ts";
 import {
   type EvictionReason,
@@ -10,6 +11,7 @@
   type HoldingKind,
 } from "./held-bytes.ts";
 import { MemoryGuard } from "./memory-guard.ts";
+import { ReceivedResponse } from "./received-response.ts";
 import type { ResourceLimits } from "./resource-limits.ts";
 
 export interface OverloadMetrics {
@@ -36,7 +38,7 @@
     this.memory = new MemoryGuard({
       ...limits,
       heldBytesLimit: limits.heldBytes,
-      heldBytes: () => this.heldBytes.state.heldBytes,
+      heldBytes: () => this.heldBytes.state.bufferBytes,
     });
     this.heldBytes = new HeldBytes({
       limitBytes: limits.heldBytes,
@@ -62,6 +64,15 @@
     this.heldBytes.start();
   }
 
+  /** Called for each call to the store. */
+  receiveResponse(): ReceivedResponse {
+    return new ReceivedResponse({
+      openHolding: () =>
+        this.heldBytes.open({ kind: "store_response", client: storeClient }),
+      recordReceived: (bytes) => this.memory.recordReceived(bytes),
+    });
+  }
+
   dispose(): Promise<void> {
     return this.#disposables.dispose();
   }
