Hold the unread answers of a connection together

A caller can send hundreds of requests in one read of its connection. Node.js handles all of them at once and keeps every answer but the first until its turn.

The answers of a connection now share one holding, which is opened when the first one is not read at once. Answers above 4 KiB are charged; so is each request that waits for an earlier answer, before it is handled. Without room it gets 503, the connection closes, and later requests on it are not handled. Waiting responses are closed with their connection.

Ruled out: one holding for each response, where a connection without progress was evicted one answer at a time; a limit on the requests of a connection, which a caller within the configured limits could hit.

--- a/packages/coordination/job-call-service.ts
+++ b/packages/coordination/job-call-service.ts
@@ -90,6 +90,11 @@
     return this.#isOver;
   }
 
+  /** The reply is reserved by the instance that receives it. */
+  tryReserve(): boolean {
+    return true;
+  }
+
   sendBytes(
     status: number,
     contentType: string,
--- a/packages/gateway/caller-listener.ts
+++ b/packages/gateway/caller-listener.ts
@@ -11,6 +11,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { listenOn } from "../common/listen.ts";
 import type { Logger } from "../common/logging.ts";
 import type { ClientId } from "../common/ids.ts";
@@ -21,6 +22,7 @@
 import type { OverloadControl } from "../overload/overload-control.ts";
 import { CallerBody } from "./caller-body.ts";
 import { CallerResponse, type ErrorAnswer } from "./caller-response.ts";
+import { ConnectionAnswers } from "./connection-answers.ts";
 
 /** `receivedAt` is in monotonic milliseconds, taken once the body is complete. */
 export type RequestHandler = (
@@ -54,6 +56,8 @@
   readonly #server: Server;
   /** Responses in progress, which are not finished. */
   readonly #active = new Set<CallerResponse>();
+  /** Of connections whose caller has not read an answer at once. */
+  readonly #connectionAnswers = new Map<Socket, ConnectionAnswers>();
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
@@ -109,12 +113,16 @@
     const { isLeaving, limits: currentLimits, overload, logger } =
       this.#options;
     const { socket } = message;
+    if (this.#connectionAnswers.get(socket)?.isClosing) return;
     const response = new CallerResponse({
       response: nodeResponse,
       message,
       shouldClose: isLeaving,
-      openHolding: () => this.#openHolding("response", message),
+      connectionAnswers: () => this.#connectionAnswersOf(message),
     });
+    if (nodeResponse.socket === null) {
+      this.#connectionAnswersOf(message).addWaiting(nodeResponse);
+    }
     const limits = currentLimits();
     this.#active.add(response);
     overload.connections.markActive(socket);
@@ -125,6 +133,7 @@
     message.on("error", (error) => {
       logger.debug("a caller aborted its request", { reason: error.message });
     });
+    if (!response.tryWait()) return;
     if (limits && headerBytes(message) > limits.maximumHeaderBytes) {
       return response.failAndClose({
         status: 431,
@@ -165,6 +174,22 @@
     this.#options.handle(message, body, response, performance.now());
   }
 
+  #connectionAnswersOf(message: IncomingMessage): ConnectionAnswers {
+    const { socket } = message;
+    let answers = this.#connectionAnswers.get(socket);
+    if (!answers) {
+      answers = new ConnectionAnswers({
+        socket,
+        openHolding: () => this.#openHolding("response", message),
+        recordHeld: (bytes) =>
+          this.#options.overload.memory.recordReceived(bytes),
+        onClose: () => this.#connectionAnswers.delete(socket),
+      });
+      if (!socket.destroyed) this.#connectionAnswers.set(socket, answers);
+    }
+    return answers;
+  }
+
   #openHolding(
     kind: "request_body" | "response",
     message: IncomingMessage,
--- a/packages/gateway/caller-response.ts
+++ b/packages/gateway/caller-response.ts
@@ -5,8 +5,11 @@
 
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { smallHoldingBytes } from "../overload/constants.ts";
-import type { Holding } from "../overload/held-bytes.ts";
+import {
+  uncountedAnswerBytes,
+  waitingRequestBytes,
+} from "../overload/constants.ts";
+import type { ConnectionAnswers } from "./connection-answers.ts";
 import { lingerBytes, lingerMilliseconds } from "./constants.ts";
 import { overloadedError } from "./request-errors.ts";
 
@@ -26,8 +29,8 @@
 export interface CallerResponseOptions {
   readonly response: ServerResponse;
   readonly message: IncomingMessage;
-  /** Opens a holding for bytes that the caller does not read. */
-  readonly openHolding: () => Holding;
+  /** Where bytes that the caller does not read are held. */
+  readonly connectionAnswers: () => ConnectionAnswers;
   /** True during graceful shutdown: the connection is closed after this answer. */
   readonly shouldClose: () => boolean;
 }
@@ -35,7 +38,9 @@
 export class CallerResponse {
   readonly #options: CallerResponseOptions;
   readonly #response: ServerResponse;
-  #holding: Holding | undefined;
+  /** Bytes of this answer that are held. */
+  #heldBytes = 0;
+  #connectionAnswers: ConnectionAnswers | undefined;
   /** The answer is complete, and the connection closes once the caller has had time to read it. */
   #isClosing = false;
 
@@ -81,6 +86,31 @@
 
   end(): void {
     this.#response.end();
+    if (this.#isWaiting) this.#holdUnread();
+  }
+
+  /**
+   * Reserves room for an answer before it is encoded. Without room the caller gets an error, and
+   * its connection is closed; returns false then.
+   */
+  tryReserve(bytes: number): boolean {
+    return bytes <= uncountedAnswerBytes || this.#tryHold(bytes);
+  }
+
+  /** Reserves room for the request itself, in the same way, if it waits for an earlier answer. */
+  tryWait(): boolean {
+    return !this.#isWaiting || this.#tryHold(waitingRequestBytes);
+  }
+
+  #tryHold(bytes: number): boolean {
+    const missingBytes = bytes - this.#heldBytes;
+    if (missingBytes <= 0) return true;
+    if (this.#openAnswers().tryHold(missingBytes)) {
+      this.#heldBytes += missingBytes;
+      return true;
+    }
+    this.failAndClose(overloadedError);
+    return false;
   }
 
   sendBytes(
@@ -90,10 +120,8 @@
     { retryAfterMilliseconds }: { retryAfterMilliseconds?: number } = {},
   ): void {
     if (this.isOver) return;
-    // Only answers to reads are large, so that nothing was done.
-    if (bytes.length > smallHoldingBytes && !this.#tryHold(bytes.length)) {
-      return this.failAndClose(overloadedError);
-    }
+    // Only answers to reads are so large that they are refused, so that nothing was done.
+    if (!this.tryReserve(bytes.length)) return;
     this.#addConnectionHeader();
     this.#writeWholeHead(status, contentType, bytes, retryAfterMilliseconds);
     this.#response.end(bytes);
@@ -127,6 +155,7 @@
     const { message } = this.#options;
     const bytes = encodeErrorBody(answer);
     this.#isClosing = true;
+    this.#openAnswers().isClosing = true;
     this.#response.setHeader("connection", "close");
     this.#writeWholeHead(
       answer.status,
@@ -153,31 +182,34 @@
     this.#response.destroy();
   }
 
-  #tryHold(bytes: number): boolean {
-    this.#holding ??= this.#openHolding();
-    return this.#holding.tryGrow(bytes);
+  /** An earlier answer on the connection is not complete. */
+  get #isWaiting(): boolean {
+    return this.#response.socket === null;
+  }
+
+  #hold(bytes: number): void {
+    this.#openAnswers().hold(bytes);
+    this.#heldBytes += bytes;
   }
 
   /** Holds what waits in the send buffer; under pressure a caller that reads nothing is cut off. */
   #holdUnread(): void {
-    this.#holding ??= this.#openHolding();
-    const holding = this.#holding;
-    const unreadBytes = this.#response.writableLength;
-    holding.resize(unreadBytes);
-    this.#response.once("drain", () => {
-      holding.recordProgress(unreadBytes);
-      holding.resize(0);
-    });
+    const bytes = this.#response.writableLength - this.#heldBytes;
+    if (bytes > 0) this.#hold(bytes);
+    this.#response.once("drain", () => this.#release());
   }
 
-  #openHolding(): Holding {
-    const holding = this.#options.openHolding();
-    holding.track({
-      evict: () => this.abort(),
-      idleMilliseconds: Number.POSITIVE_INFINITY,
-    });
-    this.#response.once("close", () => holding.dispose());
-    return holding;
+  #openAnswers(): ConnectionAnswers {
+    if (!this.#connectionAnswers) {
+      this.#connectionAnswers = this.#options.connectionAnswers();
+      this.#response.once("close", () => this.#release());
+    }
+    return this.#connectionAnswers;
+  }
+
+  #release(): void {
+    this.#connectionAnswers?.release(this.#heldBytes);
+    this.#heldBytes = 0;
   }
 
   #writeWholeHead(
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -23,7 +23,6 @@
 import {
   defaultSubmitDeadlineMilliseconds,
   maximumJobIdBytes,
-  maximumResultBytes,
   submissionCopies,
   submitDeadlineShare,
   writeRetryMilliseconds,
@@ -44,6 +43,7 @@
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobResponse } from "./job-response.ts";
 import type { JobState } from "./partition-state.ts";
+import { pageOf } from "./result-page.ts";
 import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
 import type { TokenDecision, TokenDemand } from "./waiting-tokens.ts";
 
@@ -368,7 +368,9 @@
       const isComplete = found.results.length === found.record.items.length;
       if (!isComplete && !await partition.refresh()) return storeUnavailable;
     }
-    const results = pageOf(found, call.after);
+    const { results, bytes } = pageOf(found, call.after);
+    // Encoded pages that are refused would be garbage.
+    if (!response.tryReserve(bytes)) return undefined;
     response.sendJson(
       200,
       codec.encodeResults({
@@ -467,18 +469,6 @@
   }
 }
 
-/** Returns the results from a position on, up to `maximumResultBytes`, but at least one if any. */
-function pageOf(state: JobState, after: number) {
-  const page = [];
-  let bytes = 0;
-  for (const result of state.results.slice(after)) {
-    bytes += Buffer.byteLength(result.text);
-    if (page.length > 0 && bytes > maximumResultBytes) break;
-    page.push(result);
-  }
-  return page;
-}
-
 /** Resolves at the next change of the job or after the time limit. */
 function waitForChange(
   partition: JobPartition,
--- a/packages/jobs/job-response.ts
+++ b/packages/jobs/job-response.ts
@@ -5,5 +5,5 @@
 /** Implemented by the response to a caller, and by one that is sent back to another instance. */
 export type JobResponse = Pick<
   CallerResponse,
-  "fail" | "sendJson" | "sendBytes" | "isOver"
+  "fail" | "sendJson" | "sendBytes" | "tryReserve" | "isOver"
 >;
