Charge responses of the store, and share concurrent reads of a partition

Responses of the store above 64 KiB are charged from their arrival until they are decoded, and the newest records of a job partition until they are delivered. What was read also counts for the memory guard, which otherwise measures only once a second: while 27 MB of results were read, buffers of 90 MB were alive or garbage, and the resident memory rose to 175 MB (a trace).

The charge showed where most of the memory went in a test with many callers who ask for jobs that the instance is just reading: each call on a job that is not known reads the partition up to its end, so that 300 calls read the same records at once and held 290 MB of responses (a trace, peak of 488 MB on a machine of 178 MB). At most two such reads of a partition now run at once, as one may be stuck; further calls share the next one, which begins after all of them.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -35,7 +35,7 @@
 import { PartitionOwnership } from "../jobs/partition-ownership.ts";
 import { ProgressStore } from "../jobs/progress-store.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
-import { jobsClient } from "../overload/client-id.ts";
+import { jobsClient, storeClient } from "../overload/client-id.ts";
 import type { HeldBytes, Holding } from "../overload/held-bytes.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
@@ -121,6 +121,11 @@
           now: clock.monotonicNow,
           timings: deriveConnectionTimings(settings.reactionMilliseconds),
           isOwned: () => this.#ownership.isOwned(target.partition),
+          openSnapshotHolding: () =>
+            options.heldBytes.open({
+              kind: "store_response",
+              client: storeClient,
+            }),
           onChange: (jobs) => this.#handleJobChanges(jobs),
         }),
     );
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -32,6 +32,7 @@
 import { clientOfWorkspace } from "../overload/client-id.ts";
 import { maximumOperatorConnections } from "../overload/constants.ts";
 import { OverloadControl } from "../overload/overload-control.ts";
+import type { ReceivedResponse } from "../overload/received-response.ts";
 import { limitsOf, unknownMachineLimits } from "../overload/resource-limits.ts";
 import { TcpPeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
@@ -139,6 +140,11 @@
     return this.#coordination.isCoordinator;
   }
 
+  /** Called for each call to the store. */
+  receiveResponse(): ReceivedResponse {
+    return this.#overload.receiveResponse();
+  }
+
   async start(): Promise<void> {
     const { settings, logger } = this.#options;
     this.#overload.start();
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -12,6 +12,7 @@
 } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import { delay, systemTimers } from "../common/timers.ts";
+import type { Holding } from "../overload/held-bytes.ts";
 import type {
   KeyedEntry,
   KeyedRecord,
@@ -50,6 +51,7 @@
   readonly isOwned: () => boolean;
   readonly onChange: (jobs: readonly JobId[]) => void;
   readonly timings?: ConnectionTimings;
+  readonly openSnapshotHolding?: () => Holding | undefined;
 }
 
 export class JobPartition {
@@ -70,6 +72,7 @@
       store: options.store,
       target: options.target,
       logger: options.logger,
+      openSnapshotHolding: options.openSnapshotHolding ?? (() => undefined),
       onRecords: (records, position, isSnapshot) =>
         this.#apply(records, position, isSnapshot),
       pauseMilliseconds: () =>
--- a/packages/store/constants.ts
+++ b/packages/store/constants.ts
@@ -12,3 +12,8 @@
 export const emptyReadPauseMilliseconds = 50;
 /** Timeout of a call through a peer, which takes a few milliseconds longer than a direct call. */
 export const relayTimeoutMilliseconds = 1_500;
+/**
+ * Readings of one partition up to its end that run at once, since one of them may be stuck. Without
+ * a limit, 300 calls on jobs that were not known yet read 290 MB of the same records at once.
+ */
+export const maximumCatchUps = 2;
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -7,10 +7,12 @@
 import { type Clock, systemClock } from "../common/clock.ts";
 import type { Offset } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
+import type { Holding } from "../overload/held-bytes.ts";
 import { deriveConnectionTimings } from "../transport/connection-timings.ts";
 import {
   emptyReadPauseMilliseconds,
   followRetryMilliseconds,
+  maximumCatchUps,
 } from "./constants.ts";
 import {
   type KeyedRecord,
@@ -39,6 +41,8 @@
   waitMilliseconds?: () => number;
   /** Called after each failed read, with the time at which the first of the series was noticed. */
   onFailure?: (failingSince: number) => void;
+  /** Opens a holding for the newest records until they are delivered. */
+  openSnapshotHolding?: () => Holding | undefined;
   logger: Logger;
   clock?: Clock;
 }
@@ -52,12 +56,17 @@
   #failingSince: number | undefined;
   #abortController = new AbortController();
   #endPause: (() => void) | undefined;
+  #runningCatchUps = 0;
+  /** Waits for one that is running to end. */
+  #nextCatchUp: Promise<boolean> | undefined;
+  #startNextCatchUp: (() => void) | undefined;
 
   constructor(options: PartitionFollowerOptions) {
     this.#options = {
       pauseMilliseconds: () => 0,
       waitMilliseconds: () => deriveConnectionTimings().pollWaitMilliseconds,
       onFailure: () => {},
+      openSnapshotHolding: () => undefined,
       clock: systemClock,
       ...options,
     };
@@ -96,8 +105,33 @@
     this.#endPause?.();
   }
 
-  /** Reads up to the current end of the partition; returns false if a read fails. */
-  async catchUp(): Promise<boolean> {
+  /**
+   * Reads up to the current end of the partition; returns false if a read fails. Calls beyond a
+   * number at once share the next reading, which begins after all of them.
+   */
+  catchUp(): Promise<boolean> {
+    if (this.#runningCatchUps < maximumCatchUps) return this.#runCatchUp();
+    this.#nextCatchUp ??= new Promise((resolve) => {
+      this.#startNextCatchUp = () => {
+        this.#nextCatchUp = undefined;
+        this.#startNextCatchUp = undefined;
+        resolve(this.#runCatchUp());
+      };
+    });
+    return this.#nextCatchUp;
+  }
+
+  async #runCatchUp(): Promise<boolean> {
+    this.#runningCatchUps += 1;
+    try {
+      return await this.#readUntilNow();
+    } finally {
+      this.#runningCatchUps -= 1;
+      this.#startNextCatchUp?.();
+    }
+  }
+
+  async #readUntilNow(): Promise<boolean> {
     try {
       if (this.#nextOffset === undefined) await this.#readSnapshot();
       else await this.#readToEnd(this.#nextOffset);
@@ -158,13 +192,19 @@
   }
 
   async #readSnapshot(): Promise<void> {
-    const { store, target, clock } = this.#options;
+    const { store, target, clock, openSnapshotHolding } = this.#options;
     const sentAt = clock.monotonicNow();
+    using holding = openSnapshotHolding();
     const records: KeyedRecord[] = [];
     let end: Offset | undefined;
     for await (const page of readNewestPages(store, target)) {
       end ??= page.end;
-      for (const record of page.records) records.push(record);
+      let bytes = 0;
+      for (const record of page.records) {
+        records.push(record);
+        bytes += record.value?.length ?? 0;
+      }
+      holding?.grow(bytes);
     }
     // The pages are read one after another, so together they are not consistent. Records that
     // were written after the first page are left out here and read in order afterwards.
--- a/packages/transport/http-call.ts
+++ b/packages/transport/http-call.ts
@@ -18,6 +18,8 @@
   readonly signal?: AbortSignal | undefined;
   /** Called when the head of the response has arrived. */
   readonly onResponseStart?: () => void;
+  /** Called with the size of each part of the response's body. */
+  readonly onResponseData?: (bytes: number) => void;
 }
 
 export interface HttpResponse {
@@ -85,6 +87,7 @@
       },
       onResponseData: (_, chunk) => {
         chunks.push(chunk);
+        call.onResponseData?.(chunk.length);
       },
       onResponseEnd: () => {
         if (settle()) resolve({ status, headers, body: Buffer.concat(chunks) });
