Charge the results of jobs to the budget

Results that wait to be written, and so for their position, and results that are kept for readers are charged without refusal, since they have been computed. The charge follows the state of the partition and is released with the results.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -80,6 +80,7 @@
   readonly #partitions: JobPartitions;
   readonly #bodies: ItemBodies;
   readonly #cacheHolding: Holding;
+  readonly #resultHoldings: Holding[] = [];
   readonly #ownership: PartitionOwnership;
   readonly #capacity: StoreCapacity;
   readonly #removal: RecordRemoval;
@@ -126,6 +127,7 @@
               kind: "store_response",
               client: storeClient,
             }),
+          onResultBytes: this.#openResultHolding(),
           onChange: (jobs) => this.#handleJobChanges(jobs),
         }),
     );
@@ -195,6 +197,7 @@
   stop(): void {
     for (const partition of this.#partitions.all()) partition.stop();
     this.#cacheHolding.dispose();
+    for (const holding of this.#resultHoldings) holding.dispose();
   }
 
   /** Displaces one batch run of this instance at the server; returns false if it has none. */
@@ -244,6 +247,16 @@
       defaultStoreHistoryMilliseconds;
   }
 
+  /** Opens a holding for results and returns the function that sets its size. */
+  #openResultHolding(): (bytes: number) => void {
+    const holding = this.#options.heldBytes.open({
+      kind: "job_results",
+      client: jobsClient,
+    });
+    this.#resultHoldings.push(holding);
+    return (bytes) => holding.resize(bytes);
+  }
+
   #createRemoval(store: KeyedStore): RecordRemoval {
     const { settings, clock, logger, countRemovals } = this.#options;
     const lifetimeMilliseconds = settings.jobLifetimeMilliseconds;
@@ -385,6 +398,7 @@
         partition,
         writer: `${settings.instance}/${settings.incarnation}`,
         nextNumber: () => this.#nextGroupNumber++,
+        onHeldBytes: this.#openResultHolding(),
         logger,
       });
       this.#resultWriters.set(partition.number, writer);
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -52,6 +52,8 @@
   readonly onChange: (jobs: readonly JobId[]) => void;
   readonly timings?: ConnectionTimings;
   readonly openSnapshotHolding?: () => Holding | undefined;
+  /** Called with the size of the results that are kept for readers, after each change. */
+  readonly onResultBytes?: (bytes: number) => void;
 }
 
 export class JobPartition {
@@ -178,6 +180,7 @@
         for (const job of this.#remove(key, position)) changed.add(job);
       }
     }
+    this.#options.onResultBytes?.(this.state.resultBytes);
     if (changed.size === 0) return;
     for (const job of changed) {
       const listeners = this.#listeners.get(job);
--- a/packages/jobs/partition-state.ts
+++ b/packages/jobs/partition-state.ts
@@ -43,6 +43,12 @@
   readonly #pendingGroups: PendingGroup[] = [];
   /** Parts of texts whose result has not been read yet, by the job and the id of the text. */
   readonly #texts = new Map<JobId, Map<string, string[]>>();
+  #resultBytes = 0;
+
+  /** Size of the texts of all results, as characters of one byte. */
+  get resultBytes(): number {
+    return this.#resultBytes;
+  }
 
   job(id: JobId): JobState | undefined {
     return this.#jobs.get(id);
@@ -77,6 +83,12 @@
 
   /** Removes a job whose record was removed from the store. */
   removeJob(id: JobId): void {
+    for (const { text } of this.#jobs.get(id)?.results ?? []) {
+      this.#resultBytes -= text.length;
+    }
+    for (const parts of this.#texts.get(id)?.values() ?? []) {
+      this.#resultBytes -= lengthOf(parts);
+    }
     this.#jobs.delete(id);
     this.#endedJobs.delete(id);
     this.#texts.delete(id);
@@ -85,7 +97,9 @@
   /** Forgets a group of unknown jobs whose record was removed from the store. */
   removeGroup(key: string): void {
     const index = this.#pendingGroups.findIndex((group) => group.key === key);
-    if (index >= 0) this.#pendingGroups.splice(index, 1);
+    if (index < 0) return;
+    const [removed] = this.#pendingGroups.splice(index, 1);
+    this.#resultBytes -= lengthOf(textsOf(removed!.group));
   }
 
   #applyJob(record: JobRecord): JobId[] {
@@ -101,7 +115,10 @@
       isEnded: this.#endedJobs.has(record.job),
     });
     const pending = this.#pendingGroups.splice(0);
-    for (const { group, key } of pending) this.#applyGroup(group, key);
+    for (const { group, key } of pending) {
+      this.#resultBytes -= lengthOf(textsOf(group));
+      this.#applyGroup(group, key);
+    }
     return [record.job];
   }
 
@@ -110,6 +127,7 @@
     this.#texts.set(job, texts);
     const parts = texts.get(id) ?? [];
     texts.set(id, parts);
+    this.#resultBytes += text.length - (parts[part]?.length ?? 0);
     parts[part] = text;
   }
 
@@ -120,6 +138,7 @@
     const texts = this.#texts.get(job);
     const parts = texts?.get(reference.id) ?? [];
     texts?.delete(reference.id);
+    this.#resultBytes -= lengthOf(parts);
     if (texts?.size === 0) this.#texts.delete(job);
     for (let part = 0; part < reference.count; part++) {
       if (parts[part] === undefined) return undefined;
@@ -136,6 +155,7 @@
     };
     if (unmatched.results.length + unmatched.failures.length > 0) {
       this.#pendingGroups.push({ key, group: unmatched });
+      this.#resultBytes += lengthOf(textsOf(unmatched));
     }
     for (const stored of group.results) {
       const state = this.#jobs.get(stored.job);
@@ -147,6 +167,7 @@
       state.finished.add(result.item);
       state.finishedTokens += item.tokens;
       state.results.push(result);
+      this.#resultBytes += result.text.length;
       state.failures.delete(result.item);
       changed.add(result.job);
     }
@@ -158,3 +179,12 @@
     return [...changed];
   }
 }
+
+function textsOf({ results }: GroupRecord): string[] {
+  return results.map(({ text }) => text);
+}
+
+/** Parts that have not been read are missing in the list. */
+function lengthOf(texts: readonly (string | undefined)[]): number {
+  return texts.reduce((sum, text) => sum + (text?.length ?? 0), 0);
+}
--- a/packages/jobs/result-writer.ts
+++ b/packages/jobs/result-writer.ts
@@ -42,12 +42,15 @@
   readonly logger: Logger;
   /** Returns a number that this writer has not used for a key yet. */
   readonly nextNumber: () => number;
+  /** Called with the size of the results that are not written yet, after each change. */
+  readonly onHeldBytes?: (bytes: number) => void;
 }
 
 export class ResultWriter {
   readonly #options: ResultWriterOptions;
   #pending: PendingEntries = createPendingEntries();
   #isWriting = false;
+  #heldBytes = 0;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: ResultWriterOptions) {
@@ -61,6 +64,7 @@
 
   addResult(result: ItemResult): void {
     this.#pending.results.push(result);
+    this.#changeHeldBytes(result.text.length);
     this.#schedule();
   }
 
@@ -80,6 +84,11 @@
     }
   }
 
+  #changeHeldBytes(change: number): void {
+    this.#heldBytes += change;
+    this.#options.onHeldBytes?.(this.#heldBytes);
+  }
+
   #schedule(): void {
     if (this.#timer || this.#isWriting) return;
     this.#timer = setTimeout(() => {
@@ -101,6 +110,9 @@
       await this.#appendWithRetry(chunk);
     }
     this.#isWriting = false;
+    this.#changeHeldBytes(
+      -pending.results.reduce((sum, { text }) => sum + text.length, 0),
+    );
     if (countOf(this.#pending) > 0) this.#schedule();
   }
 
