Reserve large replies of peers before they are buffered

A dependent buffered the replies of its coordinators without a limit in total, up to one frame of 8 MiB for each connection. They are now read like messages of peers: above 64 KiB the size is reserved first, and without room the connection is not read. Replies are a kind of their own, so that one large reply is always read, and small replies behind it on the connection do not wait for messages.

A call whose reply is not read fails at its deadline, like one without a reply; its connection is not taken for silent. A connection that closes releases its reservation. The body of a forwarded answer is no longer copied.

--- a/packages/coordination/forwarded-job-calls.ts
+++ b/packages/coordination/forwarded-job-calls.ts
@@ -146,7 +146,8 @@
   { status, contentType, body, retryAfterMilliseconds }: ForwardedJobReply,
   response: JobResponse,
 ): void {
-  const bytes = Buffer.from(body);
+  // A view, since a copy would double what a large answer takes.
+  const bytes = Buffer.from(body.buffer, body.byteOffset, body.byteLength);
   if (retryAfterMilliseconds === undefined) {
     return response.sendBytes(status, contentType, bytes);
   }
--- a/packages/protocol/incoming-frames.ts
+++ b/packages/protocol/incoming-frames.ts
@@ -16,6 +16,8 @@
 export interface IncomingFramesOptions {
   readonly socket: Socket;
   readonly heldBytes: HeldBytes;
+  /** Messages of a peer, or its replies, which are read although many messages wait. */
+  readonly kind: "peer_frame" | "peer_reply";
   /** Called with the value of each frame; what it throws closes the connection. */
   readonly onValue: (value: unknown) => void;
   readonly onFailure: (error: unknown) => void;
@@ -48,6 +50,11 @@
     if (!this.#reader.isMidLargeFrame) this.dispose();
   }
 
+  /** The connection is not read until the budget has room. */
+  get isWaiting(): boolean {
+    return this.#holding?.isWaiting ?? false;
+  }
+
   /** Releases the bytes of a frame that is not complete. */
   dispose(): void {
     this.#holding?.dispose();
@@ -55,12 +62,9 @@
   }
 
   #reserve(bytes: number): boolean {
-    const { heldBytes, socket } = this.#options;
+    const { heldBytes, kind, socket } = this.#options;
     if (!this.#holding) {
-      this.#holding = heldBytes.open({
-        kind: "peer_frame",
-        client: peerClient,
-      });
+      this.#holding = heldBytes.open({ kind, client: peerClient });
       this.#holding.track({
         idleMilliseconds: frameIdleMilliseconds,
         evict: () => socket.destroy(),
--- a/packages/protocol/peer-connection.ts
+++ b/packages/protocol/peer-connection.ts
@@ -7,13 +7,15 @@
 import { PeerUnavailableError, RosemaryrudderError } from "../common/errors.ts";
 import type { Clock } from "../common/clock.ts";
 import type { Logger } from "../common/logging.ts";
+import type { HeldBytes } from "../overload/held-bytes.ts";
 import {
   connectTimeoutMilliseconds,
   maximumQueuedBytes,
   reconnectDelayMilliseconds,
 } from "./constants.ts";
 import { type Envelope, envelopeSchema } from "./envelope.ts";
-import { encodeFrame, FrameReader } from "./frames.ts";
+import { encodeFrame } from "./frames.ts";
+import { IncomingFrames } from "./incoming-frames.ts";
 
 export interface PeerAddress {
   readonly host: string;
@@ -30,6 +32,8 @@
   silenceTimeoutMilliseconds: number;
   clock: Clock;
   logger: Logger;
+  /** Budget of the process, in which large replies are reserved. */
+  heldBytes: HeldBytes;
   onBytesSent?: (bytes: number) => void;
   onBytesReceived?: (bytes: number) => void;
 }
@@ -48,6 +52,8 @@
   readonly #options: PeerConnectionOptions;
   readonly #pendingRequests = new Map<number, PendingRequest>();
   #socket: Socket | undefined;
+  /** Reads the socket. */
+  #frames: IncomingFrames | undefined;
   #nextRequestId = 1;
   #lastReceivedAt = 0;
   #lastDisconnectedAt = Number.NEGATIVE_INFINITY;
@@ -118,18 +124,24 @@
       return undefined;
     }
     const socket = connect({ ...this.address, noDelay: true });
-    const reader = new FrameReader();
+    const frames = this.#createFrames(socket);
     this.#socket = socket;
+    this.#frames = frames;
     this.#lastReceivedAt = now;
     const connectTimer = setTimeout(
       () => this.#dropSocket(socket, "connect timeout"),
       connectTimeoutMilliseconds,
     );
     socket.once("connect", () => clearTimeout(connectTimer));
-    socket.on("data", (bytes) => this.#handleData(socket, reader, bytes));
+    socket.on("data", (bytes) => {
+      this.#lastReceivedAt = this.#options.clock.monotonicNow();
+      this.#options.onBytesReceived?.(bytes.length);
+      frames.push(bytes);
+    });
     socket.on("error", (error) => this.#dropSocket(socket, error.message));
     socket.on("close", () => {
       clearTimeout(connectTimer);
+      frames.dispose();
       this.#dropSocket(socket, "closed by the peer");
     });
     const hello = encodeFrame(this.#options.hello);
@@ -138,21 +150,22 @@
     return socket;
   }
 
-  #handleData(socket: Socket, reader: FrameReader, bytes: Uint8Array): void {
-    this.#lastReceivedAt = this.#options.clock.monotonicNow();
-    this.#options.onBytesReceived?.(bytes.length);
-    try {
-      for (const value of reader.push(bytes)) {
-        this.#handleEnvelope(envelopeSchema.parse(value));
-      }
-    } catch (error) {
-      this.#options.logger.warn("a peer sent a frame that cannot be read", {
-        host: this.address.host,
-        port: this.address.port,
-        reason: String(error),
-      });
-      this.#dropSocket(socket, "bad frame");
-    }
+  #createFrames(socket: Socket): IncomingFrames {
+    const { heldBytes, logger } = this.#options;
+    return new IncomingFrames({
+      socket,
+      heldBytes,
+      kind: "peer_reply",
+      onValue: (value) => this.#handleEnvelope(envelopeSchema.parse(value)),
+      onFailure: (error) => {
+        logger.warn("a peer sent a frame that cannot be read", {
+          host: this.address.host,
+          port: this.address.port,
+          reason: String(error),
+        });
+        this.#dropSocket(socket, "bad frame");
+      },
+    });
   }
 
   #handleEnvelope(envelope: Envelope): void {
@@ -169,6 +182,8 @@
     this.#takePendingRequest(id)?.reject(
       new PeerUnavailableError("the peer did not reply before the deadline"),
     );
+    // The reply may have arrived, but not been read, since the budget had no room for it.
+    if (this.#frames?.isWaiting) return;
     const silentMilliseconds = this.#options.clock.monotonicNow() -
       this.#lastReceivedAt;
     if (silentMilliseconds > this.#options.silenceTimeoutMilliseconds) {
--- a/packages/protocol/peer-network.ts
+++ b/packages/protocol/peer-network.ts
@@ -222,6 +222,7 @@
         this.#options.timings.checkIntervalMilliseconds,
       clock: this.#options.clock,
       logger: this.#options.logger,
+      heldBytes: this.#options.heldBytes,
       onBytesSent: (bytes) => this.bytesSent += bytes,
       onBytesReceived: (bytes) => this.bytesReceived += bytes,
     });
@@ -248,6 +249,7 @@
     const frames = new IncomingFrames({
       socket,
       heldBytes: this.#options.heldBytes,
+      kind: "peer_frame",
       onValue: (value) => handleEnvelope(envelopeSchema.parse(value)),
       onFailure: (error) =>
         this.#options.logger.warn("a peer sent a frame that cannot be read", {
