Open no holding for small bodies that arrive with their head

Nearly all requests have a body of a few kilobytes that arrives in the same read as the head. For each of them a holding was opened, tracked, resized and disposed of, and the API key was looked up once more to name its client. Bodies of up to 4 KiB whose length is declared are now held only if they are not complete after that read.

The limit of connections was not changed.

--- a/packages/gateway/caller-body.ts
+++ b/packages/gateway/caller-body.ts
@@ -8,15 +8,15 @@
 import type { IncomingMessage } from "node:http";
 import { nextTick } from "node:process";
 import { type BlockPool, BodyBuffer } from "../overload/body-buffer.ts";
-import { blockBytes } from "../overload/constants.ts";
+import { blockBytes, uncountedBodyBytes } from "../overload/constants.ts";
 import type { EvictionReason, Holding } from "../overload/held-bytes.ts";
 import type { ErrorAnswer } from "./caller-response.ts";
 import { overloadedError } from "./request-errors.ts";
 
 export interface CallerBodyOptions {
   readonly message: IncomingMessage;
-  /** Disposed of by the owner of this body, once the request is over. */
-  readonly holding: Holding;
+  /** Opens a holding, which is disposed of with this body, once the request is over. */
+  readonly openHolding: () => Holding;
   readonly blocks: BlockPool;
   readonly maximumBytes: number;
   /** Longest time without a further byte. */
@@ -32,6 +32,8 @@
   readonly #buffer: BodyBuffer;
   /** Undefined for a chunked body, whose length is known at its end only. */
   readonly #declaredBytes: number | undefined;
+  /** Undefined for a small body that arrived with its head. */
+  #holding: Holding | undefined;
   #isOver = false;
 
   constructor(options: CallerBodyOptions) {
@@ -42,39 +44,47 @@
   }
 
   start(): void {
-    const { message, holding, maximumBytes, idleMilliseconds } = this.#options;
-    if ((this.#declaredBytes ?? 0) > maximumBytes) return this.#failTooLarge();
-    holding.track({
-      idleMilliseconds,
-      evict: (reason) => this.#handleEviction(reason),
-    });
+    const { message, maximumBytes } = this.#options;
+    const declaredBytes = this.#declaredBytes;
+    if ((declaredBytes ?? 0) > maximumBytes) return this.#failTooLarge();
     message.on("data", (chunk: Buffer) => this.#handleChunk(chunk));
     message.on("end", () => this.#handleEnd());
-    this.#reserve();
+    if (declaredBytes === undefined || declaredBytes > uncountedBodyBytes) {
+      return this.#reserve();
+    }
+    // By then the rest of the read that delivered the head has arrived as data.
+    nextTick(() => {
+      if (!this.#isOver && !this.#isComplete) this.#reserve();
+    });
+  }
+
+  /** Everything that the head has declared has been received. */
+  get #isComplete(): boolean {
+    return this.#buffer.length === this.#declaredBytes;
   }
 
   /** Forgets what was received; called when the request is over. */
   dispose(): void {
     this.#isOver = true;
     this.#buffer.clear();
-    this.#options.holding.dispose();
+    this.#holding?.dispose();
   }
 
   #handleChunk(chunk: Buffer): void {
     if (this.#isOver) return;
-    const { holding, maximumBytes, onReceived } = this.#options;
+    const { maximumBytes, onReceived } = this.#options;
     if (this.#buffer.length + chunk.length > maximumBytes) {
       return this.#failTooLarge();
     }
     this.#buffer.append(chunk);
-    holding.recordProgress(chunk.length);
+    this.#holding?.recordProgress(chunk.length);
     onReceived(chunk.length);
-    if (this.#buffer.length !== this.#declaredBytes) this.#reserve();
+    if (!this.#isComplete) this.#reserve();
   }
 
   /** Reserves what the next read of the connection may deliver, and waits if there is no room. */
   #reserve(): void {
-    const { holding } = this.#options;
+    const holding = this.#holding ??= this.#openHolding();
     if (holding.isWaiting) return;
     const remaining = (this.#declaredBytes ?? this.#options.maximumBytes) -
       this.#buffer.length;
@@ -82,15 +92,24 @@
       holding.bytes;
     if (missing <= 0 || holding.tryGrow(missing)) return;
     if (this.#isOver) return;
-    this.#stopReading();
+    this.#stopReading(holding);
     holding.waitFor(missing, () => this.#continueReading());
   }
 
+  #openHolding(): Holding {
+    const holding = this.#options.openHolding();
+    holding.track({
+      idleMilliseconds: this.#options.idleMilliseconds,
+      evict: (reason) => this.#handleEviction(reason),
+    });
+    return holding;
+  }
+
   // The rest of a read that has begun still arrives as data. A paused message would keep it in
   // chunks, and a flowing one would start the connection again by its next `_read`. The pause
   // follows in the next tick, since a resumption that is already scheduled would undo it.
-  #stopReading(): void {
-    const { message, holding } = this.#options;
+  #stopReading(holding: Holding): void {
+    const { message } = this.#options;
     message._read = () => {};
     nextTick(() => {
       if (holding.isWaiting) message.socket.pause();
@@ -106,14 +125,14 @@
 
   #handleEnd(): void {
     if (this.#isOver) return;
-    const { holding, onComplete } = this.#options;
+    const holding = this.#holding;
     // The end can arrive with the read that exhausted the budget.
-    if (holding.isWaiting) return this.#fail(overloadedError);
+    if (holding?.isWaiting) return this.#fail(overloadedError);
     this.#isOver = true;
-    holding.untrack();
+    holding?.untrack();
     const body = this.#buffer.take();
-    holding.resize(body.length);
-    onComplete(body);
+    holding?.resize(body.length);
+    this.#options.onComplete(body);
   }
 
   #handleEviction(reason: EvictionReason): void {
--- a/packages/gateway/caller-listener.ts
+++ b/packages/gateway/caller-listener.ts
@@ -157,7 +157,7 @@
     const limits = this.#options.limits();
     const body = new CallerBody({
       message,
-      holding: this.#openHolding("request_body", message),
+      openHolding: () => this.#openHolding("request_body", message),
       blocks: overload.blocks,
       maximumBytes: limits?.maximumBodyBytes ?? defaultMaximumBodyBytes,
       idleMilliseconds: limits?.idleTimeoutMilliseconds ??
--- a/packages/overload/constants.ts
+++ b/packages/overload/constants.ts
@@ -26,6 +26,8 @@
 
 /** Largest holding that counts as small: what one read of a socket delivers. */
 export const smallHoldingBytes = 64 * 1024;
+/** Bodies up to this size are not held if they arrive with their head, as nearly all do. */
+export const uncountedBodyBytes = 4 * 1024;
 /** Answers up to this size, which nearly all are, are not held. */
 export const uncountedAnswerBytes = 4 * 1024;
 /**
