Test the charge of kept bytes and the shared reads of a partition

The tests guard against kept bytes that leave callers no room, a charge for results that is not released with them, and callers who each cause a read of the same records.

--- a/packages/jobs/partition-state.test.ts
+++ b/packages/jobs/partition-state.test.ts
@@ -96,6 +96,16 @@
       const restored = new PartitionState();
       for (const record of [...groups, jobRecord(5)]) restored.apply(record);
       assert.deepEqual(texts(restored), texts(live));
+      // The budget of held bytes is charged for what is kept, and no longer.
+      const bytes = live.job(job)!.results.reduce(
+        (sum, { text }) => sum + text.length,
+        0,
+      );
+      for (const state of [live, restored]) {
+        assert.equal(state.resultBytes, bytes);
+        state.removeJob(job);
+        assert.equal(state.resultBytes, 0);
+      }
     },
   ));
 });
--- a/packages/overload/held-bytes.test.ts
+++ b/packages/overload/held-bytes.test.ts
@@ -62,6 +62,21 @@
   assert.equal(third.tryGrow(100_000), true);
 });
 
+test("bytes that have to be kept are never refused, and leave a quarter of the budget to others", () => {
+  const { budget, open } = createBudget();
+  const results = budget.open({ kind: "job_results", client: alice });
+  results.grow(10 * limitBytes);
+  const { keptBytes, bufferBytes } = budget.state;
+  assert.deepEqual([keptBytes, bufferBytes], [10 * limitBytes, 0]);
+  open("first", bob, limitBytes / 4 - 1_000);
+  assert.equal(open("second", bob, 0).tryGrow(1_000), true);
+  assert.equal(open("leader", bob, 0).tryGrow(1_000), true, "one of its kind");
+  assert.equal(open("third", bob, 0).tryGrow(1_000), false);
+  results.dispose();
+  assert.equal(budget.state.keptBytes, 0);
+  assert.equal(open("fourth", bob, 0).tryGrow(1_000), true);
+});
+
 test("while memory is tight only small holdings and one large one grow", () => {
   const { open, state } = createBudget();
   state.isMemoryTight = true;
--- a/packages/store/partition-follower.test.ts
+++ b/packages/store/partition-follower.test.ts
@@ -86,3 +86,30 @@
   assert.equal(await follower.catchUp(), false);
   follower.stop();
 });
+
+// Guards against many callers at once who make the instance read the same records for each of them.
+test("many calls to catch up at once share a read that begins after all of them", async () => {
+  const service = new MemoryStoreService();
+  const store = service.client("reader");
+  const read = store.read.bind(store);
+  let reads = 0;
+  store.read = (...options) => {
+    reads += 1;
+    return read(...options);
+  };
+  const seen: string[] = [];
+  const follower = new PartitionFollower({
+    store,
+    target,
+    logger: silentLogger,
+    onRecords: (records) => seen.push(...records.map(({ key }) => key)),
+  });
+  assert.equal(await follower.catchUp(), true);
+  const earlier = [follower.catchUp(), follower.catchUp()];
+  await Promise.resolve();
+  service.append(target, [entry("a")]);
+  const later = Array.from({ length: 50 }, () => follower.catchUp());
+  assert.ok((await Promise.all([...earlier, ...later])).every(Boolean));
+  assert.deepEqual(seen, ["a"]);
+  assert.equal(reads, 3);
+});
