Describe the rest of the memory budget, and show the bytes that are kept

A gauge tells operators how much of the budget is never refused, since results of jobs can take most of it without any caller who sends too much.

--- a/packages/entry/instance-gauges.ts
+++ b/packages/entry/instance-gauges.ts
@@ -141,6 +141,11 @@
       help: "Bytes that are held for callers, servers and peers.",
       read: () => overload.heldBytes.state.heldBytes,
     },
+    {
+      name: "rosemaryrudder_held_bytes_kept",
+      help: "Held bytes that are not refused, such as results of jobs.",
+      read: () => overload.heldBytes.state.keptBytes,
+    },
     {
       name: "rosemaryrudder_held_bytes_limit",
       help: "Budget of held bytes.",
