--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -34,7 +34,7 @@
 import { JobRegions } from "../jobs/job-regions.ts";
 import { ResultWriter } from "../jobs/result-writer.ts";
 import type { ItemWork } from "../jobs/work-table.ts";
-import { jobsClient } from "../overload/client-id.ts";
+import { jobsClient, storeClient } from "../overload/client-id.ts";
 import type { HeldBytes, Holding } from "../overload/held-bytes.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
@@ -81,6 +81,7 @@
   readonly #regions: JobRegions;
   readonly #bodies: ItemBodies;
   readonly #cacheHolding: Holding;
+  readonly #resultHoldings: Holding[] = [];
   readonly #store: KeyedStore;
   readonly #work: OwnedWork;
   readonly #capacity: StoreCapacity;
@@ -107,6 +108,8 @@
     this.#bodies = new ItemBodies({
       regions: this.#regions,
       onCachedBytes: (bytes) => cacheHolding.resize(bytes),
+      openLoadHolding: () =>
+        options.heldBytes.open({ kind: "body_load", client: jobsClient }),
       store,
       stream: bodyStream as StreamName,
       onOrphaned: (...bodies) => this.#orphans.add(...bodies),
@@ -126,6 +129,12 @@
             this.#works().some(({ ownership }) =>
               ownership.isOwned(target.partition)
             ),
+          openSnapshotHolding: () =>
+            options.heldBytes.open({
+              kind: "store_response",
+              client: storeClient,
+            }),
+          onResultBytes: this.#openResultHolding(),
           onChange: (jobs) => this.#handleJobChanges(jobs),
         }),
     );
@@ -191,6 +200,7 @@
   stop(): void {
     for (const partition of this.#partitions.all()) partition.stop();
     this.#cacheHolding.dispose();
+    for (const holding of this.#resultHoldings) holding.dispose();
   }
 
   /** Displaces one batch run of this instance at the server; returns false if it has none. */
@@ -243,6 +253,16 @@
       defaultStoreHistoryMilliseconds;
   }
 
+  /** Opens a holding for results and returns the function that sets its size. */
+  #openResultHolding(): (bytes: number) => void {
+    const holding = this.#options.heldBytes.open({
+      kind: "job_results",
+      client: jobsClient,
+    });
+    this.#resultHoldings.push(holding);
+    return (bytes) => holding.resize(bytes);
+  }
+
   #createRemoval(store: KeyedStore): RecordRemoval {
     const { settings, clock, logger, countRemovals } = this.#options;
     const lifetimeMilliseconds = settings.jobLifetimeMilliseconds;
@@ -361,6 +381,7 @@
         partition,
         writer: `${settings.instance}/${settings.incarnation}`,
         nextNumber: () => this.#nextGroupNumber++,
+        onHeldBytes: this.#openResultHolding(),
         logger,
       });
       this.#resultWriters.set(partition.number, writer);
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -28,7 +28,11 @@
   submitDeadlineShare,
   writeRetryMilliseconds,
 } from "./constants.ts";
-import { BodyMissingError, type ItemBodies } from "./item-bodies.ts";
+import {
+  BodyMissingError,
+  type ItemBodies,
+  NoRoomError,
+} from "./item-bodies.ts";
 import {
   bodyRemoved,
   jobTooLarge,
@@ -388,7 +392,9 @@
       const isComplete = found.results.length === found.record.items.length;
       if (!isComplete && !await partition.refresh()) return storeUnavailable;
     }
-    const results = pageOf(found, call.after);
+    const { results, bytes } = pageOf(found, call.after);
+    // Encoded pages that are refused would be garbage.
+    if (!response.tryReserve(bytes)) return undefined;
     response.sendJson(
       200,
       codec.encodeResults({
@@ -420,10 +426,12 @@
         partitions.forJob(call.job),
         found.record,
         item,
+        { mayBeRefused: true },
       );
       response.sendBytes(200, "application/octet-stream", body);
       return undefined;
     } catch (error) {
+      if (error instanceof NoRoomError) return overloadedError;
       logger.warn("a requested item body cannot be read", {
         job: call.job,
         item: call.item,
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -12,6 +12,7 @@
 } from "../common/ids.ts";
 import type { Logger } from "../common/logging.ts";
 import { delay, systemTimers } from "../common/timers.ts";
+import type { Holding } from "../overload/held-bytes.ts";
 import type {
   KeyedEntry,
   KeyedRecord,
@@ -50,6 +51,9 @@
   readonly isOwned: () => boolean;
   readonly onChange: (jobs: readonly JobId[]) => void;
   readonly timings?: ConnectionTimings;
+  readonly openSnapshotHolding?: () => Holding | undefined;
+  /** Called with the size of the results that are kept for readers, after each change. */
+  readonly onResultBytes?: (bytes: number) => void;
 }
 
 export class JobPartition {
@@ -70,6 +74,7 @@
       store: options.store,
       target: options.target,
       logger: options.logger,
+      openSnapshotHolding: options.openSnapshotHolding ?? (() => undefined),
       onRecords: (records, position, isSnapshot) =>
         this.#apply(records, position, isSnapshot),
       pauseMilliseconds: () =>
@@ -175,6 +180,7 @@
         for (const job of this.#remove(key, position)) changed.add(job);
       }
     }
+    this.#options.onResultBytes?.(this.state.resultBytes);
     if (changed.size === 0) return;
     for (const job of changed) {
       const listeners = this.#listeners.get(job);
--- a/packages/jobs/job-results.ts
+++ b/packages/jobs/job-results.ts
@@ -5,17 +5,29 @@
 import { maximumResultBytes } from "./constants.ts";
 import type { JobPartition } from "./job-partition.ts";
 import type { JobState } from "./partition-state.ts";
+import type { ItemResult } from "./records.ts";
+
+export interface ResultPage {
+  readonly results: readonly ItemResult[];
+  /** Size of their texts in UTF-8. */
+  readonly bytes: number;
+}
 
 /** Returns the results from a position on, up to `maximumResultBytes`, but at least one if any. */
-export function pageOf(state: JobState, after: number) {
-  const page = [];
+export function pageOf(
+  state: JobState,
+  after: number,
+): ResultPage {
+  const results: ItemResult[] = [];
   let bytes = 0;
-  for (const result of state.results.slice(after)) {
-    bytes += Buffer.byteLength(result.text);
-    if (page.length > 0 && bytes > maximumResultBytes) break;
-    page.push(result);
+  for (let position = after; position < state.results.length; position++) {
+    const result = state.results[position]!;
+    const resultBytes = Buffer.byteLength(result.text);
+    if (results.length > 0 && bytes + resultBytes > maximumResultBytes) break;
+    bytes += resultBytes;
+    results.push(result);
   }
-  return page;
+  return { results, bytes };
 }
 
 /** Resolves at the next change of the job or after the time limit. */
