Send to an avoided server in preference to refusing

Cause: the choice of a server left out servers that failed recently as long as one trusted server existed, also when all trusted ones were at the limits that they state or so full that the wait was too long. The requests got 503 although an avoided server had room.

A request that no trusted server takes now goes to an avoided one whose failure share is at most 0.5 and that has not crashed. The limits and the longest wait hold there as well, and trials follow the same rule.

--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -10,6 +10,7 @@
   freeCapacityExponent,
   freeCapacityExponentOfUnequalServers,
   healthWeightExponent,
+  maximumFailureShareOfSubstitute,
   otherZoneWeight,
   queueExponent,
   slotBeyondLimitShare,
@@ -25,8 +26,10 @@
   /** Batch runs in flight at the server, from all instances of the fleet. */
   readonly batch: number;
   readonly isSameZone: boolean;
-  /** The server failed recently; it is used only if all candidates are avoided. */
+  /** The server failed recently; it is used only if no other candidate takes the request. */
   readonly isAvoided: boolean;
+  /** The server has crashed and may be down; false if not given. */
+  readonly hasCrashed?: boolean;
   /** Share of the server's recent requests that failed, from 0 to 1. */
   readonly failureShare: number;
   /** What is left of the limit that the server states; undefined if it states none. */
@@ -76,22 +79,38 @@
   readonly random: () => number;
 }
 
+/**
+ * Chooses among the servers that are not avoided. A request that none of them takes is sent to an
+ * avoided one in preference to refusing it.
+ */
 export function chooseServer(
   candidates: readonly ServerCandidate[],
   options: ChoiceOptions,
 ): ServerChoice {
   const trusted = trustedCandidates(candidates);
-  if (trusted.length === 0) return { kind: "none" };
-  const pool = trusted.filter(maySend);
-  if (pool.length === 0) return firstToHaveBudget(trusted);
+  const choice = chooseAmong(trusted, options);
+  if (choice.kind === "send" || trusted.length === candidates.length) {
+    return choice;
+  }
+  const substitute = chooseAmong(substitutes(candidates), options);
+  return substitute.kind === "send" ? substitute : choice;
+}
+
+function chooseAmong(
+  servers: readonly ServerCandidate[],
+  options: ChoiceOptions,
+): ServerChoice {
+  if (servers.length === 0) return { kind: "none" };
+  const pool = servers.filter(maySend);
+  if (pool.length === 0) return firstToHaveBudget(servers);
   const serverWithCapacity = pickByCapacity(pool, options);
   if (serverWithCapacity) {
     const displacesBatch = freeSlots(serverWithCapacity) === 0;
     return { kind: "send", server: serverWithCapacity, displacesBatch };
   }
   const choice = chooseFullServer(pool, options);
-  if (choice.kind !== "full" || pool.length === trusted.length) return choice;
-  return firstToHaveBudget(trusted.filter((one) => !maySend(one)));
+  if (choice.kind !== "full" || pool.length === servers.length) return choice;
+  return firstToHaveBudget(servers.filter((one) => !maySend(one)));
 }
 
 /** Chooses the server with the fewest requests, since all of them are lost if it crashes. */
@@ -102,7 +121,11 @@
   const choice = chooseServer(candidates, options);
   if (choice.kind !== "send") return choice;
   const requestsOf = ({ online, batch }: ServerCandidate) => online + batch;
-  const pool = trustedCandidates(candidates).filter(maySend);
+  const trusted = trustedCandidates(candidates);
+  const group = trusted.includes(choice.server)
+    ? trusted
+    : substitutes(candidates);
+  const pool = group.filter(maySend);
   const fewest = Math.min(...pool.map(requestsOf));
   const server = pickByWeight(
     pool,
@@ -120,6 +143,19 @@
   return trusted.length > 0 ? trusted : candidates;
 }
 
+/**
+ * The avoided candidates that may take requests for which the trusted ones have no room. Servers
+ * that fail all their requests or are down are none of them, since they would fail those as well.
+ */
+function substitutes(
+  candidates: readonly ServerCandidate[],
+): readonly ServerCandidate[] {
+  return candidates.filter(({ isAvoided, hasCrashed, failureShare }) =>
+    isAvoided && !hasCrashed &&
+    failureShare <= maximumFailureShareOfSubstitute
+  );
+}
+
 /** Whether the limit that the server states leaves room for a request of this instance. */
 function maySend({ sendBudget }: ServerCandidate): boolean {
   return sendBudget === undefined || sendBudget.allowance >= 1;
--- a/packages/gateway/constants.ts
+++ b/packages/gateway/constants.ts
@@ -56,6 +56,12 @@
 export const reportedFailureShare = 0.3;
 /** Factor on failure shares that peers report, which count less than own outcomes. */
 export const peerFailureWeight = 0.7;
+/**
+ * Largest failure share of an avoided server that takes requests for which the others have no
+ * room. Two failures in a row are below it and three above, after which a server that fails all
+ * requests gets less than one per second from each instance.
+ */
+export const maximumFailureShareOfSubstitute = 0.5;
 /** In the weight of a server, the share of its requests that succeed is raised to this power. */
 export const healthWeightExponent = 4;
 /**
--- a/packages/gateway/server-candidates.ts
+++ b/packages/gateway/server-candidates.ts
@@ -28,14 +28,16 @@
     const permission = sendRules.check(server, now, query);
     if (permission.kind === "refused") continue;
     const { online, batch } = loads.estimate(server.id, now);
+    const isAvoided = health.isAvoided(server.id, now) ||
+      avoided?.has(server.id) === true;
     candidates.push({
       id: server.id,
       slots: permission.slots,
       online,
       batch,
       isSameZone: server.zone === zone,
-      isAvoided: health.isAvoided(server.id, now) ||
-        avoided?.has(server.id) === true,
+      isAvoided,
+      hasCrashed: isAvoided && health.hasCrashed(server.id, now),
       failureShare: health.failureShare(server.id, now),
       sendBudget: permission.sendBudget,
       workTime: speeds.workTime(server.id, now),
--- a/packages/gateway/server-health.test.ts
+++ b/packages/gateway/server-health.test.ts
@@ -77,3 +77,14 @@
   assert.deepEqual(receiver.reportedFailureShares(0), []);
   assert.ok(receiver.failureShare(server, 30_000) < 0.01);
 });
+
+test("a server counts as crashed until it has answered, unlike one that fails", () => {
+  const health = new ServerHealth();
+  health.addFailure(server, 0);
+  assert.equal(health.hasCrashed(server, 100), false);
+  health.recordCrash(server, 100);
+  assert.equal(health.hasCrashed(server, 200), true);
+  assert.equal(health.isAvoided(server, 200), true);
+  health.addSuccess(server, 200);
+  assert.equal(health.hasCrashed(server, 200), false);
+});
--- a/packages/gateway/server-health.ts
+++ b/packages/gateway/server-health.ts
@@ -21,8 +21,10 @@
 interface ServerRecord {
   /** Avoidance periods since the last success. */
   avoidances: number;
-  /** Monotonic milliseconds. */
+  /** Monotonic milliseconds, as the next one. */
   avoidedUntil: number;
+  /** The server has crashed and may be down until then. */
+  crashedUntil: number;
   ownShare: DecayingShare;
   /** The largest failure share that a peer reported, multiplied by `peerFailureWeight`. */
   peerShare: DecayingShare;
@@ -45,6 +47,12 @@
     return record !== undefined && now < record.avoidedUntil;
   }
 
+  /** Whether the server has crashed and is not known to have started again. */
+  hasCrashed(server: InstanceId, now: number): boolean {
+    const record = this.#records.get(server);
+    return record !== undefined && now < record.crashedUntil;
+  }
+
   avoidedServers(now: number): InstanceId[] {
     return [...this.#records.keys()].filter((id) => this.isAvoided(id, now));
   }
@@ -126,10 +134,8 @@
    */
   recordCrash(server: InstanceId, now: number): void {
     const record = this.#recordOf(server, now);
-    record.avoidedUntil = Math.max(
-      record.avoidedUntil,
-      now + crashAvoidanceMilliseconds,
-    );
+    record.crashedUntil = now + crashAvoidanceMilliseconds;
+    record.avoidedUntil = Math.max(record.avoidedUntil, record.crashedUntil);
   }
 
   addSuccess(server: InstanceId, now: number): void {
@@ -140,6 +146,7 @@
       updatedAt: now,
     };
     record.avoidedUntil = 0;
+    record.crashedUntil = 0;
     record.avoidances = 0;
     if (this.failureShare(server, now) < negligibleFailureShare) {
       this.#records.delete(server);
@@ -167,6 +174,7 @@
       record = {
         avoidances: 0,
         avoidedUntil: 0,
+        crashedUntil: 0,
         ownShare: { value: 0, updatedAt: now },
         peerShare: { value: 0, updatedAt: now },
       };
