Find crashes also after a pause of the process

Cause: whether a server has crashed is checked by a connection that has 150 ms to be refused. If the process is paused for longer (processor time goes to others, garbage collection), the timer is handled before the refusal that has arrived, and the crash counts as a broken connection. No crash is then reported, the request on trial is not ended, and requests with the part wait for it.

The timeout now has its effect after the events that are pending.

--- a/packages/quarantine/crash-detector.ts
+++ b/packages/quarantine/crash-detector.ts
@@ -136,7 +136,8 @@
       resolve(isRefused);
     };
     socket.once("connect", () => end(false));
-    socket.once("timeout", () => end(false));
+    // After a pause of the process a refusal that has arrived is handled only after the timers.
+    socket.once("timeout", () => setImmediate(() => end(false)));
     socket.once(
       "error",
       (error: NodeJS.ErrnoException) => end(error.code === "ECONNREFUSED"),
