Do not take a pause of the process for silence of a server

Cause: the timers for the connection (200 ms) and for the silence of a server were handled before the events that had arrived while the process was paused. The server counted as failing and was avoided for 0.5 s or longer, and all servers with requests at once.

Expired timers now have their effect after the pending events.

Before: the three new tests fail.

--- a/packages/gateway/server-attempt.test.ts
+++ b/packages/gateway/server-attempt.test.ts
@@ -7,8 +7,27 @@
   type ConnectionPool,
   createConnectionPool,
 } from "../transport/connection-pool.ts";
+import type { AnswerHead } from "./caller-request.ts";
+import { connectionWaitMilliseconds } from "./constants.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
+function decodePlainHead(status: number): AnswerHead {
+  return {
+    status,
+    requestId: undefined,
+    hasNotRun: false,
+    statement: {
+      load: undefined,
+      workTimePercent: undefined,
+      limitPerSecond: undefined,
+      isLeaving: undefined,
+      malformed: [],
+    },
+    hasStamp: true,
+    forwardedHeaders: [],
+  };
+}
+
 test("an attempt that gets no connection times out and counts as not run", async () => {
   // A pool that never opens a connection, as to a host that has lost power.
   const pool = { dispatch: () => true } as unknown as ConnectionPool;
@@ -60,20 +79,7 @@
       headers: [],
       body: Buffer.alloc(0),
       requestId: "r",
-      decodeHead: (status) => ({
-        status,
-        requestId: undefined,
-        hasNotRun: false,
-        statement: {
-          load: undefined,
-          workTimePercent: undefined,
-          limitPerSecond: undefined,
-          isLeaving: undefined,
-          malformed: [],
-        },
-        hasStamp: true,
-        forwardedHeaders: [],
-      }),
+      decodeHead: decodePlainHead,
       headTimeoutMilliseconds: 2_000,
       bodyIdleTimeoutMilliseconds: 150,
     }, {
@@ -131,3 +137,69 @@
   ]);
   await pool.destroy();
 });
+
+/** Keeps the process from handling events, as on a busy machine. */
+function pauseProcess(milliseconds: number): void {
+  const end = performance.now() + milliseconds;
+  while (performance.now() < end);
+}
+
+// Guards against servers that are avoided since this process was paused for longer than they may
+// be silent, which happens to all servers at once.
+for (const pausedBefore of ["connection", "answer", "second chunk"]) {
+  test(`a pause of the process before the ${pausedBefore} is no silence of the server`, async () => {
+    const silenceMilliseconds = 150;
+    const pauseIf = (event: string) => {
+      if (event === pausedBefore) pauseProcess(2 * connectionWaitMilliseconds);
+    };
+    const server = createServer((_, response) => {
+      response.write("first");
+      response.flushHeaders();
+      pauseIf("answer");
+      setTimeout(() => {
+        response.end("second");
+        pauseIf("second chunk");
+      }, silenceMilliseconds / 2);
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, "127.0.0.1", () => resolve())
+    );
+    const { port } = server.address() as AddressInfo;
+    const pool = createConnectionPool({
+      host: "127.0.0.1",
+      port,
+      connectTimeoutMilliseconds: 1_000,
+      idleMilliseconds: 1_000,
+    });
+    let received = "";
+    const failure = await new Promise<AttemptFailure | undefined>((resolve) => {
+      new ServerAttempt({
+        pool,
+        method: "POST",
+        target: "/",
+        headers: [],
+        body: Buffer.alloc(0),
+        requestId: "r",
+        decodeHead: decodePlainHead,
+        headTimeoutMilliseconds: silenceMilliseconds,
+        bodyIdleTimeoutMilliseconds: silenceMilliseconds,
+      }, {
+        onStatement: () => {},
+        onConnectionRefused: () => {},
+        onHead: () => {},
+        onData: (chunk) => {
+          received += chunk.toString();
+          return true;
+        },
+        onEnd: () => resolve(undefined),
+        onFailure: resolve,
+      }).start();
+      pauseIf("connection");
+    });
+    await pool.destroy();
+    server.closeAllConnections();
+    server.close();
+    assert.equal(failure, undefined);
+    assert.equal(received, "firstsecond");
+  });
+}
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -67,6 +67,11 @@
   return "code" in error && error.code === "UND_ERR_INVALID_ARG";
 }
 
+/**
+ * After a pause of the process, expired timers are handled before the events that have arrived in
+ * time. An expired timer therefore has its effect only after these events, lest a pause of this
+ * process counts as silence of the server.
+ */
 export class ServerAttempt {
   readonly #options: AttemptOptions;
   readonly #listener: AttemptListener;
@@ -75,6 +80,8 @@
   /** Duration of the idle timer, which is restarted for every chunk. */
   #idleMilliseconds: number | undefined;
   #connectionTimer: NodeJS.Timeout | undefined;
+  /** Pending while the idle timer has expired and data may have arrived nevertheless. */
+  #silenceCheck: NodeJS.Immediate | undefined;
   #isOver = false;
   #wasSent = false;
   #sentAt = 0;
@@ -101,7 +108,7 @@
     const { pool, method, target, headers, body } = this.#options;
     this.#restartIdleTimer(this.#options.headTimeoutMilliseconds);
     this.#connectionTimer = setTimeout(
-      () => this.#handleConnectionTimeout(),
+      () => setImmediate(() => this.#handleConnectionTimeout()),
       connectionWaitMilliseconds,
     );
     pool.dispatch({
@@ -114,6 +121,9 @@
         this.#controller = controller;
         if (this.#isOver) return controller.abort(new Error("cancelled"));
         clearTimeout(this.#connectionTimer);
+        if (this.#silenceCheck) {
+          this.#restartIdleTimer(this.#options.headTimeoutMilliseconds);
+        }
         this.#wasSent = true;
         this.#sentAt = performance.now();
       },
@@ -150,6 +160,7 @@
     this.#isPaused = true;
     // A cleared timer cannot be refreshed, so that the next restart creates a new one.
     clearTimeout(this.#idleTimer);
+    this.#clearSilenceCheck();
     this.#idleMilliseconds = undefined;
     this.#controller?.pause();
   }
@@ -242,18 +253,31 @@
 
   #restartIdleTimer(milliseconds: number): void {
     if (this.#isPaused || this.#isOver) return;
+    this.#clearSilenceCheck();
     if (milliseconds === this.#idleMilliseconds) {
       this.#idleTimer?.refresh();
       return;
     }
     clearTimeout(this.#idleTimer);
     this.#idleMilliseconds = milliseconds;
-    this.#idleTimer = setTimeout(() =>
-      this.#fail({
-        verdict: this.#wasSent ? "unknown" : "not_run",
-        reason: `no data arrived for ${Math.round(milliseconds)} ms`,
-        isServerFault: true,
-      }), milliseconds);
+    this.#idleTimer = setTimeout(() => {
+      this.#silenceCheck = setImmediate(() =>
+        this.#handleSilence(milliseconds)
+      );
+    }, milliseconds);
+  }
+
+  #clearSilenceCheck(): void {
+    clearImmediate(this.#silenceCheck);
+    this.#silenceCheck = undefined;
+  }
+
+  #handleSilence(milliseconds: number): void {
+    this.#fail({
+      verdict: this.#wasSent ? "unknown" : "not_run",
+      reason: `no data arrived for ${Math.round(milliseconds)} ms`,
+      isServerFault: true,
+    });
   }
 
   #fail(failure: AttemptFailure): void {
@@ -267,6 +291,7 @@
     this.#isOver = true;
     clearTimeout(this.#idleTimer);
     clearTimeout(this.#connectionTimer);
+    this.#clearSilenceCheck();
     return true;
   }
 }
