Let a request return to a server that it has left

Cause: a request that has not begun after 0.55 objectives leaves its server if another one has room, and the server was then excluded like one that failed. Where the room elsewhere was a token of a limit that another request took first, the request found only servers at their limits and got 503, although the server that it had left would have taken it.

Servers that a request has left are now avoided in place of excluded, so that it returns to one only if no other takes it. The maximum of attempts holds as before.

Ruled out: failures of servers as the only cause; in these refusals no server was avoided.

--- a/packages/coordination/messages.ts
+++ b/packages/coordination/messages.ts
@@ -36,7 +36,7 @@
 interface WireChoice {
   readonly service: UpstreamName;
   readonly excluded: readonly InstanceId[];
-  /** Servers that recently failed requests of the dependent. */
+  /** Servers that recently failed requests of the dependent, or that the request has left. */
   readonly avoided: readonly InstanceId[];
   readonly objectiveMilliseconds: number;
   readonly waitTolerance: WaitTolerance;
--- a/packages/coordination/remote-placer.ts
+++ b/packages/coordination/remote-placer.ts
@@ -134,13 +134,13 @@
   }
 
   #encodeChoice(
-    { excluded, ...request }: ChoiceRequest,
+    { excluded, leftServers = new Set(), ...request }: ChoiceRequest,
   ) {
     const { blackboard, zone, now } = this.#options;
     return {
       service: request.service,
       excluded: [...excluded],
-      avoided: blackboard.health.avoidedServers(now()),
+      avoided: [...blackboard.health.avoidedServers(now()), ...leftServers],
       objectiveMilliseconds: request.objectiveMilliseconds,
       waitTolerance: request.waitTolerance,
       allowedRegions: request.allowedRegions,
--- a/packages/gateway/attempt-rules.ts
+++ b/packages/gateway/attempt-rules.ts
@@ -116,6 +116,7 @@
     verdict: "unknown",
     reason: "the server has not begun to answer and another has a free slot",
     isServerFault: isServerIdle,
+    isMove: true,
   };
 }
 
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -42,13 +42,14 @@
 } from "./request-errors.ts";
 import type { RetryAfterOptions } from "./retry-after.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
+import { TriedServers } from "./tried-servers.ts";
 
 export class OnlineRequest {
   readonly #options: OnlineRequestOptions;
   readonly #service: UpstreamName;
   readonly #allowedRegions: readonly string[] | undefined;
   readonly #deadline: number;
-  readonly #excluded = new Set<InstanceId>();
+  readonly #tried = new TriedServers();
   #attempt: ServerAttempt | undefined;
   #server: InstanceId | undefined;
   #upstream: UpstreamServer | undefined;
@@ -186,12 +187,11 @@
 
   #send(choice: SendChoice): void {
     const { services, workspace, received } = this.#options;
-    const choiceRequest = this.#choiceRequest();
     const server = services.findServer(choice.server.id);
-    if (!server || services.standingRefusal(server, choiceRequest)) {
+    if (!server || services.standingRefusal(server, this.#choiceRequest())) {
       // The coordinator that chose the server may not know that nothing may be sent there.
       services.placer.withdraw(choice);
-      this.#excluded.add(choice.server.id);
+      this.#tried.excluded.add(choice.server.id);
       this.#refusals += 1;
       if (this.#hasTooManyRefusals()) {
         return this.#giveUp("nothing may be sent to the chosen servers");
@@ -249,7 +249,7 @@
     return {
       allowedRegions: this.#allowedRegions,
       service: this.#service,
-      excluded: this.#excluded,
+      ...this.#tried,
       objectiveMilliseconds: route.latencyObjectiveMilliseconds,
       waitTolerance: waitToleranceOf(this.#possibleRuns, isLikelyRetry),
     };
@@ -372,7 +372,7 @@
         runMilliseconds,
       },
     });
-    this.#excluded.add(this.#server!);
+    this.#tried.add(this.#server!, failure);
     if (failure.verdict === "not_run") this.#refusals += 1;
     else this.#possibleRuns += 1;
     const mayRetry = failure.verdict === "not_run" || this.#isRetryable;
--- a/packages/gateway/online-services.ts
+++ b/packages/gateway/online-services.ts
@@ -30,6 +30,8 @@
   readonly service: UpstreamName;
   /** Servers not to be chosen, such as those at which an attempt has failed. */
   readonly excluded: ReadonlySet<InstanceId>;
+  /** Servers that the request has left; it returns to them only if no other takes it. */
+  readonly leftServers?: ReadonlySet<InstanceId>;
   /** Latency objective of the route. */
   readonly objectiveMilliseconds: number;
   readonly waitTolerance: WaitTolerance;
--- a/packages/gateway/placement.ts
+++ b/packages/gateway/placement.ts
@@ -216,12 +216,15 @@
     choose = chooseServer,
   ): ServerChoice {
     const { blackboard, now, random } = this.#options;
-    const { service, objectiveMilliseconds, waitTolerance } = request;
+    const { service, objectiveMilliseconds, waitTolerance, leftServers } =
+      request;
     const candidates = listCandidates(blackboard, {
       ...request,
       zone,
       now: now(),
-      avoided,
+      avoided: leftServers?.size
+        ? new Set([...avoided ?? [], ...leftServers])
+        : avoided,
     });
     const choice = choose(candidates, {
       durationMilliseconds: blackboard.requestDurationMilliseconds,
--- a/packages/gateway/server-attempt.ts
+++ b/packages/gateway/server-attempt.ts
@@ -28,6 +28,8 @@
   readonly isServerFault: boolean;
   /** The connection ended after the request was sent, so that the server may have crashed. */
   readonly isConnectionBroken?: boolean;
+  /** The attempt was given up since the request would begin sooner at another server. */
+  readonly isMove?: boolean;
 }
 
 export interface AttemptListener {
