--- a/platform/testing/send-windows.ts
+++ b/packages/common/testing/send-windows.ts
@@ -1,4 +1,4 @@
-/** Counts the requests that reach a server in sliding windows. */
+/** Counts requests in sliding windows of time. */
 
 /** Largest number of the times, in milliseconds, that lie in any window of the given length. */
 export function mostInWindow(
--- a/packages/fleet/cold/cold-servers.test.ts
+++ b/packages/fleet/cold/cold-servers.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { InstanceId, UpstreamName, ZoneId } from "../../common/ids.ts";
 import { SeededRandom } from "../../common/random.ts";
+import { mostInWindow } from "../../common/testing/send-windows.ts";
 import type { UpstreamServer } from "../upstreams.ts";
 import {
   boundOfFleet,
@@ -56,17 +57,6 @@
   return true;
 }
 
-function mostInOneSecond(times: number[]): number {
-  const sorted = times.toSorted((left, right) => left - right);
-  let most = 0;
-  let start = 0;
-  for (const [end, time] of sorted.entries()) {
-    while (time - sorted[start]! >= 1_000) start += 1;
-    most = Math.max(most, end - start + 1);
-  }
-  return most;
-}
-
 test("the bound of the fleet and the share of one sender follow the rate of the service", () => {
   const inContact = { isIsolated: false };
   assert.equal(boundOfFleet(policy, defaultColdBounds), 15);
@@ -103,7 +93,7 @@
         }
       }
     }
-    const most = mostInOneSecond(arrivals);
+    const most = mostInWindow(arrivals, 1_000);
     assert.ok(most <= 15, `${most} requests in one second, seed ${seed}`);
   }
 });
--- a/packages/fleet/limits/server-limits.test.ts
+++ b/packages/fleet/limits/server-limits.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import * as fc from "fast-check";
 import type { InstanceId } from "../../common/ids.ts";
+import { mostInWindow } from "../../common/testing/send-windows.ts";
 import { ServerLimits } from "./server-limits.ts";
 import { type LimitPlay, playLimit } from "./testing/played-limit.ts";
 
@@ -131,13 +132,7 @@
 
 function mostSends(sends: readonly number[]): number {
   const binding = sends.filter((time) => time >= bindingMilliseconds);
-  return Math.max(
-    0,
-    ...binding.map((end) =>
-      binding.filter((time) => time <= end && time > end - windowMilliseconds)
-        .length
-    ),
-  );
+  return mostInWindow(binding, windowMilliseconds);
 }
 
 const plays: fc.Arbitrary<LimitPlay> = fc.record({
--- a/packages/fleet/limits/shared-bucket.test.ts
+++ b/packages/fleet/limits/shared-bucket.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { InstanceId } from "../../common/ids.ts";
 import { SeededRandom } from "../../common/random.ts";
+import { mostInWindow } from "../../common/testing/send-windows.ts";
 import { type BucketLimit, SharedBucket } from "./shared-bucket.ts";
 import { bucketLimitForWindow } from "./window-limit.ts";
 
@@ -76,16 +77,6 @@
   return fleet;
 }
 
-function mostInWindow(times: readonly number[]): number {
-  let most = 0;
-  let start = 0;
-  for (const [end, time] of times.entries()) {
-    while (time - times[start]! >= windowMilliseconds) start += 1;
-    most = Math.max(most, end - start + 1);
-  }
-  return most;
-}
-
 /** Requests that operators allow in any window: the limit plus 10 % and 20 requests. */
 function allowedInWindow({ ratePerSecond, burst }: BucketLimit): number {
   return (ratePerSecond * windowMilliseconds / 1_000 + burst) * 1.1 + 20;
@@ -103,9 +94,10 @@
           seconds: 20,
           seed,
         });
+        const most = mostInWindow(fleet.admittedAt, windowMilliseconds);
         assert.ok(
-          mostInWindow(fleet.admittedAt) <= allowedInWindow(limit),
-          `${mostInWindow(fleet.admittedAt)} in a window, seed ${seed}`,
+          most <= allowedInWindow(limit),
+          `${most} in a window, seed ${seed}`,
         );
         assert.ok(fleet.admittedAt.length >= ratePerSecond * 20 * 0.8);
       }
@@ -142,7 +134,8 @@
       seed,
       splitAtSecond: 8,
     });
-    assert.ok(mostInWindow(fleet.admittedAt) <= allowedInWindow(limit));
+    const most = mostInWindow(fleet.admittedAt, windowMilliseconds);
+    assert.ok(most <= allowedInWindow(limit));
   }
 });
 
