Share fixtures that several unit tests repeat

The limits of a configuration, the report of an idle dependent, a job record and an attempt without an answer were each written out two or three times. The record of result-writer.test.ts now has the item ids and due times of partition-state.test.ts, on which none of its checks depends.

--- a/packages/coordination/coordinator-client.test.ts
+++ b/packages/coordination/coordinator-client.test.ts
@@ -2,12 +2,13 @@
 import { mock, test } from "node:test";
 import { systemClock } from "../common/clock.ts";
 import { PeerUnavailableError } from "../common/errors.ts";
-import type { InstanceId, Offset } from "../common/ids.ts";
+import type { InstanceId } from "../common/ids.ts";
 import { silentLogger } from "../common/logging.ts";
 import { definePeerMessage } from "../protocol/peer-message.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import { suspicionMilliseconds } from "./constants.ts";
 import { CoordinatorClient } from "./coordinator-client.ts";
+import { idleState } from "./testing/idle-state.ts";
 
 const question = definePeerMessage<null, string>(
   "question",
@@ -52,19 +53,7 @@
     network,
     coordinators: () => [first!, second!, third!],
     onStatements: () => {},
-    state: () => ({
-      loads: [],
-      failures: [],
-      begun: { parts: [], counts: [] },
-      serverLimits: [],
-      leavingServers: [],
-      coldServers: [],
-      speeds: [],
-      unsent: [],
-      configurationPosition: 0 as Offset,
-      serversPosition: 0 as Offset,
-      isStoreFailing: false,
-    }),
+    state: () => idleState,
     clock: { ...systemClock, monotonicNow: () => state.now },
     logger: silentLogger,
   });
--- a/packages/coordination/forwarded-job-calls.test.ts
+++ b/packages/coordination/forwarded-job-calls.test.ts
@@ -3,13 +3,14 @@
 import { test } from "node:test";
 import { systemClock } from "../common/clock.ts";
 import { PeerUnavailableError } from "../common/errors.ts";
-import type { InstanceId, Offset, RequestId } from "../common/ids.ts";
+import type { InstanceId, RequestId } from "../common/ids.ts";
 import { silentLogger } from "../common/logging.ts";
 import type { RouteRule } from "../fleet/configuration.ts";
 import type { JobResponse } from "../jobs/job-response.ts";
 import { HeldBytes } from "../overload/held-bytes.ts";
 import type { PeerNetwork } from "../protocol/peer-network.ts";
 import { CoordinatorClient } from "./coordinator-client.ts";
+import { idleState } from "./testing/idle-state.ts";
 import { ForwardedJobCalls } from "./forwarded-job-calls.ts";
 import type { ForwardedJobReply } from "./messages.ts";
 
@@ -43,19 +44,7 @@
     network,
     coordinators: () => ["a", "b"] as InstanceId[],
     onStatements: () => {},
-    state: () => ({
-      loads: [],
-      failures: [],
-      begun: { parts: [], counts: [] },
-      serverLimits: [],
-      leavingServers: [],
-      coldServers: [],
-      speeds: [],
-      unsent: [],
-      configurationPosition: 0 as Offset,
-      serversPosition: 0 as Offset,
-      isStoreFailing: false,
-    }),
+    state: () => idleState,
     clock: systemClock,
     logger: silentLogger,
   });
--- a/packages/fleet/documents.test.ts
+++ b/packages/fleet/documents.test.ts
@@ -13,6 +13,7 @@
 import type { KeyedRecord } from "../store/keyed-store.ts";
 import { Blackboard } from "./blackboard.ts";
 import { Documents, type StoreFailure } from "./documents.ts";
+import { unusedCallerLimits } from "./testing/caller-limits.ts";
 import type { UpstreamServer } from "./upstreams.ts";
 
 const source = {
@@ -56,12 +57,7 @@
         routes: [],
         services: [],
         workspaces: undefined,
-        limits: {
-          maximumHeaderBytes: 1,
-          maximumBodyBytes: 1,
-          headerTimeoutMilliseconds: 1,
-          idleTimeoutMilliseconds: 1,
-        },
+        limits: unusedCallerLimits,
       }),
       decodeEvacuation: ({ key }) =>
         key.startsWith("evacuate/") ? key.slice(9) as ZoneId : undefined,
--- a/packages/fleet/send-rules.test.ts
+++ b/packages/fleet/send-rules.test.ts
@@ -4,6 +4,7 @@
 import { Blackboard } from "./blackboard.ts";
 import { ConfigurationIndex } from "./configuration.ts";
 import { allowedTargets, hasAllowedServer } from "./send-rules.ts";
+import { unusedCallerLimits } from "./testing/caller-limits.ts";
 import type { UpstreamServer } from "./upstreams.ts";
 
 const batchSend = { isBatch: true };
@@ -31,12 +32,7 @@
       cold: { coldMilliseconds: 3_000, requestsPerSecond: 7.1 },
     }],
     workspaces: undefined,
-    limits: {
-      maximumHeaderBytes: 1,
-      maximumBodyBytes: 1,
-      headerTimeoutMilliseconds: 1,
-      idleTimeoutMilliseconds: 1,
-    },
+    limits: unusedCallerLimits,
   });
   const self = "c" as InstanceId;
   const { coldServers, upstreams } = blackboard;
--- a/packages/gateway/server-attempt.test.ts
+++ b/packages/gateway/server-attempt.test.ts
@@ -9,15 +9,17 @@
 } from "../transport/connection-pool.ts";
 import { type AttemptFailure, ServerAttempt } from "./server-attempt.ts";
 
-test("an attempt that gets no connection times out and counts as not run", async () => {
-  // A pool that never opens a connection, as to a host that has lost power.
-  const pool = { dispatch: () => true } as unknown as ConnectionPool;
-  const failure = await new Promise<AttemptFailure>((resolve) => {
+/** Makes an attempt that gets no answer; returns its failure. */
+function failUnanswered(
+  pool: ConnectionPool,
+  headers: string[] = [],
+): Promise<AttemptFailure> {
+  return new Promise((resolve) => {
     new ServerAttempt({
       pool,
       method: "POST",
       target: "/",
-      headers: [],
+      headers,
       body: Buffer.alloc(0),
       requestId: "r",
       decodeHead: () => assert.fail("there is no answer"),
@@ -32,6 +34,12 @@
       onFailure: resolve,
     }).start();
   });
+}
+
+test("an attempt that gets no connection times out and counts as not run", async () => {
+  // A pool that never opens a connection, as to a host that has lost power.
+  const pool = { dispatch: () => true } as unknown as ConnectionPool;
+  const failure = await failUnanswered(pool);
   assert.equal(failure.verdict, "not_run");
   assert.equal(failure.isServerFault, true);
 });
@@ -105,26 +113,7 @@
     connectTimeoutMilliseconds: 1_000,
     idleMilliseconds: 1_000,
   });
-  const failure = await new Promise<AttemptFailure>((resolve) => {
-    new ServerAttempt({
-      pool,
-      method: "POST",
-      target: "/",
-      headers: ["x-name", "\u20ac"],
-      body: Buffer.alloc(0),
-      requestId: "r",
-      decodeHead: () => assert.fail("there is no answer"),
-      headTimeoutMilliseconds: 10_000,
-      bodyIdleTimeoutMilliseconds: 10_000,
-    }, {
-      onStatement: () => {},
-      onConnectionRefused: () => {},
-      onHead: () => {},
-      onData: () => true,
-      onEnd: () => {},
-      onFailure: resolve,
-    }).start();
-  });
+  const failure = await failUnanswered(pool, ["x-name", "\u20ac"]);
   assert.deepEqual([failure.verdict, failure.isServerFault], [
     "not_run",
     false,
--- a/packages/jobs/item-route.test.ts
+++ b/packages/jobs/item-route.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { RouteId } from "../common/ids.ts";
 import { ConfigurationIndex, type RouteRule } from "../fleet/configuration.ts";
+import { unusedCallerLimits } from "../fleet/testing/caller-limits.ts";
 import { findItemRoute, isRemovalCertain } from "./item-route.ts";
 
 function createConfiguration(
@@ -14,12 +15,7 @@
     ),
     services: [],
     workspaces: undefined,
-    limits: {
-      maximumHeaderBytes: 1,
-      maximumBodyBytes: 1,
-      headerTimeoutMilliseconds: 1,
-      idleTimeoutMilliseconds: 1,
-    },
+    limits: unusedCallerLimits,
   });
 }
 
--- a/packages/jobs/partition-state.test.ts
+++ b/packages/jobs/partition-state.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fastCheck from "fast-check";
-import type { JobId, RouteId } from "../common/ids.ts";
+import type { JobId } from "../common/ids.ts";
 import { PartitionState } from "./partition-state.ts";
 import {
   type BatchRecord,
@@ -10,29 +10,12 @@
   type ItemResult,
   type JobRecord,
 } from "./records.ts";
+import { createJobRecord } from "./testing/job-record.ts";
 
 const job = "j" as JobId;
 
 function jobRecord(items = 3): JobRecord {
-  return {
-    kind: "job",
-    job,
-    workspace: undefined,
-    route: "r" as RouteId,
-    host: "h",
-    acceptedAt: 0,
-    dueAt: 1,
-    retainedUntil: 2,
-    maximumAttempts: 3,
-    bodyOffset: 0,
-    items: Array.from({ length: items }, (_, index) => ({
-      id: `item${index}`,
-      path: "/p",
-      headers: [],
-      tokens: 1,
-      bodyBytes: 0,
-    })),
-  };
+  return createJobRecord(job, items);
 }
 
 function group(results: Partial<ItemResult>[]): BatchRecord {
--- a/packages/jobs/result-writer.test.ts
+++ b/packages/jobs/result-writer.test.ts
@@ -1,18 +1,14 @@
 import { Buffer } from "node:buffer";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type {
-  JobId,
-  PartitionNumber,
-  RouteId,
-  StreamName,
-} from "../common/ids.ts";
+import type { JobId, PartitionNumber, StreamName } from "../common/ids.ts";
 import { silentLogger } from "../common/logging.ts";
 import { StoreRejectedError } from "../store/keyed-store.ts";
 import { MemoryStoreService } from "../store/testing/memory-keyed-store.ts";
 import { JobPartition } from "./job-partition.ts";
 import { encodeRecord, jobKey } from "./records.ts";
 import { ResultWriter } from "./result-writer.ts";
+import { createJobRecord } from "./testing/job-record.ts";
 
 const job = "j" as JobId;
 const target = {
@@ -51,25 +47,7 @@
 function writeJob(service: MemoryStoreService, items: number) {
   service.append(target, [{
     key: jobKey(job),
-    value: encodeRecord({
-      kind: "job",
-      job,
-      workspace: undefined,
-      route: "r" as RouteId,
-      host: "h",
-      acceptedAt: 0,
-      dueAt: 0,
-      retainedUntil: 0,
-      maximumAttempts: 1,
-      bodyOffset: 0,
-      items: Array.from({ length: items }, (_, index) => ({
-        id: `i${index}`,
-        path: "/",
-        headers: [],
-        tokens: 1,
-        bodyBytes: 0,
-      })),
-    }),
+    value: encodeRecord(createJobRecord(job, items)),
   }]);
 }
 
