Use plain words in comments and names of recent code

Instances "died halfway" and records were "ripe" or "needless"; requests that crash servers were "deadly", and a fixture of a store was named "Bench". The comment on ClientId described the client of a connection only, although jobs and peers are clients too.

--- a/packages/common/ids.ts
+++ b/packages/common/ids.ts
@@ -11,7 +11,7 @@
 export type Incarnation = Branded<string, "Incarnation">;
 export type ZoneId = Branded<string, "ZoneId">;
 export type WorkspaceId = Branded<string, "WorkspaceId">;
-/** Whoever sends requests, as far as it is known: a workspace by its key, or else an address. */
+/** A client of the budget of held bytes, such as a workspace or the batch jobs of an instance. */
 export type ClientId = Branded<string, "ClientId">;
 export type KeyId = Branded<string, "KeyId">;
 export type UpstreamName = Branded<string, "UpstreamName">;
--- a/packages/coordination/job-call-service.ts
+++ b/packages/coordination/job-call-service.ts
@@ -38,7 +38,7 @@
   );
 }
 
-/** Is in no region. */
+/** The zone of an instance that is no member; it belongs to no region. */
 const unknownZone = "";
 
 function answer(
--- a/packages/fleet/cold/cold-servers.ts
+++ b/packages/fleet/cold/cold-servers.ts
@@ -359,7 +359,7 @@
     record.ownColdUntil = record.coldUntil;
   }
 
-  /** A later end of the cold time stands, whatever said so. */
+  /** Moves the end of the cold time to a later time; an end that is later already stays. */
   #extend(
     server: Pick<UpstreamServer, "id" | "startedAtMilliseconds" | "service">,
     milliseconds: number,
--- a/packages/fleet/speed/server-speeds.ts
+++ b/packages/fleet/speed/server-speeds.ts
@@ -191,10 +191,10 @@
   takeDeviations(now: number): SpeedObservation[] {
     return this.#takeObservations(({ server, ratio }, mean) => {
       const isDeviating = Math.abs(ratio - 1) > negligibleDeviation;
-      const isNews = isDeviating || mean.wasDeviating ||
+      const isReported = isDeviating || mean.wasDeviating ||
         this.workTime(server, now) !== 1;
       mean.wasDeviating = isDeviating;
-      return isNews;
+      return isReported;
     });
   }
 
--- a/packages/jobs/orphan-bodies.ts
+++ b/packages/jobs/orphan-bodies.ts
@@ -1,5 +1,5 @@
 /**
- * Removes bodies whose job was never recorded: the submission failed or its instance died halfway.
+ * Removes bodies whose job was never recorded: the submission failed or its instance ended first.
  * The owner of a partition searches for them after it was assigned and at long intervals, since a
  * search reads values as well as keys. A failed submission reports its bodies itself.
  */
@@ -60,14 +60,14 @@
     });
   }
 
-  /** Searches one partition if that is due, and removes bodies that have been candidates for long. */
+  /** Searches one partition if that is due, and removes the candidates that have reached their age. */
   async sweep(): Promise<void> {
     if (this.#isBusy) return;
     this.#isBusy = true;
     try {
       const partition = this.#nextToSearch();
       if (partition) await this.#search(partition);
-      await this.#removeRipe();
+      await this.#removeExpired();
     } catch (error) {
       this.#options.logger.warn("bodies without a job could not be removed", {
         candidates: this.#candidates.size,
@@ -95,7 +95,7 @@
     return undefined;
   }
 
-  /** Reads the keys of the bodies; those of a known job are passed over. */
+  /** Reads the keys of the bodies; those of a known job are skipped. */
   async #search(partition: JobPartition): Promise<void> {
     const { store, stream, commonRegions } = this.#options;
     // The page may hold bodies of any job.
@@ -115,14 +115,14 @@
     }
   }
 
-  async #removeRipe(): Promise<void> {
+  async #removeExpired(): Promise<void> {
     const limit = this.#options.now() - this.#options.orphanMilliseconds;
-    const ripe = new Map<JobPartition, JobId[]>();
+    const expired = new Map<JobPartition, JobId[]>();
     for (const [job, { partition, knownSince }] of this.#candidates) {
       if (knownSince > limit) continue;
-      ripe.set(partition, [...ripe.get(partition) ?? [], job]);
+      expired.set(partition, [...expired.get(partition) ?? [], job]);
     }
-    for (const [partition, jobs] of ripe) {
+    for (const [partition, jobs] of expired) {
       // A repeated submission may have recorded a job meanwhile.
       if (await partition.catchUp()) await this.#removeOf(partition, jobs);
     }
--- a/packages/jobs/record-removal.ts
+++ b/packages/jobs/record-removal.ts
@@ -1,6 +1,6 @@
 /**
  * Removes the records that nothing needs any more from the partitions that this instance owns, a
- * limited number at a time. A removal that fails, or whose instance dies halfway, is planned again
+ * limited number at a time. A removal that fails, or whose instance ends during it, is planned again
  * from the records that are left, by the same owner or the next one.
  */
 
@@ -52,7 +52,7 @@
     return this.#partitions.get(partition)?.notes.get(job);
   }
 
-  /** Removes what is needless in all owned partitions; failures are logged and planned again. */
+  /** Removes unneeded records of all owned partitions; failures are logged and planned again. */
   async sweep(): Promise<void> {
     const { partitions, isOwner, now } = this.#options;
     const removals: Promise<void>[] = [];
--- a/packages/jobs/retention.test.ts
+++ b/packages/jobs/retention.test.ts
@@ -31,7 +31,7 @@
 const target = { stream: jobStream, partition: 0 as PartitionNumber };
 
 /** A store with one partition of jobs, and a clock that stands still between steps. */
-class Bench {
+class JobStoreFixture {
   readonly service = new MemoryStoreService({ partitions: 1 });
   now = 1_000;
   #nextGroup = 0;
@@ -169,25 +169,25 @@
     fastCheck.asyncProperty(
       fastCheck.array(stepArbitrary, { maxLength: 25 }),
       async (steps) => {
-        const bench = new Bench();
-        const owner = bench.openInstance("owner");
-        const stale = bench.openInstance("stale");
-        const acceptedAt = bench.now;
-        for (const job of jobs) bench.submit(job);
+        const fixture = new JobStoreFixture();
+        const owner = fixture.openInstance("owner");
+        const stale = fixture.openInstance("stale");
+        const acceptedAt = fixture.now;
+        for (const job of jobs) fixture.submit(job);
         const listed = new Map(jobs.map((job) => [job, new Set<number>()]));
         const ended = new Set<JobId>();
         const expected = new Map(jobs.map((job) => [job, [] as string[]]));
         const isOpen = (job: JobId) =>
           !ended.has(job) && listed.get(job)!.size < itemsPerJob;
         const isNeeded = (job: JobId) =>
-          isOpen(job) || bench.now <= acceptedAt + lifetimeMilliseconds;
+          isOpen(job) || fixture.now <= acceptedAt + lifetimeMilliseconds;
         await owner.partition.catchUp();
         for (const step of steps) {
           if (step.kind === "list") {
             // Results arrive only while their jobs exist.
             const results = step.results.filter(({ job }) => isNeeded(job));
             if (results.length === 0) continue;
-            bench.list(...results);
+            fixture.list(...results);
             for (const { job, item } of results) {
               if (listed.get(job)!.has(item)) continue;
               listed.get(job)!.add(item);
@@ -195,9 +195,9 @@
             }
           } else if (step.kind === "end") {
             if (!isNeeded(step.job)) continue;
-            bench.end(step.job);
+            fixture.end(step.job);
             ended.add(step.job);
-          } else if (step.kind === "pass") bench.now += step.milliseconds;
+          } else if (step.kind === "pass") fixture.now += step.milliseconds;
           else if (step.kind === "sweep") {
             await owner.partition.catchUp();
             await owner.removal.sweep();
@@ -205,11 +205,11 @@
             await stale.partition.catchUp();
           } else if (step.kind === "sweep as the stale owner") {
             await stale.removal.sweep();
-          } else bench.service.dropHistory();
-          const late = bench.openInstance("late");
+          } else fixture.service.dropHistory();
+          const late = fixture.openInstance("late");
           await late.partition.catchUp();
           await owner.partition.catchUp();
-          const bodies = new Set(bench.service.liveKeys(bodyStream));
+          const bodies = new Set(fixture.service.liveKeys(bodyStream));
           for (const job of jobs.filter(isNeeded)) {
             for (const { partition } of [owner, late]) {
               const texts = partition.job(job)!.results.map(({ text }) => text);
@@ -221,15 +221,15 @@
             }
           }
         }
-        for (const job of jobs) bench.end(job);
+        for (const job of jobs) fixture.end(job);
         // Each wait lets one more kind of record reach its age.
         for (let round = 0; round < 4; round++) {
           await owner.partition.catchUp();
           await owner.removal.sweep();
-          bench.now += lifetimeMilliseconds + marginMilliseconds;
+          fixture.now += lifetimeMilliseconds + marginMilliseconds;
         }
-        assert.deepEqual(bench.service.liveKeys(jobStream), []);
-        assert.deepEqual(bench.service.liveKeys(bodyStream), []);
+        assert.deepEqual(fixture.service.liveKeys(jobStream), []);
+        assert.deepEqual(fixture.service.liveKeys(bodyStream), []);
       },
     ),
     { numRuns: 200 },
@@ -237,117 +237,117 @@
 });
 
 test("a removal that ends halfway is completed by the next owner", async () => {
-  const bench = new Bench();
+  const fixture = new JobStoreFixture();
   const [job] = jobs as [JobId];
-  bench.submit(job);
-  bench.list({ job, item: 0 }, { job, item: 1 });
-  bench.now += 2 * lifetimeMilliseconds;
-  const first = bench.openInstance("first");
+  fixture.submit(job);
+  fixture.list({ job, item: 0 }, { job, item: 1 });
+  fixture.now += 2 * lifetimeMilliseconds;
+  const first = fixture.openInstance("first");
   await first.partition.catchUp();
   await first.removal.sweep();
-  bench.now += 2 * lifetimeMilliseconds;
+  fixture.now += 2 * lifetimeMilliseconds;
   // The bodies are removed, and the process ends before it removes the job.
   first.partition.append = () => Promise.reject(new Error("killed"));
   await first.removal.sweep();
-  assert.deepEqual(bench.service.liveKeys(bodyStream), []);
-  assert.equal(bench.service.liveKeys(jobStream).length, 2);
-  const next = bench.openInstance("next");
+  assert.deepEqual(fixture.service.liveKeys(bodyStream), []);
+  assert.equal(fixture.service.liveKeys(jobStream).length, 2);
+  const next = fixture.openInstance("next");
   await next.partition.catchUp();
   await next.removal.sweep();
-  bench.now += 2 * lifetimeMilliseconds;
+  fixture.now += 2 * lifetimeMilliseconds;
   await next.removal.sweep();
-  assert.deepEqual(bench.service.liveKeys(jobStream), []);
+  assert.deepEqual(fixture.service.liveKeys(jobStream), []);
 });
 
 test("results of a stale run that arrive after the removal of their job do not stay", async () => {
-  const bench = new Bench();
-  const owner = bench.openInstance("owner");
-  bench.list({ job: jobs[0]!, item: 0 });
-  bench.end(jobs[1]!);
+  const fixture = new JobStoreFixture();
+  const owner = fixture.openInstance("owner");
+  fixture.list({ job: jobs[0]!, item: 0 });
+  fixture.end(jobs[1]!);
   await owner.partition.catchUp();
   await owner.removal.sweep();
-  assert.equal(bench.service.liveKeys(jobStream).length, 2);
-  bench.now += orphanMilliseconds;
+  assert.equal(fixture.service.liveKeys(jobStream).length, 2);
+  fixture.now += orphanMilliseconds;
   await owner.removal.sweep();
-  assert.deepEqual(bench.service.liveKeys(jobStream), []);
+  assert.deepEqual(fixture.service.liveKeys(jobStream), []);
 });
 
 test("bodies of a submission that died halfway are removed, those of a recorded job stay", async () => {
-  const bench = new Bench();
+  const fixture = new JobStoreFixture();
   const [recorded, lost, repeated] = jobs as [JobId, JobId, JobId];
-  bench.service.pageSize = 1;
-  bench.submit(recorded);
-  bench.writeBodies(lost);
-  bench.writeBodies(repeated);
-  const { orphans, partition } = bench.openInstance("owner");
+  fixture.service.pageSize = 1;
+  fixture.submit(recorded);
+  fixture.writeBodies(lost);
+  fixture.writeBodies(repeated);
+  const { orphans, partition } = fixture.openInstance("owner");
   await partition.catchUp();
   await orphans.sweep();
-  bench.now += orphanMilliseconds;
+  fixture.now += orphanMilliseconds;
   await orphans.sweep();
-  assert.equal(bench.service.liveKeys(bodyStream).length, 6);
+  assert.equal(fixture.service.liveKeys(bodyStream).length, 6);
   // The caller repeats one submission before the bodies have reached their age.
-  bench.submit(repeated);
-  bench.now += orphanMilliseconds;
+  fixture.submit(repeated);
+  fixture.now += orphanMilliseconds;
   await orphans.sweep();
-  const left = bench.service.liveKeys(bodyStream).map((key) => key[0]);
+  const left = fixture.service.liveKeys(bodyStream).map((key) => key[0]);
   assert.deepEqual(new Set(left), new Set([recorded, repeated]));
 });
 
 test("a group of an earlier version stays while one of its jobs is open, and goes with the last", async () => {
-  const bench = new Bench();
+  const fixture = new JobStoreFixture();
   const [open, finished] = jobs as [JobId, JobId];
-  const owner = bench.openInstance("owner");
-  for (const job of [open, finished]) bench.submit(job);
-  bench.list({ job: finished, item: 1 }, { job: open, item: 1 });
-  bench.list({ job: finished, item: 0 });
+  const owner = fixture.openInstance("owner");
+  for (const job of [open, finished]) fixture.submit(job);
+  fixture.list({ job: finished, item: 1 }, { job: open, item: 1 });
+  fixture.list({ job: finished, item: 0 });
   const sweepLater = async () => {
     await owner.partition.catchUp();
     await owner.removal.sweep();
-    bench.now += 2 * lifetimeMilliseconds;
+    fixture.now += 2 * lifetimeMilliseconds;
     await owner.removal.sweep();
     await owner.partition.catchUp();
   };
   await sweepLater();
   assert.equal(owner.partition.job(finished), undefined);
-  const late = bench.openInstance("late");
+  const late = fixture.openInstance("late");
   await late.partition.catchUp();
   assert.deepEqual([...late.partition.job(open)!.finished], [1]);
-  bench.list({ job: open, item: 0 });
+  fixture.list({ job: open, item: 0 });
   await sweepLater();
-  assert.deepEqual(bench.service.liveKeys(jobStream), []);
+  assert.deepEqual(fixture.service.liveKeys(jobStream), []);
 });
 
 test("an instance that missed a removal, since the history was dropped, forgets the job", async () => {
-  const bench = new Bench();
+  const fixture = new JobStoreFixture();
   const [gone, kept] = jobs as [JobId, JobId];
-  const reader = bench.openInstance("reader");
-  for (const job of [gone, kept]) bench.submit(job);
+  const reader = fixture.openInstance("reader");
+  for (const job of [gone, kept]) fixture.submit(job);
   await reader.partition.catchUp();
-  bench.service.append(target, [{ key: jobKey(gone), value: undefined }]);
-  bench.service.dropHistory();
+  fixture.service.append(target, [{ key: jobKey(gone), value: undefined }]);
+  fixture.service.dropHistory();
   await reader.partition.catchUp();
   assert.equal(reader.partition.job(gone), undefined);
   assert.ok(reader.partition.job(kept));
 });
 
 test("a new owner reads the body of an open item after those of listed ones were removed", async () => {
-  const bench = new Bench();
+  const fixture = new JobStoreFixture();
   const [job] = jobs as [JobId];
-  bench.submit(job);
-  bench.list({ job, item: 0 });
-  const owner = bench.openInstance("owner");
+  fixture.submit(job);
+  fixture.list({ job, item: 0 });
+  const owner = fixture.openInstance("owner");
   await owner.partition.catchUp();
   await owner.removal.sweep();
-  bench.now += 15;
+  fixture.now += 15;
   await owner.removal.sweep();
-  assert.deepEqual(bench.service.liveKeys(bodyStream), [bodyKey(job, 1, 0)]);
-  const { partition } = bench.openInstance("next");
+  assert.deepEqual(fixture.service.liveKeys(bodyStream), [bodyKey(job, 1, 0)]);
+  const { partition } = fixture.openInstance("next");
   await partition.catchUp();
   const { record } = partition.job(job)!;
   for (const isHistoryDropped of [false, true]) {
-    if (isHistoryDropped) bench.service.dropHistory();
+    if (isHistoryDropped) fixture.service.dropHistory();
     const bodies = new ItemBodies({
-      store: bench.service.client("next"),
+      store: fixture.service.client("next"),
       stream: bodyStream,
       regions: { allowedFor: () => undefined },
       onCachedBytes: () => {},
--- a/packages/quarantine/crash-causes.test.ts
+++ b/packages/quarantine/crash-causes.test.ts
@@ -45,7 +45,7 @@
   return {
     ...commonTraffic,
     seed,
-    deadlyShares: random.next() < 0.5 ? [share()] : [share(), share()],
+    crashingShares: random.next() < 0.5 ? [share()] : [share(), share()],
     ...serverFaults(random),
   };
 }
@@ -57,7 +57,7 @@
     ...commonTraffic,
     seed,
     poisonedShare: 0.02 + random.next() * 0.18,
-    deadlyShares: random.next() < 0.5 ? [] : [random.next() * 0.02],
+    crashingShares: random.next() < 0.5 ? [] : [random.next() * 0.02],
     ...serverFaults(random),
   };
 }
--- a/packages/quarantine/testing/played-fleet.ts
+++ b/packages/quarantine/testing/played-fleet.ts
@@ -41,7 +41,7 @@
    * Share of the requests of each kind that crash servers for a reason of their own, which their
    * callers repeat with them.
    */
-  readonly deadlyShares?: readonly number[];
+  readonly crashingShares?: readonly number[];
   /** Crashes a second of one server that always ends again. */
   readonly faultyServerCrashesPerSecond?: number;
   /** Further parts, each of which is in few requests. */
@@ -72,7 +72,7 @@
   readonly parts: readonly PromptPartId[];
   readonly ownPart: PromptPartId;
   readonly isPoisoned: boolean;
-  readonly isDeadly: boolean;
+  readonly isCrashing: boolean;
   readonly arrivedAt: number;
   readonly repeatsLeft: number;
   tries: number;
@@ -116,7 +116,7 @@
   readonly arrivedSound: Request[] = [];
   /** Attempts and calls without an answer and without a rejection. */
   readonly failedSound: Request[] = [];
-  readonly rejectedDeadly: Request[] = [];
+  readonly rejectedCrashing: Request[] = [];
   /** Sends of requests that had ended three servers before. */
   forbiddenSends = 0;
   serverCrashes = 0;
@@ -139,7 +139,7 @@
       poisonedShare: 0,
       poisonedParts: 1,
       otherCrashesPerSecond: 0,
-      deadlyShares: [],
+      crashingShares: [],
       faultyServerCrashesPerSecond: 0,
       rareParts: 0,
       slots: Number.POSITIVE_INFINITY,
@@ -284,13 +284,13 @@
     if (rareParts > 0) parts.push(pick("rare", rareParts));
     if (isPoisoned) parts.push(pick("poisoned", poisonedParts));
     const kind = Math.floor(this.#random.next() * kinds);
-    const deadlyShare = this.#options.deadlyShares[kind] ?? 0;
+    const crashingShare = this.#options.crashingShares[kind] ?? 0;
     const request = {
       id: `r${number}`,
       parts,
       ownPart: `own${number}` as PromptPartId,
       isPoisoned,
-      isDeadly: deadlyShare > 0 && this.#random.next() < deadlyShare,
+      isCrashing: crashingShare > 0 && this.#random.next() < crashingShare,
       arrivedAt: this.time.monotonicNow(),
       repeatsLeft: repeats,
       tries: 0,
@@ -308,8 +308,8 @@
     if (judgement.kind === "rejected") {
       const rejected = request.isPoisoned
         ? this.rejectedPoisoned
-        : request.isDeadly
-        ? this.rejectedDeadly
+        : request.isCrashing
+        ? this.rejectedCrashing
         : this.rejectedSound;
       return void rejected.push(request);
     }
@@ -479,6 +479,6 @@
   }
 }
 
-function isSound({ isPoisoned, isDeadly }: Request): boolean {
-  return !isPoisoned && !isDeadly;
+function isSound({ isPoisoned, isCrashing }: Request): boolean {
+  return !isPoisoned && !isCrashing;
 }
