Pass the statements of a report to listeners with one function

The reports of dependents and of coordinators passed the limits, leaving servers and cold servers that they relay to the listeners with the same twelve lines.

--- a/packages/coordination/coordinator-service.ts
+++ b/packages/coordination/coordinator-service.ts
@@ -12,11 +12,9 @@
 import type { StatementListeners } from "../fleet/server-statements.ts";
 import type { DocumentPush } from "../fleet/peers/document-push.ts";
 import {
-  decodeCold,
-  decodeLeaving,
-  decodeLimits,
   encodeLeaving,
   encodeLimits,
+  notifyOfStatements,
 } from "../fleet/peers/statement-messages.ts";
 import { decodeSpeeds } from "../fleet/speed/speed-messages.ts";
 import type { LocalPlacer } from "../gateway/placement.ts";
@@ -141,18 +139,7 @@
     for (const [server, count] of report.failures) {
       blackboard.health.countFailures(server, count, now);
     }
-    this.#options.onServerLimits(
-      decodeLimits(report.serverLimits),
-      sender.instance,
-    );
-    this.#options.onLeavingServers(
-      decodeLeaving(report.leavingServers),
-      sender.instance,
-    );
-    this.#options.onColdServers(
-      decodeCold(report.coldServers),
-      sender.instance,
-    );
+    notifyOfStatements(report, sender.instance, this.#options);
     blackboard.speeds.recordReported(decodeSpeeds(report.speeds), now, {
       isDependent: true,
     });
--- a/packages/fleet/peers/peer-reports.ts
+++ b/packages/fleet/peers/peer-reports.ts
@@ -31,14 +31,12 @@
 } from "../../transport/connection-timings.ts";
 import type { DocumentPush } from "./document-push.ts";
 import {
-  decodeCold,
-  decodeLeaving,
-  decodeLimits,
   decodeServerUsage,
   encodeCold,
   encodeLeaving,
   encodeLimits,
   encodeServerUsage,
+  notifyOfStatements,
   roundToHundredths,
 } from "./statement-messages.ts";
 import { withoutEmptyLists } from "../../protocol/optional-lists.ts";
@@ -373,18 +371,7 @@
         level,
       })),
     );
-    this.#options.onServerLimits(
-      decodeLimits(report.serverLimits),
-      sender.instance,
-    );
-    this.#options.onLeavingServers(
-      decodeLeaving(report.leavingServers),
-      sender.instance,
-    );
-    this.#options.onColdServers(
-      decodeCold(report.coldServers),
-      sender.instance,
-    );
+    notifyOfStatements(report, sender.instance, this.#options);
     blackboard.serverLimits.recordPeerUsages(
       sender.instance,
       sender.incarnation,
--- a/packages/fleet/peers/statement-messages.ts
+++ b/packages/fleet/peers/statement-messages.ts
@@ -5,6 +5,7 @@
 import type { InstanceId } from "../../common/ids.ts";
 import type { KnownCold } from "../cold/cold-servers.ts";
 import type { KnownLimit, ServerUsage } from "../limits/server-limits.ts";
+import type { StatementListeners } from "../server-statements.ts";
 import type { ServerLifetime } from "../upstreams.ts";
 
 /** Server, start of its lifetime, limit, age in milliseconds, whether it is relayed. */
@@ -120,6 +121,23 @@
   );
 }
 
+export interface WireStatements {
+  readonly serverLimits: readonly WireLimit[];
+  readonly leavingServers: readonly WireLeaving[];
+  readonly coldServers: readonly WireCold[];
+}
+
+/** Passes the statements in a report of `sender` to the listeners. */
+export function notifyOfStatements(
+  statements: WireStatements,
+  sender: InstanceId,
+  listeners: StatementListeners,
+): void {
+  listeners.onServerLimits(decodeLimits(statements.serverLimits), sender);
+  listeners.onLeavingServers(decodeLeaving(statements.leavingServers), sender);
+  listeners.onColdServers(decodeCold(statements.coldServers), sender);
+}
+
 export function encodeServerUsage(usage: ServerUsage): WireServerUsage {
   return [
     usage.server,
