Pass the common options of the batch work once

The store, the partitions, the clocks and the logger were listed for each part of BatchWork; they are one object now, which the parts receive together.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -74,6 +74,16 @@
   readonly logger: Logger;
 }
 
+/** What most parts of the batch work need. */
+interface SharedParts {
+  readonly store: KeyedStore;
+  readonly partitions: JobPartitions;
+  /** Monotonic milliseconds. */
+  readonly now: () => number;
+  readonly wallNow: () => number;
+  readonly logger: Logger;
+}
+
 export class BatchWork {
   readonly calls: JobCallHandler;
   readonly #options: BatchWorkOptions;
@@ -81,7 +91,7 @@
   readonly #regions: JobRegions;
   readonly #bodies: ItemBodies;
   readonly #cacheHolding: Holding;
-  readonly #store: KeyedStore;
+  readonly #shared: SharedParts;
   readonly #work: OwnedWork;
   readonly #capacity: StoreCapacity;
   readonly #removal: RecordRemoval;
@@ -98,7 +108,7 @@
       historyMilliseconds: this.#historyMilliseconds,
       now: clock.monotonicNow,
     });
-    const store = this.#store = meterWrites(options.store, meter);
+    const store = meterWrites(options.store, meter);
     const cacheHolding = this.#cacheHolding = options.heldBytes.open({
       kind: "job_bodies",
       client: jobsClient,
@@ -129,35 +139,37 @@
           onChange: (jobs) => this.#handleJobChanges(jobs),
         }),
     );
+    this.#shared = {
+      store,
+      partitions: this.#partitions,
+      now: clock.monotonicNow,
+      wallNow: clock.wallNow,
+      logger,
+    };
     this.#work = this.#createOwnedWork();
-    this.#removal = this.#createRemoval(store);
+    this.#removal = this.#createRemoval();
     this.#capacity = this.#createCapacity(meter);
-    this.#orphans = this.#createOrphans(store);
+    this.#orphans = this.#createOrphans();
     this.calls = new JobCallHandler({
+      ...this.#shared,
       heldBytes: options.heldBytes,
-      partitions: this.#partitions,
       bodies: this.#bodies,
       regions: this.#regions,
       admission: new JobAdmission({
+        ...this.#shared,
         instance: settings.instance,
         network: options.network,
-        partitions: this.#partitions,
         candidates: () => [
           settings.instance,
           ...options.peerReports().recentReports().map(({ instance }) =>
             instance
           ),
         ],
-        now: clock.monotonicNow,
-        logger,
       }),
       codec: options.jobCodec,
       hasRoomFor: (bytes) => this.#capacity.hasRoomFor(bytes),
       submissionGapMilliseconds: settings.jobLifetimeMilliseconds *
         submissionGapShare,
-      now: clock.monotonicNow,
-      wallNow: clock.wallNow,
-      logger,
     });
   }
 
@@ -243,13 +255,12 @@
       defaultStoreHistoryMilliseconds;
   }
 
-  #createRemoval(store: KeyedStore): RecordRemoval {
-    const { settings, clock, logger, countRemovals } = this.#options;
+  #createRemoval(): RecordRemoval {
+    const { settings, countRemovals } = this.#options;
     const lifetimeMilliseconds = settings.jobLifetimeMilliseconds;
     return new RecordRemoval({
-      store,
+      ...this.#shared,
       bodyStream: bodyStream as StreamName,
-      partitions: this.#partitions,
       isOwner: (partition) => this.#work.ownership.canStartItems(partition),
       times: () => ({
         lifetimeMilliseconds,
@@ -260,52 +271,42 @@
           lifetimeMilliseconds,
         ),
       }),
-      now: clock.monotonicNow,
-      wallNow: clock.wallNow,
       onRemoved: countRemovals,
-      logger,
     });
   }
 
   #createCapacity(meter: WriteMeter): StoreCapacity {
-    const { settings, clock, logger, peerReports } = this.#options;
+    const { settings, peerReports } = this.#options;
     return new StoreCapacity({
+      ...this.#shared,
       capacityBytes: settings.store.capacityBytes ?? defaultStoreCapacityBytes,
       historyMilliseconds: this.#historyMilliseconds,
-      partitions: this.#partitions,
       isOwned: (partition) => this.#work.ownership.isOwned(partition),
       notesOf: (partition, job) => this.#removal.notesOf(partition, job),
       meter,
       peerVolumes: () =>
         peerReports().recentReports().map((peer) => peer.report),
-      now: clock.monotonicNow,
-      wallNow: clock.wallNow,
-      logger,
     });
   }
 
-  #createOrphans(store: KeyedStore): OrphanBodies {
-    const { settings, clock, logger, countRemovals } = this.#options;
+  #createOrphans(): OrphanBodies {
+    const { settings, countRemovals } = this.#options;
     return new OrphanBodies({
-      store,
+      ...this.#shared,
       stream: bodyStream as StreamName,
-      partitions: this.#partitions,
       isOwned: (partition) => this.#readsAnyBodies(partition),
       commonRegions: () =>
         this.#options.blackboard.configuration?.commonRegions,
       orphanMilliseconds: settings.jobLifetimeMilliseconds * orphanAgeShare,
-      now: clock.monotonicNow,
       onRemoved: (count) => countRemovals("bodies", count),
-      logger,
     });
   }
 
   #createOwnedWork(region?: string): OwnedWork {
     const work: OwnedWork = new OwnedWork({
       ...this.#options,
+      ...this.#shared,
       region,
-      store: this.#store,
-      partitions: this.#partitions,
       bodies: this.#bodies,
       regions: this.#regions,
       writerOf: (partition) => this.#resultWriterOf(partition),
