Compute less for each report, candidate and decision

A profile of twenty instances in one process shows the rest of it spread over many places: a report whose empty lists were deleted became slow to copy for each peer, the share of owned partitions was computed by three lists for each report, decays and powers were computed for values that do not change, and listeners were called for empty lists. Tests of fleet, gateway, jobs, coordination, server limits and leaving servers passed.

--- a/packages/fleet/peers/statement-messages.ts
+++ b/packages/fleet/peers/statement-messages.ts
@@ -133,9 +133,17 @@
   sender: InstanceId,
   listeners: StatementListeners,
 ): void {
-  listeners.onServerLimits(decodeLimits(statements.serverLimits), sender);
-  listeners.onLeavingServers(decodeLeaving(statements.leavingServers), sender);
-  listeners.onColdServers(decodeCold(statements.coldServers), sender);
+  const { serverLimits, leavingServers, coldServers } = statements;
+  // Most reports hold none of them.
+  if (serverLimits.length > 0) {
+    listeners.onServerLimits(decodeLimits(serverLimits), sender);
+  }
+  if (leavingServers.length > 0) {
+    listeners.onLeavingServers(decodeLeaving(leavingServers), sender);
+  }
+  if (coldServers.length > 0) {
+    listeners.onColdServers(decodeCold(coldServers), sender);
+  }
 }
 
 export function encodeServerUsage(usage: ServerUsage): WireServerUsage {
--- a/packages/gateway/choose-server.ts
+++ b/packages/gateway/choose-server.ts
@@ -242,11 +242,13 @@
 
 /** Factor from 0 to 1 that lowers the weight of a server with recent failures. */
 export function healthWeight({ failureShare }: ServerCandidate): number {
+  if (failureShare === 0) return 1;
   return (1 - failureShare) ** healthWeightExponent;
 }
 
 /** Factor that lowers the weight of a server whose work takes longer than usual at the moment. */
 export function speedWeight({ workTime = 1 }: ServerCandidate): number {
+  if (workTime === 1) return 1;
   return workTime ** -workTimeExponent;
 }
 
--- a/packages/gateway/server-health.ts
+++ b/packages/gateway/server-health.ts
@@ -185,5 +185,6 @@
 }
 
 function decayed({ value, updatedAt }: DecayingShare, now: number): number {
+  if (value === 0) return 0;
   return value * Math.exp((updatedAt - now) / failureShareDecayMilliseconds);
 }
--- a/packages/jobs/store-capacity.ts
+++ b/packages/jobs/store-capacity.ts
@@ -90,14 +90,17 @@
 
   report(): VolumeReport {
     const { partitions, isOwned, meter } = this.#options;
-    const ownedPartitions = partitions.all()
-      .map(({ number }) => number)
-      .filter(isOwned);
-    const volumes = ownedPartitions.map((number) => this.#volumes.get(number));
+    const ownedPartitions: PartitionNumber[] = [];
     // A partition that has not been read yet is better known to other instances.
-    const storedBytes = volumes.includes(undefined)
-      ? undefined
-      : volumes.reduce((sum, volume) => sum + volume!.storedBytes, 0);
+    let storedBytes: number | undefined = 0;
+    for (const { number } of partitions.all()) {
+      if (!isOwned(number)) continue;
+      ownedPartitions.push(number);
+      const volume = this.#volumes.get(number);
+      storedBytes = volume && storedBytes !== undefined
+        ? storedBytes + volume.storedBytes
+        : undefined;
+    }
     return { ownedPartitions, storedBytes, writtenBytes: meter.recentBytes };
   }
 
--- a/packages/protocol/optional-lists.ts
+++ b/packages/protocol/optional-lists.ts
@@ -8,10 +8,13 @@
   Message extends object,
   Name extends keyof Message,
 >(message: Message, names: readonly Name[]): Message {
-  const shortened = { ...message };
-  for (const name of names) {
-    const list = message[name];
-    if (Array.isArray(list) && list.length === 0) delete shortened[name];
+  // A property that is deleted would make all later reads and copies of the object slow.
+  const shortened: Partial<Message> = {};
+  for (const key of Object.keys(message) as (keyof Message)[]) {
+    const value = message[key];
+    const isLeftOut = Array.isArray(value) && value.length === 0 &&
+      names.includes(key as Name);
+    if (!isLeftOut) shortened[key] = value;
   }
-  return shortened;
+  return shortened as Message;
 }
