Store the compiled code of all functions of the program

The compiled code beside the bundle held only what the start of the program compiles; all else was compiled by each process when it was first called.

--- a/scripts/bundle-launcher.cjs
+++ b/scripts/bundle-launcher.cjs
@@ -3,6 +3,7 @@
 const { readFileSync, writeFileSync } = require("node:fs");
 const { createRequire, wrap } = require("node:module");
 const { join } = require("node:path");
+const { setFlagsFromString } = require("node:v8");
 const { Script } = require("node:vm");
 
 const filename = join(__dirname, "entry.bundle.cjs");
@@ -17,11 +18,17 @@
   }
 }
 
+const storesCompiledCode = process.argv.includes("--store-compiled-code");
+// Otherwise each process compiles the functions that it calls, which takes more processor time than
+// to read them.
+if (storesCompiledCode) setFlagsFromString("--no-lazy");
 const script = new Script(wrap(readFileSync(filename, "utf8")), {
   filename,
   cachedData: readCompiledCode(),
 });
-if (process.argv.includes("--store-compiled-code")) {
+if (storesCompiledCode) {
+  // Compiled code is used only by a process with the same flags.
+  setFlagsFromString("--lazy");
   // The program ends at once, since it has no settings.
   process.on("exit", () => {
     writeFileSync(compiledCodePath, script.createCachedData());
