Use one lookup and one check where recent code had copies

A route by its id was searched in three places and a workspace that may be missing was tested in three: both are lookups of the configuration's index now, which keeps the first route of an id as the search did. Whether a member is in an allowed region stood twice. A dependent passed on the statements of a coordinator's reply by its own copy of the function for reports. Each send of an online request built the whole question for a placement to pass on its regions. The check of the zone of a forwarding instance repeated the default of the function that it calls. Tests of server attempts use the project's function to listen and one pool. Functions that only their own file uses are not exported. The note on the compiled code follows what is stored since.

Ruled out: taking the size of results from the state of a partition in the estimate of the store's volume, since that also counts texts and groups whose job is not known yet; and the check directly before an item is sent, which also heeds cold servers, unlike that of online requests. Behaviour is the same.

--- a/packages/coordination/job-call-service.ts
+++ b/packages/coordination/job-call-service.ts
@@ -63,9 +63,7 @@
       const access = { workspace, routeId, host, isKeyMissing, forwarderZone };
       return handler.handle(call, received, access, response);
     }
-    const route = configuration.configuration.routes.find(({ id }) =>
-      id === routeId
-    );
+    const route = configuration.route(routeId);
     if (!route) return response.fail(notReady);
     handler.submit(received, route, workspace, response);
   });
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -20,12 +20,9 @@
   rankCoordinators,
 } from "../fleet/peers/coordinators.ts";
 import { DocumentPush } from "../fleet/peers/document-push.ts";
-import {
-  decodeLeaving,
-  decodeLimits,
-} from "../fleet/peers/statement-messages.ts";
+import { notifyOfStatements } from "../fleet/peers/statement-messages.ts";
 import type { Member } from "../fleet/peers/members.ts";
-import { isAllowedZone } from "../fleet/regions.ts";
+import { isAllowedMember } from "../fleet/regions.ts";
 import { type JobReport, PeerReports } from "../fleet/peers/peer-reports.ts";
 import { displaceMessage } from "../fleet/peers/report.ts";
 import type { JobCalls } from "../gateway/gateway.ts";
@@ -203,12 +200,10 @@
   relayPeers(allowedRegions: readonly string[] | undefined): InstanceId[] {
     const peers = this.#storeRelays();
     if (!allowedRegions) return peers;
-    const { members, blackboard } = this.#options;
-    return peers.filter((instance) => {
-      const zone = members.get(instance)?.zone;
-      return zone !== undefined &&
-        isAllowedZone(zone, allowedRegions, blackboard.regionByZone);
-    });
+    const { members, blackboard: { regionByZone } } = this.#options;
+    return peers.filter((instance) =>
+      isAllowedMember(members.get(instance), allowedRegions, regionByZone)
+    );
   }
 
   #storeRelays(): InstanceId[] {
@@ -344,11 +339,12 @@
         quarantine: () => this.crashControl.quarantine,
         placer: () => this.#remotePlacer,
       }),
-      onStatements: ({ serverLimits, leavingServers }, coordinator) => {
-        const listeners = statements.listeners({ isDependent: false });
-        listeners.onServerLimits(decodeLimits(serverLimits), coordinator);
-        listeners.onLeavingServers(decodeLeaving(leavingServers), coordinator);
-      },
+      onStatements: (reply, coordinator) =>
+        notifyOfStatements(
+          reply,
+          coordinator,
+          statements.listeners({ isDependent: false }),
+        ),
       clock,
       logger,
     });
--- a/packages/fleet/configuration.ts
+++ b/packages/fleet/configuration.ts
@@ -90,6 +90,7 @@
   readonly configuration: FleetConfiguration;
   /** See `commonRegionsOf`; undefined means that there is nothing to check anywhere. */
   readonly commonRegions: readonly string[] | undefined;
+  readonly #routes = new Map<RouteId, RouteRule>();
   readonly #routesByHost = new Map<string, RouteRule[]>();
   readonly #workspacesByKey = new Map<string, WorkspaceRule>();
   readonly #workspaces = new Map<WorkspaceId, WorkspaceRule>();
@@ -99,6 +100,7 @@
     this.configuration = configuration;
     this.commonRegions = commonRegionsOf(configuration);
     for (const route of configuration.routes) {
+      if (!this.#routes.has(route.id)) this.#routes.set(route.id, route);
       const routes = this.#routesByHost.get(route.host) ?? [];
       routes.push(route);
       this.#routesByHost.set(route.host, routes);
@@ -123,6 +125,10 @@
     return this.configuration.version;
   }
 
+  route(id: RouteId | undefined): RouteRule | undefined {
+    return id === undefined ? undefined : this.#routes.get(id);
+  }
+
   /** The host's route with the longest path prefix that matches. */
   findRoute(host: string, path: string): RouteRule | undefined {
     return this.#routesByHost.get(host)
@@ -139,8 +145,8 @@
     return this.#services.get(name);
   }
 
-  workspace(id: WorkspaceId): WorkspaceRule | undefined {
-    return this.#workspaces.get(id);
+  workspace(id: WorkspaceId | undefined): WorkspaceRule | undefined {
+    return id === undefined ? undefined : this.#workspaces.get(id);
   }
 
   workspaceOfKey(key: string): WorkspaceRule | undefined {
--- a/packages/fleet/peers/statement-messages.ts
+++ b/packages/fleet/peers/statement-messages.ts
@@ -63,7 +63,7 @@
   ) => [id, startedAtMilliseconds]);
 }
 
-export function decodeLeaving(
+function decodeLeaving(
   servers: readonly WireLeaving[],
 ): ServerLifetime[] {
   return servers.map(([id, startedAtMilliseconds]) => ({
@@ -91,7 +91,7 @@
   ) => [server, serverStartedAt, leftMilliseconds, isPresumed]);
 }
 
-export function decodeCold(servers: readonly WireCold[]): KnownCold[] {
+function decodeCold(servers: readonly WireCold[]): KnownCold[] {
   return servers.map((
     [server, serverStartedAt, leftMilliseconds, isPresumed],
   ) => ({ server, serverStartedAt, leftMilliseconds, isPresumed }));
@@ -107,7 +107,7 @@
   ]);
 }
 
-export function decodeLimits(limits: readonly WireLimit[]): KnownLimit[] {
+function decodeLimits(limits: readonly WireLimit[]): KnownLimit[] {
   return limits.map(
     (
       [server, serverStartedAt, limitPerSecond, ageMilliseconds, isRelayed],
@@ -124,17 +124,18 @@
 export interface WireStatements {
   readonly serverLimits: readonly WireLimit[];
   readonly leavingServers: readonly WireLeaving[];
-  readonly coldServers: readonly WireCold[];
+  /** Not in the replies of coordinators, which choose the servers for their dependents. */
+  readonly coldServers?: readonly WireCold[];
 }
 
-/** Passes the statements in a report of `sender` to the listeners. */
+/** Passes the statements in a message of `sender` to the listeners. */
 export function notifyOfStatements(
   statements: WireStatements,
   sender: InstanceId,
   listeners: StatementListeners,
 ): void {
-  const { serverLimits, leavingServers, coldServers } = statements;
-  // Most reports hold none of them.
+  const { serverLimits, leavingServers, coldServers = [] } = statements;
+  // Most messages hold none of them.
   if (serverLimits.length > 0) {
     listeners.onServerLimits(decodeLimits(serverLimits), sender);
   }
--- a/packages/fleet/regions.ts
+++ b/packages/fleet/regions.ts
@@ -64,13 +64,19 @@
     readonly regionByZone: RegionByZone;
   },
 ): boolean {
-  const rule = workspace === undefined
-    ? undefined
-    : configuration?.workspace(workspace);
-  const route = configuration?.configuration.routes.find(({ id }) =>
-    id === routeId
+  const allowedRegions = allowedRegionsOf(
+    configuration?.route(routeId),
+    configuration?.workspace(workspace),
   );
-  const allowedRegions = allowedRegionsOf(route, rule);
+  return isAllowedMember(member, allowedRegions, regionByZone);
+}
+
+/** As `isAllowedZone`; an instance that is no member is in no region. */
+export function isAllowedMember(
+  member: { readonly zone: string } | undefined,
+  allowedRegions: readonly string[] | undefined,
+  regionByZone: RegionByZone,
+): boolean {
   return !allowedRegions ||
     (member !== undefined &&
       isAllowedZone(member.zone, allowedRegions, regionByZone));
--- a/packages/fleet/send-rules.ts
+++ b/packages/fleet/send-rules.ts
@@ -80,9 +80,11 @@
     const { serverLimits, coldServers } = this.#options;
     const stated = serverLimits.budgetOf(server, now);
     const cold = coldServers.allowanceFor(server, now);
-    if (!cold && !stated) return this.#unlimitedPermission(server.slots);
     if (!cold) {
-      return { kind: "allowed", slots: server.slots, sendBudget: stated };
+      const { slots } = server;
+      return stated
+        ? { kind: "allowed", slots, sendBudget: stated }
+        : this.#unlimitedPermission(slots);
     }
     if (cold.kind === "refused" || (purpose.isBatch && cold.sendBudget)) {
       const { waitMilliseconds } = cold.kind === "refused"
--- a/packages/gateway/online-request.ts
+++ b/packages/gateway/online-request.ts
@@ -188,7 +188,8 @@
   #send(choice: SendChoice): void {
     const { services, workspace, received } = this.#options;
     const server = services.findServer(choice.server.id);
-    if (!server || services.standingRefusal(server, this.#choiceRequest())) {
+    const purpose = { allowedRegions: this.#allowedRegions };
+    if (!server || services.standingRefusal(server, purpose)) {
       // The coordinator that chose the server may not know that nothing may be sent there.
       services.placer.withdraw(choice);
       this.#tried.excluded.add(choice.server.id);
--- a/packages/gateway/server-attempt.test.ts
+++ b/packages/gateway/server-attempt.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
 import { test } from "node:test";
+import { listenOn } from "../common/listen.ts";
 import {
   type ConnectionPool,
   createConnectionPool,
@@ -28,6 +28,17 @@
   };
 }
 
+const host = "127.0.0.1";
+
+function createPool(port: number): ConnectionPool {
+  return createConnectionPool({
+    host,
+    port,
+    connectTimeoutMilliseconds: 1_000,
+    idleMilliseconds: 1_000,
+  });
+}
+
 /** Makes an attempt that gets no answer; returns its failure. */
 function failUnanswered(
   pool: ConnectionPool,
@@ -69,16 +80,7 @@
     response.write("first");
     setTimeout(() => response.write("second"), 60);
   });
-  await new Promise<void>((resolve) =>
-    server.listen(0, "127.0.0.1", () => resolve())
-  );
-  const { port } = server.address() as AddressInfo;
-  const pool = createConnectionPool({
-    host: "127.0.0.1",
-    port,
-    connectTimeoutMilliseconds: 1_000,
-    idleMilliseconds: 1_000,
-  });
+  const pool = createPool(await listenOn(server, { host, port: 0 }));
   const failure = await new Promise<AttemptFailure>((resolve) => {
     const attempt = new ServerAttempt({
       pool,
@@ -113,12 +115,7 @@
 // Guards against servers that are avoided for a request, such as one with a name of a workspace
 // beyond Latin-1, that the client cannot send to any of them.
 test("a request that the client rejects is no failure of the server", async () => {
-  const pool = createConnectionPool({
-    host: "127.0.0.1",
-    port: 9,
-    connectTimeoutMilliseconds: 1_000,
-    idleMilliseconds: 1_000,
-  });
+  const pool = createPool(9);
   const failure = await failUnanswered(pool, ["x-name", "\u20ac"]);
   assert.deepEqual([failure.verdict, failure.isServerFault], [
     "not_run",
@@ -150,16 +147,7 @@
         pauseIf("second chunk");
       }, silenceMilliseconds / 2);
     });
-    await new Promise<void>((resolve) =>
-      server.listen(0, "127.0.0.1", () => resolve())
-    );
-    const { port } = server.address() as AddressInfo;
-    const pool = createConnectionPool({
-      host: "127.0.0.1",
-      port,
-      connectTimeoutMilliseconds: 1_000,
-      idleMilliseconds: 1_000,
-    });
+    const pool = createPool(await listenOn(server, { host, port: 0 }));
     let received = "";
     const failure = await new Promise<AttemptFailure | undefined>((resolve) => {
       new ServerAttempt({
--- a/packages/jobs/item-route.ts
+++ b/packages/jobs/item-route.ts
@@ -57,8 +57,6 @@
   { workspace }: Pick<JobRecord, "workspace">,
   route: RouteRule,
 ): SendPurpose {
-  const rule = workspace === undefined
-    ? undefined
-    : configuration.workspace(workspace);
+  const rule = configuration.workspace(workspace);
   return { isBatch: true, allowedRegions: allowedRegionsOf(route, rule) };
 }
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -416,8 +416,7 @@
     const found = await this.#findJob(call.job, access);
     if ("status" in found) return found;
     const mayHandOver = regions.mayHandle(found.record) &&
-      (access.forwarderZone === undefined ||
-        regions.mayHandle(found.record, access.forwarderZone));
+      regions.mayHandle(found.record, access.forwarderZone);
     if (!mayHandOver) return otherRegion;
     const item = found.record.items.findIndex(({ id }) => id === call.item);
     if (item < 0) return unknownItem;
--- a/packages/jobs/job-regions.ts
+++ b/packages/jobs/job-regions.ts
@@ -80,14 +80,9 @@
   job: RegionalJob,
   configuration: ConfigurationIndex,
 ): readonly string[] | undefined {
-  const submissionRoute = configuration.configuration.routes.find(({ id }) =>
-    id === job.route
-  );
   let regions = allowedRegionsOf(
-    submissionRoute,
-    job.workspace === undefined
-      ? undefined
-      : configuration.workspace(job.workspace),
+    configuration.route(job.route),
+    configuration.workspace(job.workspace),
   );
   for (const item of job.items) {
     const found = findItemRoute(configuration, job, item);
--- a/packages/jobs/retention.ts
+++ b/packages/jobs/retention.ts
@@ -66,7 +66,7 @@
 }
 
 /** Notes what has changed since the last call. */
-export function updateNotes(
+function updateNotes(
   notes: JobNotes,
   { record, finished, isEnded }: JobState,
   wallNow: number,
--- a/packages/overload/connection-limit.ts
+++ b/packages/overload/connection-limit.ts
@@ -21,7 +21,7 @@
 }
 
 /** A caller whose address is not known any more, since it has disconnected. */
-export const unknownAddress = "unknown" as ClientId;
+const unknownAddress = "unknown" as ClientId;
 
 export function addressOf(socket: Socket): ClientId {
   return (socket.remoteAddress ?? unknownAddress) as ClientId;
--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -1,5 +1,5 @@
 // Bundles the program of the users' platform, so that it starts quickly: all modules are in one
-// file, and the code that the start compiles is stored beside it.
+// file, and the compiled code of all functions is stored beside it.
 import { execFileSync } from "node:child_process";
 import { copyFileSync, readFileSync } from "node:fs";
 import { join } from "node:path";
