--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -17,7 +17,11 @@
 const hasTrouble = process.env.TROUBLE !== "0";
 const machineCount = 16;
 const addedNames = ["edge-17", "edge-18"];
-const restartedName = "edge-3";
+/** Restarted in this order; results are read again at the first. */
+const readerOfRestart = "edge-3";
+const restartedOwners = ["edge-11", "edge-14"];
+/** Time in which items that are open for their new owner are run again. */
+const rerunMilliseconds = 6_000;
 const serverCount = 4;
 const jobsOfRound = 24;
 const itemsPerJob = 5;
@@ -120,18 +124,33 @@
   const before = await readAll(deployment, jobs, reader);
   if (hasTrouble) await changeFleet(deployment);
   await readAll(deployment, await runJobs(deployment, 2), reader);
-  const restarted = deployment.instances.find(({ name }) =>
-    name === restartedName
+  // One machine after the other, as in a rolling restart; the last ones own the jobs.
+  await restart(deployment, readerOfRestart);
+  const [instance] = deployment.instances.filter(({ name }) =>
+    name === readerOfRestart
   );
-  await stop(deployment, restarted);
-  await start(deployment, restartedName);
+  const missing = await compare(deployment, before, instance);
+  for (const name of restartedOwners) await restart(deployment, name);
+  await pause(rerunMilliseconds);
+  const changed = await compare(deployment, before, instance);
+  const summary = `after the first restart, of ${missing.total} results that ` +
+    `were read before, ${missing.absent} positions have nothing; after all, ` +
+    `${changed.absent} have nothing and ${changed.other} hold another result`;
+  deployment.record({ what: "result", summary });
+  console.log(summary);
+  return changed.other + missing.other > 0;
+}
+
+async function restart(deployment, name) {
+  const instance = deployment.instances.find((known) => known.name === name);
+  await stop(deployment, instance);
+  await start(deployment, name);
   await pause(settleMilliseconds);
-  return await compare(deployment, before, restarted);
 }
 
-/** The rules LOST and TWICE for positions that were read before. */
+/** Counts the positions that were read before and have nothing, or another result, now. */
 async function compare(deployment, before, instance) {
-  let missing = 0;
+  let absent = 0;
   let other = 0;
   for (const [job, results] of before) {
     const page = await readResults(instance, job);
@@ -144,18 +163,14 @@
       results: found.map(({ id, state }) => `${id} ${state}`),
     });
     for (const [position, result] of results.entries()) {
-      if (!found[position]) missing += 1;
+      if (!found[position]) absent += 1;
       else if (
         found[position].id !== result.id || found[position].text !== result.text
       ) other += 1;
     }
   }
   const total = [...before.values()].flat().length;
-  const summary = `of ${total} results that were read before, ` +
-    `${missing} positions have nothing and ${other} hold another result`;
-  deployment.record({ what: "result", summary });
-  console.log(summary);
-  return missing + other > 0;
+  return { total, absent, other };
 }
 
 const deployment = new Deployment(join(folder, "record.txt"));
