Number result records for the whole life of the process

Cause: an instance that becomes a coordinator for the second time creates a new BatchWork, which numbered its result records from 0 again. The key of a record is instance, incarnation and number, and the store keeps only the newest record of a key, so that later results replaced earlier ones.

The number is now counted by Coordination, which lives as long as the process.

--- a/packages/entry/batch-work.ts
+++ b/packages/entry/batch-work.ts
@@ -66,6 +66,11 @@
   readonly liveZones: () => readonly string[];
   /** See `BatchExecutorOptions`. */
   readonly configurationReadAt: () => number;
+  /**
+   * Returns a number that this incarnation has not used for a record yet, in this batch work or an
+   * earlier one: records that have the same key replace each other.
+   */
+  readonly nextRecordNumber: () => number;
   /** Called at the end of each item run. */
   readonly countRun: (outcome: string) => void;
   /** Called with the number of records that were removed from the store. */
@@ -98,7 +103,6 @@
   readonly #removal: RecordRemoval;
   readonly #orphans: OrphanBodies;
   readonly #resultWriters = new Map<PartitionNumber, ResultWriter>();
-  #nextGroupNumber = 0;
   #regionalWork: OwnedWork | undefined;
   #isRunning = false;
 
@@ -375,13 +379,13 @@
   }
 
   #resultWriterOf(partition: JobPartition): ResultWriter {
-    const { settings, logger } = this.#options;
+    const { settings, logger, nextRecordNumber } = this.#options;
     let writer = this.#resultWriters.get(partition.number);
     if (!writer) {
       writer = new ResultWriter({
         partition,
         writer: `${settings.instance}/${settings.incarnation}`,
-        nextNumber: () => this.#nextGroupNumber++,
+        nextNumber: nextRecordNumber,
         onHeldBytes: this.#openResultHolding(),
         logger,
       });
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -72,6 +72,8 @@
   #rankedCoordinators: readonly InstanceId[] = [];
   /** When this instance last became a coordinator; monotonic milliseconds. */
   #coordinatorSince = Number.POSITIVE_INFINITY;
+  /** Continues when this instance becomes a coordinator again; see `BatchWorkOptions`. */
+  #nextRecordNumber = 0;
 
   constructor(options: CoordinationOptions) {
     this.#options = options;
@@ -416,6 +418,7 @@
       peerReports: () => this.#reports,
       liveZones: () => this.#liveZones(),
       configurationReadAt: this.#options.configurationReadAt,
+      nextRecordNumber: () => this.#nextRecordNumber++,
       countRun: (outcome) => this.#options.countRun(outcome),
       countRemovals: (...removed) => this.#options.countRemovals(...removed),
       clock,
