Continue the counts of admitted requests when limits are replaced

An instance that changes its role, or applies a limit that was lifted for a while, created new buckets whose reported count of admitted requests started at 0. A peer that still knew the higher count deducted nothing until it was reached, so that the fleet could admit more than the rate of a workspace.

The counts of earlier buckets are kept within FleetLimits and passed on to the limits that replace it; levels are taken over as before.

Evidence: "a peer deducts what an instance admits after its limits were replaced" failed without the change (level 10 where 5 is due).

--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -45,7 +45,10 @@
 /** What is known of the tokens that are left when this instance begins to apply limits. */
 type LimitsStart =
   & { readonly startsFull: boolean }
-  & Pick<FleetLimitsOptions, "refillsFrom" | "predecessor">;
+  & Pick<
+    FleetLimitsOptions,
+    "refillsFrom" | "predecessor" | "keepsLevels"
+  >;
 
 const millisecondsPerSecond = 1_000;
 
@@ -257,16 +260,14 @@
     );
     // A dependent that becomes a coordinator later joins a fleet that may have spent the burst.
     const startsFull = settings.isFirstStart && isFirstDecision;
-    this.#limits = isFirstDecision
-      ? this.#createLimits({
-        startsFull,
-        refillsFrom: this.#processStartedAt(),
-        predecessor: this.#limits,
-      })
-      : this.#createLimits({
-        startsFull,
-        refillsFrom: this.#options.clock.monotonicNow(),
-      });
+    this.#limits = this.#createLimits({
+      startsFull,
+      refillsFrom: isFirstDecision
+        ? this.#processStartedAt()
+        : this.#options.clock.monotonicNow(),
+      predecessor: this.#limits,
+      keepsLevels: isFirstDecision,
+    });
     if (isCoordinator) {
       this.#coordinatorSince = this.#options.clock.monotonicNow();
       this.#client.stop();
--- a/packages/fleet/limits/fleet-limits.test.ts
+++ b/packages/fleet/limits/fleet-limits.test.ts
@@ -85,3 +85,31 @@
   }]);
   assert.equal(limits.admit(workspace).admitted, false);
 });
+
+// A count that began at 0 again hid what an instance admitted after it had changed its role, or after
+// a limit had been lifted for a while.
+test("a peer deducts what an instance admits after its limits were replaced", () => {
+  const clock = { now: 0 };
+  const peer = createLimits(clock, { isFirstStart: true });
+  const report = (limits: FleetLimits) =>
+    peer.recordPeerUsages("other" as InstanceId, "one", limits.ownUsages());
+  const admit = (limits: FleetLimits, requests: number) => {
+    for (let request = 0; request < requests; request++) {
+      assert.ok(limits.admit(workspace).admitted);
+    }
+  };
+  peer.admit(workspace);
+  const first = createLimits(clock, { isFirstStart: true });
+  admit(first, 1);
+  report(first);
+  admit(first, 9);
+  report(first);
+  const second = createLimits(clock, {
+    isFirstStart: true,
+    predecessor: first,
+    keepsLevels: false,
+  });
+  admit(second, 5);
+  report(second);
+  assert.equal(peer.ownUsages()[0]!.level, workspace.burst - 1 - 9 - 5);
+});
--- a/packages/fleet/limits/fleet-limits.ts
+++ b/packages/fleet/limits/fleet-limits.ts
@@ -29,8 +29,10 @@
   readonly isFirstStart: boolean;
   /** From this time on, tokens are due that are not known to be spent; monotonic milliseconds. */
   readonly refillsFrom: number;
-  /** The limits that this instance applied since then, whose levels are taken over. */
+  /** The limits that this instance applied before, whose counts of admitted requests continue. */
   readonly predecessor?: FleetLimits;
+  /** The levels of the predecessor are taken over as well. */
+  readonly keepsLevels?: boolean;
   readonly window: LimitWindow;
   /** Requests by which a window may exceed its limit in addition to the overage. */
   readonly slackRequests: number;
@@ -46,12 +48,26 @@
 const admittedDecision: LimitDecision = { admitted: true };
 
 export class FleetLimits implements WorkspaceLimiter {
-  readonly #options: FleetLimitsOptions;
+  readonly #options: Omit<FleetLimitsOptions, "predecessor" | "keepsLevels">;
   readonly #buckets = new Map<WorkspaceId, SharedBucket>();
+  readonly #knownLevels: ReadonlyMap<WorkspaceId, number>;
+  /**
+   * Requests that buckets which no longer exist have admitted. Peers may still know these counts,
+   * and would not deduct what is admitted later if it were counted from 0.
+   */
+  readonly #earlierAdmissions: Map<WorkspaceId, number>;
   #configurationVersion = -1;
 
-  constructor(options: FleetLimitsOptions) {
+  constructor(
+    { predecessor, keepsLevels = true, ...options }: FleetLimitsOptions,
+  ) {
     this.#options = options;
+    this.#knownLevels = predecessor && keepsLevels
+      ? predecessor.#levels()
+      : new Map();
+    this.#earlierAdmissions = predecessor
+      ? predecessor.#admissions()
+      : new Map();
   }
 
   admit(workspace: WorkspaceRule): LimitDecision {
@@ -76,7 +92,7 @@
     if (index.version !== this.#configurationVersion) {
       this.#configurationVersion = index.version;
       for (const workspace of index.configuration.workspaces ?? []) {
-        if (workspace.ratePerSecond <= 0) this.#buckets.delete(workspace.id);
+        if (workspace.ratePerSecond <= 0) this.#removeBucket(workspace.id);
         else {this.#bucketOf(workspace, now).setLimit(
             this.#limitOf(workspace),
             now,
@@ -112,9 +128,27 @@
     for (const bucket of this.#buckets.values()) bucket.forgetPeer(peer);
   }
 
-  /** Tokens left for the workspace; undefined if none of its requests was counted here. */
-  levelOf(workspace: WorkspaceId): number | undefined {
-    return this.#buckets.get(workspace)?.level;
+  /** Tokens left for each workspace of which a request was counted here. */
+  #levels(): Map<WorkspaceId, number> {
+    return new Map(
+      [...this.#buckets].map(([workspace, { level }]) => [workspace, level]),
+    );
+  }
+
+  /** Requests of each workspace that were admitted within this incarnation. */
+  #admissions(): Map<WorkspaceId, number> {
+    const admissions = new Map(this.#earlierAdmissions);
+    for (const { workspace, admitted } of this.ownUsages()) {
+      admissions.set(workspace, admitted);
+    }
+    return admissions;
+  }
+
+  #removeBucket(workspace: WorkspaceId): void {
+    const bucket = this.#buckets.get(workspace);
+    if (!bucket) return;
+    this.#earlierAdmissions.set(workspace, bucket.ownUsage().admitted);
+    this.#buckets.delete(workspace);
   }
 
   #limitOf(workspace: WorkspaceRule): BucketLimit {
@@ -124,15 +158,15 @@
   #bucketOf(workspace: WorkspaceRule, now: number): SharedBucket {
     let bucket = this.#buckets.get(workspace.id);
     if (!bucket) {
-      const { isFirstStart, refillsFrom, slackRequests, predecessor } =
-        this.#options;
+      const { isFirstStart, refillsFrom, slackRequests } = this.#options;
       const limit = this.#limitOf(workspace);
-      const knownLevel = predecessor?.levelOf(workspace.id) ??
+      const knownLevel = this.#knownLevels.get(workspace.id) ??
         (now - refillsFrom) / millisecondsPerSecond * limit.ratePerSecond;
       bucket = new SharedBucket(limit, {
         now,
         startsFull: isFirstStart,
         initialLevel: slackRequests * restartSlackShare + knownLevel,
+        admitted: this.#earlierAdmissions.get(workspace.id),
       });
       bucket.refresh(now, this.#options.view());
       this.#buckets.set(workspace.id, bucket);
--- a/packages/fleet/limits/shared-bucket.ts
+++ b/packages/fleet/limits/shared-bucket.ts
@@ -58,6 +58,8 @@
   /** The bucket starts with `burst` tokens; otherwise with `initialLevel`. */
   readonly startsFull: boolean;
   readonly initialLevel?: number;
+  /** Requests that earlier buckets of this incarnation for the same limit have admitted. */
+  readonly admitted?: number;
   /** When the level is divided among the instances; otherwise each may spend all of it. */
   readonly sharing?: "under_contention" | "always";
   /** Returns a number from 0 (inclusive) to 1 (exclusive), like `Math.random`. */
@@ -80,7 +82,7 @@
   /** False until the level of the fleet is known to a copy that did not start full. */
   #hasLevel: boolean;
   #refilledAt: number;
-  #admitted = 0;
+  #admitted: number;
   /** Exponential moving average of the requests per second. */
   #demandPerSecond = 0;
   #demandUpdatedAt: number;
@@ -95,6 +97,7 @@
       now,
       startsFull,
       initialLevel = 0,
+      admitted = 0,
       sharing = "under_contention",
       random = Math.random,
     }: BucketOptions,
@@ -102,6 +105,7 @@
     this.#random = random;
     this.#sharing = sharing;
     this.#limit = limit;
+    this.#admitted = admitted;
     this.#hasLevel = startsFull;
     this.#level = startsFull
       ? limit.burst
