Reset the connection when an answer without chunks breaks off

A caller of HTTP/1.0 got the first part of an answer whose server had broken off as a whole answer: such an answer has no chunks, so that only the end of its connection ends it, and the connection was closed in order.

The connection is now reset if the answer has no chunks. Found by searching for other paths on which a broken answer looks complete; the test "a caller of HTTP/1.0 does not take a broken answer for a whole one" failed before.

--- a/packages/gateway/caller-response.ts
+++ b/packages/gateway/caller-response.ts
@@ -167,6 +167,9 @@
   }
 
   abort(): void {
+    const { socket, chunkedEncoding } = this.#response;
+    // Of an answer without chunks, as to HTTP/1.0, an orderly end of the connection is the end.
+    if (this.hasBegun && !chunkedEncoding) socket?.resetAndDestroy();
     this.#response.destroy();
   }
 
