Fail a call whose response without a length is reset

A response of the store that has no length and is reset on the way counted as complete with the part that had arrived: the HTTP client ends such a response in order, and only the answers of servers to callers were checked for it. A read could so miss records until its next answer showed them.

callHttp now uses the same check. Found by searching for twins of the reports on answers that break off; http-call.test.ts failed before.

--- a/packages/transport/http-call.ts
+++ b/packages/transport/http-call.ts
@@ -6,7 +6,10 @@
 import { Buffer } from "node:buffer";
 import { RosemaryrudderError } from "../common/errors.ts";
 import type { Verdict } from "../common/verdict.ts";
-import type { ResponseController } from "./connection-pool.ts";
+import {
+  isConnectionFailing,
+  type ResponseController,
+} from "./connection-pool.ts";
 import type { RequestDispatcher } from "./renewable-pool.ts";
 
 export interface HttpCall {
@@ -90,6 +93,11 @@
         call.onResponseData?.(chunk.length);
       },
       onResponseEnd: () => {
+        if (isConnectionFailing()) {
+          return fail(
+            "the connection was reset before the end of the response",
+          );
+        }
         if (settle()) resolve({ status, headers, body: Buffer.concat(chunks) });
       },
       onResponseError: (_, error) => fail(error.message, error),
