Count the events of answers passed on directly without holding them

Cause: the bytes of an answer that is passed on as it arrives also went through the splitter of events, only to count them and to see whether the answer ends within one. The splitter keeps the bytes of an event until its end, and the bound on an event was not checked there.

EventCounter keeps the position in the stream and no bytes.

--- a/packages/gateway/answer-relay.ts
+++ b/packages/gateway/answer-relay.ts
@@ -7,7 +7,11 @@
 import { Buffer } from "node:buffer";
 import type { AnswerHead } from "./caller-request.ts";
 import type { CallerResponse } from "./caller-response.ts";
-import { EventSplitter, type StreamEvent } from "./event-splitter.ts";
+import {
+  EventCounter,
+  EventSplitter,
+  type StreamEvent,
+} from "./event-splitter.ts";
 import type { Holding } from "../overload/held-bytes.ts";
 import { HeldAnswer } from "./held-answer.ts";
 import type { AttemptFailure } from "./server-attempt.ts";
@@ -41,7 +45,10 @@
 export class AnswerRelay {
   readonly #options: AnswerRelayOptions;
   readonly #held: HeldAnswer;
+  /** Takes the events of an answer that is passed on in whole events. */
   #splitter = new EventSplitter();
+  /** Counts those of a stream that is passed on as it arrives, and may be of any length. */
+  #counter = new EventCounter();
   #mode: RelayMode = "direct";
   #head: AnswerHead | undefined;
   #lastEventId: number | undefined;
@@ -80,6 +87,7 @@
   /** Called before the request is sent to a server. */
   startAttempt(): void {
     this.#splitter = new EventSplitter();
+    this.#counter = new EventCounter();
     this.#head = undefined;
     this.#hasContent = false;
     this.#eventsOfAttempt = 0;
@@ -104,9 +112,8 @@
     this.#hasContent = true;
     if (this.#mode === "events") return this.#addEvents(chunk);
     if (this.#mode === "direct") {
-      // Only the position within an event is of interest here.
       if (this.#isEventStream) {
-        this.#eventsOfAttempt += this.#splitter.push(chunk).length;
+        this.#eventsOfAttempt += this.#counter.push(chunk);
       }
       this.#write(chunk);
     } else if (this.#held.add(chunk)) {
@@ -118,7 +125,7 @@
   /** The failure that the end of the answer means; undefined if the answer is complete. */
   checkEnd(): AttemptFailure | undefined {
     if (!this.#isEventStream) return undefined;
-    if (this.#splitter.pendingBytes > 0) {
+    if (this.#counter.isInsideEvent || this.#splitter.pendingBytes > 0) {
       return {
         ...failure("the stream ended in the middle of an event"),
         isConnectionBroken: true,
--- a/packages/gateway/event-splitter.test.ts
+++ b/packages/gateway/event-splitter.test.ts
@@ -2,7 +2,7 @@
 import { Buffer } from "node:buffer";
 import { test } from "node:test";
 import fastCheck from "fast-check";
-import { dataOf, EventSplitter } from "./event-splitter.ts";
+import { dataOf, EventCounter, EventSplitter } from "./event-splitter.ts";
 
 test("events are whole and their bytes unchanged, however the stream is split into chunks", () => {
   const text =
@@ -68,3 +68,19 @@
     { seed: 5, examples: [[["one\u2028two\u2029three"], "\n"]] },
   );
 });
+
+test("events are counted as they are split, without holding their bytes", () => {
+  const chunk = fastCheck.string({
+    unit: fastCheck.constantFrom("\n", "\r", "a"),
+    maxLength: 6,
+  });
+  fastCheck.assert(fastCheck.property(fastCheck.array(chunk), (chunks) => {
+    const splitter = new EventSplitter();
+    const counter = new EventCounter();
+    for (const text of chunks) {
+      const bytes = Buffer.from(text);
+      assert.equal(counter.push(bytes), splitter.push(bytes).length);
+      assert.equal(counter.isInsideEvent, splitter.pendingBytes > 0);
+    }
+  }));
+});
--- a/packages/gateway/event-splitter.ts
+++ b/packages/gateway/event-splitter.ts
@@ -15,6 +15,7 @@
 }
 
 const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
 /** Only a line feed ends a line here, as it ends an event. */
 const idPattern = /(?:^|\n)id: ?(\d+)\r?(?:\n|$)/;
 
@@ -55,6 +56,47 @@
   }
 }
 
+/** Counts whole events in the same way, without holding any bytes. */
+export class EventCounter {
+  #position: "in_line" | "after_line_feed" | "after_carriage_return" =
+    "in_line";
+  #isInsideEvent = false;
+
+  /** True if bytes of an event were received whose end has not arrived. */
+  get isInsideEvent(): boolean {
+    return this.#isInsideEvent;
+  }
+
+  /** Returns the number of events that the received bytes complete. */
+  push(chunk: Buffer): number {
+    let events = 0;
+    for (let at = 0; at < chunk.length;) {
+      if (this.#position === "in_line") {
+        this.#isInsideEvent = true;
+        const lineEnd = chunk.indexOf(lineFeed, at);
+        if (lineEnd < 0) break;
+        this.#position = "after_line_feed";
+        at = lineEnd + 1;
+        continue;
+      }
+      const byte = chunk[at];
+      at += 1;
+      if (byte === lineFeed) {
+        events += 1;
+        this.#isInsideEvent = false;
+        this.#position = "in_line";
+      } else if (
+        byte === carriageReturn && this.#position === "after_line_feed"
+      ) {
+        this.#position = "after_carriage_return";
+      } else {
+        this.#position = "in_line";
+      }
+    }
+    return events;
+  }
+}
+
 /** Position after the first empty line from `start` on, or -1 if it has not arrived. */
 function endOfEvent(bytes: Buffer, start: number): number {
   for (
@@ -63,7 +105,9 @@
     at = bytes.indexOf(lineFeed, at + 1)
   ) {
     if (bytes[at + 1] === lineFeed) return at + 2;
-    if (bytes[at + 1] === 0x0d && bytes[at + 2] === lineFeed) return at + 3;
+    if (bytes[at + 1] === carriageReturn && bytes[at + 2] === lineFeed) {
+      return at + 3;
+    }
   }
   return -1;
 }
