Poll the configuration with the short wait until the role is decided

Cause: an instance that has just started does not know its role and polled with the wait of a dependent, 6 s, although nobody else reads for it. The silence then had to be noticed by other calls; if these opened new connections, since none was idle, they worked, and nothing was late. An instance without partitions noticed the silence 6.3 s after its start.

An undecided instance now waits as a coordinator does, and a dependent that becomes a coordinator ends its long wait at once.

--- a/packages/entry/coordination-options.ts
+++ b/packages/entry/coordination-options.ts
@@ -23,6 +23,8 @@
   readonly isStoreFailing: () => boolean;
   /** See `BatchExecutorOptions`. */
   readonly configurationReadAt: () => number;
+  /** Called when a dependent has become a coordinator, which has to read the documents itself. */
+  readonly onCoordinator: () => void;
   readonly heldBytes: HeldBytes;
   readonly removeMember: (member: Member) => void;
   /** Called at the end of each item run. */
--- a/packages/entry/coordination.ts
+++ b/packages/entry/coordination.ts
@@ -274,6 +274,7 @@
       this.#batch = this.#createBatchWork();
       this.#batch.start();
       this.#reports.start();
+      if (!isFirstDecision) this.#options.onCoordinator();
       return;
     }
     const batch = this.#batch;
--- a/packages/entry/entry-instance.ts
+++ b/packages/entry/entry-instance.ts
@@ -298,6 +298,9 @@
         this.#store.isDirectFailing ||
         this.#followers.some((follower) => follower.isFailing),
       configurationReadAt: () => this.#configurationFollower.completeUntil,
+      onCoordinator: () => {
+        for (const follower of this.#followers) follower.readAgain();
+      },
       removeMember: (member) => void this.#membership.remove(member),
       onVerdictsLoaded: () => this.#gateway.handleDocuments(),
       countServerCrash: () => metrics.countServerCrash(),
@@ -382,11 +385,12 @@
       logger,
       onRecords: (records, position, isSnapshot) =>
         this.#documents.applyRecords(kind, records, position, { isSnapshot }),
-      // Dependents also receive the documents from their coordinator.
+      // Dependents also receive the documents from their coordinator. An instance that does not know
+      // its role yet may be the only one that reads them.
       waitMilliseconds: () =>
-        this.#coordination.isCoordinator
-          ? this.#timings.pollWaitMilliseconds
-          : relaxedFollowWaitMilliseconds,
+        this.#coordination.isDecided && !this.#coordination.isCoordinator
+          ? relaxedFollowWaitMilliseconds
+          : this.#timings.pollWaitMilliseconds,
       onFailure: (beganAt) => {
         const lastAt = this.#options.clock.monotonicNow();
         this.#lastStoreFailure = { beganAt, lastAt };
--- a/packages/store/partition-follower.test.ts
+++ b/packages/store/partition-follower.test.ts
@@ -113,3 +113,32 @@
   assert.deepEqual(seen, ["a"]);
   assert.equal(reads, 3);
 });
+
+// An instance that became a coordinator went on with a wait that is meant for dependents.
+test("a follower that reads again does so at once, with its present wait", async () => {
+  const service = new MemoryStoreService();
+  const store = service.client("reader");
+  const waits: (number | undefined)[] = [];
+  store.read = (_, { waitMilliseconds, signal }) => {
+    waits.push(waitMilliseconds);
+    return new Promise((_, reject) =>
+      signal?.addEventListener("abort", () => reject(new Error("aborted")))
+    );
+  };
+  let wait = 6_000;
+  const follower = new PartitionFollower({
+    store,
+    target,
+    logger: silentLogger,
+    waitMilliseconds: () => wait,
+    onRecords: () => {},
+  });
+  follower.start();
+  await until(() => waits.length === 1, "the first read");
+  wait = 1_200;
+  follower.readAgain();
+  await until(() => waits.length === 2, "the second read");
+  assert.deepEqual(waits, [6_000, 1_200]);
+  assert.equal(follower.isFailing, false);
+  follower.stop();
+});
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -54,7 +54,9 @@
   #isStopped = false;
   /** When the first of the failed reads since the last successful one was noticed. */
   #failingSince: number | undefined;
+  /** Ends the present read of the next records. */
   #abortController = new AbortController();
+  #isReadingAgain = false;
   #endPause: (() => void) | undefined;
   #runningCatchUps = 0;
   /** Waits for one that is running to end. */
@@ -100,6 +102,16 @@
     this.#endPause?.();
   }
 
+  /**
+   * Ends the present wait for new records and begins another one at once. Called when the wait has
+   * become shorter: the longer one might notice only at its end that its connection is silent.
+   */
+  readAgain(): void {
+    this.#isReadingAgain = true;
+    this.#abortController.abort();
+    this.#endPause?.();
+  }
+
   /** Ends the pause between two reads, if there is one, so that the next read starts at once. */
   skipPause(): void {
     this.#endPause?.();
@@ -170,12 +182,17 @@
 
   async #run(): Promise<void> {
     while (!this.#isStopped) {
+      if (this.#isReadingAgain) {
+        this.#isReadingAgain = false;
+        this.#abortController = new AbortController();
+      }
       try {
         if (this.#nextOffset === undefined) await this.#readSnapshot();
         else await this.#readNext(this.#nextOffset);
         this.#reportRecovery();
       } catch (error) {
         if (this.#isStopped) return;
+        if (this.#isReadingAgain) continue;
         if (error instanceof OffsetOutOfRangeError) {
           this.#options.logger.warn("history of a partition was lost", {
             stream: this.#options.target.stream,
