Judge silent connections by those that were open when they last worked

Cause: data on any connection of the pool since the late response was due counted as evidence that the others work, and the time of the last connect told only connections opened after that time from the rest. A connection that is opened after the silence works, and tells nothing of the others.

Each request now knows its connection, and each connection when it was opened and last received data. Only a connection that was open when the late one last worked is evidence. Pools of servers use the same rule.

--- a/packages/gateway/server-pool.ts
+++ b/packages/gateway/server-pool.ts
@@ -7,7 +7,10 @@
  */
 
 import { type Clock, systemClock } from "../common/clock.ts";
-import type { ConnectionPool } from "../transport/connection-pool.ts";
+import type {
+  ConnectionPool,
+  ResponseController,
+} from "../transport/connection-pool.ts";
 import {
   type ConnectionTimings,
   deriveConnectionTimings,
@@ -49,17 +52,17 @@
     let isOver = false;
     generation.dispatch(options, {
       ...handler,
-      onRequestStart: (...request) => {
+      onRequestStart: (controller, ...context) => {
         const sentAt = clock.monotonicNow();
         lateTimer = setTimeout(
           // Data that has arrived is read first, in case the process was paused.
           () =>
             setImmediate(() => {
-              if (!isOver) this.#handleLate(generation, sentAt);
+              if (!isOver) this.#handleLate(generation, controller, sentAt);
             }),
           timings.serverSuspicionMilliseconds,
         );
-        handler.onRequestStart?.(...request);
+        handler.onRequestStart?.(controller, ...context);
       },
       onResponseStart: (...response) => {
         isOver = true;
@@ -88,10 +91,15 @@
     return this.#pool.destroy();
   }
 
-  #handleLate(generation: ConnectionGeneration, sentAt: number): void {
+  #handleLate(
+    generation: ConnectionGeneration,
+    request: ResponseController,
+    sentAt: number,
+  ): void {
     const { timings, clock, onRenewal } = this.#options;
     if (generation !== this.#pool.current) return;
-    if (generation.hasWorkedSince(sentAt)) return;
+    const connection = generation.connectionOf(request);
+    if (generation.hasWorkedSince(sentAt, connection)) return;
     const age = clock.monotonicNow() - generation.openedAt;
     if (age < timings.checkIntervalMilliseconds) return;
     this.#pool.renew();
--- a/packages/transport/connection-pool.ts
+++ b/packages/transport/connection-pool.ts
@@ -3,7 +3,9 @@
  * library, which keeps the memory use of a small process low.
  */
 
-import type { Dispatcher, Pool as UndiciPool } from "undici";
+import type { Client, Dispatcher, Pool as UndiciPool } from "undici";
+// @ts-types="undici"
+import ClientClass from "undici/lib/dispatcher/client.js";
 // @ts-types="undici"
 import PoolClass from "undici/lib/dispatcher/pool.js";
 import type { buildConnector } from "undici";
@@ -25,6 +27,16 @@
 export type ConnectionPool = UndiciPool;
 export type ResponseController = Dispatcher.DispatchController;
 
+/**
+ * Key of a function in the options of a request, which is called with the client that the request is
+ * assigned to. Each client of a pool has one connection, and its events name the client.
+ */
+export const onAssigned = Symbol("onAssigned");
+
+export interface AssignableRequest {
+  readonly [onAssigned]?: (client: object) => void;
+}
+
 /** A connection is not reused this close to the idle timeout that its server announced. */
 const keepAliveSafetyMarginMilliseconds = 1_000;
 /** Idle time before the first TCP keep-alive probe. */
@@ -36,6 +48,8 @@
   const origin = `http://${options.host}:${options.port}`;
   const pool = new PoolClass(origin, {
     pipelining: 1,
+    factory: (clientOrigin, clientOptions) =>
+      reportAssignments(new ClientClass(clientOrigin, clientOptions)),
     connect: trackConnectionFailures(createConnector({
       timeout: options.connectTimeoutMilliseconds,
       keepAlive: true,
@@ -53,6 +67,18 @@
   return pool;
 }
 
+function reportAssignments(client: Client): Client {
+  const dispatch = client.dispatch.bind(client);
+  client.dispatch = (
+    options: AssignableRequest & Dispatcher.DispatchOptions,
+    handler,
+  ) => {
+    options[onAssigned]?.(client);
+    return dispatch(options, handler);
+  };
+  return client;
+}
+
 let isFailing = false;
 
 /**
--- a/packages/transport/http-call.ts
+++ b/packages/transport/http-call.ts
@@ -19,6 +19,8 @@
   readonly body?: Uint8Array | string;
   readonly timeoutMilliseconds: number;
   readonly signal?: AbortSignal | undefined;
+  /** Called when the call is being sent. */
+  readonly onRequestStart?: (request: ResponseController) => void;
   /** Called when the head of the response has arrived. */
   readonly onResponseStart?: () => void;
   /** Called with the size of each part of the response's body. */
@@ -82,6 +84,7 @@
         controller = requestController;
         if (isSettled) return requestController.abort(new Error("cancelled"));
         wasSent = true;
+        call.onRequestStart?.(requestController);
       },
       onResponseStart: (_, statusCode, responseHeaders) => {
         status = statusCode;
--- a/packages/transport/renewable-pool.ts
+++ b/packages/transport/renewable-pool.ts
@@ -1,11 +1,16 @@
 /**
  * A pool of connections that can be replaced by a new one, so that no later request uses a
  * connection which was opened before. Requests in progress keep their connections, so that none is
- * sent twice. Records whether responses arrive on the connections of each generation of the pool.
+ * sent twice. Records when data arrives on each connection.
  */
 
 import { type Clock, systemClock } from "../common/clock.ts";
-import type { ConnectionPool } from "./connection-pool.ts";
+import {
+  type AssignableRequest,
+  type ConnectionPool,
+  onAssigned,
+  type ResponseController,
+} from "./connection-pool.ts";
 
 type DispatchArguments = Parameters<ConnectionPool["dispatch"]>;
 
@@ -14,71 +19,92 @@
   dispatch(...args: DispatchArguments): unknown;
 }
 
-/** Data that arrived for one request; monotonic milliseconds. */
-interface Arrival {
-  readonly requestStartedAt: number;
-  readonly receivedAt: number;
+/** What is known of one connection; times in monotonic milliseconds. */
+export interface ConnectionActivity {
+  readonly openedAt: number;
+  lastReceivedAt: number;
 }
 
-/**
- * Data for a request that began later replaces an arrival only after this time, so that the
- * arrival that is kept shows the age of its connection best.
- */
-const arrivalPreferenceMilliseconds = 100;
-
 /** Connections that were opened between two renewals of a pool. */
 export class ConnectionGeneration implements RequestDispatcher {
   readonly openedAt: number;
   readonly #pool: ConnectionPool;
   readonly #clock: Clock;
-  #lastConnectAt = Number.NEGATIVE_INFINITY;
-  #lastReceivedAt = Number.NEGATIVE_INFINITY;
-  /** A recent arrival for a request that began as early as possible. */
-  #earlyArrival: Arrival | undefined;
+  /** The open connections by the clients of the pool that use them. */
+  readonly #connections = new Map<object, ConnectionActivity>();
+  readonly #connectionsOfRequests = new WeakMap<
+    ResponseController,
+    ConnectionActivity
+  >();
 
   constructor(pool: ConnectionPool, clock: Clock) {
     this.#pool = pool;
     this.#clock = clock;
     this.openedAt = clock.monotonicNow();
-    pool.on("connect", () => this.#lastConnectAt = clock.monotonicNow());
+    pool.on("connect", (_, targets) => {
+      const openedAt = clock.monotonicNow();
+      this.#connections.set(targets.at(-1)!, {
+        openedAt,
+        lastReceivedAt: openedAt,
+      });
+    });
+    pool.on(
+      "disconnect",
+      (_, targets) => this.#connections.delete(targets.at(-1)!),
+    );
   }
 
-  /** True if data arrived at this time or later on a connection that was opened before. */
-  hasWorkedSince(time: number): boolean {
-    if (this.#lastConnectAt < time) return this.#lastReceivedAt >= time;
-    const arrival = this.#earlyArrival;
-    return arrival !== undefined && arrival.requestStartedAt < time &&
-      arrival.receivedAt >= time;
+  /** The connection on which a request was sent. */
+  connectionOf(request: ResponseController): ConnectionActivity | undefined {
+    return this.#connectionsOfRequests.get(request);
+  }
+
+  /**
+   * True if data arrived at this time or later on a connection that was open already when the given
+   * one last worked. One that was opened afterwards tells nothing of the connections of that age: if
+   * all of them have gone silent, the new ones work nevertheless.
+   */
+  hasWorkedSince(
+    time: number,
+    connection: ConnectionActivity | undefined,
+  ): boolean {
+    const lastWorkedAt = connection?.lastReceivedAt ?? time;
+    return [...this.#connections.values()].some((other) =>
+      other !== connection && other.openedAt <= lastWorkedAt &&
+      other.lastReceivedAt >= time
+    );
   }
 
   dispatch(options: DispatchArguments[0], handler: DispatchArguments[1]): void {
-    let requestStartedAt = Number.POSITIVE_INFINITY;
-    this.#pool.dispatch(options, {
+    let client: object | undefined;
+    let connection: ConnectionActivity | undefined;
+    const recordArrival = () => {
+      if (connection) connection.lastReceivedAt = this.#clock.monotonicNow();
+    };
+    const request: typeof options & AssignableRequest = {
+      ...options,
+      [onAssigned]: (assigned) => client = assigned,
+    };
+    this.#pool.dispatch(request, {
       ...handler,
-      onRequestStart: (...request) => {
-        requestStartedAt = this.#clock.monotonicNow();
-        handler.onRequestStart?.(...request);
+      onRequestStart: (controller, ...context) => {
+        connection = client && this.#connections.get(client);
+        if (connection) {
+          this.#connectionsOfRequests.set(controller, connection);
+        }
+        handler.onRequestStart?.(controller, ...context);
       },
       onResponseStart: (...response) => {
-        this.#recordArrival(requestStartedAt);
+        recordArrival();
         handler.onResponseStart?.(...response);
       },
       onResponseData: (...data) => {
-        this.#recordArrival(requestStartedAt);
+        recordArrival();
         handler.onResponseData?.(...data);
       },
     });
   }
 
-  #recordArrival(requestStartedAt: number): void {
-    const receivedAt = this.#clock.monotonicNow();
-    const early = this.#earlyArrival;
-    this.#lastReceivedAt = receivedAt;
-    const isPreferred = !early || requestStartedAt <= early.requestStartedAt ||
-      receivedAt - early.receivedAt > arrivalPreferenceMilliseconds;
-    if (isPreferred) this.#earlyArrival = { requestStartedAt, receivedAt };
-  }
-
   /** Resolves once the requests in progress have ended; idle connections are closed at once. */
   close(): Promise<void> {
     return this.#pool.close();
--- a/packages/transport/repeating-caller.ts
+++ b/packages/transport/repeating-caller.ts
@@ -12,7 +12,11 @@
 import { type Clock, systemClock } from "../common/clock.ts";
 import type { ConnectionTimings } from "./connection-timings.ts";
 import { callHttp, type HttpCall, type HttpResponse } from "./http-call.ts";
-import type { ConnectionGeneration, RenewablePool } from "./renewable-pool.ts";
+import type {
+  ConnectionActivity,
+  ConnectionGeneration,
+  RenewablePool,
+} from "./renewable-pool.ts";
 
 export interface RepeatingCallerOptions {
   readonly pool: RenewablePool;
@@ -41,6 +45,8 @@
 
 interface PendingCall extends RepeatableCall {
   readonly generation: ConnectionGeneration;
+  /** Undefined until the call is sent. */
+  connection: ConnectionActivity | undefined;
   /** When the server should have responded; monotonic milliseconds. */
   readonly dueAt: number;
   readonly controller: AbortController;
@@ -88,6 +94,7 @@
       const pending: PendingCall = {
         ...repeatable,
         generation: pool.current,
+        connection: undefined,
         dueAt: clock.monotonicNow() + waitMilliseconds,
         controller,
         resolve: (response) => {
@@ -104,6 +111,8 @@
       callHttp(pool, {
         ...call,
         signal: controller.signal,
+        onRequestStart: (request) =>
+          pending.connection = pending.generation.connectionOf(request),
         onResponseStart: () => clearTimeout(lateTimer),
       }).then(
         (response) => pending.resolve(response),
@@ -173,7 +182,10 @@
     generation: ConnectionGeneration,
   ): void {
     const { pool, onCheck } = this.#options;
-    const affectsAll = !late.generation.hasWorkedSince(late.dueAt);
+    const affectsAll = !late.generation.hasWorkedSince(
+      late.dueAt,
+      late.connection,
+    );
     if (late.generation === pool.current) pool.renew(generation);
     else void generation.close();
     late.resolve(response);
--- a/packages/transport/undici-internal.d.ts
+++ b/packages/transport/undici-internal.d.ts
@@ -5,6 +5,11 @@
   export default Pool;
 }
 
+declare module "undici/lib/dispatcher/client.js" {
+  import { Client } from "undici";
+  export default Client;
+}
+
 declare module "undici/lib/core/connect.js" {
   import { buildConnector } from "undici";
   export default buildConnector;
