Let the check of a silent connection end with the late call itself

Cause: the repetition on a new connection was given up after the time of the suspicion, although it need only be answered before the late call. Its response was dropped if the late call had timed out meanwhile, and a response that stopped within its body was not late at all. Repeated calls were not watched themselves.

The repetition now runs until it or the late call is answered, a call that has timed out still counts, data that stops is late after the same time, and repeated calls are watched like others.

--- a/packages/transport/http-call.ts
+++ b/packages/transport/http-call.ts
@@ -36,10 +36,16 @@
 /** The call failed, timed out or was cancelled before its response was complete. */
 export class HttpCallError extends RosemaryrudderError {
   readonly verdict: Verdict;
+  /** The response did not come, or did not end, in time. */
+  readonly isTimeout: boolean;
 
-  constructor(message: string, options: ErrorOptions & { verdict: Verdict }) {
+  constructor(
+    message: string,
+    options: ErrorOptions & { verdict: Verdict; isTimeout?: boolean },
+  ) {
     super("http_call_failed", message, options);
     this.verdict = options.verdict;
+    this.isTimeout = options.isTimeout ?? false;
   }
 }
 
@@ -61,15 +67,21 @@
       call.signal?.removeEventListener("abort", onAbort);
       return true;
     };
-    const fail = (message: string, cause?: unknown): void => {
+    const fail = (
+      message: string,
+      options: ErrorOptions & { isTimeout?: boolean } = {},
+    ): void => {
       if (!settle()) return;
       const verdict = wasSent ? "unknown" : "not_run";
-      reject(new HttpCallError(message, { verdict, cause }));
+      reject(new HttpCallError(message, { verdict, ...options }));
       controller?.abort(new Error(message));
     };
     const onAbort = () => fail("the call was cancelled");
     const timer = setTimeout(
-      () => fail(`no response within ${call.timeoutMilliseconds} ms`),
+      () =>
+        fail(`no response within ${call.timeoutMilliseconds} ms`, {
+          isTimeout: true,
+        }),
       call.timeoutMilliseconds,
     );
     call.signal?.addEventListener("abort", onAbort);
@@ -103,7 +115,7 @@
         }
         if (settle()) resolve({ status, headers, body: Buffer.concat(chunks) });
       },
-      onResponseError: (_, error) => fail(error.message, error),
+      onResponseError: (_, error) => fail(error.message, { cause: error }),
     });
   });
 }
--- a/packages/transport/repeating-caller.ts
+++ b/packages/transport/repeating-caller.ts
@@ -5,13 +5,19 @@
  * connections only. Unless data has arrived on other connections of that age meanwhile, they count
  * as silent, too, and the calls on them that may be repeated are repeated at once.
  *
- * A server that is slow or down does not answer the repetition in time either. The calls then wait
- * for their own timeouts, and the next repetition is made after an interval.
+ * A server that is slow answers the call before its repetition, which then shows nothing. One that
+ * is down answers neither: the calls wait for their own timeouts, and the next repetition is made
+ * after an interval.
  */
 
 import { type Clock, systemClock } from "../common/clock.ts";
 import type { ConnectionTimings } from "./connection-timings.ts";
-import { callHttp, type HttpCall, type HttpResponse } from "./http-call.ts";
+import {
+  callHttp,
+  type HttpCall,
+  HttpCallError,
+  type HttpResponse,
+} from "./http-call.ts";
 import type {
   ConnectionActivity,
   ConnectionGeneration,
@@ -47,13 +53,15 @@
   readonly generation: ConnectionGeneration;
   /** Undefined until the call is sent. */
   connection: ConnectionActivity | undefined;
-  /** When the server should have responded; monotonic milliseconds. */
-  readonly dueAt: number;
+  /** When the next data of the response should have arrived; monotonic milliseconds. */
+  dueAt: number;
   readonly controller: AbortController;
   readonly resolve: (response: HttpResponse) => void;
   readonly reject: (error: unknown) => void;
-  /** The response is late, or the call is being repeated. */
+  /** Data of the response is late, also after the call has timed out. */
   isLate: boolean;
+  /** Ends the check of the connection while there is one. */
+  endCheck: (() => void) | undefined;
 }
 
 export class RepeatingCaller {
@@ -81,11 +89,24 @@
       const onAbort = () => controller.abort();
       call.signal?.addEventListener("abort", onAbort);
       if (call.signal?.aborted) onAbort();
-      const lateTimer = setTimeout(
-        // Data that has arrived is read first, in case the process was paused.
-        () => setImmediate(() => this.#handleLate(pending)),
+      const startLateTimer = (milliseconds: number) =>
+        setTimeout(
+          // Data that has arrived is read first, in case the process was paused.
+          () => setImmediate(() => this.#handleLate(pending)),
+          milliseconds,
+        );
+      let lateTimer = startLateTimer(
         waitMilliseconds + timings.suspicionMilliseconds,
       );
+      const endSuspicion = () => {
+        pending.isLate = false;
+        pending.endCheck?.();
+      };
+      const recordData = () => {
+        pending.dueAt = clock.monotonicNow();
+        lateTimer.refresh();
+        endSuspicion();
+      };
       const settle = () => {
         this.#pending.delete(pending);
         clearTimeout(lateTimer);
@@ -103,9 +124,12 @@
         },
         reject: (error) => {
           settle();
+          const isTimeout = error instanceof HttpCallError && error.isTimeout;
+          if (!isTimeout) endSuspicion();
           reject(error);
         },
         isLate: false,
+        endCheck: undefined,
       };
       this.#pending.add(pending);
       callHttp(pool, {
@@ -113,7 +137,15 @@
         signal: controller.signal,
         onRequestStart: (request) =>
           pending.connection = pending.generation.connectionOf(request),
-        onResponseStart: () => clearTimeout(lateTimer),
+        onResponseStart: () => {
+          clearTimeout(lateTimer);
+          lateTimer = startLateTimer(timings.suspicionMilliseconds);
+          recordData();
+        },
+        onResponseData: (bytes) => {
+          recordData();
+          call.onResponseData?.(bytes);
+        },
       }).then(
         (response) => pending.resolve(response),
         (error) => {
@@ -156,19 +188,22 @@
   async #check(late: PendingCall): Promise<void> {
     const { pool, timings, clock, onCheck } = this.#options;
     const generation = pool.openGeneration();
+    const controller = new AbortController();
+    late.endCheck = () => controller.abort();
     let reason = "the late response arrived";
     try {
       const response = await callHttp(generation, {
         ...late.repetition,
-        signal: late.controller.signal,
-        timeoutMilliseconds: timings.suspicionMilliseconds,
+        signal: controller.signal,
       });
-      if (this.#pending.has(late)) {
+      if (late.isLate) {
         this.#handleSilence(late, response, generation);
         return;
       }
     } catch (error) {
-      reason = String(error);
+      if (late.isLate) reason = String(error);
+    } finally {
+      late.endCheck = undefined;
     }
     this.#nextCheckAt = clock.monotonicNow() +
       timings.checkIntervalMilliseconds;
@@ -207,9 +242,8 @@
     const { call, repetition, controller } = pending;
     this.#pending.delete(pending);
     controller.abort();
-    callHttp(this.#options.pool, { ...repetition, signal: call.signal }).then(
-      pending.resolve,
-      pending.reject,
-    );
+    const next = { ...repetition, signal: call.signal };
+    this.callRepeatable({ call: next, repetition: next, waitMilliseconds: 0 })
+      .then(pending.resolve, pending.reject);
   }
 }
