--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -54,9 +54,8 @@
   #isStopped = false;
   /** When the first of the failed reads since the last successful one was noticed. */
   #failingSince: number | undefined;
-  /** Ends the present read of the next records. */
+  /** Ends the present read of the next records; replaced before the following one. */
   #abortController = new AbortController();
-  #isReadingAgain = false;
   #endPause: (() => void) | undefined;
   #runningCatchUps = 0;
   /** Waits for one that is running to end. */
@@ -107,7 +106,6 @@
    * become shorter: the longer one might notice only at its end that its connection is silent.
    */
   readAgain(): void {
-    this.#isReadingAgain = true;
     this.#abortController.abort();
     this.#endPause?.();
   }
@@ -182,8 +180,7 @@
 
   async #run(): Promise<void> {
     while (!this.#isStopped) {
-      if (this.#isReadingAgain) {
-        this.#isReadingAgain = false;
+      if (this.#abortController.signal.aborted) {
         this.#abortController = new AbortController();
       }
       try {
@@ -192,7 +189,7 @@
         this.#reportRecovery();
       } catch (error) {
         if (this.#isStopped) return;
-        if (this.#isReadingAgain) continue;
+        if (this.#abortController.signal.aborted) continue;
         if (error instanceof OffsetOutOfRangeError) {
           this.#options.logger.warn("history of a partition was lost", {
             stream: this.#options.target.stream,
