Log which results are written, read and missing

Three hypotheses cannot be told apart by the present logs: the record was replaced in the store, the record is there but the copy of the instance lacks it, or the copy is only late.

Now the logs state the offset and the keys of each confirmed record of results, the end and the size of each read of the newest records, what that read removed from the copy, and the age of the copy from which a reader of an unfinished job is told that there is no further result.

--- a/packages/jobs/job-answers.ts
+++ b/packages/jobs/job-answers.ts
@@ -64,3 +64,14 @@
   "unknown_item",
   "the job has no such item",
 );
+
+export function tooManyWaitingTokens(
+  retryAfterMilliseconds: number,
+): ErrorAnswer {
+  return createErrorAnswer(
+    429,
+    "waiting_tokens",
+    "too many tokens of the workspace wait on this route; no part of the job runs",
+    { retryAfterMilliseconds },
+  );
+}
--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -45,6 +45,7 @@
   outcomeUnknown,
   storeFull,
   storeUnavailable,
+  tooManyWaitingTokens,
   unknownItem,
   unknownJob,
 } from "./job-answers.ts";
@@ -53,7 +54,7 @@
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobRegions } from "./job-regions.ts";
 import type { JobResponse } from "./job-response.ts";
-import { pageOf, waitForChange } from "./job-results.ts";
+import { logMissingResult, pageOf, waitForResult } from "./job-results.ts";
 import type { JobState } from "./partition-state.ts";
 import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
 import type { TokenDecision, TokenDemand } from "./waiting-tokens.ts";
@@ -283,12 +284,7 @@
       maximumTokens,
       retryAfter: Math.round(retryAfterMilliseconds),
     });
-    return createErrorAnswer(
-      429,
-      "waiting_tokens",
-      "too many tokens of the workspace wait on this route; no part of the job runs",
-      { retryAfterMilliseconds },
-    );
+    return tooManyWaitingTokens(retryAfterMilliseconds);
   }
 
   #answerAccepted(
@@ -378,21 +374,27 @@
     access: JobAccess,
     response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
-    const { partitions, codec, now } = this.#options;
+    const { partitions, codec, now, logger } = this.#options;
     const found = await this.#findJob(call.job, access);
     if ("status" in found) return found;
     const partition = partitions.forJob(call.job);
-    const until = received.receivedAt + call.waitMilliseconds;
-    while (found.results.length <= call.after && now() < until) {
-      if (found.results.length === found.record.items.length) break;
-      if (response.isOver) return undefined;
-      await waitForChange(partition, call.job, until - now());
-    }
-    if (found.results.length <= call.after) {
-      const isComplete = found.results.length === found.record.items.length;
-      if (!isComplete && !await partition.refresh()) return storeUnavailable;
+    await waitForResult(partition, found, {
+      position: call.after,
+      until: received.receivedAt + call.waitMilliseconds,
+      now,
+      isOver: () => response.isOver,
+    });
+    const mayHaveMore = found.results.length < found.record.items.length;
+    if (mayHaveMore && found.results.length <= call.after) {
+      if (!await partition.refresh()) return storeUnavailable;
     }
     const { results, bytes } = pageOf(found, call.after);
+    if (results.length === 0) {
+      logMissingResult(logger, found, {
+        position: call.after,
+        copyAgeMilliseconds: now() - partition.completeUntil,
+      });
+    }
     // Encoded pages that are refused would be garbage.
     if (!response.tryReserve(bytes)) return undefined;
     response.sendJson(
--- a/packages/jobs/job-partition.ts
+++ b/packages/jobs/job-partition.ts
@@ -176,8 +176,16 @@
       for (const job of jobs) changed.add(job);
     }
     if (isSnapshot) {
-      for (const key of this.index.missingFrom(records, position)) {
-        for (const job of this.#remove(key, position)) changed.add(job);
+      const missing = this.index.missingFrom(records, position);
+      const removedJobs = missing.flatMap((key) => this.#remove(key, position));
+      for (const job of removedJobs) changed.add(job);
+      if (missing.length > 0) {
+        this.#options.logger.info("records were removed while none were read", {
+          partition: this.number,
+          position,
+          records: missing.length,
+          jobs: removedJobs.join(" "),
+        });
       }
     }
     this.#options.onResultBytes?.(this.state.resultBytes);
--- a/packages/jobs/result-writer.ts
+++ b/packages/jobs/result-writer.ts
@@ -121,7 +121,14 @@
     let entries = this.#assignKeys(records);
     for (let attempt = 1;; attempt++) {
       try {
-        await partition.append(entries);
+        const offset = await partition.append(entries);
+        logger.info("results were written", {
+          partition: partition.number,
+          offset,
+          keys: entries.map(({ key }) => key).join(" "),
+          items: records.flatMap(({ record }) => itemsOf(record)).join(" "),
+          attempt,
+        });
         return;
       } catch (error) {
         if (error instanceof StoreRejectedError) {
@@ -198,6 +205,13 @@
   return { record, value: encodeRecord(record) };
 }
 
+/** The items whose results the record holds, after their jobs. */
+function itemsOf(record: BatchRecord): string[] {
+  return record.kind === "group"
+    ? record.results.map(({ job, item }) => `${job}/${item}`)
+    : [];
+}
+
 function createPendingEntries(): PendingEntries {
   return { results: [], failures: [] };
 }
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -206,7 +206,7 @@
   }
 
   async #readSnapshot(): Promise<void> {
-    const { store, target, clock, openSnapshotHolding } = this.#options;
+    const { store, target, clock, logger, openSnapshotHolding } = this.#options;
     const sentAt = clock.monotonicNow();
     using holding = openSnapshotHolding();
     const records: KeyedRecord[] = [];
@@ -226,6 +226,14 @@
     const snapshot = records
       .filter((record) => record.offset < snapshotEnd)
       .sort((left, right) => left.offset - right.offset);
+    logger.info("the newest records of a partition were read", {
+      stream: target.stream,
+      partition: target.partition,
+      end: snapshotEnd,
+      records: snapshot.length,
+      writtenMeanwhile: records.length - snapshot.length,
+      milliseconds: Math.round(clock.monotonicNow() - sentAt),
+    });
     this.#options.onRecords(snapshot, snapshotEnd, true);
     if (snapshotEnd > (this.#nextOffset ?? -1)) this.#nextOffset = snapshotEnd;
     // A record that is left out may have replaced one that was written before `sentAt`.
