Check for a missing result in one function

Whether a job may still get a result at a position was asked in two places; it is one predicate now, and the check of the copy and its log line are one function beside the wait.

--- a/packages/jobs/job-call-handler.ts
+++ b/packages/jobs/job-call-handler.ts
@@ -54,7 +54,7 @@
 import type { JobPartition, JobPartitions } from "./job-partition.ts";
 import type { JobRegions } from "./job-regions.ts";
 import type { JobResponse } from "./job-response.ts";
-import { logMissingResult, pageOf, waitForResult } from "./job-results.ts";
+import { checkMissingResult, pageOf, waitForResult } from "./job-results.ts";
 import type { JobState } from "./partition-state.ts";
 import { encodeRecord, endKey, jobKey, type JobRecord } from "./records.ts";
 import type { TokenDecision, TokenDemand } from "./waiting-tokens.ts";
@@ -374,7 +374,7 @@
     access: JobAccess,
     response: JobResponse,
   ): Promise<ErrorAnswer | undefined> {
-    const { partitions, codec, now, logger } = this.#options;
+    const { partitions, codec, now } = this.#options;
     const found = await this.#findJob(call.job, access);
     if ("status" in found) return found;
     const partition = partitions.forJob(call.job);
@@ -384,17 +384,12 @@
       now,
       isOver: () => response.isOver,
     });
-    const mayHaveMore = found.results.length < found.record.items.length;
-    if (mayHaveMore && found.results.length <= call.after) {
-      if (!await partition.refresh()) return storeUnavailable;
+    if (
+      !await checkMissingResult(partition, found, call.after, this.#options)
+    ) {
+      return storeUnavailable;
     }
     const { results, bytes } = pageOf(found, call.after);
-    if (results.length === 0) {
-      logMissingResult(logger, found, {
-        position: call.after,
-        copyAgeMilliseconds: now() - partition.completeUntil,
-      });
-    }
     // Encoded pages that are refused would be garbage.
     if (!response.tryReserve(bytes)) return undefined;
     response.sendJson(
--- a/packages/jobs/job-results.ts
+++ b/packages/jobs/job-results.ts
@@ -31,31 +31,35 @@
   return { results, bytes };
 }
 
-/** Logs that a reader who has results already gets no further one of an unfinished job. */
-export function logMissingResult(
-  logger: Logger,
-  { record, results, isEnded }: JobState,
-  { position, copyAgeMilliseconds }: {
-    readonly position: number;
-    /** How old the local copy of the job may be. */
-    readonly copyAgeMilliseconds: number;
-  },
-): void {
-  if (position === 0 || position >= record.items.length) return;
-  logger.info("a job has no result at the requested position", {
-    job: record.job,
-    position,
-    listed: results.length,
-    items: record.items.length,
-    isEnded,
-    copyAgeMilliseconds: Math.round(copyAgeMilliseconds),
-  });
+/**
+ * Reads up to the present end of the partition if the job may have a result at the position that
+ * the copy lacks; returns false if the read fails.
+ */
+export async function checkMissingResult(
+  partition: JobPartition,
+  state: JobState,
+  position: number,
+  { now, logger }: { readonly now: () => number; readonly logger: Logger },
+): Promise<boolean> {
+  if (!mayGetResult(state, position)) return true;
+  if (!await partition.refresh()) return false;
+  if (position > 0 && mayGetResult(state, position)) {
+    logger.info("a job has no result at the requested position", {
+      job: state.record.job,
+      position,
+      listed: state.results.length,
+      items: state.record.items.length,
+      isEnded: state.isEnded,
+      copyAgeMilliseconds: Math.round(now() - partition.completeUntil),
+    });
+  }
+  return true;
 }
 
-/** Waits until the job has a result at the position, or cannot get one, or the time is over. */
+/** Waits for a result at the position while the job may get one and the time is not over. */
 export async function waitForResult(
   partition: JobPartition,
-  { record, results }: JobState,
+  state: JobState,
   { position, until, now, isOver }: {
     readonly position: number;
     /** Monotonic milliseconds. */
@@ -64,13 +68,19 @@
     readonly isOver: () => boolean;
   },
 ): Promise<void> {
-  const needsMore = () =>
-    results.length <= position && results.length < record.items.length;
-  while (needsMore() && now() < until && !isOver()) {
-    await waitForChange(partition, record.job, until - now());
+  while (mayGetResult(state, position) && now() < until && !isOver()) {
+    await waitForChange(partition, state.record.job, until - now());
   }
 }
 
+/** True if the job has no result at the position yet, but may get one. */
+function mayGetResult(
+  { record, results }: JobState,
+  position: number,
+): boolean {
+  return results.length <= position && results.length < record.items.length;
+}
+
 /** Resolves at the next change of the job or after the time limit. */
 function waitForChange(
   partition: JobPartition,
