Keep the results of a job whose record is written again during a first read

Cause: the newest records of a partition are read in pages, which together are not consistent. What had been written after the first page was left out and read from the history afterwards, so that a key whose record was written again in between was missing from the read as if it had been removed. A coordinator that knew the job then dropped it with its results, and added it without any when the new record came. Results at this instance stood at lower positions from then on, and if it owned the partition, the items ran again.

A job is written again when its caller repeats the submission at an instance that does not know it yet; a job is known when another first read has ended before. Both happen at once when all instances have just started: the run of the follower and each call that waits for the partition read the newest records side by side, which took up to 1.6 s there.

Now the history between the first and the last page is part of the read, so that its end is one offset at which nothing is missing. This also ends the 404 for a job whose record was written again during the first read: catching up returned before the record had been read.

--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -19,6 +19,7 @@
   type KeyedStore,
   OffsetOutOfRangeError,
   type ReadResult,
+  StoreUnavailableError,
   type StreamPartition,
 } from "./keyed-store.ts";
 import { readNewestPages } from "./newest-pages.ts";
@@ -27,8 +28,8 @@
   store: KeyedStore;
   target: StreamPartition;
   /**
-   * Receives records in offset order. `isSnapshot` is true for the newest records of the keys;
-   * records written while they were read may be missing and follow in later calls.
+   * Receives records in offset order. `isSnapshot` is true for the newest records of the keys,
+   * followed by all records that were written while they were read.
    */
   onRecords: (
     records: readonly KeyedRecord[],
@@ -209,35 +210,58 @@
     const { store, target, clock, logger, openSnapshotHolding } = this.#options;
     const sentAt = clock.monotonicNow();
     using holding = openSnapshotHolding();
-    const records: KeyedRecord[] = [];
-    let end: Offset | undefined;
+    const newest: KeyedRecord[] = [];
+    let start: Offset | undefined;
+    let end = 0 as Offset;
+    const grow = (records: readonly KeyedRecord[]) =>
+      holding?.grow(
+        records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0),
+      );
     for await (const page of readNewestPages(store, target)) {
-      end ??= page.end;
-      let bytes = 0;
-      for (const record of page.records) {
-        records.push(record);
-        bytes += record.value?.length ?? 0;
-      }
-      holding?.grow(bytes);
+      start ??= page.end;
+      end = page.end;
+      newest.push(...page.records);
+      grow(page.records);
     }
-    // The pages are read one after another, so together they are not consistent. Records that
-    // were written after the first page are left out here and read in order afterwards.
-    const snapshotEnd = end!;
-    const snapshot = records
-      .filter((record) => record.offset < snapshotEnd)
+    // The pages are read one after another, so together they are not consistent: a record that was
+    // written again meanwhile would be missing. What follows the first page comes from the history.
+    const before = newest.filter(({ offset }) => offset < start!)
       .sort((left, right) => left.offset - right.offset);
+    const { records: later, next } = await this.#readHistory(start!, end);
+    grow(later);
     logger.info("the newest records of a partition were read", {
       stream: target.stream,
       partition: target.partition,
-      end: snapshotEnd,
-      records: snapshot.length,
-      writtenMeanwhile: records.length - snapshot.length,
+      end: next,
+      records: before.length,
+      writtenMeanwhile: later.length,
       milliseconds: Math.round(clock.monotonicNow() - sentAt),
     });
-    this.#options.onRecords(snapshot, snapshotEnd, true);
-    if (snapshotEnd > (this.#nextOffset ?? -1)) this.#nextOffset = snapshotEnd;
-    // A record that is left out may have replaced one that was written before `sentAt`.
-    if (snapshot.length === records.length) this.#advanceCompleteUntil(sentAt);
+    this.#options.onRecords([...before, ...later], next, true);
+    if (next > (this.#nextOffset ?? -1)) this.#nextOffset = next;
+    this.#advanceCompleteUntil(sentAt);
+  }
+
+  /** Reads the records from an offset on, at least up to another one. */
+  async #readHistory(
+    from: Offset,
+    until: Offset,
+  ): Promise<Pick<ReadResult, "records" | "next">> {
+    const { store, target } = this.#options;
+    const records: KeyedRecord[] = [];
+    let next = from;
+    while (next < until) {
+      const result = await store.read(target, { from: next });
+      if (result.next <= next) {
+        throw new StoreUnavailableError(
+          `the history ends at ${next}, before the newest records`,
+          { mayHaveTakenEffect: false },
+        );
+      }
+      records.push(...result.records);
+      next = result.next;
+    }
+    return { records, next };
   }
 
   async #readNext(from: Offset): Promise<void> {
