Read the newest records of a partition up to the last record of any page

If the store determined the end first, a job on the last page would count as removed again, and after an empty page all keys behind it would.

--- a/packages/jobs/job-partition.test.ts
+++ b/packages/jobs/job-partition.test.ts
@@ -1,6 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { JobId, PartitionNumber, StreamName } from "../common/ids.ts";
+import type {
+  JobId,
+  Offset,
+  PartitionNumber,
+  StreamName,
+} from "../common/ids.ts";
 import { silentLogger } from "../common/logging.ts";
 import type { KeyedStore } from "../store/keyed-store.ts";
 import { MemoryStoreService } from "../store/testing/memory-keyed-store.ts";
@@ -104,3 +109,24 @@
   assert.ok(await fixture.partition.catchUp());
   assert.deepEqual(resultsOf(fixture.partition), ["text 1"]);
 });
+
+test("a job is known although the store states the end of a page from before its last record", async () => {
+  const fixture = new PartitionFixture();
+  const { store, partition } = fixture;
+  fixture.writeJob();
+  fixture.writeJob();
+  const readNewest = store.readNewest.bind(store);
+  store.readNewest = async (...options) => {
+    const page = await readNewest(...options);
+    return { ...page, end: page.end - 1 as Offset };
+  };
+  assert.ok(await partition.catchUp());
+  assert.deepEqual(resultsOf(partition), []);
+});
+
+test("a read whose page is empty although more follow fails, since missing records count as removed", async () => {
+  const { store, partition } = new PartitionFixture();
+  store.readNewest = () =>
+    Promise.resolve({ records: [], end: 0 as Offset, hasMore: true });
+  assert.equal(await partition.catchUp(), false);
+});
--- a/packages/store/partition-follower.ts
+++ b/packages/store/partition-follower.ts
@@ -219,7 +219,11 @@
       );
     for await (const page of readNewestPages(store, target)) {
       start ??= page.end;
-      end = page.end;
+      // A store may determine the end of a page before its records.
+      end = page.records.reduce(
+        (latest, { offset }) => Math.max(latest, offset + 1) as Offset,
+        Math.max(end, page.end) as Offset,
+      );
       newest.push(...page.records);
       grow(page.records);
     }
