Store the progress of items before a leaving instance drops them

Callers saw the items of an instance that was stopped, lost its role or its partitions run again from their first event at the next owner, instead of going on after the last one that was stored.

Cause: to give up a partition, the executor starts the last write of its progress and drops its items at once. The write waited for an earlier one before it looked at the items, found none, took all for finished, and removed their stored progress.

Now the progress is collected when the write is requested, and writes follow one another. The timer requests none while one is under way, so that they do not pile up while the store is slow.

The unit test failed before (undefined instead of "to 5").

--- a/packages/jobs/progress-store.test.ts
+++ b/packages/jobs/progress-store.test.ts
@@ -54,6 +54,22 @@
   assert.deepEqual([...service.log(target).newest.keys()], ["j/1"]);
 });
 
+test("the progress of items that are dropped while it is written is stored for the next owner", async () => {
+  const service = new MemoryStoreService();
+  const { store, progress } = createProgressStore(service, "leaving");
+  await store.load(partition);
+  progress.push(entry(0, 3));
+  await store.write(partition);
+  progress[0] = entry(0, 5);
+  const writing = store.write(partition);
+  progress.length = 0;
+  await writing;
+
+  const next = createProgressStore(service, "next");
+  await next.store.load(partition);
+  assert.equal(next.store.get(partition, job, 0)?.text, "to 5");
+});
+
 test("unchanged progress is not written again, and the next write includes the changes of a failed one", async () => {
   const service = new MemoryStoreService();
   const { store, progress } = createProgressStore(service, "one");
--- a/packages/jobs/progress-store.ts
+++ b/packages/jobs/progress-store.ts
@@ -74,7 +74,9 @@
     this.#timer = setInterval(() => {
       if (performance.now() < this.#pausedUntil) return;
       for (const partition of this.#options.ownedPartitions()) {
-        if (this.isLoaded(partition)) void this.write(partition);
+        const progress = this.#partitions.get(partition);
+        if (!progress?.isLoaded || progress.pendingWrite) continue;
+        void this.write(partition);
       }
     }, progressIntervalMilliseconds);
   }
@@ -131,23 +133,29 @@
   async write(partition: PartitionNumber): Promise<void> {
     const progress = this.#partitions.get(partition);
     if (!progress) return;
-    await progress.pendingWrite;
-    progress.pendingWrite = this.#writeChanges(partition, progress);
-    await progress.pendingWrite;
-    progress.pendingWrite = undefined;
+    // Read before the wait: whoever gives up the partition drops the items right after this call.
+    const current = new Map(
+      this.#options.progressOf(partition).map((entry) => [
+        keyOf(entry.job, entry.item),
+        entry,
+      ]),
+    );
+    const previous = progress.pendingWrite;
+    const write = (async () => {
+      await previous;
+      await this.#writeChanges(partition, progress, current);
+    })();
+    progress.pendingWrite = write;
+    await write;
+    if (progress.pendingWrite === write) progress.pendingWrite = undefined;
   }
 
   async #writeChanges(
     partition: PartitionNumber,
     { loadedItems, storedEventIds }: PartitionProgress,
+    current: ReadonlyMap<string, ItemProgress>,
   ): Promise<void> {
-    const { store, stream, progressOf, logger } = this.#options;
-    const current = new Map(
-      progressOf(partition).map((entry) => [
-        keyOf(entry.job, entry.item),
-        entry,
-      ]),
-    );
+    const { store, stream, logger } = this.#options;
     const entries: (KeyedEntry & { lastEventId?: number })[] = [];
     for (const [key, entry] of current) {
       if (storedEventIds.get(key) === entry.lastEventId) continue;
