Keep the stored progress of items until they are known to be over

Callers saw items run again from their first event after restarts, although their progress had been stored.

Cause: a new owner writes the progress of its partitions every 1.5 s, also while it has not read their jobs yet or its copy lags its lease. It runs no items then, took all records of the earlier owner for those of finished items and removed them. What is missing in a view that is not complete counted as removed here, too.

A record now goes once the copy of the partition, complete since the lease, shows the item as listed, its job as ended or none. An item whose result is not stored yet keeps its progress as well.

The new test failed before (undefined instead of "to 3"). The test of removed records now states which item is over, since the store of progress no longer concludes it; it asserts the same.

--- a/packages/entry/owned-work.ts
+++ b/packages/entry/owned-work.ts
@@ -5,7 +5,7 @@
  * that are run there; see `JobRegions.runningRegion`.
  */
 
-import type { StreamName } from "../common/ids.ts";
+import type { JobId, PartitionNumber, StreamName } from "../common/ids.ts";
 import { BatchExecutor } from "../jobs/batch-executor.ts";
 import type { ItemBodies } from "../jobs/item-bodies.ts";
 import type { JobPartition, JobPartitions } from "../jobs/job-partition.ts";
@@ -47,6 +47,7 @@
         stream: progressStream as StreamName,
         ownedPartitions: () => this.ownership.ownedPartitions(),
         progressOf: (partition) => this.executor.progressOf(partition),
+        isOver: (partition, job, item) => this.#isOver(partition, job, item),
         logger: options.logger,
       })
       : undefined;
@@ -66,6 +67,13 @@
     this.executor.stop();
   }
 
+  /** False while the copy of the partition may lack what earlier owners wrote; see `isOver`. */
+  #isOver(partition: PartitionNumber, job: JobId, item: number): boolean {
+    if (!this.ownership.canStartItems(partition)) return false;
+    const state = this.#options.partitions.get(partition)?.job(job);
+    return !state || state.isEnded || state.finished.has(item);
+  }
+
   #createOwnership(): PartitionOwnership {
     const { settings, region, store, partitions, clock, logger, peerReports } =
       this.#options;
--- a/packages/jobs/progress-store.test.ts
+++ b/packages/jobs/progress-store.test.ts
@@ -15,14 +15,16 @@
 
 function createProgressStore(service: MemoryStoreService, caller: string) {
   const progress: ItemProgress[] = [];
+  const itemsOver = new Set<number>();
   const store = new ProgressStore({
     store: service.client(caller),
     stream: target.stream,
     ownedPartitions: () => [partition],
     progressOf: () => progress,
+    isOver: (_partition, _job, item) => itemsOver.has(item),
     logger: silentLogger,
   });
-  return { store, progress };
+  return { store, progress, itemsOver };
 }
 
 test("the next owner loads the progress that a crashed instance stored", async () => {
@@ -50,10 +52,24 @@
   const second = createProgressStore(service, "second");
   await second.store.load(partition);
   second.progress.push(entry(1, 9));
+  second.itemsOver.add(0);
   await second.store.write(partition);
   assert.deepEqual([...service.log(target).newest.keys()], ["j/1"]);
 });
 
+test("the progress of an earlier owner stays until its items are known to be over, also if none is running yet", async () => {
+  const service = new MemoryStoreService();
+  const first = createProgressStore(service, "first");
+  await first.store.load(partition);
+  first.progress.push(entry(0, 3));
+  await first.store.write(partition);
+  const second = createProgressStore(service, "second");
+  await second.store.load(partition);
+  await second.store.write(partition);
+  assert.equal(second.store.get(partition, job, 0)?.text, "to 3");
+  assert.deepEqual([...service.log(target).newest.keys()], ["j/0"]);
+});
+
 test("the progress of items that are dropped while it is written is stored for the next owner", async () => {
   const service = new MemoryStoreService();
   const { store, progress } = createProgressStore(service, "leaving");
--- a/packages/jobs/progress-store.ts
+++ b/packages/jobs/progress-store.ts
@@ -39,14 +39,26 @@
   readonly ownedPartitions: () => readonly PartitionNumber[];
   /** Returns the present progress of the unfinished items of a partition. */
   readonly progressOf: (partition: PartitionNumber) => readonly ItemProgress[];
+  /**
+   * Whether an item has its result or its job is over, by a copy of the partition that contains what
+   * earlier owners wrote. An item that is merely not known yet still needs its progress.
+   */
+  readonly isOver: (
+    partition: PartitionNumber,
+    job: JobId,
+    item: number,
+  ) => boolean;
   readonly logger: Logger;
 }
 
+/** What is kept of a stored record. */
+type StoredItem = Omit<ItemProgress, "text">;
+
 interface PartitionProgress {
   /** Progress that earlier owners stored, by the key of the item. */
   readonly loadedItems: Map<string, ItemProgress>;
-  /** Last event id of each record in the store, as far as this instance knows. */
-  readonly storedEventIds: Map<string, number>;
+  /** The records in the store, as far as this instance knows. */
+  readonly storedItems: Map<string, StoredItem>;
   isLoaded: boolean;
   pendingWrite: Promise<void> | undefined;
 }
@@ -103,7 +115,7 @@
   async load(partition: PartitionNumber): Promise<void> {
     const progress: PartitionProgress = {
       loadedItems: new Map(),
-      storedEventIds: new Map(),
+      storedItems: new Map(),
       isLoaded: false,
       pendingWrite: undefined,
     };
@@ -152,19 +164,20 @@
 
   async #writeChanges(
     partition: PartitionNumber,
-    { loadedItems, storedEventIds }: PartitionProgress,
+    { loadedItems, storedItems }: PartitionProgress,
     current: ReadonlyMap<string, ItemProgress>,
   ): Promise<void> {
-    const { store, stream, logger } = this.#options;
-    const entries: (KeyedEntry & { lastEventId?: number })[] = [];
+    const { store, stream, logger, isOver } = this.#options;
+    const entries: (KeyedEntry & { item?: StoredItem })[] = [];
     for (const [key, entry] of current) {
-      if (storedEventIds.get(key) === entry.lastEventId) continue;
+      if (storedItems.get(key)?.lastEventId === entry.lastEventId) continue;
       const value = encodeValue(entry);
       if (value.length > maximumValueBytes) continue;
-      entries.push({ key, value, lastEventId: entry.lastEventId });
+      entries.push({ key, value, item: storedItemOf(entry) });
     }
-    for (const key of storedEventIds.keys()) {
-      if (!current.has(key)) entries.push({ key, value: undefined });
+    for (const [key, { job, item }] of storedItems) {
+      if (current.has(key) || !isOver(partition, job, item)) continue;
+      entries.push({ key, value: undefined });
     }
     const chunks = chunkBySize(entries, ({ value }) => value?.length ?? 0);
     try {
@@ -173,11 +186,12 @@
           { stream, partition },
           chunk.map(({ key, value }) => ({ key, value })),
         );
-        for (const { key, lastEventId } of chunk) {
-          if (lastEventId === undefined) {
-            storedEventIds.delete(key);
+        for (const { key, item } of chunk) {
+          if (item) storedItems.set(key, item);
+          else {
+            storedItems.delete(key);
             loadedItems.delete(key);
-          } else storedEventIds.set(key, lastEventId);
+          }
         }
       }
       this.#failedWrites = 0;
@@ -198,7 +212,7 @@
 
   async #readRecords(
     partition: PartitionNumber,
-    { loadedItems, storedEventIds }: PartitionProgress,
+    { loadedItems, storedItems }: PartitionProgress,
   ): Promise<void> {
     const { store, stream } = this.#options;
     for await (const page of readNewestPages(store, { stream, partition })) {
@@ -207,7 +221,7 @@
         const entry = this.#decode(partition, key, value);
         if (!entry) continue;
         loadedItems.set(key, entry);
-        storedEventIds.set(key, entry.lastEventId);
+        storedItems.set(key, storedItemOf(entry));
       }
     }
   }
@@ -230,6 +244,10 @@
   }
 }
 
+function storedItemOf({ job, item, lastEventId }: ItemProgress): StoredItem {
+  return { job, item, lastEventId };
+}
+
 function keyOf(job: JobId, item: number): string {
   return `${job}/${item}`;
 }
