Review: streams end as complete at a crash during a freeze

The cases now end their processes on SIGTERM, and the stand-in of the store can execute a call late.

--- a/review/stand-ins-3/rig.mjs
+++ b/review/stand-ins-3/rig.mjs
@@ -521,6 +521,9 @@
     rig.log("the case took too long");
     void rig.stop().then(() => process.exit(2));
   }, 115_000);
+  for (const signal of ["SIGTERM", "SIGINT"]) {
+    process.once(signal, () => void rig.stop().then(() => process.exit(2)));
+  }
   let code = 2;
   try {
     const broken = await play(rig);
--- a/review/stand-ins-3/store.mjs
+++ b/review/stand-ins-3/store.mjs
@@ -11,7 +11,7 @@
 export class Store {
   topics = new Map();
   groups = new Map();
-  /** Called for each call; may return "silent" or a status, in place of the answer. */
+  /** Called for each call; may return a status, "silent", "lost" or "late" in place of an answer. */
   onCall = () => undefined;
 
   constructor({ parts, retentionMs = 20_000, appendMs = 4 }) {
@@ -116,8 +116,10 @@
     if (typeof verdict === "number") {
       return void response.writeHead(verdict).end();
     }
+    // Done up to some seconds later, and not answered.
+    if (verdict === "late") await delay(1_000 + Math.random() * 5_000);
     const answer = await this.#call(url, body, request);
-    if (verdict === "lost") return;
+    if (verdict === "lost" || verdict === "late") return;
     response.writeHead(answer.status ?? 200);
     response.end(
       Buffer.isBuffer(answer.body)
